--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+VENV ?= .venv
+PYTHON ?= python3
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint measure proofs clean
+
+$(STAMP): requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q --disable-pip-version-check -r requirements.lock
+	$(VENV)/bin/pip install -q --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: $(STAMP)
+	VENV=$(VENV) scripts/demo.sh
+
+test: $(STAMP)
+	$(VENV)/bin/python -m tests
+
+lint: $(STAMP)
+	$(VENV)/bin/black --check -q .
+	$(VENV)/bin/ruff check -q .
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/egretstack/callers/__init__.py
@@ -0,0 +1,16 @@
+"""The callers' HTTP interface."""
+
+from egretstack.callers._app import CallerLimits, CallerLinks, make_caller_app
+from egretstack.callers._counter import RequestCounter
+from egretstack.callers._generations import Generations, SessionDoor
+from egretstack.callers._requests import GenerationBody
+
+__all__ = [
+    "CallerLimits",
+    "CallerLinks",
+    "GenerationBody",
+    "Generations",
+    "RequestCounter",
+    "SessionDoor",
+    "make_caller_app",
+]
--- /dev/null
+++ b/egretstack/errors/__init__.py
@@ -0,0 +1,16 @@
+"""The closed list of error kinds, the table from kind to answer, and the exceptions."""
+
+from egretstack.errors._exceptions import EgretError, NotRunProof, UserError
+from egretstack.errors._kinds import ErrorKind
+from egretstack.errors._table import ANSWERS, Answer, RunState, problem_document
+
+__all__ = [
+    "ANSWERS",
+    "Answer",
+    "EgretError",
+    "ErrorKind",
+    "NotRunProof",
+    "RunState",
+    "UserError",
+    "problem_document",
+]
--- /dev/null
+++ b/egretstack/errors/_exceptions.py
@@ -0,0 +1,62 @@
+"""Exceptions: errors told to a caller, errors told to an operator, and proof of not having run."""
+
+from dataclasses import dataclass
+from math import ceil
+
+from egretstack.errors._kinds import ErrorKind
+from egretstack.errors._table import ANSWERS, RunState
+
+DEFAULT_RETRY_AFTER_S = 2.0
+
+
+class UserError(Exception):
+    """A mistake of the person at the keyboard, told without a traceback."""
+
+
+@dataclass(frozen=True)
+class NotRunProof:
+    """Evidence that no byte of a call left for the upstream.
+
+    Only code that stands before dispatch can make one: the ledger for a call whose intent it
+    never released, and a connector whose connection was refused.
+    """
+
+    reason: str
+
+
+class EgretError(Exception):
+    """A request's final answer when it is not the one asked for.
+
+    `retry_after_s` is in seconds and is filled in where the kind's answer says when to come
+    back. Kinds that state "not run" about a dispatched call take a `NotRunProof`.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        *,
+        retry_after_s: float | None = None,
+        proof: NotRunProof | None = None,
+        delivered: int | None = None,
+    ) -> None:
+        if kind is ErrorKind.NOT_RUN and proof is None:
+            raise ValueError("NOT_RUN is stated only with a proof")
+        super().__init__(f"{kind.value}: {detail}")
+        self.kind = kind
+        self.detail = detail
+        self.delivered = delivered
+        self.proof = proof
+        self.retry_after_s = self._advice(kind, retry_after_s)
+
+    @staticmethod
+    def _advice(kind: ErrorKind, retry_after_s: float | None) -> int | None:
+        if not ANSWERS[kind].retry:
+            return None
+        seconds = DEFAULT_RETRY_AFTER_S if retry_after_s is None else retry_after_s
+        return max(1, ceil(seconds))
+
+    @property
+    def run(self) -> RunState:
+        """Tell what is known about whether the request ran."""
+        return ANSWERS[self.kind].run
--- /dev/null
+++ b/egretstack/errors/_table.py
@@ -0,0 +1,92 @@
+"""The table from error kind to answer: status, title, retry advice and what may have run.
+
+The document that carries an answer is a problem detail as in RFC 9457.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from egretstack.errors._kinds import ErrorKind
+
+PROBLEM_TYPE_BASE = "https://egretstack.dev/problems/"
+PROBLEM_CONTENT_TYPE = "application/problem+json"
+
+
+class RunState(Enum):
+    """What is known about whether the refused request ran."""
+
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+    RAN_IN_PART = "ran-in-part"
+
+
+@dataclass(frozen=True)
+class Answer:
+    """How one kind of error is answered."""
+
+    status: int
+    title: str
+    run: RunState
+    retry: bool
+    """Whether the answer says when to come back."""
+
+
+def _refusal(status: int, title: str) -> Answer:
+    return Answer(status, title, RunState.NOT_RUN, retry=False)
+
+
+def _later(status: int, title: str) -> Answer:
+    return Answer(status, title, RunState.NOT_RUN, retry=True)
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: _refusal(400, "The request is malformed"),
+    ErrorKind.BODY_TOO_LARGE: _refusal(413, "The request body is too large"),
+    ErrorKind.UNAUTHENTICATED: _refusal(401, "The client account's key is missing or wrong"),
+    ErrorKind.FORBIDDEN: _refusal(403, "The client account may not do this"),
+    ErrorKind.NOT_FOUND: _refusal(404, "There is no such resource"),
+    ErrorKind.UNKNOWN_MODEL: _refusal(404, "No service offers this model"),
+    ErrorKind.UNKNOWN_SERVICE: _refusal(404, "There is no such service"),
+    ErrorKind.KEY_REQUIRED: _refusal(400, "This call needs an Idempotency-Key"),
+    ErrorKind.KEY_REUSED: _refusal(422, "The Idempotency-Key belongs to another request"),
+    ErrorKind.IN_PROGRESS: Answer(
+        409, "A call with this Idempotency-Key is in progress", RunState.MAY_HAVE_RUN, retry=True
+    ),
+    ErrorKind.RATE_LIMITED: _later(429, "The client account's rate is used up"),
+    ErrorKind.OVER_CONCURRENCY: _later(429, "The client account has too many open requests"),
+    ErrorKind.ENGINES_FULL: _later(503, "The engines are full"),
+    ErrorKind.DEADLINE_TOO_SHORT: _later(503, "The request would start after its deadline"),
+    ErrorKind.NO_RUNNER: _later(503, "No runner serves this now"),
+    ErrorKind.DRAINING: _later(503, "This instance is leaving"),
+    ErrorKind.PLATFORM_AWAY: _later(503, "The platform's object API does not answer"),
+    ErrorKind.CONFIGURATION_MISSING: _later(503, "No configuration has been received yet"),
+    ErrorKind.NOT_RUN: _later(503, "The call did not reach the upstream"),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        502, "The call may have run; its outcome is unknown", RunState.MAY_HAVE_RUN, retry=False
+    ),
+    ErrorKind.GENERATION_LOST: Answer(
+        502, "The engine lost the generation", RunState.RAN_IN_PART, retry=True
+    ),
+    ErrorKind.GENERATION_CANCELLED: Answer(
+        409, "The generation was cancelled", RunState.RAN_IN_PART, retry=False
+    ),
+    ErrorKind.UPSTREAM_FAILED: Answer(
+        502, "The upstream failed", RunState.MAY_HAVE_RUN, retry=True
+    ),
+    ErrorKind.INTERNAL: Answer(500, "egretstack has a bug", RunState.MAY_HAVE_RUN, retry=False),
+}
+
+
+def problem_document(kind: ErrorKind, detail: str, retry_after_s: int | None) -> dict[str, object]:
+    """Build the problem detail of one answer (RFC 9457, with two members of our own)."""
+    answer = ANSWERS[kind]
+    document: dict[str, object] = {
+        "type": PROBLEM_TYPE_BASE + kind.value,
+        "title": answer.title,
+        "status": answer.status,
+        "detail": detail,
+        "run": answer.run.value,
+    }
+    if retry_after_s is not None:
+        document["retry_after_s"] = retry_after_s
+    return document
--- /dev/null
+++ b/egretstack/events/__init__.py
@@ -0,0 +1,6 @@
+"""Structured logs: numbered events from one closed catalogue."""
+
+from egretstack.events._catalogue import Event, Level, catalogue_page
+from egretstack.events._log import LogForm, log, set_up_logs
+
+__all__ = ["Event", "Level", "LogForm", "catalogue_page", "log", "set_up_logs"]
--- /dev/null
+++ b/egretstack/events/_catalogue.py
@@ -0,0 +1,58 @@
+"""The closed catalogue of log events; `docs/events.md` is made from it."""
+
+from enum import Enum
+
+from egretstack.events._level import Level
+
+_PAGE_HEAD = """# Log events
+
+Made from the catalogue by `egretctl events`; do not edit by hand. The number of an event never
+changes and is never used again.
+
+| number | name | level | meaning and what to do |
+| --- | --- | --- | --- |
+"""
+
+
+class Event(Enum):
+    """One kind of log line: number, level, and what it means to an operator."""
+
+    STARTED = (100, Level.INFO, "Every service of the process is up.")
+    DRAIN_BEGUN = (101, Level.INFO, "A graceful shutdown has begun; nothing in progress is cut.")
+    STOPPED = (102, Level.INFO, "The process has nothing in progress left and ends.")
+    SERVICE_FAILED = (103, Level.ERROR, "A service stopped with an error; the process ends.")
+    REQUEST_REFUSED = (200, Level.INFO, "A request got a final answer other than the one asked.")
+    REQUEST_BUG = (201, Level.ERROR, "A request met a bug; report it with this line.")
+    SESSION_STARTED = (210, Level.DEBUG, "An engine accepted a session's generation.")
+    SESSION_FINISHED = (211, Level.DEBUG, "A session's last token was delivered.")
+    SESSION_RERUN = (212, Level.WARNING, "An engine was lost before delivery; run again.")
+    SESSION_RESUMED = (213, Level.INFO, "A session goes on over a new connection.")
+    SESSION_LOST = (214, Level.ERROR, "A generation was lost in part; the caller was told.")
+    SESSION_ABANDONED = (215, Level.INFO, "The caller left and did not come back; cancelled.")
+    CALL_UNKNOWN = (220, Level.ERROR, "A call that may not be repeated has no known outcome.")
+    CONFIG_APPLIED = (300, Level.INFO, "A configuration revision is in force on this instance.")
+    CONFIG_REFUSED_OLDER = (
+        301,
+        Level.ERROR,
+        "The store offered an older configuration than is in force: restored from a copy?",
+    )
+    CONFIG_BAD = (302, Level.ERROR, "A part of the configuration does not pass its checks.")
+    PLATFORM_AWAY = (310, Level.WARNING, "The platform's object API does not answer.")
+    PLATFORM_BACK = (311, Level.INFO, "The platform's object API answers again.")
+    PEER_REFUSED = (320, Level.WARNING, "A peer connection was refused; check keys and version.")
+    RUNNER_JOINED = (330, Level.INFO, "A runner is known and gets work.")
+    RUNNER_LEFT = (331, Level.INFO, "A runner gets no new work.")
+
+    def __init__(self, number: int, level: Level, meaning: str) -> None:
+        self.number = number
+        self.level = level
+        self.meaning = meaning
+
+
+def catalogue_page() -> str:
+    """Give the text of `docs/events.md`."""
+    rows = [
+        f"| {event.number} | {event.name.lower()} | {event.level.value} | {event.meaning} |"
+        for event in sorted(Event, key=lambda one: one.number)
+    ]
+    return _PAGE_HEAD + "\n".join(rows) + "\n"
--- /dev/null
+++ b/egretstack/events/_log.py
@@ -0,0 +1,53 @@
+"""Writes events through loguru, as JSON lines or in human form."""
+
+from __future__ import annotations
+
+import json
+import sys
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from egretstack.events._catalogue import Event
+from egretstack.events._level import Level
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+_HUMAN = "{time:HH:mm:ss.SSS} {level: <7} E{extra[event]} {message} {extra}"
+_SECRET_FIELDS = frozenset({"key", "token", "authorization", "secret"})
+
+
+class LogForm(Enum):
+    """How log lines look."""
+
+    JSON = "json"
+    HUMAN = "human"
+
+
+def set_up_logs(form: LogForm, level: Level) -> None:
+    """Send log lines to standard error in the form and from the level given."""
+    logger.remove()
+    if form is LogForm.JSON:
+        logger.add(_write_json, level=level.value)
+    else:
+        logger.add(sys.stderr, level=level.value, format=_HUMAN)
+
+
+def _write_json(message: Message) -> None:
+    record = message.record
+    row = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "name": record["message"],
+    }
+    print(json.dumps(row | record["extra"], default=str), file=sys.stderr, flush=True)
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one event; a field that would carry a secret is a bug."""
+    leaked = _SECRET_FIELDS & fields.keys()
+    if leaked:
+        raise ValueError(f"secret log fields: {sorted(leaked)}")
+    logger.bind(event=event.number, **fields).log(event.level.value, event.name.lower())
--- /dev/null
+++ b/egretstack/ids.py
@@ -0,0 +1,34 @@
+"""Identifier types shared by the whole product.
+
+Each id is a string on the wire; a distinct type keeps one kind from being passed for another.
+"""
+
+import re
+from typing import NewType
+
+AccountId = NewType("AccountId", str)
+AttemptId = NewType("AttemptId", str)
+ChangeId = NewType("ChangeId", str)
+DutyName = NewType("DutyName", str)
+GenerationId = NewType("GenerationId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+InstanceId = NewType("InstanceId", str)
+ModelName = NewType("ModelName", str)
+Revision = NewType("Revision", int)
+RunnerId = NewType("RunnerId", str)
+ServiceName = NewType("ServiceName", str)
+SessionId = NewType("SessionId", str)
+WorkId = NewType("WorkId", str)
+ZoneName = NewType("ZoneName", str)
+
+MAX_NAME_LENGTH = 63
+"""Longest name of an account, service, model, instance or zone, in characters."""
+
+_NAME = re.compile(r"[a-z0-9]([a-z0-9.-]*[a-z0-9])?")
+
+
+def is_name(text: object) -> bool:
+    """Tell whether `text` may name an account, service, model, instance or zone."""
+    return (
+        isinstance(text, str) and len(text) <= MAX_NAME_LENGTH and _NAME.fullmatch(text) is not None
+    )
--- /dev/null
+++ b/egretstack/ledger/_per_call.py
@@ -0,0 +1,123 @@
+"""The first ledger: one object for each call.
+
+Kept as the baseline that the sharded ledger is measured against.
+"""
+
+import hashlib
+
+from egretstack.errors import EgretError, ErrorKind, NotRunProof
+from egretstack.ids import AccountId, AttemptId, IdempotencyKey, ServiceName
+from egretstack.ledger._entry import CallState, LedgerEntry
+from egretstack.platform import (
+    Conflict,
+    ObjectApi,
+    ObjectKind,
+    PlatformAway,
+    PlatformOutcomeUnknown,
+    StoredObject,
+)
+
+SETTLE_ATTEMPTS = 3
+PLATFORM_RETRY_S = 5.0
+
+
+class PerCallLedger:
+    """Writes the intent of each call before dispatch and its outcome after."""
+
+    def __init__(self, api: ObjectApi) -> None:
+        self._api = api
+        self._stored_by_attempt: dict[AttemptId, StoredObject] = {}
+
+    async def begin(
+        self,
+        account: AccountId,
+        service: ServiceName,
+        key: IdempotencyKey,
+        attempt: AttemptId,
+        fingerprint: str,
+    ) -> LedgerEntry:
+        """Write the intent and give it back, or give the finished entry of an earlier call.
+
+        Raises EgretError: KEY_REUSED, IN_PROGRESS, OUTCOME_UNKNOWN, PLATFORM_AWAY.
+        """
+        name = _name(account, service, key)
+        entry = LedgerEntry(attempt, fingerprint, CallState.INTENT)
+        try:
+            stored = await self._api.create(ObjectKind.LEDGER, name, entry.spec())
+        except Conflict:
+            return await self._existing(name, entry)
+        except PlatformAway as error:
+            raise _away(error) from error
+        except PlatformOutcomeUnknown:
+            return await self._settle(name, entry)
+        self._stored_by_attempt[attempt] = stored
+        return entry
+
+    async def finish(self, entry: LedgerEntry) -> None:
+        """Write the outcome; where that fails the intent stands and repeats are refused."""
+        stored = self._stored_by_attempt.pop(entry.attempt, None)
+        if stored is None:
+            return
+        for _ in range(SETTLE_ATTEMPTS):
+            try:
+                await self._api.replace(
+                    ObjectKind.LEDGER, stored.name, entry.spec(), stored.version
+                )
+                return
+            except Conflict:
+                return
+            except (PlatformAway, PlatformOutcomeUnknown):
+                continue
+
+    async def _settle(self, name: str, entry: LedgerEntry) -> LedgerEntry:
+        """Find out whether a write whose answer was lost took effect, by the attempt's id."""
+        for _ in range(SETTLE_ATTEMPTS):
+            try:
+                stored = await self._api.get(ObjectKind.LEDGER, name)
+            except PlatformAway:
+                continue
+            if stored is not None and LedgerEntry.from_spec(stored.spec).attempt == entry.attempt:
+                self._stored_by_attempt[entry.attempt] = stored
+                return entry
+            if stored is not None:
+                return self._judge(stored, entry)
+        raise _away("the intent's write could not be settled")
+
+    async def _existing(self, name: str, entry: LedgerEntry) -> LedgerEntry:
+        try:
+            stored = await self._api.get(ObjectKind.LEDGER, name)
+        except PlatformAway as error:
+            raise _away(error) from error
+        if stored is None:
+            raise _away("an entry that comes and goes")
+        found = self._judge(stored, entry)
+        if found.state is not CallState.NOT_RUN:
+            return found
+        try:
+            fresh = await self._api.replace(ObjectKind.LEDGER, name, entry.spec(), stored.version)
+        except (Conflict, PlatformAway, PlatformOutcomeUnknown) as error:
+            raise _away(error) from error
+        self._stored_by_attempt[entry.attempt] = fresh
+        return entry
+
+    @staticmethod
+    def _judge(stored: StoredObject, entry: LedgerEntry) -> LedgerEntry:
+        found = LedgerEntry.from_spec(stored.spec)
+        if found.fingerprint != entry.fingerprint:
+            raise EgretError(ErrorKind.KEY_REUSED, "the key was used for another request")
+        if found.state is CallState.INTENT:
+            raise EgretError(ErrorKind.IN_PROGRESS, "a call with this key has begun")
+        if found.state is CallState.UNKNOWN:
+            raise EgretError(ErrorKind.OUTCOME_UNKNOWN, "the first call's outcome is unknown")
+        return found
+
+
+def _away(cause: object) -> EgretError:
+    proof = NotRunProof("the intent was not written, so the call was not sent")
+    return EgretError(
+        ErrorKind.PLATFORM_AWAY, str(cause), retry_after_s=PLATFORM_RETRY_S, proof=proof
+    )
+
+
+def _name(account: AccountId, service: ServiceName, key: IdempotencyKey) -> str:
+    return hashlib.sha256(f"{account}\0{service}\0{key}".encode()).hexdigest()[:40]
--- /dev/null
+++ b/egretstack/operators/__init__.py
@@ -0,0 +1,28 @@
+"""What operators do: change configuration, ask for status, drain. Knows no terminal."""
+
+from egretstack.operators._changes import (
+    PartFile,
+    apply_file,
+    check_file,
+    diff_text,
+    read_part_file,
+    remove_part,
+    shown,
+)
+from egretstack.operators._keys import new_account_key, new_session_key
+from egretstack.operators._status import InstanceStatus, drain_instance, fleet_status
+
+__all__ = [
+    "InstanceStatus",
+    "PartFile",
+    "apply_file",
+    "check_file",
+    "diff_text",
+    "drain_instance",
+    "fleet_status",
+    "new_account_key",
+    "new_session_key",
+    "read_part_file",
+    "remove_part",
+    "shown",
+]
--- /dev/null
+++ b/egretstack/operators/_changes.py
@@ -0,0 +1,106 @@
+"""Changes of contracts and service descriptions, from files."""
+
+import difflib
+import secrets
+from dataclasses import dataclass
+from pathlib import Path
+
+from egretstack.configuration import (
+    Change,
+    ConfigurationStore,
+    Head,
+    PartKind,
+    part_digest,
+    part_name,
+)
+from egretstack.contracts import read_contract, read_service
+from egretstack.ids import ChangeId
+from egretstack.schema import read_ini
+
+Sections = dict[str, dict[str, str]]
+
+
+@dataclass(frozen=True)
+class PartFile:
+    """A checked file that holds one part of the configuration."""
+
+    path: Path
+    kind: PartKind
+    name: str
+    sections: Sections
+
+    @property
+    def part(self) -> str:
+        """Give the name of the part."""
+        return part_name(self.kind, self.name)
+
+
+def read_part_file(path: Path, kind: PartKind) -> PartFile:
+    """Read and check a file; raise UserError."""
+    sections = read_ini(path)
+    if kind is PartKind.CONTRACT:
+        return PartFile(path, kind, read_contract(str(path), sections).account, sections)
+    return PartFile(path, kind, read_service(str(path), sections).name, sections)
+
+
+def check_file(path: Path, kind: PartKind) -> str:
+    """Check a file and give the name of what it describes; raise UserError."""
+    return read_part_file(path, kind).name
+
+
+async def shown(store: ConfigurationStore, kind: PartKind, name: str) -> Sections | None:
+    """Give the part in force, or None. Raises PlatformAway."""
+    head = await store.head()
+    return None if head is None else await _part(store, head, part_name(kind, name))
+
+
+async def diff_text(store: ConfigurationStore, file: PartFile) -> str:
+    """Give the difference a file would make, empty for none. Raises PlatformAway."""
+    theirs = await shown(store, file.kind, file.name)
+    return sections_diff(theirs, file.sections, "in force", str(file.path))
+
+
+async def apply_file(
+    store: ConfigurationStore, file: PartFile, base: str | None = None
+) -> tuple[Head, ChangeId]:
+    """Accept a file as the part's new text.
+
+    `base` is the version the operator started from; by default the one in force now.
+    Raises ApplyConflict, ApplyUnknown, PlatformAway.
+    """
+    head = await store.head()
+    current = None if head is None else head.digest_by_part.get(file.part)
+    expected = current if base is None else base
+    change = Change(
+        ChangeId(secrets.token_hex(8)), {file.part: file.sections}, {file.part: expected}
+    )
+    if head is not None and current == part_digest(file.sections) and base is None:
+        return head, head.change_id
+    return await store.apply(change), change.id
+
+
+async def remove_part(store: ConfigurationStore, kind: PartKind, name: str) -> Head:
+    """Take a part out of the configuration; errors as for `apply_file`."""
+    part = part_name(kind, name)
+    head = await store.head()
+    current = None if head is None else head.digest_by_part.get(part)
+    return await store.apply(Change(ChangeId(secrets.token_hex(8)), {part: None}, {part: current}))
+
+
+def sections_diff(old: Sections | None, new: Sections | None, old_name: str, new_name: str) -> str:
+    """Give the difference of two versions of a part as a unified diff."""
+    lines = difflib.unified_diff(_lines(old), _lines(new), old_name, new_name, lineterm="")
+    return "\n".join(lines)
+
+
+def _lines(sections: Sections | None) -> list[str]:
+    lines = []
+    for section, keys in sorted((sections or {}).items()):
+        lines.append(f"[{section}]")
+        lines.extend(f"{name} = {value}" for name, value in sorted(keys.items()))
+    return lines
+
+
+async def _part(store: ConfigurationStore, head: Head, part: str) -> Sections | None:
+    digest = head.digest_by_part.get(part)
+    return None if digest is None else await store.part(part, digest)
--- /dev/null
+++ b/egretstack/peers/_link.py
@@ -0,0 +1,129 @@
+"""A link to one peer: msgpack over a stream, opened by a hello each way.
+
+The hello proves that the peer holds a session key of this system: it seals the sender's name
+with Fernet, and an old seal is refused.
+"""
+
+import msgpack
+import trio
+from cryptography.fernet import Fernet, InvalidToken, MultiFernet
+
+from egretstack.clock import EpochClock
+from egretstack.ids import InstanceId
+from egretstack.peers._messages import Hello, Message, MessageError, decode, encode
+
+PROTOCOL_VERSION = 1
+SEAL_LIFE_S = 60
+MAX_MESSAGE_BYTES = 4_194_304
+READ_BYTES = 65_536
+HELLO_TIMEOUT_S = 5.0
+
+
+class PeerGone(Exception):
+    """The link broke or the peer closed it."""
+
+
+class PeerRefused(Exception):
+    """The peer speaks another version, holds no key of ours, or sent what is no message."""
+
+
+class PeerKeys:
+    """Seals this process's name and checks a peer's."""
+
+    def __init__(self, keys: list[bytes], epoch: EpochClock) -> None:
+        self._box = MultiFernet([Fernet(key) for key in keys])
+        self._epoch = epoch
+
+    def hello(self, instance: InstanceId) -> Hello:
+        """Make the hello of this process."""
+        seal = self._box.encrypt_at_time(instance.encode(), int(self._epoch.now()))
+        return Hello(PROTOCOL_VERSION, instance, seal)
+
+    def check(self, hello: Message) -> InstanceId:
+        """Give the peer's name; raise PeerRefused."""
+        if not isinstance(hello, Hello) or hello.version != PROTOCOL_VERSION:
+            raise PeerRefused("another protocol version")
+        try:
+            name = self._box.decrypt_at_time(hello.seal, SEAL_LIFE_S, int(self._epoch.now()))
+        except InvalidToken as error:
+            raise PeerRefused("a seal that is not ours or too old") from error
+        if name.decode() != hello.instance:
+            raise PeerRefused("a seal for another name")
+        return InstanceId(hello.instance)
+
+
+class PeerLink:
+    """Sends and receives messages over one stream."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        self._sending = trio.Lock()
+        self.peer = InstanceId("")
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def send(self, message: Message) -> None:
+        """Send one message. Raises PeerGone."""
+        body = encode(message)
+        self.sent_bytes += len(body)
+        try:
+            async with self._sending:
+                await self._stream.send_all(body)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise PeerGone(repr(error)) from error
+
+    async def receive(self) -> Message:
+        """Receive one message. Raises PeerGone, PeerRefused."""
+        while True:
+            try:
+                return decode(next(self._unpacker))
+            except StopIteration:
+                await self._read()
+            except (ValueError, MessageError) as error:
+                raise PeerRefused(repr(error)) from error
+
+    async def ask(self, message: Message) -> Message:
+        """Send a message and receive its answer. Raises PeerGone, PeerRefused."""
+        await self.send(message)
+        return await self.receive()
+
+    async def aclose(self) -> None:
+        """Close the link."""
+        await self._stream.aclose()
+
+    async def _read(self) -> None:
+        try:
+            data = await self._stream.receive_some(READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise PeerGone(repr(error)) from error
+        if not data:
+            raise PeerGone("closed by the peer")
+        self.received_bytes += len(data)
+        try:
+            self._unpacker.feed(data)
+        except msgpack.BufferFull as error:
+            raise PeerRefused("a message that is too large") from error
+
+
+async def connect_peer(host: str, port: int, keys: PeerKeys, instance: InstanceId) -> PeerLink:
+    """Open a link. Raises PeerGone, PeerRefused."""
+    try:
+        with trio.fail_after(HELLO_TIMEOUT_S):
+            link = PeerLink(await trio.open_tcp_stream(host, port))
+            link.peer = keys.check(await link.ask(keys.hello(instance)))
+            return link
+    except (OSError, trio.TooSlowError) as error:
+        raise PeerGone(repr(error)) from error
+
+
+async def greet_peer(stream: trio.abc.Stream, keys: PeerKeys, instance: InstanceId) -> PeerLink:
+    """Accept a link. Raises PeerGone, PeerRefused."""
+    link = PeerLink(stream)
+    try:
+        with trio.fail_after(HELLO_TIMEOUT_S):
+            link.peer = keys.check(await link.receive())
+            await link.send(keys.hello(instance))
+            return link
+    except trio.TooSlowError as error:
+        raise PeerGone("no hello") from error
--- /dev/null
+++ b/egretstack/platform/_http_instance_list.py
@@ -0,0 +1,54 @@
+"""The instance list over HTTP, as Kubernetes EndpointSlice resources (`discovery.k8s.io/v1`)."""
+
+import httpx
+
+from egretstack.ids import ServiceName, ZoneName, is_name
+from egretstack.platform._instance_list import InstanceList, Member, MemberState
+from egretstack.platform._object_api import PlatformAway
+
+SERVICE_LABEL = "kubernetes.io/service-name"
+MAX_MEMBERS = 10_000
+
+
+class HttpInstanceList(InstanceList):
+    """Reads EndpointSlices from a base URL."""
+
+    def __init__(self, client: httpx.AsyncClient, base_url: str, namespace: str) -> None:
+        self._client = client
+        self._url = f"{base_url}/apis/discovery.k8s.io/v1/namespaces/{namespace}/endpointslices"
+
+    async def members(self) -> list[Member]:
+        """Read every member of every service. Raises PlatformAway."""
+        try:
+            response = await self._client.get(self._url)
+            response.raise_for_status()
+            return _members(response.json())
+        except (httpx.HTTPError, ValueError, KeyError, TypeError, AttributeError) as error:
+            raise PlatformAway(repr(error)) from error
+
+
+def _members(body: dict) -> list[Member]:
+    members = []
+    for item in body["items"]:
+        service = ServiceName(item["metadata"]["labels"][SERVICE_LABEL])
+        ports = {port["name"]: int(port["port"]) for port in item["ports"]}
+        for endpoint in item["endpoints"]:
+            members.append(_member(service, ports, endpoint))
+    if len(members) > MAX_MEMBERS:
+        raise ValueError("the list is too long")
+    return members
+
+
+def _member(service: ServiceName, ports: dict[str, int], endpoint: dict) -> Member:
+    name = endpoint["targetRef"]["name"]
+    if not (is_name(name) and is_name(service)):
+        raise ValueError("a member without a proper name")
+    leaving = bool(endpoint.get("conditions", {}).get("terminating"))
+    return Member(
+        id=name,
+        service=service,
+        zone=ZoneName(endpoint.get("zone", "")),
+        host=endpoint["addresses"][0],
+        ports=ports,
+        state=MemberState.LEAVING if leaving else MemberState.LIVE,
+    )
--- /dev/null
+++ b/egretstack/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: thin command functions over the library."""
--- /dev/null
+++ b/egretstack/programs/_running.py
@@ -0,0 +1,79 @@
+"""Runs a daemon and maps errors to exit codes."""
+
+import signal
+import sys
+from collections.abc import Callable
+from enum import IntEnum
+from pathlib import Path
+
+import trio
+
+from egretstack.errors import UserError
+from egretstack.events import Level, LogForm, set_up_logs
+from egretstack.kernel import Kernel, ServiceFailed, load_services
+from egretstack.settings import Program, read_settings
+
+
+class ExitCode(IntEnum):
+    """How a program ended."""
+
+    OK = 0
+    FAILED = 1
+    """A bug, or a service that failed."""
+    USER_ERROR = 2
+    """The settings, the arguments or a file are wrong."""
+    CONFLICT = 3
+    """Another operator's change came first."""
+    UNKNOWN = 4
+    """It is not known whether the change was accepted."""
+    AWAY = 5
+    """The platform or an instance does not answer; nothing was changed."""
+
+
+def run_daemon(path: Path, program: Program, services: tuple[str, ...]) -> None:
+    """Run the services until SIGTERM or SIGINT and the graceful shutdown that follows."""
+
+    async def main() -> None:
+        settings = read_settings(path, program)
+        form = settings.get("logs", "form", LogForm)
+        set_up_logs(form, settings.get("logs", "level", Level))
+        kernel = Kernel(settings)
+        load_services(kernel, services)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_drain_on_signal, kernel)
+            await kernel.run()
+            nursery.cancel_scope.cancel()
+
+    exit_with(lambda: trio.run(main))
+
+
+def exit_with(run: Callable[[], object]) -> None:
+    """Run and exit: user errors in plain words, failed services by name, bugs as tracebacks."""
+    try:
+        run()
+    except* UserError as group:
+        for error in _leaves(group):
+            print(error, file=sys.stderr)
+        sys.exit(ExitCode.USER_ERROR)
+    except* ServiceFailed as group:
+        for error in _leaves(group):
+            print(f"{error}: {_root_cause(error)}", file=sys.stderr)
+        sys.exit(ExitCode.FAILED)
+
+
+async def _drain_on_signal(kernel: Kernel) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            kernel.begin_drain()
+
+
+def _leaves(error: BaseException) -> list[BaseException]:
+    if isinstance(error, BaseExceptionGroup):
+        return [leaf for one in error.exceptions for leaf in _leaves(one)]
+    return [error]
+
+
+def _root_cause(error: BaseException) -> str:
+    while error.__cause__ is not None:
+        error = error.__cause__
+    return "; ".join(repr(leaf) for leaf in _leaves(error))
--- /dev/null
+++ b/egretstack/schema/_key.py
@@ -0,0 +1,29 @@
+"""One key of a schema."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from egretstack.schema._values import ValueKind
+
+
+@dataclass(frozen=True)
+class Key:
+    """A key of a document: where it stands, what it may hold and what it means."""
+
+    section: str
+    name: str
+    kind: ValueKind
+    meaning: str
+    default: str | None = None
+    """Text taken where the document has none; None makes the key required."""
+
+
+def reference_rows(keys: Iterable[Key]) -> str:
+    """Give the rows of a reference table in Markdown, one a key."""
+    return "".join(_row(key) for key in keys)
+
+
+def _row(key: Key) -> str:
+    default = "required" if key.default is None else f"`{key.default}`"
+    cells = (key.section, key.name, key.kind.allowed(), default, key.meaning)
+    return "| " + " | ".join(cells) + " |\n"
--- /dev/null
+++ b/egretstack/services/accounts.py
@@ -0,0 +1,65 @@
+"""Client accounts: who holds a key, and what its contract allows on this instance."""
+
+import hashlib
+
+import trio
+
+from egretstack import clock
+from egretstack.contracts import Contract
+from egretstack.errors import EgretError, ErrorKind
+from egretstack.ids import AccountId
+from egretstack.kernel import Kernel, Service
+from egretstack.limits import LocalLimits
+from egretstack.platform import ENTRY_SERVICE, MemberState
+from egretstack.services.configuration import Configuration
+from egretstack.services.instances import Instances
+
+_SCHEME = "Bearer "
+MAX_KEY_LENGTH = 512
+
+
+class Accounts(Service):
+    """Authenticates callers and applies their limits."""
+
+    name = "accounts"
+    requires = ("configuration", "instances")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._limits = LocalLimits()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Follow the number of live instances that share the limits."""
+        instances = self.kernel.get(Instances)
+        instances.on_change(self._recount)
+        self._recount()
+        task_status.started()
+        await trio.sleep_forever()
+
+    def authenticate(self, authorization: str) -> Contract:
+        """Find the contract of the key in an Authorization header; raise EgretError."""
+        state = self.kernel.get(Configuration).state
+        if state.snapshot is None:
+            raise EgretError(ErrorKind.CONFIGURATION_MISSING, "this instance has just started")
+        key = authorization.removeprefix(_SCHEME)
+        if key == authorization or not key or len(key) > MAX_KEY_LENGTH:
+            raise EgretError(ErrorKind.UNAUTHENTICATED, "send the key as a bearer token")
+        # Only digests of keys are kept; a key is random, so one round of SHA-256 suffices, and
+        # looking the digest up tells nothing about another key by its timing.
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        account = state.account_by_digest.get(digest)
+        if account is None:
+            raise EgretError(ErrorKind.UNAUTHENTICATED, "no client account has this key")
+        return state.contract_by_account[account]
+
+    def open(self, contract: Contract) -> None:
+        """Count a request in; raise EgretError."""
+        self._limits.open(clock.now(), contract)
+
+    def close(self, account: AccountId) -> None:
+        """Count a request out."""
+        self._limits.close(account)
+
+    def _recount(self) -> None:
+        live = self.kernel.get(Instances).members(ENTRY_SERVICE, MemberState.LIVE)
+        self._limits.instances = max(1, len(live))
--- /dev/null
+++ b/egretstack/services/caller_api.py
@@ -0,0 +1,116 @@
+"""The callers' port of an entry, and its graceful shutdown."""
+
+import hashlib
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from egretstack.callers import (
+    CallerLimits,
+    CallerLinks,
+    Generations,
+    RequestCounter,
+    make_caller_app,
+)
+from egretstack.contracts import Contract
+from egretstack.errors import EgretError, ErrorKind
+from egretstack.ids import ServiceName
+from egretstack.kernel import Kernel, Service
+from egretstack.platform import ENTRY_SERVICE, Member, MemberState
+from egretstack.services.accounts import Accounts
+from egretstack.services.calls import Calls
+from egretstack.services.instances import Instances
+from egretstack.services.platform_access import PlatformAccess
+from egretstack.services.session_host import SessionHost
+from egretstack.upstreams import CallRequest, CallResponse
+
+ENTRIES_ANSWERED = 5
+DRAIN_MARGIN_S = 1.0
+IDLE_CONNECTION_S = 75
+STOP_GRACE_S = 1.0
+CALLER_PORT = "caller"
+
+
+class CallerApi(Service, CallerLinks):
+    """Serves callers; a drain outlives the answers callers keep, and cuts no request."""
+
+    name = "caller_api"
+    requires = ("platform_access", "instances", "accounts", "session_host", "calls")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._stop = trio.Event()
+        self._closed = False
+        self._requests = RequestCounter()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Serve until the kernel stops this service."""
+        settings = self.kernel.settings
+        limits = CallerLimits(
+            settings.whole("caller", "max_body_bytes"), settings.number("caller", "heartbeat_s")
+        )
+        generations = Generations(self.kernel.get(SessionHost), limits.heartbeat_s)
+        app = self._requests.around(make_caller_app(self, generations, limits))
+        config = Config()
+        config.bind = [settings.text("caller", "address")]
+        config.accesslog = None
+        config.errorlog = None
+        config.keep_alive_timeout = IDLE_CONNECTION_S
+        config.graceful_timeout = STOP_GRACE_S
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                lambda task_status: serve(
+                    app, config, shutdown_trigger=self._stop.wait, task_status=task_status
+                )
+            )
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Serve on until callers' cached answers have run out, then take nothing new."""
+        await trio.sleep(self._answer_life_s() + DRAIN_MARGIN_S)
+        self._closed = True
+        await self._requests.wait_idle()
+
+    def authenticate(self, authorization: str) -> Contract:
+        """Find the contract of a caller; raise EgretError."""
+        return self.kernel.get(Accounts).authenticate(authorization)
+
+    def check_open(self) -> None:
+        """Raise EgretError once callers' cached answers have run out in a drain."""
+        if self._closed:
+            raise EgretError(ErrorKind.DRAINING, "ask which entry to use")
+
+    def entries(self, contract: Contract) -> dict[str, object]:
+        """Give which entries to use, own availability zone first, and for how long."""
+        members = self.kernel.get(Instances).members(ENTRY_SERVICE, MemberState.LIVE)
+        ranked = sorted(members, key=lambda member: self._rank(contract, member))
+        rows = [
+            {"instance": one.id, "zone": one.zone, "url": one.url(CALLER_PORT)}
+            for one in ranked[:ENTRIES_ANSWERED]
+        ]
+        return {"entries": rows, "keep_s": self._answer_life_s()}
+
+    async def call(
+        self, contract: Contract, service: ServiceName, call: CallRequest
+    ) -> CallResponse:
+        """Pass a call on to a plain service; raise EgretError."""
+        return await self.kernel.get(Calls).call(contract, service, call)
+
+    def count_refusal(self, kind: ErrorKind) -> None:
+        """Count a final answer other than the one asked for."""
+        self.kernel.get(PlatformAccess).metrics.refusals.labels(kind.value).inc()
+
+    def _answer_life_s(self) -> float:
+        return self.kernel.settings.number("caller", "answer_life_s")
+
+    def _rank(self, contract: Contract, member: Member) -> tuple[bool, bool, str]:
+        own = self.kernel.settings.text("instance", "id")
+        zone = self.kernel.settings.text("instance", "zone")
+        leaving = member.id == own and self.kernel.draining.is_set()
+        return (leaving, member.zone != zone, _account_order(contract, member))
+
+
+def _account_order(contract: Contract, member: Member) -> str:
+    """Spread accounts over entries by rendezvous hashing."""
+    return hashlib.sha256(f"{contract.account}/{member.id}".encode()).hexdigest()
--- /dev/null
+++ b/egretstack/services/dispatching.py
@@ -0,0 +1,128 @@
+"""Drives the policy: tells it what happens and carries out what it decides."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from egretstack.errors import EgretError, ErrorKind
+from egretstack.ids import RunnerId, WorkId
+from egretstack.kernel import Kernel, Service
+from egretstack.policy import (
+    DEFAULT_POLICY,
+    Action,
+    Arrived,
+    Dispatch,
+    Ended,
+    EndReason,
+    Evict,
+    PolicyEvent,
+    Progressed,
+    Refuse,
+    Started,
+    Tick,
+    Work,
+    make_policy,
+)
+from egretstack.services.runners import Runners
+from egretstack.sessions import Placement, Placer
+from egretstack.upstreams import EngineClient
+
+
+@dataclass
+class _Waiting:
+    work: Work
+    may_evict: Callable[[], bool]
+    decided: trio.Event = field(default_factory=trio.Event)
+    action: Dispatch | Refuse | None = None
+    placement: Placement | None = None
+
+
+class Dispatching(Service, Placer):
+    """The one place where the policy runs in this process."""
+
+    name = "dispatching"
+    requires = ("runners",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._policy = make_policy(DEFAULT_POLICY, random.Random())
+        self._waiting_by_id: dict[WorkId, _Waiting] = {}
+        self._wake = trio.Event()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Send the policy the ticks it asks for."""
+        self.kernel.get(Runners).on_event(self._tell)
+        task_status.started()
+        while True:
+            self._wake = trio.Event()
+            at_s = self._policy.next_wake_s()
+            with trio.CancelScope(deadline=float("inf") if at_s is None else at_s) as scope:
+                await self._wake.wait()
+            if scope.cancelled_caught:
+                self._tell(Tick())
+
+    async def place(self, work: Work, may_evict: Callable[[], bool]) -> Placement:
+        """Wait for a runner; raise EgretError with the policy's refusal."""
+        waiting = _Waiting(work, may_evict)
+        self._waiting_by_id[work.id] = waiting
+        self._tell(Arrived(work))
+        return await self._decision(waiting)
+
+    async def place_again(self, placement: Placement) -> Placement:
+        """Wait for a runner after the policy took the work away."""
+        return await self._decision(self._waiting_by_id[placement.work.id])
+
+    def engine(self, runner_id: RunnerId) -> EngineClient | None:
+        """Give the client of a runner, also of a leaving one."""
+        return self.kernel.get(Runners).engine(runner_id)
+
+    def started(self, work: Work) -> None:
+        """Tell the policy that the engine accepted the work."""
+        self._tell(Started(work.id))
+
+    def progressed(self, work: Work, tokens: int, delivered: int) -> None:
+        """Tell the policy how far the work has come."""
+        self._tell(Progressed(work.id, tokens, delivered))
+
+    def ended(self, work: Work, tokens: int, reason: EndReason) -> None:
+        """Tell the policy that the work left its engine, or the queue."""
+        self._waiting_by_id.pop(work.id, None)
+        self._tell(Ended(work.id, tokens, reason))
+
+    async def _decision(self, waiting: _Waiting) -> Placement:
+        await waiting.decided.wait()
+        action = waiting.action
+        waiting.decided = trio.Event()
+        waiting.action = None
+        if isinstance(action, Refuse):
+            del self._waiting_by_id[waiting.work.id]
+            raise EgretError(
+                action.kind, "refused by the policy", retry_after_s=action.retry_after_s
+            )
+        engine = self.engine(action.runner_id)
+        if engine is None:
+            raise EgretError(ErrorKind.NO_RUNNER, f"runner {action.runner_id} is gone")
+        waiting.placement = Placement(waiting.work, action.runner_id, engine, action.priority)
+        return waiting.placement
+
+    def _tell(self, event: PolicyEvent) -> None:
+        for action in self._policy.handle(trio.current_time(), event):
+            self._carry_out(action)
+        self._wake.set()
+
+    def _carry_out(self, action: Action) -> None:
+        waiting = self._waiting_by_id.get(action.work_id)
+        if waiting is None:
+            return
+        if isinstance(action, Evict):
+            self._evict(waiting)
+            return
+        waiting.action = action
+        waiting.decided.set()
+
+    @staticmethod
+    def _evict(waiting: _Waiting) -> None:
+        if waiting.placement is not None and waiting.may_evict():
+            waiting.placement.scope.cancel()
--- /dev/null
+++ b/egretstack/sessions/_placing.py
@@ -0,0 +1,50 @@
+"""What a session needs of the one that places work on runners."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from egretstack.ids import RunnerId
+from egretstack.policy import EndReason, Work
+from egretstack.upstreams import EngineClient
+
+
+@dataclass
+class Placement:
+    """Work that was given a runner. Cancelling `scope` means the policy takes it away again."""
+
+    work: Work
+    runner_id: RunnerId
+    engine: EngineClient
+    priority: int
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+
+class Placer(ABC):
+    """Places work by the policy."""
+
+    @abstractmethod
+    async def place(self, work: Work, may_evict: Callable[[], bool]) -> Placement:
+        """Wait for a runner; raise EgretError with the policy's refusal."""
+
+    @abstractmethod
+    async def place_again(self, placement: Placement) -> Placement:
+        """Wait for a runner after the policy took the work away."""
+
+    @abstractmethod
+    def engine(self, runner_id: RunnerId) -> EngineClient | None:
+        """Give the client of a runner, also of a leaving one; None if it is not known."""
+
+    @abstractmethod
+    def started(self, work: Work) -> None:
+        """Tell the policy that the engine accepted the work."""
+
+    @abstractmethod
+    def progressed(self, work: Work, tokens: int, delivered: int) -> None:
+        """Tell the policy how far the work has come."""
+
+    @abstractmethod
+    def ended(self, work: Work, tokens: int, reason: EndReason) -> None:
+        """Tell the policy that the work left its engine, or the queue."""
--- /dev/null
+++ b/egretstack/sessions/_session.py
@@ -0,0 +1,153 @@
+"""A session: the events of its generation between the task that follows the engine and the
+caller's connection."""
+
+from collections import deque
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import trio
+
+from egretstack.delivery import Cursor
+from egretstack.errors import EgretError
+from egretstack.ids import AccountId, ServiceName, SessionId, WorkId
+from egretstack.sessions._outcome import FinishedAnswer
+from egretstack.upstreams import EngineEvent, EngineEventKind, GenerationRequest
+
+MAX_UNREAD_EVENTS = 4096
+"""Events that wait for a slow caller before the engine's stream is left unread."""
+KEPT_EVENTS = 2048
+"""Read events that are kept for a caller who comes back with an earlier number."""
+
+
+@dataclass(frozen=True)
+class SessionRequest:
+    """What the caller asked for."""
+
+    account: AccountId
+    service: ServiceName
+    generation: GenerationRequest
+    streamed: bool
+
+
+class Session:
+    """The state of one session on the entry that serves it.
+
+    The pump adds events; one reader at a time takes them. A newer reader supersedes an older.
+    """
+
+    def __init__(self, work_id: WorkId, request: SessionRequest, cursor: Cursor) -> None:
+        self.work_id = work_id
+        self.request = request
+        self.cursor = cursor
+        self.id: SessionId | None = None
+        self.outcome: FinishedAnswer | EgretError | None = None
+        self.taken = cursor.last
+        """Sequence number of the last event that a caller may have seen."""
+        self.tokens = max(0, cursor.last)
+        """Output tokens received from the engine; event N of a stream is its token N."""
+        self._events: deque[EngineEvent] = deque()
+        self._changed = trio.Event()
+        self._room = trio.Event()
+        self._reader = 0
+
+    @property
+    def delivered(self) -> int:
+        """Give the number of output tokens that the caller may have seen."""
+        return max(0, self.taken)
+
+    async def add(self, event: EngineEvent) -> None:
+        """Add the next event; wait while too many are unread."""
+        self._events.append(event)
+        self.tokens = event.sequence
+        self._wake()
+        while self.request.streamed and self.cursor.last - self.taken > MAX_UNREAD_EVENTS:
+            self._room = trio.Event()
+            await self._room.wait()
+
+    def restart(self) -> None:
+        """Forget a generation of which nothing was taken."""
+        if self.taken >= 0:
+            raise ValueError("events of this generation were taken")
+        self.cursor = Cursor()
+        self.id = None
+        self.tokens = 0
+        self._events.clear()
+
+    def end(self, outcome: FinishedAnswer | EgretError) -> None:
+        """Set the outcome; readers get what is left, then it."""
+        self.outcome = outcome
+        self._wake()
+
+    def text(self) -> str:
+        """Join the text of the events that are kept."""
+        return "".join(event.text for event in self._events)
+
+    def can_read_after(self, after: int) -> bool:
+        """Tell whether the events after a sequence number are still kept here."""
+        return bool(self._events) and self._events[0].sequence <= after + 1
+
+    def supersede(self) -> int:
+        """Make a new reader the only one; give its number."""
+        self._reader += 1
+        self._wake()
+        return self._reader
+
+    def is_reader(self, reader: int) -> bool:
+        """Tell whether this reader was not superseded."""
+        return self._reader == reader
+
+    async def wait_for_end(self) -> None:
+        """Wait for the outcome."""
+        while self.outcome is None:
+            await self._changed.wait()
+
+    async def batches(
+        self, reader: int, after: int, heartbeat_s: float
+    ) -> AsyncIterator[list[EngineEvent]]:
+        """Give events in batches of what is ready; an empty one after a silence.
+
+        Ends at the outcome, or when another reader superseded this one.
+        """
+        position = after
+        while self.is_reader(reader):
+            changed = self._changed
+            ready = self._after(position)
+            if ready and not self._binds_only(ready):
+                position = ready[-1].sequence
+                self._take(position)
+                yield ready
+                continue
+            if self.outcome is not None:
+                return
+            with trio.move_on_after(heartbeat_s) as silence:
+                await changed.wait()
+            if silence.cancelled_caught:
+                yield []
+
+    def _binds_only(self, ready: list[EngineEvent]) -> bool:
+        """Tell whether all that is ready is the event that names the generation.
+
+        It is held until a token follows. Sent alone it would bind the caller to a generation of
+        which nothing was delivered, and that generation could not be run again elsewhere.
+        """
+        return ready[-1].kind is EngineEventKind.CREATED and self.outcome is None
+
+    def _after(self, position: int) -> list[EngineEvent]:
+        if not self._events:
+            return []
+        skipped = max(0, position + 1 - self._events[0].sequence)
+        wanted = len(self._events) - skipped
+        if wanted <= 0:
+            return []
+        newest_first = [self._events[-1 - index] for index in range(wanted)]
+        return newest_first[::-1]
+
+    def _take(self, position: int) -> None:
+        self.taken = max(self.taken, position)
+        while self._events and self._events[0].sequence <= self.taken - KEPT_EVENTS:
+            self._events.popleft()
+        self._room.set()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
--- /dev/null
+++ b/egretstack/upstreams/_http_engine.py
@@ -0,0 +1,236 @@
+"""A model engine over HTTP: a subset of the OpenAI Responses API, and Prometheus load reports.
+
+Load reports use the metric names that vLLM publishes. Orders are a PUT of the desired models.
+"""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+
+import httpx
+from httpx_sse import EventSource, SSEError
+from prometheus_client.parser import text_string_to_metric_families
+
+from egretstack.ids import GenerationId
+from egretstack.upstreams._engine import (
+    CacheEvent,
+    EngineBroken,
+    EngineClient,
+    EngineError,
+    EngineEvent,
+    EngineEventKind,
+    EngineRefused,
+    EngineSilent,
+    EngineUnreachable,
+    GenerationGone,
+    GenerationRequest,
+    GenerationState,
+    LoadReport,
+    Order,
+    OrderRefused,
+)
+
+_HTTP_NOT_FOUND = 404
+_HTTP_CONFLICT = 409
+_BUSY = frozenset({429, 503})
+_KIND_BY_NAME = {kind.value: kind for kind in EngineEventKind}
+MAX_CACHE_EVENTS = 10_000
+
+
+class HttpEngine(EngineClient):
+    """One engine at a base URL. `silence_s` is the longest wait for the next bytes, in seconds.
+
+    `fresh` keeps no idle connections. What asks after a generation whose stream failed goes
+    through it: an idle connection may have gone silent in the same way as the stream.
+    """
+
+    def __init__(
+        self,
+        client: httpx.AsyncClient,
+        fresh: httpx.AsyncClient,
+        base_url: str,
+        silence_s: float,
+    ) -> None:
+        self._client = client
+        self._fresh = fresh
+        self._base = base_url
+        self._stream_timeout = httpx.Timeout(client.timeout.connect, read=silence_s)
+
+    @asynccontextmanager
+    async def generate(self, request: GenerationRequest) -> AsyncIterator[AsyncIterator]:
+        """Start a generation. Raises EngineUnreachable, EngineRefused, EngineBroken."""
+        body = {
+            "model": request.model,
+            "input": request.prompt,
+            "max_output_tokens": request.max_output_tokens,
+            "stream": True,
+            "background": True,
+            "priority": request.priority,
+        }
+        opened = self._client.stream(
+            "POST",
+            f"{self._base}/v1/responses",
+            content=json.dumps(body),
+            timeout=self._stream_timeout,
+        )
+        async with _stream(opened, None) as events:
+            yield events
+
+    @asynccontextmanager
+    async def resume(self, generation: GenerationId, after: int) -> AsyncIterator[AsyncIterator]:
+        """Follow a generation from the event after sequence number `after`."""
+        params = {"stream": "true", "starting_after": str(after)}
+        opened = self._fresh.stream(
+            "GET",
+            f"{self._base}/v1/responses/{generation}",
+            params=params,
+            timeout=self._stream_timeout,
+        )
+        async with _stream(opened, generation) as events:
+            yield events
+
+    async def cancel(self, generation: GenerationId) -> None:
+        """End a generation; one that is gone is no error. Raises EngineError."""
+        response = await self._ask("POST", f"/v1/responses/{generation}/cancel")
+        if response.is_error and response.status_code != _HTTP_NOT_FOUND:
+            raise EngineBroken(f"status {response.status_code}")
+
+    async def state(self, generation: GenerationId) -> GenerationState:
+        """Ask after a generation over a new connection. Raises EngineError, GenerationGone."""
+        response = await self._ask("GET", f"/v1/responses/{generation}", client=self._fresh)
+        if response.status_code == _HTTP_NOT_FOUND:
+            raise GenerationGone(generation)
+        try:
+            return GenerationState(response.json()["status"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise EngineBroken("an answer that cannot be read") from error
+
+    async def load(self) -> LoadReport:
+        """Read the latest load report. Raises EngineError."""
+        response = await self._ask("GET", "/metrics")
+        try:
+            return _load_report(response.text)
+        except (ValueError, KeyError) as error:
+            raise EngineBroken("a load report that cannot be read") from error
+
+    async def cache_events(self, after: int) -> list[CacheEvent]:
+        """Read cache events numbered above `after`; numbers may be missing."""
+        response = await self._ask("GET", "/cache-events", params={"after": str(after)})
+        try:
+            rows = response.json()["events"][:MAX_CACHE_EVENTS]
+            return [CacheEvent(int(r["number"]), r["prefix"], bool(r["stored"])) for r in rows]
+        except (ValueError, KeyError, TypeError) as error:
+            raise EngineBroken("cache events that cannot be read") from error
+
+    async def order(self, order: Order) -> None:
+        """Give an order. Raises OrderRefused, EngineError."""
+        body = {"id": order.id, "fencing": order.fencing, "models": list(order.models)}
+        response = await self._ask("PUT", "/orders", content=json.dumps(body))
+        if response.status_code == _HTTP_CONFLICT:
+            raise OrderRefused(order.id)
+        if response.is_error:
+            raise EngineBroken(f"status {response.status_code}")
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        *,
+        client: httpx.AsyncClient | None = None,
+        **options: object,
+    ) -> httpx.Response:
+        try:
+            return await (client or self._client).request(method, self._base + path, **options)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            raise EngineUnreachable(repr(error)) from error
+        except httpx.TimeoutException as error:
+            raise EngineSilent(repr(error)) from error
+        except httpx.HTTPError as error:
+            raise EngineBroken(repr(error)) from error
+
+
+@asynccontextmanager
+async def _stream(
+    opened: AbstractAsyncContextManager[httpx.Response], generation: GenerationId | None
+) -> AsyncIterator[AsyncIterator[EngineEvent]]:
+    try:
+        async with opened as response:
+            _check_stream(response, generation)
+            yield _events(response, generation)
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+        raise EngineUnreachable(repr(error)) from error
+    except httpx.TimeoutException as error:
+        raise EngineSilent(repr(error)) from error
+    except (httpx.HTTPError, httpx.StreamError) as error:
+        raise EngineBroken(repr(error)) from error
+
+
+def _check_stream(response: httpx.Response, generation: GenerationId | None) -> None:
+    if response.status_code in _BUSY:
+        raise EngineRefused(f"status {response.status_code}", _retry_after(response))
+    if response.status_code == _HTTP_NOT_FOUND and generation is not None:
+        raise GenerationGone(generation)
+    if response.is_error:
+        raise EngineError(f"status {response.status_code}")
+
+
+def _retry_after(response: httpx.Response) -> float | None:
+    text = response.headers.get("Retry-After", "")
+    return float(text) if text.isdecimal() else None
+
+
+async def _events(
+    response: httpx.Response, generation: GenerationId | None
+) -> AsyncIterator[EngineEvent]:
+    """Decode events; their generation is the stream's own until a created event names it."""
+    ended = False
+    try:
+        async for message in EventSource(response).aiter_sse():
+            kind = _KIND_BY_NAME.get(message.event)
+            if kind is None:
+                continue
+            data = json.loads(message.data)
+            generation = _generation_of(data, generation)
+            sequence = int(data["sequence_number"])
+            yield EngineEvent(generation, sequence, kind, data.get("delta", ""))
+            ended = kind not in (EngineEventKind.CREATED, EngineEventKind.TOKEN)
+    except httpx.TimeoutException as error:
+        raise EngineSilent(repr(error)) from error
+    except (httpx.HTTPError, httpx.StreamError, SSEError) as error:
+        raise EngineBroken(repr(error)) from error
+    except (ValueError, KeyError, TypeError) as error:
+        raise EngineBroken(f"an event that cannot be read: {error!r}") from error
+    if not ended:
+        raise EngineBroken("the stream ended before the generation did")
+
+
+def _generation_of(data: dict, known: GenerationId | None) -> GenerationId:
+    """Find the generation an event belongs to.
+
+    A token event carries its item's id, which the engine makes from the generation's; were the
+    stream's generation assumed instead, an event crossed in from another would pass unseen.
+    """
+    if "response" in data:
+        return GenerationId(data["response"]["id"])
+    item = data.get("item_id")
+    if item is not None:
+        return GenerationId(item.removeprefix("msg_"))
+    if known is None:
+        raise ValueError("an event without a generation")
+    return known
+
+
+def _load_report(text: str) -> LoadReport:
+    values: dict[str, float] = {}
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            values[sample.name] = sample.value
+    capacity = int(values["egret_engine_kv_capacity_tokens"])
+    return LoadReport(
+        age_s=values["egret_engine_report_age_seconds"],
+        running=int(values["vllm:num_requests_running"]),
+        waiting=int(values["vllm:num_requests_waiting"]),
+        kv_used_tokens=round(values["vllm:kv_cache_usage_perc"] * capacity),
+        kv_capacity_tokens=capacity,
+        preemptions=int(values["vllm:num_preemptions_total"]),
+    )
--- /dev/null
+++ b/egretstack/upstreams/_plain.py
@@ -0,0 +1,47 @@
+"""What a plain service beside the engines does for the system."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from egretstack.errors import NotRunProof
+
+
+class Unsent(Exception):
+    """No connection was made, so no byte of the call left; carries the proof."""
+
+    def __init__(self, proof: NotRunProof) -> None:
+        super().__init__(proof.reason)
+        self.proof = proof
+
+
+class OutcomeUnknown(Exception):
+    """The call was sent, in part at least, and no answer came."""
+
+
+@dataclass(frozen=True)
+class CallRequest:
+    """One HTTP call as it is passed on. `timeout_s` is in seconds."""
+
+    method: str
+    path: str
+    query: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout_s: float
+
+
+@dataclass(frozen=True)
+class CallResponse:
+    """The upstream's answer to a call."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = field(default=())
+    body: bytes = b""
+
+
+class PlainService(ABC):
+    """One runner of a plain service."""
+
+    @abstractmethod
+    async def call(self, request: CallRequest) -> CallResponse:
+        """Make a call. Raises Unsent or OutcomeUnknown."""
--- /dev/null
+++ b/standins/live_engine.py
@@ -0,0 +1,191 @@
+"""An engine stand-in that runs on trio's clock: the model of an engine plus its generations."""
+
+import random
+import re
+import secrets
+from dataclasses import dataclass, field
+from zlib import crc32
+
+import trio
+
+from egretstack.ids import GenerationId, ModelName
+from egretstack.replay import EngineModel, EngineParameters, OutputKind
+from egretstack.upstreams import (
+    CacheEvent,
+    EngineEvent,
+    EngineEventKind,
+    GenerationRequest,
+    GenerationState,
+    LoadReport,
+    Order,
+    OrderRefused,
+)
+
+CHARACTERS_PER_TOKEN = 4
+FORGET_AFTER_S = 120.0
+CACHE_EVENT_DELAY_S = 1.0
+CACHE_EVENT_LOSS = 0.2
+PREFIX_CHARACTERS = 256
+_LENGTH = re.compile(r"tokens:(\d+)")
+_WORDS = ("wind", "road", "shift", "ferry", "child", "note", "house", "hill", "seat", "rain")
+_FINAL = {
+    GenerationState.COMPLETED: EngineEventKind.COMPLETED,
+    GenerationState.CANCELLED: EngineEventKind.CANCELLED,
+    GenerationState.FAILED: EngineEventKind.FAILED,
+}
+
+
+def prompt_tokens(prompt: str) -> int:
+    """Count a prompt's tokens, roughly."""
+    return max(1, len(prompt) // CHARACTERS_PER_TOKEN)
+
+
+def output_length(prompt: str, most: int) -> int:
+    """Give the length an answer will have: as `tokens:N` in the prompt says, or drawn from it."""
+    match = _LENGTH.search(prompt)
+    if match:
+        return max(1, min(int(match.group(1)), most))
+    drawn = random.Random(crc32(prompt.encode())).lognormvariate(5.0, 1.0)
+    return max(1, min(int(drawn), most))
+
+
+@dataclass
+class Generation:
+    """One generation: its events so far, and who waits for more."""
+
+    id: GenerationId
+    prompt: str
+    state: GenerationState = GenerationState.QUEUED
+    events: list[EngineEvent] = field(default_factory=list)
+    changed: trio.Event = field(default_factory=trio.Event)
+    ended_s: float | None = None
+
+    def add(self, kind: EngineEventKind, text: str = "") -> None:
+        """Append an event and wake who waits."""
+        self.events.append(EngineEvent(self.id, len(self.events), kind, text))
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def end(self, state: GenerationState, now_s: float) -> None:
+        """Append the last event."""
+        self.state = state
+        self.ended_s = now_s
+        self.add(_FINAL[state])
+
+
+class LiveEngine:
+    """Runs an engine model in real or mock time; start `run` in a nursery."""
+
+    def __init__(
+        self,
+        parameters: EngineParameters,
+        models: tuple[ModelName, ...],
+        *,
+        checks_fencing: bool = True,
+        seed: int = 1,
+    ) -> None:
+        self.model = EngineModel(parameters)
+        self.models = models
+        self.by_id: dict[GenerationId, Generation] = {}
+        self.orders: list[Order] = []
+        self._checks_fencing = checks_fencing
+        self._fencing = 0
+        self._rng = random.Random(seed)
+        self._work = trio.Event()
+        self._cache_log: list[tuple[float, CacheEvent]] = []
+        self._cached: set[str] = set()
+
+    def start(self, request: GenerationRequest) -> Generation:
+        """Accept a generation."""
+        generation = Generation(GenerationId("gen" + secrets.token_hex(8)), request.prompt)
+        self.by_id[generation.id] = generation
+        generation.add(EngineEventKind.CREATED)
+        self.model.submit(
+            trio.current_time(),
+            generation.id,
+            prompt_tokens=prompt_tokens(request.prompt),
+            output_tokens=output_length(request.prompt, request.max_output_tokens),
+            prefix=request.prompt[:PREFIX_CHARACTERS],
+            priority=request.priority,
+        )
+        self._work.set()
+        return generation
+
+    def cancel(self, generation: Generation) -> None:
+        """End a generation that runs still."""
+        if generation.ended_s is None:
+            self.model.cancel(generation.id)
+            generation.end(GenerationState.CANCELLED, trio.current_time())
+
+    def order(self, order: Order) -> None:
+        """Carry an order out; an engine that checks fencing refuses an old number."""
+        if self._checks_fencing and order.fencing < self._fencing:
+            raise OrderRefused(order.id)
+        self._fencing = max(self._fencing, order.fencing)
+        self.models = order.models
+        self.orders.append(order)
+
+    def load(self) -> LoadReport:
+        """Give the lagging load report."""
+        now_s = trio.current_time()
+        snapshot = self.model.report(now_s)
+        return LoadReport(
+            age_s=now_s - snapshot.taken_s,
+            running=snapshot.running,
+            waiting=snapshot.waiting,
+            kv_used_tokens=snapshot.kv_used_tokens,
+            kv_capacity_tokens=self.model.parameters.kv_capacity_tokens,
+            preemptions=snapshot.preemptions,
+        )
+
+    def cache_events(self, after: int) -> list[CacheEvent]:
+        """Give cache events, late and with gaps."""
+        ready_s = trio.current_time() - CACHE_EVENT_DELAY_S
+        return [e for at_s, e in self._cache_log if at_s <= ready_s and e.number > after]
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Step the model for ever."""
+        task_status.started()
+        while True:
+            at_s = self.model.next_step_s()
+            if at_s is None:
+                self._work = trio.Event()
+                await self._work.wait()
+                continue
+            await trio.sleep_until(at_s)
+            self._step()
+
+    def _step(self) -> None:
+        now_s = trio.current_time()
+        for output in self.model.step(now_s):
+            generation = self.by_id[output.generation]
+            if output.kind is OutputKind.TOKEN:
+                generation.state = GenerationState.RUNNING
+                generation.add(EngineEventKind.TOKEN, self._text(generation))
+            elif output.kind is OutputKind.FINISHED:
+                generation.end(GenerationState.COMPLETED, now_s)
+        self._note_cache(now_s)
+        self._forget(now_s)
+
+    @staticmethod
+    def _text(generation: Generation) -> str:
+        number = len(generation.events)
+        return _WORDS[(crc32(generation.prompt.encode()) + number) % len(_WORDS)] + " "
+
+    def _note_cache(self, now_s: float) -> None:
+        cached = set(self.model.cached_prefixes())
+        for prefix in sorted(cached ^ self._cached):
+            number = len(self._cache_log) + 1
+            if self._rng.random() >= CACHE_EVENT_LOSS:
+                event = CacheEvent(number, prefix, prefix in cached)
+                self._cache_log.append((now_s, event))
+        self._cached = cached
+
+    def _forget(self, now_s: float) -> None:
+        old = [
+            one.id
+            for one in self.by_id.values()
+            if one.ended_s is not None and now_s - one.ended_s > FORGET_AFTER_S
+        ]
+        for generation_id in old:
+            del self.by_id[generation_id]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of egretstack; `python -m tests` runs them all."""
--- /dev/null
+++ b/tests/test_delivery.py
@@ -0,0 +1,66 @@
+"""Delivery: the cursor, the recovery decision and session ids."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretstack.delivery import (
+    Cursor,
+    Failure,
+    Recovery,
+    RecoveryBudget,
+    SessionRef,
+    Step,
+    TokenBox,
+    TokenRefused,
+    Verdict,
+)
+from egretstack.ids import AccountId, GenerationId, InstanceId, RunnerId, ServiceName
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+ONE = GenerationId("one")
+TWO = GenerationId("two")
+
+
+@settings(deadline=None)
+@given(st.lists(st.tuples(st.sampled_from([ONE, TWO]), st.integers(0, 20)), max_size=60))
+def test_delivered_events_are_one_generation_in_order(offers):
+    # Whatever crossed, repeated or skipped events arrive, the reader gets 0, 1, 2 ... of the
+    # generation bound first. Without the generation check, two answers would be spliced.
+    cursor = Cursor()
+    delivered = [row for row in offers if cursor.offer(*row) is Verdict.DELIVER]
+    check.assertEqual([number for _, number in delivered], list(range(len(delivered))))
+    check.assertLessEqual(len({generation for generation, _ in delivered}), 1)
+
+
+def test_generation_lost_before_delivery_is_run_again():
+    # The engine dies before a token left. The caller sees one whole answer, from a second run.
+    recovery = Recovery(RecoveryBudget())
+    check.assertIs(recovery.decide(Failure.GONE, bound=True, delivered=0), Step.RERUN)
+
+
+def test_generation_lost_after_delivery_is_never_run_again():
+    # The engine dies while the reader has half the answer. A second run would differ from it,
+    # so the reader is told at once that the generation is lost.
+    recovery = Recovery(RecoveryBudget())
+    check.assertIs(recovery.decide(Failure.GONE, bound=True, delivered=3), Step.LOST)
+
+
+def test_broken_connection_is_resumed_within_the_budget():
+    recovery = Recovery(RecoveryBudget(resumes=2))
+    steps = [recovery.decide(Failure.BROKEN, bound=True, delivered=3) for _ in range(3)]
+    check.assertEqual(steps, [Step.RESUME, Step.RESUME, Step.LOST])
+
+
+def test_session_id_opens_with_any_key_and_refuses_a_forged_one():
+    old, new = TokenBox.new_key(), TokenBox.new_key()
+    ref = SessionRef(
+        AccountId("a"), InstanceId("i"), ServiceName("s"), RunnerId("r"), GenerationId("g")
+    )
+    text = TokenBox([old]).seal(ref)
+    check.assertEqual(TokenBox([new, old]).open(text), ref)
+    with check.assertRaises(TokenRefused):
+        TokenBox([new]).open(text)
+    with check.assertRaises(TokenRefused):
+        TokenBox([old]).open(text[:-4] + "AAAA")
