One seam to the outside, a world in one process, and a scope entered twice

Cause: a session whose engine died before its first token ended as an internal error. Each reconnection entered the placement's cancel scope again, which trio forbids; the first resume of any session failed. Ruled out: the recovery decision (it chose RESUME, then RERUN, as its own test shows). Each stream is now followed in a scope of its own, and an eviction between two streams is remembered.

Second cause: a process that was stopped from outside cancelled its generations at the engines, so that no other entry could pick them up. Only a caller's cancel or a final error does so now.

--- a/egretstack/configuration/__init__.py
+++ b/egretstack/configuration/__init__.py
@@ -1,5 +1,6 @@
 """Configuration: accepted by one conditional update of a head object, and never going back."""
 
+from egretstack.configuration._messages import ConfigAsk, ConfigTell
 from egretstack.configuration._model import (
     Change,
     Head,
@@ -19,6 +20,8 @@
     "ApplyConflict",
     "ApplyUnknown",
     "Change",
+    "ConfigAsk",
+    "ConfigTell",
     "ConfigurationState",
     "ConfigurationStore",
     "Head",
--- a/egretstack/peers/__init__.py
+++ b/egretstack/peers/__init__.py
@@ -9,8 +9,6 @@
     greet_peer,
 )
 from egretstack.peers._messages import (
-    ConfigAsk,
-    ConfigTell,
     Message,
     Nothing,
     decode,
@@ -18,8 +16,6 @@
 )
 
 __all__ = [
-    "ConfigAsk",
-    "ConfigTell",
     "Message",
     "Nothing",
     "PeerGone",
--- a/egretstack/peers/_link.py
+++ b/egretstack/peers/_link.py
@@ -4,6 +4,8 @@
 with Fernet, and an old seal is refused.
 """
 
+from collections.abc import Awaitable, Callable
+
 import msgpack
 import trio
 from cryptography.fernet import Fernet, InvalidToken, MultiFernet
@@ -106,11 +108,13 @@
             raise PeerRefused("a message that is too large") from error
 
 
-async def connect_peer(host: str, port: int, keys: PeerKeys, instance: InstanceId) -> PeerLink:
-    """Open a link. Raises PeerGone, PeerRefused."""
+async def connect_peer(
+    opener: Callable[[], Awaitable[trio.abc.Stream]], keys: PeerKeys, instance: InstanceId
+) -> PeerLink:
+    """Open a link over the stream that `opener` opens. Raises PeerGone, PeerRefused."""
     try:
         with trio.fail_after(HELLO_TIMEOUT_S):
-            link = PeerLink(await trio.open_tcp_stream(host, port))
+            link = PeerLink(await opener())
             link.peer = keys.check(await link.ask(keys.hello(instance)))
             return link
     except (OSError, trio.TooSlowError) as error:
--- a/egretstack/peers/_messages.py
+++ b/egretstack/peers/_messages.py
@@ -9,6 +9,8 @@
 
 import msgpack
 
+_KIND_BY_NUMBER: dict[int, type["Message"]] = {}
+
 
 class MessageError(Exception):
     """Bytes from a peer are not a message."""
@@ -16,10 +18,20 @@
 
 @dataclass(frozen=True)
 class Message:
-    """A message; a subclass sets its number and its fields."""
+    """A message; a subclass sets its number and its fields, and so becomes known.
+
+    Numbers below 10 are the link's own; each package that talks to its like on other instances
+    has ten of its own: configuration 10, membership 20, limits 30, ledger 40, sessions 50.
+    """
 
     number: ClassVar[int]
 
+    def __init_subclass__(cls) -> None:
+        super().__init_subclass__()
+        if cls.number in _KIND_BY_NUMBER:
+            raise ValueError(f"two messages have the number {cls.number}")
+        _KIND_BY_NUMBER[cls.number] = cls
+
 
 @dataclass(frozen=True)
 class Hello(Message):
@@ -38,30 +50,6 @@
     number: ClassVar[int] = 2
 
 
-@dataclass(frozen=True)
-class ConfigAsk(Message):
-    """Asks for a configuration newer than a revision."""
-
-    number: ClassVar[int] = 10
-    revision: int
-
-
-@dataclass(frozen=True)
-class ConfigTell(Message):
-    """Tells a configuration: the head, and the text of each part."""
-
-    number: ClassVar[int] = 11
-    revision: int
-    change_id: str
-    digest_by_part: dict
-    sections_by_part: dict
-
-
-_KIND_BY_NUMBER: dict[int, type[Message]] = {
-    kind.number: kind for kind in (Hello, Nothing, ConfigAsk, ConfigTell)
-}
-
-
 def encode(message: Message) -> bytes:
     """Give the bytes of a message."""
     row = [message.number]
--- a/egretstack/services/caller_api.py
+++ b/egretstack/services/caller_api.py
@@ -3,8 +3,6 @@
 import hashlib
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from egretstack.callers import (
     CallerLimits,
@@ -27,8 +25,6 @@
 
 ENTRIES_ANSWERED = 5
 DRAIN_MARGIN_S = 1.0
-IDLE_CONNECTION_S = 75
-STOP_GRACE_S = 1.0
 CALLER_PORT = "caller"
 
 
@@ -52,18 +48,10 @@
         )
         generations = Generations(self.kernel.get(SessionHost), limits.heartbeat_s)
         app = self._requests.around(make_caller_app(self, generations, limits))
-        config = Config()
-        config.bind = [settings.text("caller", "address")]
-        config.accesslog = None
-        config.errorlog = None
-        config.keep_alive_timeout = IDLE_CONNECTION_S
-        config.graceful_timeout = STOP_GRACE_S
+        address = settings.text("caller", "address")
+        access = self.kernel.get(PlatformAccess)
         async with trio.open_nursery() as nursery:
-            await nursery.start(
-                lambda task_status: serve(
-                    app, config, shutdown_trigger=self._stop.wait, task_status=task_status
-                )
-            )
+            await nursery.start(access.serve_http, app, address, self._stop)
             task_status.started()
 
     async def drain(self) -> None:
--- a/egretstack/services/configuration.py
+++ b/egretstack/services/configuration.py
@@ -9,6 +9,8 @@
 import trio
 
 from egretstack.configuration import (
+    ConfigAsk,
+    ConfigTell,
     ConfigurationState,
     ConfigurationStore,
     Head,
@@ -18,7 +20,7 @@
 from egretstack.events import Event, log
 from egretstack.ids import ChangeId, InstanceId, Revision
 from egretstack.kernel import Kernel, Service
-from egretstack.peers import ConfigAsk, ConfigTell, Message, Nothing, PeerGone, PeerRefused
+from egretstack.peers import Message, Nothing, PeerGone, PeerRefused
 from egretstack.platform import ENTRY_SERVICE, Member, PlatformAway
 from egretstack.services.instances import Instances
 from egretstack.services.peer_port import PeerPort
--- a/egretstack/services/dispatching.py
+++ b/egretstack/services/dispatching.py
@@ -125,4 +125,4 @@
     @staticmethod
     def _evict(waiting: _Waiting) -> None:
         if waiting.placement is not None and waiting.may_evict():
-            waiting.placement.scope.cancel()
+            waiting.placement.evict()
--- a/egretstack/services/operator_port.py
+++ b/egretstack/services/operator_port.py
@@ -3,8 +3,6 @@
 import json
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from quart import Response
 from quart_trio import QuartTrio
@@ -23,19 +21,10 @@
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Serve until the kernel stops this service."""
-        config = Config()
-        config.bind = [self.kernel.settings.text("instance", "operator_address")]
-        config.accesslog = None
-        config.errorlog = None
+        address = self.kernel.settings.text("instance", "operator_address")
+        access = self.kernel.get(PlatformAccess)
         async with trio.open_nursery() as nursery:
-            await nursery.start(
-                lambda task_status: serve(
-                    self._app(),
-                    config,
-                    shutdown_trigger=trio.sleep_forever,
-                    task_status=task_status,
-                )
-            )
+            await nursery.start(access.serve_http, self._app(), address, trio.Event())
             task_status.started()
 
     def _app(self) -> QuartTrio:
--- a/egretstack/services/peer_port.py
+++ b/egretstack/services/peer_port.py
@@ -1,6 +1,7 @@
 """The port on which other processes of the system ask this one, and the links to them."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from ipaddress import ip_address
 
 import trio
@@ -44,12 +45,9 @@
         """Serve peers."""
         host, _, port = self.kernel.settings.text("instance", "peer_address").rpartition(":")
         address = str(ip_address(host.strip("[]")))
+        access = self.kernel.get(PlatformAccess)
         async with trio.open_nursery() as nursery:
-            await nursery.start(
-                lambda task_status: trio.serve_tcp(
-                    self._serve, int(port), host=address, task_status=task_status
-                )
-            )
+            await nursery.start(access.serve_streams, self._serve, address, int(port))
             task_status.started()
 
     async def ask(self, peer: InstanceId, host: str, port: int, message: Message) -> Message:
@@ -63,8 +61,9 @@
     async def _ask(self, peer: InstanceId, host: str, port: int, message: Message) -> Message:
         link = self._link_by_address.pop((host, port), None)
         if link is None:
-            keys = self.kernel.get(PlatformAccess).peer_keys
-            link = await connect_peer(host, port, keys, self._own())
+            access = self.kernel.get(PlatformAccess)
+            opener = partial(access.open_stream, host, port)
+            link = await connect_peer(opener, access.peer_keys, self._own())
         try:
             if link.peer != peer:
                 raise PeerRefused(f"{link.peer} answers in place of {peer}")
@@ -76,7 +75,7 @@
         self._link_by_address[host, port] = link
         return answer
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def _serve(self, stream: trio.abc.Stream) -> None:
         if self._accepted >= MAX_LINKS:
             return
         self._accepted += 1
--- a/egretstack/services/platform_access.py
+++ b/egretstack/services/platform_access.py
@@ -1,23 +1,41 @@
-"""Access to the platform and to other processes: HTTP clients, keys and metrics of the process."""
+"""Access to all that is outside this process: platform, runners and peers; keys and metrics.
+
+Every other service reaches the outside through this one, so a test that replaces it can run
+whole programs on a mock clock.
+"""
+
+from collections.abc import Awaitable, Callable
 
 import httpx
 import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
 
+from egretstack.callers import AsgiApp
 from egretstack.delivery import TokenBox
 from egretstack.errors import UserError
 from egretstack.kernel import Kernel, Service
 from egretstack.metrics import Metrics
 from egretstack.peers import PeerKeys
-from egretstack.platform import HttpInstanceList, HttpObjectApi, InstanceList, ObjectApi
+from egretstack.platform import (
+    HttpInstanceList,
+    HttpObjectApi,
+    InstanceList,
+    Member,
+    ObjectApi,
+)
+from egretstack.upstreams import EngineClient, HttpEngine, HttpPlainService, PlainService
 
 CONNECT_TIMEOUT_S = 2.0
+IDLE_CONNECTION_S = 75
+STOP_GRACE_S = 1.0
 MAX_KEY_FILE_BYTES = 65_536
 _NO_LIMITS = httpx.Limits(max_connections=None, max_keepalive_connections=200)
 _NO_IDLE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 
 
 class PlatformAccess(Service):
-    """Holds what the other services reach the outside with."""
+    """Holds what the other services reach the outside with: HTTP and TCP."""
 
     name = "platform_access"
 
@@ -27,10 +45,10 @@
         base = settings.text("platform", "object_api")
         namespace = settings.text("platform", "namespace")
         timeout = httpx.Timeout(settings.number("platform", "timeout_s"), connect=CONNECT_TIMEOUT_S)
-        self.client = httpx.AsyncClient(timeout=timeout, limits=_NO_LIMITS, trust_env=False)
-        self.fresh = httpx.AsyncClient(timeout=timeout, limits=_NO_IDLE, trust_env=False)
-        self.object_api: ObjectApi = HttpObjectApi(self.client, base, namespace)
-        self.instance_list: InstanceList = HttpInstanceList(self.client, base, namespace)
+        self._client = httpx.AsyncClient(timeout=timeout, limits=_NO_LIMITS, trust_env=False)
+        self._fresh = httpx.AsyncClient(timeout=timeout, limits=_NO_IDLE, trust_env=False)
+        self.object_api: ObjectApi = HttpObjectApi(self._client, base, namespace)
+        self.instance_list: InstanceList = HttpInstanceList(self._client, base, namespace)
         self.metrics = Metrics()
         keys = self._keys()
         self.tokens = TokenBox(keys)
@@ -38,10 +56,49 @@
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Keep the clients open."""
-        async with self.client, self.fresh:
+        async with self._client, self._fresh:
             task_status.started()
             await trio.sleep_forever()
 
+    def engine(self, member: Member) -> EngineClient:
+        """Make the client of an engine."""
+        silence_s = self.kernel.settings.number("engines", "silence_s")
+        return HttpEngine(self._client, self._fresh, member.url(), silence_s)
+
+    def plain(self, member: Member) -> PlainService:
+        """Make the client of a plain service's runner."""
+        return HttpPlainService(self._client, member.url())
+
+    async def open_stream(self, host: str, port: int) -> trio.abc.Stream:
+        """Connect to a peer. Raises OSError."""
+        return await trio.open_tcp_stream(host, port)
+
+    async def serve_streams(
+        self,
+        handler: Callable[[trio.abc.Stream], Awaitable[None]],
+        host: str,
+        port: int,
+        task_status: trio.TaskStatus[object],
+    ) -> None:
+        """Serve peers that connect, until cancelled."""
+        await trio.serve_tcp(handler, port, host=host, task_status=task_status)
+
+    async def serve_http(
+        self,
+        app: AsgiApp,
+        address: str,
+        stop: trio.Event,
+        task_status: trio.TaskStatus[object],
+    ) -> None:
+        """Serve an HTTP application until `stop`; requests still open are then cut soon."""
+        config = Config()
+        config.bind = [address]
+        config.accesslog = None
+        config.errorlog = None
+        config.keep_alive_timeout = IDLE_CONNECTION_S
+        config.graceful_timeout = STOP_GRACE_S
+        await serve(app, config, shutdown_trigger=stop.wait, task_status=task_status)
+
     def _keys(self) -> list[bytes]:
         path = self.kernel.settings.path("sessions", "key_file")
         try:
--- a/egretstack/services/runners.py
+++ b/egretstack/services/runners.py
@@ -13,13 +13,7 @@
 from egretstack.services.configuration import Configuration
 from egretstack.services.instances import Instances
 from egretstack.services.platform_access import PlatformAccess
-from egretstack.upstreams import (
-    EngineClient,
-    EngineError,
-    HttpEngine,
-    HttpPlainService,
-    PlainService,
-)
+from egretstack.upstreams import EngineClient, EngineError, PlainService
 
 
 class Runners(Service):
@@ -53,8 +47,8 @@
     def plain(self, service: ServiceName) -> list[PlainService]:
         """Give the live runners of a plain service."""
         members = self.kernel.get(Instances).members(service, MemberState.LIVE)
-        client = self.kernel.get(PlatformAccess).client
-        return [HttpPlainService(client, member.url()) for member in members]
+        access = self.kernel.get(PlatformAccess)
+        return [access.plain(member) for member in members]
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Follow the instance list and the configuration."""
@@ -89,12 +83,8 @@
     def _join(self, info: RunnerInfo, member: Member) -> None:
         if self._info_by_id.get(info.id) == info:
             return
-        access = self.kernel.get(PlatformAccess)
-        silence_s = self.kernel.settings.number("engines", "silence_s")
         self._info_by_id[info.id] = info
-        self._engine_by_id[info.id] = HttpEngine(
-            access.client, access.fresh, member.url(), silence_s
-        )
+        self._engine_by_id[info.id] = self.kernel.get(PlatformAccess).engine(member)
         log(Event.RUNNER_JOINED, runner=info.id, service=info.service)
         self._tell(RunnerSeen(info))
         if info.id not in self._scope_by_id:
--- a/egretstack/sessions/_placing.py
+++ b/egretstack/sessions/_placing.py
@@ -13,13 +13,26 @@
 
 @dataclass
 class Placement:
-    """Work that was given a runner. Cancelling `scope` means the policy takes it away again."""
+    """Work that was given a runner, until the policy takes it away again with `evict`."""
 
     work: Work
     runner_id: RunnerId
     engine: EngineClient
     priority: int
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    evicted: bool = False
+    _scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+    def evict(self) -> None:
+        """Take the work away: the stream that is followed, or the next one, ends at once."""
+        self.evicted = True
+        self._scope.cancel()
+
+    def new_scope(self) -> trio.CancelScope:
+        """Give the scope to follow one stream in; each reconnection needs a new one."""
+        self._scope = trio.CancelScope()
+        if self.evicted:
+            self._scope.cancel()
+        return self._scope
 
 
 class Placer(ABC):
--- a/egretstack/sessions/_pump.py
+++ b/egretstack/sessions/_pump.py
@@ -80,25 +80,29 @@
 
     async def run(self) -> None:
         """Follow the generation until the outcome is known, and set it on the session."""
-        reason = EndReason.FAILED
+        reason = EndReason.FINISHED
+        with self._scope:
+            reason = await self._followed()
+        if self._cancelled:
+            reason = EndReason.CANCELLED
+            self._session.end(EgretError(ErrorKind.GENERATION_CANCELLED, "cancelled by its caller"))
+        self._links.placer.ended(self._work, self._session.tokens, reason)
+        # A process that is stopped from outside comes no further than the scope above: its
+        # generations go on at their engines, so that another entry can pick them up.
+        if reason is not EndReason.FINISHED:
+            await self._cancel_at_engine()
+
+    async def _followed(self) -> EndReason:
         try:
-            with self._scope:
-                await self._follow()
-                reason = EndReason.FINISHED
+            await self._follow()
         except EgretError as error:
             self._session.end(error)
         except Exception as error:
             log(Event.REQUEST_BUG, error=repr(error), work=self._work.id)
             self._session.end(EgretError(ErrorKind.INTERNAL, "a bug; see the log"))
-        finally:
-            if self._cancelled:
-                reason = EndReason.CANCELLED
-                self._session.end(
-                    EgretError(ErrorKind.GENERATION_CANCELLED, "cancelled by its caller")
-                )
-            self._links.placer.ended(self._work, self._session.tokens, reason)
-            if reason is not EndReason.FINISHED:
-                await self._cancel_at_engine()
+        else:
+            return EndReason.FINISHED
+        return EndReason.FAILED
 
     async def _follow(self) -> None:
         while True:
@@ -111,12 +115,12 @@
     async def _attempt(self) -> bool:
         """Follow one stream to its end; False when the policy took the work away."""
         placement = await self._placed()
-        with placement.scope:
+        with placement.new_scope() as scope:
             async with self._stream(placement) as events:
                 async for event in events:
                     if await self._take_in(placement, event):
                         return True
-        if placement.scope.cancelled_caught:
+        if scope.cancelled_caught:
             await self._cancel_at_engine()
             self._session.restart()
             self._placement = await self._links.placer.place_again(placement)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,7 +4,9 @@
 cd "$(dirname "$0")/.."
 BIN="${VENV:-.venv}/bin"
 WORK="$(mktemp -d)"
-PLATFORM="http://127.0.0.10:9000"
+# The first two numbers of every address, so that two demos can run beside each other.
+NET="${DEMO_NET:-127.0}"
+PLATFORM="http://$NET.0.10:9000"
 PIDS=()
 declare -A PID_OF
 
@@ -39,24 +41,26 @@
 say() { printf '\n== %s\n' "$1"; }
 
 say "stand-ins"
-start platform "$BIN/python" -m standins platform 127.0.0.10:9000
-start match-1 "$BIN/python" -m standins engine 127.0.1.1:8000 match-dossier
-start match-2 "$BIN/python" -m standins engine 127.0.1.2:8000 match-dossier
-start egret-1 "$BIN/python" -m standins engine 127.0.1.3:8000 itinerary
-start egret-2 "$BIN/python" -m standins engine 127.0.1.4:8000 itinerary
-start bokun-1 "$BIN/python" -m standins plain 127.0.1.5:8000
+start platform "$BIN/python" -m standins platform $NET.0.10:9000
+start match-1 "$BIN/python" -m standins engine $NET.1.1:8000 match-dossier
+start match-2 "$BIN/python" -m standins engine $NET.1.2:8000 match-dossier
+start egret-1 "$BIN/python" -m standins engine $NET.1.3:8000 itinerary
+start egret-2 "$BIN/python" -m standins engine $NET.1.4:8000 itinerary
+start bokun-1 "$BIN/python" -m standins plain $NET.1.5:8000
 wait_for "$PLATFORM/calls"
-for address in 127.0.1.1 127.0.1.2 127.0.1.3 127.0.1.4; do
+for address in $NET.1.1 $NET.1.2 $NET.1.3 $NET.1.4; do
     wait_for "http://$address:8000/metrics"
 done
-wait_for "http://127.0.1.5:8000/ready"
+wait_for "http://$NET.1.5:8000/ready"
 for file in samples/instances/*.json; do
-    curl -fs -o "$WORK/answer" -X PUT --data-binary "@$file" \
+    sed "s/127\.0\./$NET./g" "$file" | curl -fs -o "$WORK/answer" -X PUT --data-binary @- \
         "$PLATFORM/instances/$(basename "$file" .json)"
 done
 
 say "contracts and services"
-cp samples/settings/*.ini "$WORK/"
+for file in samples/settings/*.ini; do
+    sed "s/127\.0\./$NET./g" "$file" >"$WORK/$(basename "$file")"
+done
 "$BIN/egretctl" make-session-key >"$WORK/session.keys"
 "$BIN/egretctl" make-key --json >"$WORK/nineras.key"
 "$BIN/egretctl" make-key --json >"$WORK/hjolaferdir.key"
@@ -78,25 +82,25 @@
     start "steward-$name" "$BIN/egret-steward" "$WORK/steward-$name.ini"
     start "entry-$name" "$BIN/egret-entry" "$WORK/entry-$name.ini"
 done
-for address in 127.0.0.11 127.0.0.12 127.0.0.13; do
+for address in $NET.0.11 $NET.0.12 $NET.0.13; do
     wait_for "http://$address:8080/v1/entries" -H "$NINERAS"
 done
 "$BIN/egretctl" status --platform "$PLATFORM"
 
 say "which entries a caller should use"
-curl -fs -H "$NINERAS" http://127.0.0.11:8080/v1/entries
+curl -fs -H "$NINERAS" http://$NET.0.11:8080/v1/entries
 echo
 
 say "a match dossier, streamed through entry-a"
 curl -sN --fail-with-body -H "$NINERAS" --data-binary @samples/prompts/match-dossier.json \
-    http://127.0.0.11:8080/v1/responses | "$BIN/python" scripts/show_stream.py
+    http://$NET.0.11:8080/v1/responses | "$BIN/python" scripts/show_stream.py
 
 say "an itinerary, streamed through entry-b"
 curl -sN --fail-with-body -H "$HJOLAFERDIR" --data-binary @samples/prompts/itinerary.json \
-    http://127.0.0.12:8080/v1/responses | "$BIN/python" scripts/show_stream.py
+    http://$NET.0.12:8080/v1/responses | "$BIN/python" scripts/show_stream.py
 
 say "a seat hold, sent twice with one Idempotency-Key: it runs once"
-for address in 127.0.0.11 127.0.0.13; do
+for address in $NET.0.11 $NET.0.13; do
     curl -fs -X POST -H "$HJOLAFERDIR" -H "Idempotency-Key: hold-77" --data '{"seats": 2}' \
         "http://$address:8080/services/bokun-app/holds"
     echo
@@ -104,21 +108,21 @@
 
 say "entry-b is killed during an answer that is not streamed; the caller asks entry-c"
 curl -s -o "$WORK/lost" -H "$HJOLAFERDIR" --data-binary @samples/prompts/summary.json \
-    http://127.0.0.12:8080/v1/responses &
+    http://$NET.0.12:8080/v1/responses &
 ASKED=$!
 sleep 1
 kill -KILL "${PID_OF[entry-b]}"
 wait "$ASKED" && STATUS=0 || STATUS=$?
 echo "the first connection ended with curl status $STATUS and $(wc -c <"$WORK/lost" 2>/dev/null || echo 0) bytes"
 curl -fs -H "$HJOLAFERDIR" --data-binary @samples/prompts/summary.json \
-    http://127.0.0.13:8080/v1/responses | "$BIN/python" -c '
+    http://$NET.0.13:8080/v1/responses | "$BIN/python" -c '
 import json, sys
 answer = json.load(sys.stdin)
 print(answer["status"], answer["usage"])'
 
 say "metrics of entry-a"
 for name in a c; do
-    curl -fs "http://127.0.0.1$([ "$name" = a ] && echo 1 || echo 3):9100/metrics" >"$WORK/entry-$name.prom"
+    curl -fs "http://$NET.0.1$([ "$name" = a ] && echo 1 || echo 3):9100/metrics" >"$WORK/entry-$name.prom"
 done
 grep -E '^egret_(sessions|tokens|config|calls)' "$WORK/entry-a.prom"
 say "report"
--- /dev/null
+++ b/standins/engine_client.py
@@ -0,0 +1,151 @@
+"""An engine client that reaches a live engine inside the same process, with faults."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import trio
+
+from egretstack.ids import GenerationId
+from egretstack.upstreams import (
+    CacheEvent,
+    EngineBroken,
+    EngineClient,
+    EngineEvent,
+    EngineRefused,
+    EngineSilent,
+    EngineUnreachable,
+    GenerationGone,
+    GenerationRequest,
+    GenerationState,
+    LoadReport,
+    Order,
+)
+from standins.live_engine import Generation, LiveEngine
+
+CONNECT_TIMEOUT_S = 2.0
+
+
+class EngineFaults:
+    """Faults of one engine, shared by every client of it.
+
+    `dead`: connections are refused and open streams break. `stalled`: nothing moves on any
+    connection. `silent_before`: streams opened before that time are silent for good, new ones
+    work. `full`: new generations are refused.
+    """
+
+    def __init__(self) -> None:
+        self.dead = False
+        self.stalled = False
+        self.full = False
+        self.silent_before = -1.0
+        self.changed = trio.Event()
+
+    def wake(self) -> None:
+        """Let open streams see a change of the faults."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+class InProcessEngine(EngineClient):
+    """Reaches `live`; `silence_s` is the longest wait for the next event, in seconds.
+
+    `is_dead` tells that the process that uses this client was killed.
+    """
+
+    def __init__(
+        self,
+        live: LiveEngine,
+        faults: EngineFaults,
+        silence_s: float,
+        is_dead: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._is_dead = is_dead
+        self._live = live
+        self._faults = faults
+        self._silence_s = silence_s
+
+    @asynccontextmanager
+    async def generate(self, request: GenerationRequest) -> AsyncIterator[AsyncIterator]:
+        """Start a generation."""
+        await self._reach()
+        if self._faults.full:
+            raise EngineRefused("full", 1.0)
+        yield self._events(self._live.start(request), -1)
+
+    @asynccontextmanager
+    async def resume(self, generation: GenerationId, after: int) -> AsyncIterator[AsyncIterator]:
+        """Follow a generation after a sequence number."""
+        await self._reach()
+        yield self._events(self._find(generation), after)
+
+    async def cancel(self, generation: GenerationId) -> None:
+        """End a generation."""
+        await self._reach()
+        if generation in self._live.by_id:
+            self._live.cancel(self._live.by_id[generation])
+
+    async def state(self, generation: GenerationId) -> GenerationState:
+        """Ask after a generation."""
+        await self._reach()
+        return self._find(generation).state
+
+    async def load(self) -> LoadReport:
+        """Read the load report."""
+        await self._reach()
+        return self._live.load()
+
+    async def cache_events(self, after: int) -> list[CacheEvent]:
+        """Read cache events."""
+        await self._reach()
+        return self._live.cache_events(after)
+
+    async def order(self, order: Order) -> None:
+        """Give an order."""
+        await self._reach()
+        self._live.order(order)
+
+    def _find(self, generation: GenerationId) -> Generation:
+        if generation not in self._live.by_id:
+            raise GenerationGone(generation)
+        return self._live.by_id[generation]
+
+    async def _reach(self) -> None:
+        await trio.lowlevel.checkpoint()
+        if self._faults.dead or self._is_dead():
+            raise EngineUnreachable("connection refused")
+        if self._faults.stalled:
+            await trio.sleep(CONNECT_TIMEOUT_S)
+            raise EngineUnreachable("connection timed out")
+
+    async def _events(self, generation: Generation, after: int) -> AsyncIterator[EngineEvent]:
+        opened_s = trio.current_time()
+        position = after + 1
+        while True:
+            changed = generation.changed
+            faults_changed = self._faults.changed
+            if self._faults.dead:
+                raise EngineBroken("connection reset")
+            if not self._is_silent(opened_s):
+                while position < len(generation.events):
+                    event = generation.events[position]
+                    position += 1
+                    yield event
+                if generation.ended_s is not None:
+                    return
+            await self._wait(changed, faults_changed)
+
+    def _is_silent(self, opened_s: float) -> bool:
+        return self._faults.stalled or opened_s < self._faults.silent_before
+
+    async def _wait(self, *events: trio.Event) -> None:
+        with trio.move_on_after(self._silence_s) as silence:
+            async with trio.open_nursery() as nursery:
+                for event in events:
+                    nursery.start_soon(_cancel_after, event, nursery.cancel_scope)
+        if silence.cancelled_caught:
+            raise EngineSilent("no event")
+
+
+async def _cancel_after(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
--- /dev/null
+++ b/standins/network.py
@@ -0,0 +1,75 @@
+"""A network stand-in inside one process: listeners, streams, and cuts between hosts."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from trio.testing import memory_stream_pair
+
+Handler = Callable[[trio.abc.Stream], Awaitable[None]]
+
+
+class _CutStream(trio.abc.Stream):
+    """One end of a stream; what is sent while the way is cut is lost without a sign."""
+
+    def __init__(self, inner: trio.abc.Stream, network: "Network", source: str, target: str):
+        self._inner = inner
+        self._network = network
+        self._way = (source, target)
+
+    async def send_all(self, data: bytes) -> None:
+        """Send, or lose."""
+        if self._way not in self._network.cuts:
+            await self._inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Do nothing; a memory stream never blocks."""
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Receive."""
+        return await self._inner.receive_some(max_bytes)
+
+    async def aclose(self) -> None:
+        """Close; the other end sees it unless the way is cut."""
+        if self._way in self._network.cuts:
+            await trio.lowlevel.checkpoint()
+            return
+        await self._inner.aclose()
+
+
+class Network:
+    """Connects hosts by IP number. A pair (source, target) in `cuts` loses what goes that way."""
+
+    def __init__(self) -> None:
+        self.cuts: set[tuple[str, str]] = set()
+        self._listeners: dict[tuple[str, int], tuple[Handler, trio.Nursery]] = {}
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut both ways between two hosts."""
+        self.cuts |= {(one, other), (other, one)}
+
+    def mend(self) -> None:
+        """End every cut."""
+        self.cuts.clear()
+
+    async def serve(
+        self, handler: Handler, host: str, port: int, task_status: trio.TaskStatus[object]
+    ) -> None:
+        """Serve streams at an address until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._listeners[host, port] = (handler, nursery)
+            task_status.started()
+            try:
+                await trio.sleep_forever()
+            finally:
+                del self._listeners[host, port]
+
+    async def connect(self, source: str, host: str, port: int) -> trio.abc.Stream:
+        """Open a stream; a cut way hangs, a host that does not listen refuses."""
+        if (source, host) in self.cuts or (host, source) in self.cuts:
+            await trio.sleep_forever()
+        if (host, port) not in self._listeners:
+            raise ConnectionRefusedError(f"{host}:{port}")
+        handler, nursery = self._listeners[host, port]
+        near, far = memory_stream_pair()
+        nursery.start_soon(handler, _CutStream(far, self, host, source))
+        return _CutStream(near, self, source, host)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -8,11 +8,14 @@
 import unittest
 from pathlib import Path
 
+from loguru import logger
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
 def main() -> int:
     """Run and give the exit code."""
+    logger.remove()
     loader = unittest.TestLoader()
     if sys.argv[1:]:
         suite = loader.loadTestsFromNames(sys.argv[1:])
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,112 @@
+"""Whole programs on the mock clock: the ordinary way of a session and of a call."""
+
+from contextlib import asynccontextmanager
+
+import trio
+
+from egretstack.callers import GenerationBody
+from egretstack.errors import EgretError, ErrorKind
+from egretstack.ids import ModelName, ServiceName
+from egretstack.replay import EngineParameters
+from egretstack.services.accounts import Accounts
+from egretstack.services.caller_api import CallerApi
+from egretstack.services.configuration import Configuration
+from egretstack.services.session_host import SessionHost
+from egretstack.settings import Program
+from egretstack.upstreams import CallRequest
+from standins.plain_service import Book
+from standins.world import open_world
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+ACME_DIGEST = "f" * 64
+CONTRACT = {"contract": {"account": "acme", "key_sha256": ACME_DIGEST}}
+ENGINES = {"service": {"name": "llm", "kind": "engine"}, "engine": {"models": "story"}}
+HOLDS = {"service": {"name": "holds", "kind": "plain"}}
+
+
+@asynccontextmanager
+async def small_site(entries=2, engines=2):
+    """Give a world with a few entries, engines and a plain service, configured and up."""
+    async with open_world() as world:
+        await world.configure(contract__acme=CONTRACT, service__llm=ENGINES, service__holds=HOLDS)
+        for number in range(engines):
+            world.add_engine(f"engine-{number}", "llm", ("story",), EngineParameters())
+        world.add_plain("holds-0", "holds", Book())
+        started = []
+        for number in range(entries):
+            started.append(await world.start(f"entry-{number}", Program.ENTRY))
+        await trio.sleep(2)
+        yield world, started
+
+
+def contract_of(process):
+    return process.kernel.get(Configuration).state.contract_by_account["acme"]
+
+
+async def open_story(process, tokens, stream=True):
+    body = GenerationBody(ModelName("story"), f"a story tokens:{tokens}", stream, 1000)
+    return await process.kernel.get(SessionHost).open(contract_of(process), body)
+
+
+async def read_all(session, after=-1):
+    """Read a session to its end; give the sequence numbers that were delivered."""
+    reader = session.supersede()
+    numbers = []
+    async for batch in session.batches(reader, after, 5):
+        numbers.extend(event.sequence for event in batch)
+    return numbers
+
+
+async def test_a_streamed_session_delivers_every_token_once():
+    async with small_site() as (_, entries):
+        session = await open_story(entries[0], 40)
+        check.assertEqual(await read_all(session), list(range(41)))
+        check.assertEqual(session.outcome.output_tokens, 40)
+
+
+async def test_another_entry_picks_a_session_up_after_its_owner_was_killed():
+    # The entry that serves a stream is killed in the middle. The caller connects to another
+    # entry with the session id and the last number it saw, and reads the rest of the same
+    # generation: the id names the engine, which still runs it.
+    async with small_site() as (_, entries):
+        session = await open_story(entries[0], 60)
+        reader = session.supersede()
+        seen = []
+        async for batch in session.batches(reader, -1, 5):
+            seen.extend(event.sequence for event in batch)
+            if len(seen) > 20:
+                break
+        entries[0].kill()
+        host = entries[1].kernel.get(SessionHost)
+        second = await host.pick_up(contract_of(entries[1]), session.id, seen[-1])
+        check.assertEqual(seen + await read_all(second, seen[-1]), list(range(61)))
+
+
+async def test_an_engine_that_dies_before_the_first_token_is_replaced():
+    async with small_site() as (world, entries):
+        session = await open_story(entries[0], 30, stream=False)
+        await trio.sleep(0.1)
+        busy = [one for one in world.engine_by_id.values() if one.live.by_id]
+        busy[0].faults.dead = True
+        busy[0].faults.wake()
+        await session.wait_for_end()
+        check.assertEqual(session.outcome.output_tokens, 30)
+
+
+async def test_a_call_with_one_key_runs_once():
+    async with small_site() as (world, entries):
+        request = CallRequest("POST", "/h", "", (("Idempotency-Key", "k"),), b"{}", 5)
+        for entry in entries:
+            api = entry.kernel.get(CallerApi)
+            answer = await api.call(contract_of(entry), ServiceName("holds"), request)
+            check.assertEqual(answer.status, 201)
+        check.assertEqual(world.plain_by_id["holds-0"].book.runs_by_key["k"], 1)
+
+
+async def test_a_wrong_key_is_refused():
+    async with small_site() as (_, entries):
+        with check.assertRaises(EgretError) as caught:
+            entries[0].kernel.get(Accounts).authenticate("Bearer wrong")
+        check.assertIs(caught.exception.kind, ErrorKind.UNAUTHENTICATED)
