Measure the way through an entry

make measure starts a site of processes and asks the same engines directly and through the entry. Cause of the cost, by a sampling profile at 160 streams: 41% receiving through httpx, 27% sending through quart and hypercorn, 9% decoding. Ruled out: garbage collection (switched off in a trial: 496 and 469 us a token before, 455 and 447 us after), our own session and pump (under 10%).

And reading a load report costs 3.2 ms, so the readings of a node have to be bounded in number a second.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint measure proofs clean
+.PHONY: demo test lint measure clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -20,5 +20,8 @@
 	$(VENV)/bin/black --check -q .
 	$(VENV)/bin/ruff check -q .
 
+measure: $(STAMP)
+	$(VENV)/bin/python scripts/measure_path.py
+
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/scripts/load_client.py
@@ -0,0 +1,61 @@
+"""Holds streams open against one address and prints what they saw, as one JSON line.
+
+A process of its own, so that the cost of reading does not count against what is measured. It
+counts events in the raw bytes; decoding each would make this process the limit.
+"""
+
+import json
+import sys
+
+import httpx
+import trio
+
+TOKEN_MARK = b'"delta":'
+READ_TIMEOUT_S = 60.0
+
+
+async def main() -> None:
+    """Open STREAMS streams of TOKENS tokens each at URL; the key comes on standard input."""
+    url, streams, tokens = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
+    key = sys.stdin.readline().strip()
+    first_s: list[float] = []
+    counted: list[int] = []
+    limits = httpx.Limits(max_connections=None)
+    async with httpx.AsyncClient(timeout=READ_TIMEOUT_S, limits=limits, trust_env=False) as client:
+        begun_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for number in range(streams):
+                nursery.start_soon(_read_one, client, url, key, number, tokens, first_s, counted)
+        took_s = trio.current_time() - begun_s
+    print(json.dumps({"first_s": first_s, "tokens": sum(counted), "took_s": took_s}))
+
+
+async def _read_one(
+    client: httpx.AsyncClient,
+    url: str,
+    key: str,
+    number: int,
+    tokens: int,
+    first_s: list[float],
+    counted: list[int],
+) -> None:
+    body = {
+        "model": "story",
+        "input": f"story {number} tokens:{tokens}",
+        "stream": True,
+        "max_output_tokens": tokens,
+    }
+    headers = {"Authorization": f"Bearer {key}"}
+    begun_s = trio.current_time()
+    seen = 0
+    async with client.stream("POST", f"{url}/v1/responses", json=body, headers=headers) as answer:
+        answer.raise_for_status()
+        async for chunk in answer.aiter_raw():
+            found = chunk.count(TOKEN_MARK)
+            if found and not seen:
+                first_s.append(trio.current_time() - begun_s)
+            seen += found
+    counted.append(seen)
+
+
+trio.run(main)
--- /dev/null
+++ b/scripts/measure_path.py
@@ -0,0 +1,86 @@
+"""Measures what the way through an entry costs, against the same engines asked directly.
+
+Prints one JSON line a figure: time to first token as p50 and p95, tokens a second, and the
+entry's processor time for each token, at several numbers of concurrent streams.
+"""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import trio
+from path_site import path_site, print_figure
+
+STREAMS = (1, 50, 300)
+TOKENS = 300
+ENGINES = 2
+STEP_S = 0.05
+CLIENTS = 4
+NET = "127.30"
+LOAD_CLIENT = Path(__file__).parent / "load_client.py"
+
+
+async def main() -> None:
+    """Run the measurement."""
+    async with path_site(NET, ENGINES, STEP_S) as site:
+        for streams in STREAMS:
+            direct = await _load(site.engine_urls, streams, site.key)
+            cpu_s = site.entry_cpu_s()
+            through = await _load([site.entry_url], streams, site.key)
+            cpu_s = site.entry_cpu_s() - cpu_s
+            _print(streams, direct, through, cpu_s)
+
+
+async def _load(urls: list[str], streams: int, key: str) -> dict[str, object]:
+    """Share the streams out over client processes and join what they saw."""
+    clients = min(CLIENTS, streams)
+    running = []
+    for number in range(clients):
+        share = streams // clients + (1 if number < streams % clients else 0)
+        url = urls[number % len(urls)]
+        command = [sys.executable, LOAD_CLIENT, url, str(share), str(TOKENS)]
+        process = subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
+        process.stdin.write(key + "\n")
+        process.stdin.flush()
+        running.append(process)
+    while any(process.poll() is None for process in running):
+        await trio.sleep(0.05)
+    rows = [json.loads(process.stdout.read()) for process in running]
+    return {
+        "first_s": sorted(value for row in rows for value in row["first_s"]),
+        "tokens": sum(row["tokens"] for row in rows),
+        "took_s": max(row["took_s"] for row in rows),
+    }
+
+
+def _print(streams: int, direct: dict, through: dict, cpu_s: float) -> None:
+    expected = streams * TOKENS
+    print_figure(
+        "path",
+        streams=streams,
+        complete=direct["tokens"] == expected and through["tokens"] == expected,
+        first_token_p50_ms=_ms(through, 0.5),
+        first_token_p50_ratio=_ratio(_ms(through, 0.5), _ms(direct, 0.5)),
+        first_token_p95_ms=_ms(through, 0.95),
+        first_token_p95_ratio=_ratio(_ms(through, 0.95), _ms(direct, 0.95)),
+        tokens_per_s=round(through["tokens"] / through["took_s"]),
+        tokens_per_s_ratio=_ratio(
+            through["tokens"] / through["took_s"], direct["tokens"] / direct["took_s"]
+        ),
+        entry_cpu_us_per_token=round(cpu_s * 1e6 / through["tokens"], 1),
+    )
+
+
+def _ms(row: dict, share: float) -> float:
+    values = row["first_s"]
+    return round(values[min(len(values) - 1, int(share * len(values)))] * 1000, 2)
+
+
+def _ratio(one: float, other: float) -> float:
+    return round(one / other, 3)
+
+
+trio.run(main)
--- /dev/null
+++ b/scripts/path_site.py
@@ -0,0 +1,182 @@
+"""Starts one entry with its stand-ins as processes on loopback, for measurements.
+
+Engines are asked through the entry or directly with the same requests. Every process is ended
+by the id it was started with.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import httpx
+import trio
+
+from egretstack.operators import new_account_key, new_session_key
+
+BIN = Path(sys.executable).parent
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 10.0
+ANSWER_LIFE_S = 1
+MODEL = "story"
+_CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+_ENTRY = """[instance]
+id = entry-a
+zone = a
+operator_address = {net}.0.11:9100
+peer_address = {net}.0.11:9200
+
+[caller]
+address = {net}.0.11:8080
+answer_life_s = {life}
+
+[sessions]
+key_file = session.keys
+
+[platform]
+object_api = http://{net}.0.10:9000
+
+[logs]
+level = ERROR
+"""
+_CONTRACT = """[contract]
+account = load
+key_sha256 = {digest}
+
+[limits]
+requests_per_s = 100000
+burst = 100000
+concurrency = 100000
+max_output_tokens = 100000
+"""
+_SERVICE = """[service]
+name = llm
+kind = engine
+
+[engine]
+models = story
+kv_capacity_tokens = 10000000
+max_batch = 1000
+"""
+
+
+@dataclass
+class PathSite:
+    """The running site: where to ask, with which key, and the entry's process id."""
+
+    entry_url: str
+    engine_urls: list[str]
+    key: str
+    entry_pid: int
+
+    def entry_cpu_s(self) -> float:
+        """Give the processor time the entry has used, in seconds."""
+        fields = Path(f"/proc/{self.entry_pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / _CLOCK_TICKS
+
+
+@asynccontextmanager
+async def path_site(net: str, engines: int, step_s: float) -> AsyncIterator[PathSite]:
+    """Run the site for the length of the block."""
+    started: list[subprocess.Popen] = []
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            yield await _start(Path(folder), net, engines, step_s, started)
+        finally:
+            await _stop(started)
+
+
+async def _start(
+    folder: Path, net: str, engines: int, step_s: float, started: list[subprocess.Popen]
+) -> PathSite:
+    platform = f"http://{net}.0.10:9000"
+    hosts = [f"{net}.1.{number + 1}" for number in range(engines)]
+    started.append(_run("-m", "standins", "platform", f"{net}.0.10:9000"))
+    for host in hosts:
+        started.append(
+            _run(
+                *("-m", "standins", "engine", f"{host}:8000", MODEL, "--step-s", str(step_s)),
+                *("--kv-tokens", "10000000", "--max-batch", "1000"),
+            )
+        )
+    async with httpx.AsyncClient(trust_env=False) as client:
+        await _wait(client, f"{platform}/calls")
+        for host in hosts:
+            await _wait(client, f"http://{host}:8000/metrics")
+        for name, slice_body in _lists(net, hosts).items():
+            await client.put(f"{platform}/instances/{name}", json=slice_body)
+        key = _configure(folder, platform)
+        (folder / "session.keys").write_text(new_session_key() + "\n")
+        (folder / "entry.ini").write_text(_ENTRY.format(net=net, life=ANSWER_LIFE_S))
+        entry = subprocess.Popen([BIN / "egret-entry", folder / "entry.ini"])
+        started.append(entry)
+        url = f"http://{net}.0.11:8080"
+        await _wait(client, f"{url}/v1/entries", {"Authorization": f"Bearer {key}"})
+    return PathSite(url, [f"http://{host}:8000" for host in hosts], key, entry.pid)
+
+
+async def _stop(started: list[subprocess.Popen]) -> None:
+    for process in reversed(started):
+        process.terminate()
+    for process in started:
+        with trio.move_on_after(STOP_LIMIT_S, shield=True):
+            while process.poll() is None:
+                await trio.sleep(0.05)
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
+
+def _run(*arguments: str) -> subprocess.Popen:
+    return subprocess.Popen([sys.executable, *arguments], stderr=subprocess.DEVNULL)
+
+
+def _configure(folder: Path, platform: str) -> str:
+    key, digest = new_account_key()
+    (folder / "contract.ini").write_text(_CONTRACT.format(digest=digest))
+    (folder / "service.ini").write_text(_SERVICE)
+    for kind in ("service", "contract"):
+        command = [BIN / "egretctl", kind, "apply", folder / f"{kind}.ini", "--platform", platform]
+        subprocess.run(command, check=True, stdout=subprocess.DEVNULL)
+    return key
+
+
+async def _wait(client: httpx.AsyncClient, url: str, headers: dict[str, str] | None = None) -> None:
+    with trio.fail_after(START_LIMIT_S):
+        while True:
+            try:
+                if (await client.get(url, headers=headers)).is_success:
+                    return
+            except httpx.HTTPError:
+                pass
+            await trio.sleep(0.1)
+
+
+def _lists(net: str, hosts: list[str]) -> dict[str, dict]:
+    entry_ports = {"caller": 8080, "operator": 9100, "peer": 9200}
+    return {
+        "egret-entry": _slice("egret-entry", {"entry-a": f"{net}.0.11"}, entry_ports),
+        "llm": _slice("llm", {f"engine-{n}": host for n, host in enumerate(hosts)}, {"http": 8000}),
+    }
+
+
+def _slice(name: str, host_by_id: dict[str, str], ports: dict[str, int]) -> dict:
+    return {
+        "metadata": {"name": name, "labels": {"kubernetes.io/service-name": name}},
+        "ports": [{"name": port, "port": number} for port, number in ports.items()],
+        "endpoints": [
+            {"addresses": [host], "zone": "a", "targetRef": {"name": member}, "conditions": {}}
+            for member, host in host_by_id.items()
+        ],
+    }
+
+
+def print_figure(name: str, **values: object) -> None:
+    """Print one figure as a JSON line."""
+    print(json.dumps({"figure": name, **values}), flush=True)
