Membership service: the calls other services will use

Cause: limits need the live instances for a home by rendezvous hash, and configuration needs heartbeats to carry its applied revision.

--- a/egretstack/programs/entry.py
+++ b/egretstack/programs/entry.py
@@ -12,6 +12,7 @@
     "platform_access",
     "instances",
     "peer_port",
+    "membership",
     "configuration",
     "accounts",
     "runners",
