--- /dev/null
+++ b/egretstack/lengths/_hazards.py
@@ -0,0 +1,32 @@
+"""Counts of sessions by bucket of length: how many came to it, how many ended in it."""
+
+from egretstack.lengths._buckets import BUCKETS
+
+MEMORY = 300
+"""Sessions after which an observation of a bucket counts 1/e: lengths drift over a day."""
+_KEPT = 1 - 1 / MEMORY
+
+
+class Hazards:
+    """A Kaplan-Meier estimate on buckets, which forgets by the number of observations.
+
+    A session that still runs counts in every bucket it has passed, so a long answer is evidence
+    before it ends. Counts never pass `MEMORY`.
+    """
+
+    def __init__(self) -> None:
+        self.came = [0.0] * BUCKETS
+        self.ended = [0.0] * BUCKETS
+
+    def add(self, bucket: int, *, ended: bool) -> None:
+        """Note a session that passed a bucket, or ended in it."""
+        self.came[bucket] = self.came[bucket] * _KEPT + 1.0
+        self.ended[bucket] *= _KEPT
+        if ended:
+            self.ended[bucket] += 1.0
+
+    def merge(self, other: "Hazards") -> None:
+        """Add another instance's counts."""
+        for bucket in range(BUCKETS):
+            self.came[bucket] += other.came[bucket]
+            self.ended[bucket] += other.ended[bucket]
--- /dev/null
+++ b/egretstack/lengths/_model.py
@@ -0,0 +1,114 @@
+"""The length model: a curve for each service, model, account and prompt prefix."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from egretstack.ids import InstanceId
+from egretstack.lengths._buckets import BUCKETS, EDGES, bucket_of
+from egretstack.lengths._curve import Curve
+from egretstack.lengths._hazards import Hazards
+from egretstack.lengths._key import LengthKey
+from egretstack.lengths._summary import LengthSummary
+
+MAX_KEYS = 2048
+MAX_SOURCES = 16
+PARENT_SESSIONS = 8.0
+"""Sessions that the estimate one level up counts for."""
+PRIOR_HAZARD = 0.1
+"""Share that ends in each bucket, before anything is known: few tokens to tens of thousands."""
+REBUILD_SHARE = 32
+"""A curve is rebuilt when it has grown by this part of its sessions, and by one at least."""
+
+
+@dataclass(slots=True)
+class _Entry:
+    own: Hazards
+    news: int = 0
+    """Observations since the curve was built."""
+    observations: int = 0
+    curve: Curve | None = None
+
+
+class LengthModel:
+    """Learns from sessions as they run and end; tells the conditional remaining length.
+
+    Each level's estimate leans on the one above it, so a new account starts with its service's
+    lengths and a new service with the prior. At most `MAX_KEYS` keys are kept; those unused
+    longest go first.
+    """
+
+    def __init__(self) -> None:
+        self._by_key: OrderedDict[LengthKey, _Entry] = OrderedDict()
+        self._by_source: OrderedDict[InstanceId, LengthSummary] = OrderedDict()
+
+    def progressed(self, key: LengthKey, before: int, now: int) -> None:
+        """Note that a session went from `before` output tokens to `now` and still runs."""
+        bucket = bucket_of(max(1, before))
+        while bucket + 1 < BUCKETS and EDGES[bucket + 1] <= now:
+            self._add(key, bucket, ended=False)
+            bucket += 1
+
+    def finished(self, key: LengthKey, before: int, length: int) -> None:
+        """Note that a session last seen at `before` tokens ended by itself at `length`."""
+        self.progressed(key, before, length)
+        self._add(key, bucket_of(max(1, length)), ended=True)
+
+    def curve(self, key: LengthKey) -> Curve:
+        """Give the present curve of a key."""
+        entry = self._entry(key)
+        due = max(1, entry.observations // REBUILD_SHARE)
+        if entry.curve is None or entry.news >= due:
+            entry.curve = Curve(self._hazards(key))
+            entry.news = 0
+        return entry.curve
+
+    def summary(self) -> LengthSummary:
+        """Give what this instance itself has learned, for other instances."""
+        return LengthSummary({key: entry.own for key, entry in self._by_key.items()})
+
+    def learn(self, source: InstanceId, summary: LengthSummary) -> None:
+        """Take in another instance's summary in place of its earlier one."""
+        self._by_source[source] = summary
+        self._by_source.move_to_end(source)
+        while len(self._by_source) > MAX_SOURCES:
+            self._by_source.popitem(last=False)
+        for entry in self._by_key.values():
+            entry.curve = None
+
+    def _add(self, key: LengthKey, bucket: int, *, ended: bool) -> None:
+        for level in key.levels():
+            entry = self._entry(level)
+            entry.own.add(bucket, ended=ended)
+            entry.news += 1
+            entry.observations += 1
+
+    def _entry(self, key: LengthKey) -> _Entry:
+        entry = self._by_key.get(key)
+        if entry is None:
+            entry = _Entry(Hazards())
+            self._by_key[key] = entry
+            while len(self._by_key) > MAX_KEYS:
+                self._by_key.popitem(last=False)
+        else:
+            self._by_key.move_to_end(key)
+        return entry
+
+    def _hazards(self, key: LengthKey) -> list[float]:
+        estimate = [PRIOR_HAZARD] * BUCKETS
+        for level in key.levels():
+            counts = self._counts(level)
+            for bucket, parent in enumerate(estimate):
+                ended = counts.ended[bucket] + PARENT_SESSIONS * parent
+                estimate[bucket] = ended / (counts.came[bucket] + PARENT_SESSIONS)
+        return estimate
+
+    def _counts(self, key: LengthKey) -> Hazards:
+        own = self._entry(key).own
+        known = [summary.by_key[key] for summary in self._by_source.values() if key in summary]
+        if not known:
+            return own
+        total = Hazards()
+        total.merge(own)
+        for hazards in known:
+            total.merge(hazards)
+        return total
--- a/egretstack/policy/__init__.py
+++ b/egretstack/policy/__init__.py
@@ -10,6 +10,8 @@
     Ended,
     EndReason,
     Evict,
+    Evicted,
+    InstancesSeen,
     PolicyEvent,
     Progressed,
     Refuse,
@@ -21,11 +23,21 @@
     Tick,
     Work,
 )
-from egretstack.policy._registry import DEFAULT_POLICY, POLICIES, make_policy
+from egretstack.policy._parts import Part
+from egretstack.policy._registry import (
+    DEFAULT_POLICY,
+    ORACLE,
+    POLICIES,
+    make_oracle,
+    make_policy,
+)
+from egretstack.policy._subset import SUBSET_SIZE, report_subset
 
 __all__ = [
     "DEFAULT_POLICY",
+    "ORACLE",
     "POLICIES",
+    "SUBSET_SIZE",
     "Action",
     "Arrived",
     "CacheChanged",
@@ -33,7 +45,10 @@
     "EndReason",
     "Ended",
     "Evict",
+    "Evicted",
+    "InstancesSeen",
     "LeastLoaded",
+    "Part",
     "Policy",
     "PolicyEvent",
     "Progressed",
@@ -45,5 +60,7 @@
     "Started",
     "Tick",
     "Work",
+    "make_oracle",
     "make_policy",
+    "report_subset",
 ]
--- /dev/null
+++ b/egretstack/policy/_fitting.py
@@ -0,0 +1,182 @@
+"""Whether work fits on a runner: forecasts by runner, kept between events."""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from egretstack.ids import AccountId, RunnerId, WorkId
+from egretstack.lengths import LengthKey, LengthModel
+from egretstack.policy._book import RunnerBook
+from egretstack.policy._forecast import (
+    QUANTILE_DEVIATIONS,
+    Demand,
+    add_others,
+    add_sent,
+    demand_of,
+)
+from egretstack.policy._messages import Work
+from egretstack.policy._parts import Part
+
+FORECAST_LIFE_S = 0.25
+FULL_SHARE = 0.97
+"""Part of a runner's memory that the forecast peak may fill; engines keep some free."""
+
+
+@dataclass(slots=True)
+class _Kept:
+    demand: Demand
+    made_s: float
+    room: float
+    """Tokens free at the forecast peak when the forecast was first made for a report."""
+    lot: float
+    """Random part of a send, drawn for each report."""
+    sends: int = 0
+    stale: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """Room was found: the share of memory filled at the forecast peak."""
+
+    book: RunnerBook
+    filled: float
+
+
+class Fitter:
+    """Forecasts each runner's memory and says which work fits."""
+
+    def __init__(self, rng: random.Random, left_out: frozenset[Part]) -> None:
+        self.lengths = LengthModel()
+        self.instances = 1
+        self._rng = rng
+        self._left_out = left_out
+        self._unknown = LengthModel()
+        self._kept_by_id: dict[RunnerId, _Kept] = {}
+
+    def key(self, work: Work) -> LengthKey:
+        """Give the key under which a work's length is learned."""
+        prefix = "" if Part.PREFIX_LENGTHS in self._left_out else work.prefix
+        return LengthKey(work.service, work.model, work.account, prefix)
+
+    def demand(self, work: Work) -> Demand:
+        """Give the demand of work that is not sent."""
+        return demand_of(work, self._model().curve(self.key(work)))
+
+    def reported(self, runner_id: RunnerId) -> None:
+        """Forget the forecast that an earlier report gave."""
+        self._kept_by_id.pop(runner_id, None)
+
+    def changed(self, runner_id: RunnerId) -> None:
+        """Note that work left the runner or moved on it."""
+        kept = self._kept_by_id.get(runner_id)
+        if kept is not None:
+            kept.stale = True
+
+    def sent(self, book: RunnerBook, demand: Demand) -> None:
+        """Note that work was sent to a runner."""
+        kept = self._kept_by_id.get(book.info.id)
+        if kept is None:
+            return
+        kept.sends += 1
+        for point, mean in enumerate(demand.mean):
+            kept.demand.mean[point] += mean
+            kept.demand.variance[point] += demand.variance[point]
+
+    def fit(self, now_s: float, book: RunnerBook, work: Work, demand: Demand) -> Fit | None:
+        """Tell whether work fits on a runner now."""
+        if work.prompt_tokens >= book.capacity:
+            return None
+        count, _ = book.others(now_s)
+        running = len(book.sent) + count
+        if running >= book.info.max_batch:
+            return None
+        kept = self._forecast(now_s, book)
+        deviations = self._deviations()
+        peak = kept.demand.peak_with(demand, deviations)
+        filled = peak / book.capacity
+        if running and (filled > FULL_SHARE or not self._own_share(kept, demand)):
+            return None
+        return Fit(book, filled)
+
+    def near_overflow(self, now_s: float, book: RunnerBook) -> float:
+        """Give the tokens by which memory is forecast to overflow within the next points."""
+        demand = self._forecast(now_s, book).demand
+        return max(demand.mean[:2]) - book.capacity
+
+    def _own_share(self, kept: _Kept, demand: Demand) -> bool:
+        # Every instance sees the same room in the same late report. If each took it all, the
+        # engine would get it many times over and preempt. Each takes its part, by lot.
+        if Part.SHARE_OF_ROOM in self._left_out or self.instances == 1:
+            return True
+        size = max(1.0, demand.peak(self._deviations()))
+        return kept.sends + kept.lot < kept.room / (self.instances * size)
+
+    def _deviations(self) -> float:
+        return 0.0 if Part.SPREAD in self._left_out else QUANTILE_DEVIATIONS
+
+    def _model(self) -> LengthModel:
+        return self._unknown if Part.LENGTHS in self._left_out else self.lengths
+
+    def _forecast(self, now_s: float, book: RunnerBook) -> _Kept:
+        kept = self._kept_by_id.get(book.info.id)
+        if kept is not None and not kept.stale and now_s - kept.made_s < FORECAST_LIFE_S:
+            return kept
+        demand = self._demand_on(now_s, book)
+        if kept is None:
+            room = book.capacity * FULL_SHARE - demand.peak(self._deviations())
+            kept = _Kept(demand, now_s, room, self._rng.random())
+            self._kept_by_id[book.info.id] = kept
+        kept.demand = demand
+        kept.made_s = now_s
+        kept.stale = False
+        return kept
+
+    def _demand_on(self, now_s: float, book: RunnerBook) -> Demand:
+        demand = Demand()
+        model = self._model()
+        for sent in book.sent.values():
+            add_sent(demand, sent, model.curve(self.key(sent.work)), now_s, book.rate)
+        if book.sent:
+            first = next(iter(book.sent.values())).work
+            pooled = LengthKey(first.service, first.model)
+        else:
+            pooled = LengthKey(book.info.service, book.info.models[0])
+        unseen = Part.UNSEEN not in self._left_out and self.instances > 1
+        add_others(demand, book, model.curve(pooled), now_s, unseen=unseen)
+        return demand
+
+
+class ExactFitter(Fitter):
+    """Knows each length: the oracle's."""
+
+    def __init__(self, rng: random.Random, lengths: Mapping[WorkId, int]) -> None:
+        super().__init__(rng, frozenset())
+        self._length_by_id = lengths
+
+    def key(self, work: Work) -> LengthKey:
+        """Give the key under which a work's length is learned."""
+        return LengthKey(work.service, work.model, AccountId(""))
+
+    def fit(self, now_s: float, book: RunnerBook, work: Work, demand: Demand) -> Fit | None:
+        """Tell whether work fits on a runner now."""
+        if work.prompt_tokens >= book.capacity or len(book.sent) >= book.info.max_batch:
+            return None
+        rows = [(self._length_by_id[work.id], float(work.prompt_tokens))]
+        for sent in book.sent.values():
+            generated = sent.generated(now_s, book.rate)
+            left = max(1.0, self._length_by_id[sent.work.id] - generated)
+            rows.append((left, sent.work.prompt_tokens + generated))
+        filled = _exact_peak(rows) / book.capacity
+        if book.sent and filled > FULL_SHARE:
+            return None
+        return Fit(book, filled)
+
+
+def _exact_peak(rows: list[tuple[float, float]]) -> float:
+    """Give the peak of memory of sequences with so many tokens left and held."""
+    rows.sort(reverse=True)
+    held = peak = 0.0
+    for number, (left, holds) in enumerate(rows, 1):
+        held += holds
+        peak = max(peak, held + number * left)
+    return peak
--- a/egretstack/policy/_least_loaded.py
+++ b/egretstack/policy/_least_loaded.py
@@ -15,8 +15,3 @@
             return None
         least = min(self._load(runner) for runner in free)
         return self._rng.choice([runner for runner in free if self._load(runner) == least])
-
-    def _load(self, runner: RunnerInfo) -> int:
-        own = len(self._running_by_id[runner.id])
-        report = self._report_by_id.get(runner.id)
-        return own if report is None else max(own, report.running + report.waiting)
--- a/egretstack/policy/_messages.py
+++ b/egretstack/policy/_messages.py
@@ -121,6 +121,24 @@
     stored: bool
 
 
+@dataclass(frozen=True)
+class Evicted:
+    """Work that the policy evicted has left its engine and waits for another.
+
+    An Evict is not followed by this when the caller had seen something of the answer: the work
+    then goes on where it is.
+    """
+
+    work_id: WorkId
+
+
+@dataclass(frozen=True)
+class InstancesSeen:
+    """So many instances send work to the runners, this one among them."""
+
+    count: int
+
+
 @dataclass(frozen=True)
 class Tick:
     """The time asked for by `Policy.next_wake_s` has come."""
@@ -135,6 +153,8 @@
     | RunnerLeft
     | RunnerReported
     | CacheChanged
+    | Evicted
+    | InstancesSeen
     | Tick
 )
 
--- /dev/null
+++ b/egretstack/policy/_parts.py
@@ -0,0 +1,32 @@
+"""The parts of the default policy that a measurement can take out, one at a time."""
+
+from enum import Enum
+
+
+class Part(Enum):
+    """One part of the default policy."""
+
+    LENGTHS = "lengths"
+    """Lengths learned from sessions; without it the prior alone."""
+    PREFIX_LENGTHS = "prefix-lengths"
+    """Lengths learned by prompt prefix, below those by account."""
+    SPREAD = "spread"
+    """A quantile of the peak rather than its mean."""
+    UNSEEN = "unseen"
+    """What other instances sent since a report, as far as it can be forecast."""
+    SHARE_OF_ROOM = "share-of-room"
+    """Each instance takes only its share of the room that a late report shows to all."""
+    NEAR_EQUALS = "near-equals"
+    """A random choice among runners that are nearly equal."""
+    AFFINITY = "affinity"
+    """Runners that hold the prompt's prefix come first."""
+    AGEING = "ageing"
+    """Waiting work grows in value."""
+    ACCOUNT_FLOOR = "account-floor"
+    """An account with little of the engines comes before the others."""
+    DEADLINE_FORECAST = "deadline-forecast"
+    """Work that is forecast to miss its deadline is refused at once."""
+    READER_PRIORITY = "reader-priority"
+    """Engines are asked to keep streams that are read before what nobody reads yet."""
+    RELIEF = "relief"
+    """Undelivered work leaves a runner whose memory is about to fill."""
--- a/egretstack/policy/_queued.py
+++ b/egretstack/policy/_queued.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 
 from egretstack.errors import ErrorKind
-from egretstack.ids import RunnerId, WorkId
+from egretstack.ids import ModelName, RunnerId, WorkId
 from egretstack.policy._base import Policy
 from egretstack.policy._messages import (
     Action,
@@ -13,6 +13,8 @@
     CacheChanged,
     Dispatch,
     Ended,
+    Evicted,
+    InstancesSeen,
     PolicyEvent,
     Progressed,
     Refuse,
@@ -39,10 +41,13 @@
         self._running_by_id: dict[RunnerId, dict[WorkId, Work]] = {}
         self._runner_id_by_work: dict[WorkId, RunnerId] = {}
         self._queue: dict[WorkId, Work] = {}
+        self._instances = 1
 
     def handle(self, now_s: float, event: PolicyEvent) -> list[Action]:
         """Take note of an event and answer with actions, in the order to carry them out."""
         refused = self._note(event)
+        if isinstance(event, Progressed | Started | CacheChanged) or not self._queue:
+            return refused
         return refused + self._expire(now_s) + self._dispatch_ready(now_s)
 
     def next_wake_s(self) -> float | None:
@@ -92,7 +97,12 @@
         self._report_by_id[event.runner_id] = event
         return []
 
-    @_note.register(Started | Progressed | CacheChanged | Tick)
+    @_note.register
+    def _(self, event: InstancesSeen) -> list[Action]:
+        self._instances = event.count
+        return []
+
+    @_note.register(Started | Progressed | CacheChanged | Evicted | Tick)
     def _(self, event: PolicyEvent) -> list[Action]:
         return []
 
@@ -111,9 +121,15 @@
 
     def _dispatch_ready(self, now_s: float) -> list[Action]:
         actions: list[Action] = []
+        full: set[tuple[ModelName, frozenset[RunnerId]]] = set()
         for work in self._ordered():
+            # Work that finds no room blocks what follows it and could go to the same runners.
+            group = (work.model, work.excluded)
+            if group in full:
+                continue
             runner = self._pick(now_s, work, self._candidates(work))
             if runner is None:
+                full.add(group)
                 continue
             del self._queue[work.id]
             self._running_by_id[runner.id][work.id] = work
@@ -123,3 +139,9 @@
 
     def _ordered(self) -> list[Work]:
         return sorted(self._queue.values(), key=lambda work: -work.value)
+
+    def _load(self, runner: RunnerInfo) -> int:
+        """Give the sequences on a runner, by report and own sends."""
+        own = len(self._running_by_id[runner.id])
+        report = self._report_by_id.get(runner.id)
+        return own if report is None else max(own, report.running + report.waiting)
--- /dev/null
+++ b/egretstack/policy/_routing.py
@@ -0,0 +1,51 @@
+"""Chooses among the runners that work fits on."""
+
+import random
+
+from egretstack.ids import RunnerId
+from egretstack.policy._affinity import PrefixAffinity
+from egretstack.policy._fitting import Fit
+from egretstack.policy._messages import Work
+from egretstack.policy._parts import Part
+
+NEAR = 0.05
+"""Scores that differ by no more than this are taken as equal."""
+AFFINITY_GAIN = 0.15
+"""How much of a runner's memory may be filled more before a held prefix is given up."""
+
+
+class Router:
+    """Scores runners by forecast memory, batch and prefix; the lowest score is best.
+
+    A contract's weights for stall time and preemptions count for the memory, the one for gaps
+    between tokens for the batch, since every sequence lengthens the steps of all.
+    """
+
+    def __init__(self, rng: random.Random, left_out: frozenset[Part]) -> None:
+        self.affinity = PrefixAffinity()
+        self._rng = rng
+        self._left_out = left_out
+
+    def choose(self, work: Work, fits: list[Fit]) -> Fit:
+        """Give one of the fits."""
+        scores = [self._score(work, fit) for fit in fits]
+        best = min(scores)
+        if Part.NEAR_EQUALS in self._left_out:
+            return fits[scores.index(best)]
+        near = [fit for fit, score in zip(fits, scores, strict=True) if score <= best + NEAR]
+        return self._rng.choice(near)
+
+    def sent(self, work: Work, runner_id: RunnerId) -> None:
+        """Note that work was sent to a runner."""
+        self.affinity.stored(work.prefix, runner_id)
+
+    def _score(self, work: Work, fit: Fit) -> float:
+        report = fit.book.report
+        running = len(fit.book.sent) if report is None else report.running + report.waiting
+        memory = (work.stall_weight + work.preemption_weight) * fit.filled
+        batch = work.tail_weight * running / fit.book.info.max_batch
+        score = memory + batch
+        held = self.affinity.holds(work.prefix, fit.book.info.id)
+        if held and Part.AFFINITY not in self._left_out:
+            score -= AFFINITY_GAIN
+        return score
--- a/egretstack/programs/ctl.py
+++ b/egretstack/programs/ctl.py
@@ -30,6 +30,7 @@
 )
 from egretstack.operators._changes import sections_diff
 from egretstack.platform import ENTRY_SERVICE, HttpInstanceList, HttpObjectApi, PlatformError
+from egretstack.programs._replay import add_replay_command
 from egretstack.programs._running import ExitCode, exit_with
 from egretstack.settings import Program, read_settings, settings_page
 
@@ -49,6 +50,7 @@
 service = App(name="service", help="Descriptions of upstream services.")
 app.command(contract)
 app.command(service)
+add_replay_command(app)
 
 
 @asynccontextmanager
--- a/egretstack/replay/_engine_model.py
+++ b/egretstack/replay/_engine_model.py
@@ -1,9 +1,11 @@
 """A model of a continuously batching engine with limited memory.
 
-It has no clock and no I/O: the owner calls `step` at the time `next_step_s` gives. One step
-decodes one token for each running sequence. A sequence holds one token of KV memory for each
-token of prompt and output. When a step does not fit, the least valuable sequence that started
-last is preempted: its memory is freed and it is recomputed later, as vLLM does.
+It has no clock and no I/O: the owner calls `step` at the time `next_step_s` gives, which is the
+end of the step in progress. A step decodes one token for each sequence whose prompt has been
+read, and reads prompts for the others, up to a bound for each step; everyone in the batch waits
+for the whole step. A sequence holds one token of KV memory for each token of prompt and output.
+When a step does not fit, the least valuable sequence that started last is preempted: its memory
+is freed, and all it held is read again when it comes back, as vLLM does.
 """
 
 from collections import OrderedDict
@@ -12,6 +14,8 @@
 
 from egretstack.ids import GenerationId
 
+MAX_SNAPSHOTS = 64
+
 
 @dataclass(frozen=True)
 class EngineParameters:
@@ -22,7 +26,13 @@
     step_base_s: float = 0.02
     step_per_sequence_s: float = 0.0003
     prefill_tokens_per_s: float = 20_000.0
+    prefill_step_tokens: int = 2048
+    """Most prompt tokens read in one step."""
     prefix_cache_tokens: int = 20_000
+    prefix_share: float = 0.7
+    """Part of a prompt that its named prefix covers."""
+    watermark: float = 0.01
+    """Part of the memory that stays free when a sequence is admitted."""
     report_period_s: float = 0.5
     report_lag_s: float = 0.5
 
@@ -43,6 +53,16 @@
     kind: OutputKind
 
 
+@dataclass(frozen=True, slots=True)
+class StepResult:
+    """What one step did, by generation; `sequences` were in the batch."""
+
+    decoded: list[GenerationId]
+    finished: list[GenerationId]
+    preempted: list[GenerationId]
+    sequences: int
+
+
 @dataclass(frozen=True)
 class LoadSnapshot:
     """Load at `taken_s`."""
@@ -54,7 +74,7 @@
     preemptions: int
 
 
-@dataclass
+@dataclass(slots=True)
 class _Sequence:
     id: GenerationId
     prompt_tokens: int
@@ -63,6 +83,8 @@
     priority: int
     order: int
     done: int = 0
+    unread: int = 0
+    """Tokens of the prompt, and of recomputed output, that are still to be read."""
     started: int = field(default=0)
 
     @property
@@ -78,9 +100,11 @@
         self.preemptions = 0
         self._waiting: list[_Sequence] = []
         self._running: list[_Sequence] = []
+        self._decoding: list[_Sequence] = []
+        self._preempted: list[GenerationId] = []
+        self._used = 0
         self._cached: OrderedDict[str, int] = OrderedDict()
         self._order = 0
-        self._free_at_s = 0.0
         self._next_s: float | None = None
         self._snapshots: list[LoadSnapshot] = []
 
@@ -99,37 +123,50 @@
         self._waiting.append(
             _Sequence(generation, prompt_tokens, output_tokens, prefix, priority, self._order)
         )
-        self._schedule(now_s)
+        if self._next_s is None:
+            self._begin_step(now_s)
+        self._snapshot(now_s)
 
     def cancel(self, generation: GenerationId) -> None:
         """Drop a generation, waiting or running."""
         self._waiting = [one for one in self._waiting if one.id != generation]
-        self._running = [one for one in self._running if one.id != generation]
+        for sequence in [one for one in self._running if one.id == generation]:
+            self._leave(sequence)
 
     def next_step_s(self) -> float | None:
-        """Give the time of the next step, or None when there is nothing to do."""
+        """Give the time at which the step in progress ends, or None when there is none."""
         return self._next_s
 
     def step(self, now_s: float) -> list[ModelOutput]:
-        """Admit what fits, make room, and decode one token for each running sequence."""
-        prefill_s = self._admit()
-        outputs = self._make_room()
-        for sequence in list(self._running):
+        """End the step in progress, begin the next, and tell what happened to each sequence."""
+        result = self.advance(now_s)
+        outputs = [ModelOutput(one, OutputKind.PREEMPTED) for one in result.preempted]
+        outputs += [ModelOutput(one, OutputKind.TOKEN) for one in result.decoded]
+        outputs += [ModelOutput(one, OutputKind.FINISHED) for one in result.finished]
+        return outputs
+
+    def advance(self, now_s: float) -> StepResult:
+        """End the step in progress and begin the next; as `step`, without an object a token."""
+        decoded = self._decoding
+        sequences = len(self._running)
+        finished = []
+        for sequence in decoded:
             sequence.done += 1
-            outputs.append(ModelOutput(sequence.id, OutputKind.TOKEN))
             if sequence.done >= sequence.output_tokens:
-                self._running.remove(sequence)
-                outputs.append(ModelOutput(sequence.id, OutputKind.FINISHED))
-        self._next_s = None
-        duration = self.parameters.step_base_s
-        duration += self.parameters.step_per_sequence_s * len(self._running) + prefill_s
-        self._free_at_s = now_s + duration
-        self._schedule(now_s)
-        return outputs
+                finished.append(sequence)
+        self._used += len(decoded)
+        for sequence in finished:
+            self._leave(sequence)
+        preempted = self._preempted
+        self._begin_step(now_s)
+        self._snapshot(now_s)
+        return StepResult(
+            [one.id for one in decoded], [one.id for one in finished], preempted, sequences
+        )
 
     def kv_used_tokens(self) -> int:
         """Give the tokens of memory that running sequences hold."""
-        return sum(sequence.held for sequence in self._running)
+        return self._used
 
     def cached_prefixes(self) -> list[str]:
         """Give the prefixes in the cache, the least recently used first."""
@@ -138,9 +175,8 @@
     def report(self, now_s: float) -> LoadSnapshot:
         """Give the newest snapshot that the reporting lag lets out."""
         self._snapshot(now_s)
-        visible = [
-            one for one in self._snapshots if one.taken_s <= now_s - self.parameters.report_lag_s
-        ]
+        latest_s = now_s - self.parameters.report_lag_s
+        visible = [one for one in self._snapshots if one.taken_s <= latest_s]
         if not visible:
             return LoadSnapshot(now_s, 0, 0, 0, 0)
         self._snapshots = self._snapshots[len(visible) - 1 :]
@@ -151,56 +187,74 @@
         if last is None or now_s - last >= self.parameters.report_period_s:
             self._snapshots.append(
                 LoadSnapshot(
-                    now_s,
-                    len(self._running),
-                    len(self._waiting),
-                    self.kv_used_tokens(),
-                    self.preemptions,
+                    now_s, len(self._running), len(self._waiting), self._used, self.preemptions
                 )
             )
-
-    def _schedule(self, now_s: float) -> None:
-        if self._next_s is None and (self._waiting or self._running):
-            self._next_s = max(now_s, self._free_at_s)
-        self._snapshot(now_s)
-
-    def _admit(self) -> float:
-        prefill_tokens = 0
+            del self._snapshots[:-MAX_SNAPSHOTS]
+
+    def _leave(self, sequence: _Sequence) -> None:
+        self._running.remove(sequence)
+        self._used -= sequence.held
+        if sequence in self._decoding:
+            self._decoding = [one for one in self._decoding if one is not sequence]
+
+    def _begin_step(self, now_s: float) -> None:
+        self._admit()
+        self._preempted = self._make_room()
+        read = self._read_prompts()
+        self._decoding = [one for one in self._running if one.unread == 0]
+        if not self._running:
+            self._next_s = None
+            return
+        duration_s = self.parameters.step_base_s
+        duration_s += self.parameters.step_per_sequence_s * len(self._running)
+        duration_s += read / self.parameters.prefill_tokens_per_s
+        self._next_s = now_s + duration_s
+
+    def _admit(self) -> None:
+        if not self._waiting:
+            return
         self._waiting.sort(key=lambda one: (-one.priority, one.order))
-        used = self.kv_used_tokens()
+        kept_free = self.parameters.watermark * self.parameters.kv_capacity_tokens
         while self._waiting and len(self._running) < self.parameters.max_batch:
             first = self._waiting[0]
-            room = self.parameters.kv_capacity_tokens - used
-            if first.held + 1 > room and self._running:
-                break
+            room = self.parameters.kv_capacity_tokens - self._used - len(self._running)
+            if first.held + 1 + kept_free > room and self._running:
+                return
             self._waiting.pop(0)
             self._order += 1
             first.started = self._order
+            first.unread = max(1, first.held - self._cached_tokens(first))
             self._running.append(first)
-            used += first.held + 1
-            prefill_tokens += first.held - self._cached_tokens(first)
-        return prefill_tokens / self.parameters.prefill_tokens_per_s
+            self._used += first.held
+
+    def _read_prompts(self) -> int:
+        budget = self.parameters.prefill_step_tokens
+        for sequence in self._running:
+            if sequence.unread and budget:
+                read = min(budget, sequence.unread)
+                sequence.unread -= read
+                budget -= read
+        return self.parameters.prefill_step_tokens - budget
 
     def _cached_tokens(self, sequence: _Sequence) -> int:
         if not sequence.prefix:
             return 0
-        hit = self._cached.pop(sequence.prefix, 0)
-        self._cached[sequence.prefix] = sequence.prompt_tokens
+        shared = int(sequence.prompt_tokens * self.parameters.prefix_share)
+        hit = min(shared, self._cached.pop(sequence.prefix, 0))
+        self._cached[sequence.prefix] = max(hit, shared)
         while sum(self._cached.values()) > self.parameters.prefix_cache_tokens:
-            if len(self._cached) == 1:
-                self._cached.clear()
-                break
             self._cached.popitem(last=False)
-        return min(hit, sequence.prompt_tokens)
+        return hit
 
-    def _make_room(self) -> list[ModelOutput]:
-        outputs = []
-        needed = self.kv_used_tokens() + len(self._running)
+    def _make_room(self) -> list[GenerationId]:
+        preempted = []
+        needed = self._used + len(self._running)
         while needed > self.parameters.kv_capacity_tokens and len(self._running) > 1:
             victim = min(self._running, key=lambda one: (one.priority, -one.started))
-            self._running.remove(victim)
+            needed -= victim.held + 1
+            self._leave(victim)
             self._waiting.append(victim)
             self.preemptions += 1
-            needed -= victim.held + 1
-            outputs.append(ModelOutput(victim.id, OutputKind.PREEMPTED))
-        return outputs
+            preempted.append(victim.id)
+        return preempted
--- /dev/null
+++ b/egretstack/replay/_figures.py
@@ -0,0 +1,105 @@
+"""The figures of one replay: what was finished, and how long readers waited."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from math import ceil
+
+STALL_STEPS = 4
+"""A reader's wait counts as stall time beyond this many steps of the engine."""
+_GAP_UNIT_S = 0.0001
+
+
+@dataclass(frozen=True)
+class Figures:
+    """One policy's figures. Times are seconds; shares are of what was offered."""
+
+    policy: str
+    sessions: int
+    finished: int
+    refused: int
+    given_up: int
+    """Callers that left: the first token had not come by the deadline."""
+    lost: int
+    """Streams whose engine was taken away after delivery began."""
+    value_share: float
+    token_share: float
+    stall_total_s: float
+    stall_p95_s: float
+    stall_worst_s: float
+    preemptions: int
+    """By engines; `evictions` are the policy's own and come on top."""
+    evictions: int
+    gap_p50_s: float
+    gap_p95_s: float
+    gap_p99_s: float
+    first_token_p95_s: float
+
+
+@dataclass
+class Tally:
+    """Collects one replay's happenings."""
+
+    offered_value: int = 0
+    offered_tokens: int = 0
+    finished: int = 0
+    finished_value: int = 0
+    finished_tokens: int = 0
+    refused: int = 0
+    given_up: int = 0
+    lost: int = 0
+    preemptions: int = 0
+    evictions: int = 0
+    sessions: int = 0
+    gaps: Counter[int] = field(default_factory=Counter)
+    stall_by_session: dict[int, float] = field(default_factory=dict)
+    first_tokens: list[float] = field(default_factory=list)
+
+    def gap(self, session: int, gap_s: float, step_s: float) -> None:
+        """Note a reader's wait for the next token; `step_s` is its engine's step time."""
+        self.gaps[int(gap_s / _GAP_UNIT_S + 0.5)] += 1
+        beyond_s = gap_s - STALL_STEPS * step_s
+        if beyond_s > 0:
+            self.stall_by_session[session] = self.stall_by_session.get(session, 0.0) + beyond_s
+
+    def figures(self, policy: str) -> Figures:
+        """Give the figures."""
+        stalls = sorted(self.stall_by_session.values())
+        streamed = len(self.first_tokens)
+        stalls = [0.0] * (streamed - len(stalls)) + stalls
+        return Figures(
+            policy=policy,
+            sessions=self.sessions,
+            finished=self.finished,
+            refused=self.refused,
+            given_up=self.given_up,
+            lost=self.lost,
+            value_share=_rounded(self.finished_value / max(1, self.offered_value)),
+            token_share=_rounded(self.finished_tokens / max(1, self.offered_tokens)),
+            stall_total_s=_rounded(sum(stalls)),
+            stall_p95_s=_rounded(_quantile(stalls, 0.95)),
+            stall_worst_s=_rounded(max(stalls, default=0.0)),
+            preemptions=self.preemptions,
+            evictions=self.evictions,
+            gap_p50_s=self._gap(0.5),
+            gap_p95_s=self._gap(0.95),
+            gap_p99_s=self._gap(0.99),
+            first_token_p95_s=_rounded(_quantile(sorted(self.first_tokens), 0.95)),
+        )
+
+    def _gap(self, share: float) -> float:
+        left = ceil(share * sum(self.gaps.values()))
+        for unit in sorted(self.gaps):
+            left -= self.gaps[unit]
+            if left <= 0:
+                return _rounded(unit * _GAP_UNIT_S)
+        return 0.0
+
+
+def _quantile(ordered: list[float], share: float) -> float:
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, ceil(share * len(ordered)) - 1)]
+
+
+def _rounded(value: float) -> float:
+    return round(value, 4)
--- /dev/null
+++ b/egretstack/replay/_run.py
@@ -0,0 +1,46 @@
+"""Replays a trace under one policy after the other."""
+
+import random
+from collections.abc import Iterable
+
+from egretstack.ids import WorkId
+from egretstack.policy import ORACLE, POLICIES, Part, Policy, make_oracle, make_policy
+from egretstack.replay._figures import Figures
+from egretstack.replay._loop import ReplayLoop
+from egretstack.replay._site import Site
+from egretstack.replay._trace import TraceLine
+
+ALL_POLICIES = "all"
+
+
+def policies_named(name: str) -> list[str]:
+    """Give the policies that a name stands for, the oracle last."""
+    if name == ALL_POLICIES:
+        return [*POLICIES, ORACLE]
+    return [name]
+
+
+def replay(
+    lines: list[TraceLine],
+    site: Site,
+    policy: str,
+    *,
+    entries: int,
+    seed: int,
+    left_out: Iterable[Part] = (),
+) -> Figures:
+    """Replay a trace under one policy; the same arguments give the same figures.
+
+    Each entry has its own instance of the policy. The oracle is one instance that sees every
+    request and its length. `left_out` are parts of the default policy that are taken out.
+    """
+    if policy == ORACLE:
+        lengths = {WorkId(str(n)): line.output_tokens for n, line in enumerate(lines)}
+        made: list[Policy] = [make_oracle(random.Random(f"oracle-{seed}"), lengths)]
+    else:
+        parts = frozenset(left_out)
+        made = [
+            make_policy(policy, random.Random(f"entry-{number}-{seed}"), parts)
+            for number in range(entries)
+        ]
+    return ReplayLoop(lines, site, made, entries, seed).run().figures(policy)
--- /dev/null
+++ b/scripts/make_trace.py
@@ -0,0 +1,249 @@
+#!/usr/bin/env python3
+"""Makes a trace of one day at a site, and the engines file that goes with it.
+
+A day is compressed to a quarter of an hour: 900 s of the trace. The load rises to a peak and
+falls again; the mean over the day is `--load` times what the engines can generate. At noon the
+lengths shift; one engine is reclaimed at the peak; a large account sends a burst. The file is
+named after the parameters: SITE-LOAD-SEED[-SECONDS].jsonl.
+"""
+
+import json
+import math
+import random
+import sys
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import App, Parameter
+
+DAY_S = 900.0
+LONGEST_OUTPUT = 24_000
+RECLAIMED_AT = 0.5
+"""Part of the day at which an engine goes."""
+BACK_AT = 0.65
+NOON = 0.5
+BURST = (0.6, 0.64)
+BURST_FACTOR = 6
+ACCOUNTS = 10
+
+
+@dataclass(frozen=True)
+class Kind:
+    """One kind of request: its share, value and lengths (log-normal with a Pareto tail)."""
+
+    name: str
+    share: float
+    value: int
+    stream: bool
+    prompt: int
+    median: float
+    sigma: float
+    tail: float
+    """Part of the answers that are drawn from the tail."""
+    after_noon: float
+    """Factor on the median after noon."""
+
+
+@dataclass(frozen=True)
+class SiteSpec:
+    """One user's service and kinds of requests."""
+
+    service: str
+    model: str
+    zones: tuple[str, ...]
+    engines: int
+    kinds: tuple[Kind, ...]
+    weights: tuple[float, float, float]
+
+
+SITES = {
+    "nineras": SiteSpec(
+        "match-llm",
+        "match-dossier",
+        ("leon-a", "leon-b", "irapuato"),
+        6,
+        (
+            Kind("dossier", 0.35, 200, True, 1600, 900, 0.7, 0.03, 1.5),
+            Kind("notice", 0.30, 80, False, 700, 180, 0.6, 0.0, 1.0),
+            Kind("check", 0.35, 20, False, 500, 40, 1.0, 0.01, 1.0),
+        ),
+        (0.5, 0.4, 0.1),
+    ),
+    "hjolaferdir": SiteSpec(
+        "egret-llm",
+        "itinerary",
+        ("hafnar", "hofda", "vellir"),
+        7,
+        (
+            Kind("itinerary", 0.40, 150, True, 900, 1200, 0.8, 0.04, 0.7),
+            Kind("question", 0.45, 60, True, 400, 90, 0.9, 0.01, 1.4),
+            Kind("summary", 0.15, 40, False, 1500, 250, 0.5, 0.0, 1.0),
+        ),
+        (0.2, 0.1, 0.7),
+    ),
+}
+
+KV_CAPACITY = 40_000
+MAX_BATCH = 64
+STEP_BASE_S = 0.02
+STEP_PER_SEQUENCE_S = 0.0004
+PREFILL_PER_S = 20_000
+
+app = App(help="Make a trace and its engines file.")
+
+
+@app.default
+def make(
+    site: str,
+    load: float,
+    seed: int,
+    *,
+    seconds: float = DAY_S,
+    folder: Path = Path("traces"),
+    few_engines: Annotated[int, Parameter(name="--engines")] = 0,
+) -> None:
+    """Write SITE-LOAD-SEED.jsonl and SITE.ini into a folder.
+
+    Parameters
+    ----------
+    site
+        nineras or hjolaferdir.
+    load
+        Offered tokens as a part of what the engines can generate.
+    seed
+        Seed of every draw.
+    seconds
+        Length of the compressed day; another one than 900 shows in the file's name.
+    folder
+        Where the files go.
+    few_engines
+        Engines, where it is not the site's own number.
+    """
+    spec = SITES[site]
+    spec = replace(spec, engines=few_engines or spec.engines)
+    suffix = "" if seconds == DAY_S else f"-{seconds:g}s"
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f"{site}-{load:g}-{seed}{suffix}.jsonl"
+    lines = draw(spec, load, seconds, random.Random(f"{site}-{load:g}-{seed}-{seconds:g}"))
+    path.write_text("".join(json.dumps(line) + "\n" for line in lines))
+    (folder / f"{site}{suffix}.ini").write_text(engines_file(spec, seconds))
+    print(f"{path}: {len(lines)} requests", file=sys.stderr)
+
+
+def draw(spec: SiteSpec, load: float, day_s: float, rng: random.Random) -> list[dict]:
+    """Draw a day's requests in the order of their times."""
+    rate = load * capacity_tokens_per_s(spec) / mean_output(spec) / _mean_shape()
+    lines = []
+    at_s = 0.0
+    peak = 1.5 * rate * BURST_FACTOR
+    while True:
+        at_s += rng.expovariate(peak)
+        if at_s >= day_s:
+            return lines
+        part = at_s / day_s
+        account = _account(part, rng)
+        if rng.random() * peak < rate * _shape(part) * _burst(part, account):
+            lines.append(_line(spec, at_s, part, account, rng))
+
+
+def capacity_tokens_per_s(spec: SiteSpec) -> float:
+    """Tokens a second when memory is full of sequences of mean size, half way through.
+
+    The mean size is taken by the time that sequences spend, not by their number.
+    """
+    rng = random.Random("capacity")
+    held = output = 0.0
+    for _ in range(20_000):
+        kind = rng.choices(spec.kinds, [one.share for one in spec.kinds])[0]
+        length = _length(kind, 0.25 + 0.5 * rng.random(), rng)
+        held += length * (kind.prompt + length / 2)
+        output += length
+    batch = min(MAX_BATCH, KV_CAPACITY / (held / output))
+    return spec.engines * batch / (STEP_BASE_S + STEP_PER_SEQUENCE_S * batch)
+
+
+def mean_output(spec: SiteSpec) -> float:
+    """Mean length of an answer over the day, tokens."""
+    rng = random.Random("mean")
+    total = 0.0
+    for _ in range(20_000):
+        kind = rng.choices(spec.kinds, [one.share for one in spec.kinds])[0]
+        total += _length(kind, rng.random(), rng)
+    return total / 20_000
+
+
+def _shape(part: float) -> float:
+    return 1 + 0.5 * math.sin(2 * math.pi * (part - 0.25))
+
+
+def _mean_shape() -> float:
+    parts = [number / 1000 for number in range(1000)]
+    burst = [0.4 * _burst(part, 0) + 0.6 for part in parts]
+    return sum(_shape(part) * more for part, more in zip(parts, burst, strict=True)) / 1000
+
+
+def _account(part: float, rng: random.Random) -> int:
+    if rng.random() < 0.4:
+        return 0
+    return rng.randrange(1, ACCOUNTS)
+
+
+def _burst(part: float, account: int) -> float:
+    return BURST_FACTOR if account == 0 and BURST[0] <= part < BURST[1] else 1.0
+
+
+def _line(spec: SiteSpec, at_s: float, part: float, account: int, rng: random.Random) -> dict:
+    kind = rng.choices(spec.kinds, [one.share for one in spec.kinds])[0]
+    prompt = max(16, int(kind.prompt * rng.lognormvariate(0, 0.3)))
+    return {
+        "at_s": round(at_s, 4),
+        "account": f"account-{account}",
+        "service": spec.service,
+        "model": spec.model,
+        "prompt_tokens": prompt,
+        "output_tokens": _length(kind, part, rng),
+        "prefix": f"{kind.name}-{account}",
+        "value": kind.value,
+        "stream": kind.stream,
+    }
+
+
+def _length(kind: Kind, part: float, rng: random.Random) -> int:
+    median = kind.median * (kind.after_noon if part >= NOON else 1.0)
+    if rng.random() < kind.tail:
+        length = 2 * median * rng.paretovariate(1.1)
+    else:
+        length = rng.lognormvariate(math.log(median), kind.sigma)
+    return int(min(LONGEST_OUTPUT, max(2, length)))
+
+
+def engines_file(spec: SiteSpec, day_s: float) -> str:
+    """Give the engines file of a site; the first engine is reclaimed at the peak."""
+    stall, preemptions, tail = spec.weights
+    parts = [
+        f"[service.{spec.service}]\nstart_deadline_s = 10\nmax_output_tokens = {LONGEST_OUTPUT}\n"
+        f"stall = {stall}\npreemptions = {preemptions}\ntail = {tail}\n"
+    ]
+    for number in range(spec.engines):
+        rows = [
+            f"[engine.{spec.service}-{number + 1}]",
+            f"service = {spec.service}",
+            f"models = {spec.model}",
+            f"zone = {spec.zones[number % len(spec.zones)]}",
+            f"kv_capacity_tokens = {KV_CAPACITY}",
+            f"max_batch = {MAX_BATCH}",
+            f"step_base_s = {STEP_BASE_S}",
+            f"step_per_sequence_s = {STEP_PER_SEQUENCE_S}",
+            f"prefill_tokens_per_s = {PREFILL_PER_S}",
+        ]
+        if number == 0 and spec.engines > 1:
+            rows.append(f"reclaimed_at_s = {RECLAIMED_AT * day_s:g}")
+            rows.append("notice_s = 2")
+            rows.append(f"back_at_s = {BACK_AT * day_s:g}")
+        parts.append("\n".join(rows) + "\n")
+    return "\n".join(parts)
+
+
+if __name__ == "__main__":
+    app()
