Delivery: engines asked before they count as dead, take-over told to the old holder

Cause: a silent stream and a refused connection were one failure; a picked-up session was run again with an empty prompt; an entry whose caller had moved on cancelled the generation at the end of its window; a request that had run in part could be answered 'not run'. Ruled out: a note of each session in the object API (a write for each session), a time in the take-over message (a clock that is behind would win or lose for ever). Conclusion: recovery is decided by failure, the engine's own word and one budget; a take-over is told to the entry in the id, to those it leads to and to one chosen by hash, until they answer.

--- a/egretstack/callers/__init__.py
+++ b/egretstack/callers/__init__.py
@@ -4,6 +4,7 @@
 from egretstack.callers._counter import AsgiApp, RequestCounter
 from egretstack.callers._generations import Generations, SessionDoor
 from egretstack.callers._requests import GenerationBody
+from egretstack.callers._work import new_work, picked_up_work
 
 __all__ = [
     "AsgiApp",
@@ -14,4 +15,6 @@
     "RequestCounter",
     "SessionDoor",
     "make_caller_app",
+    "new_work",
+    "picked_up_work",
 ]
--- a/egretstack/delivery/_token.py
+++ b/egretstack/delivery/_token.py
@@ -15,6 +15,7 @@
 PREFIX = "resp_"
 MAX_TOKEN_LENGTH = 1024
 _FORMAT = 1
+_FIELDS = 6
 
 
 class TokenRefused(Exception):
@@ -61,8 +62,11 @@
             row = msgpack.unpackb(self._box.decrypt(text[len(PREFIX) :].encode()))
         except (InvalidToken, ValueError) as error:
             raise TokenRefused("not a session id of ours") from error
-        if row[0] != _FORMAT:
+        # The keys seal peers' hellos too, so a seal of ours is not yet a session id.
+        if not isinstance(row, list) or len(row) != _FIELDS or row[0] != _FORMAT:
             raise TokenRefused("a session id of another format")
+        if not all(isinstance(field, str) for field in row[1:]):
+            raise TokenRefused("a session id with a wrong field")
         account, owner, service, runner, generation = row[1:]
         return SessionRef(
             AccountId(account),
--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -29,6 +29,19 @@
     SESSION_RESUMED = (213, Level.INFO, "A session goes on over a new connection.")
     SESSION_LOST = (214, Level.ERROR, "A generation was lost in part; the caller was told.")
     SESSION_ABANDONED = (215, Level.INFO, "The caller left and did not come back; cancelled.")
+    SESSION_RELEASED = (216, Level.INFO, "Another entry took the session over; let go here.")
+    SESSION_HOLDER_UNTOLD = (
+        217,
+        Level.WARNING,
+        "An entry that may serve a session taken over here did not answer; if it is alive it "
+        "cancels the generation at the end of its resume window.",
+    )
+    SESSION_SILENT = (
+        218,
+        Level.WARNING,
+        "A stream went silent; the engine was asked over a new connection, and `answer` is what "
+        "came of it.",
+    )
     CALL_UNKNOWN = (220, Level.ERROR, "A call that may not be repeated has no known outcome.")
     CONFIG_APPLIED = (300, Level.INFO, "A configuration revision is in force on this instance.")
     CONFIG_REFUSED_OLDER = (
--- a/egretstack/services/session_host.py
+++ b/egretstack/services/session_host.py
@@ -1,24 +1,40 @@
 """Sessions of this entry: opened for callers, picked up from other entries, ended."""
 
-import secrets
-from dataclasses import replace
-
 import trio
 
 from egretstack import clock
-from egretstack.callers import GenerationBody, SessionDoor
+from egretstack.callers import GenerationBody, SessionDoor, new_work, picked_up_work
 from egretstack.contracts import Contract
-from egretstack.delivery import Cursor, RecoveryBudget, SessionRef, TokenRefused
+from egretstack.delivery import (
+    MAX_ID_LENGTH,
+    Cursor,
+    Holders,
+    RecoveryBudget,
+    SessionRef,
+    SessionReleased,
+    SessionTaken,
+    TokenRefused,
+)
 from egretstack.errors import EgretError, ErrorKind
 from egretstack.events import Event, log
-from egretstack.ids import AccountId, InstanceId, SessionId, WorkId
+from egretstack.ids import AccountId, GenerationId, InstanceId, RunnerId, SessionId, WorkId
 from egretstack.kernel import Kernel, Service
 from egretstack.policy import Work
 from egretstack.services.accounts import Accounts
 from egretstack.services.configuration import Configuration
 from egretstack.services.dispatching import Dispatching
+from egretstack.services.instances import Instances
+from egretstack.services.peer_port import PeerPort
 from egretstack.services.platform_access import PlatformAccess
-from egretstack.sessions import FinishedAnswer, Placement, Pump, PumpLinks, Session, SessionRequest
+from egretstack.sessions import (
+    FinishedAnswer,
+    Placement,
+    Pump,
+    PumpLinks,
+    Session,
+    SessionRequest,
+    Takeover,
+)
 from egretstack.upstreams import (
     EngineClient,
     EngineError,
@@ -27,14 +43,19 @@
     GenerationState,
 )
 
-PREFIX_CHARACTERS = 256
-
 
 class SessionHost(Service, SessionDoor):
     """Runs a pump for each session, apart from the caller's connection."""
 
     name = "session_host"
-    requires = ("platform_access", "accounts", "configuration", "dispatching")
+    requires = (
+        "platform_access",
+        "accounts",
+        "configuration",
+        "dispatching",
+        "instances",
+        "peer_port",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -43,9 +64,15 @@
         self._nursery: trio.Nursery
         self._idle = trio.Event()
         self._budget = RecoveryBudget()
+        self._own = InstanceId(kernel.settings.text("instance", "id"))
+        self._resume_window_s = kernel.settings.number("sessions", "resume_window_s")
+        send_s = kernel.settings.number("caller", "send_timeout_s")
+        self._unread_s = self._resume_window_s + send_s
+        self._holders = Holders(max(self._resume_window_s, 1.0) * 2)
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Hold the nursery that pumps run in."""
+        self.kernel.get(PeerPort).answer(SessionTaken, self._taken_elsewhere)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
@@ -59,10 +86,11 @@
 
     async def open(self, contract: Contract, body: GenerationBody) -> Session:
         """Start a session; raise EgretError."""
-        work = self._work(contract, body)
+        state = self.kernel.get(Configuration).state
+        work = new_work(contract, body, state.service_by_model.get(body.model))
         self.kernel.get(Accounts).open(contract)
         generation = GenerationRequest(work.model, body.prompt, work.max_output_tokens, work.value)
-        request = SessionRequest(contract.account, work.service, generation, body.stream)
+        request = self._request(contract.account, work, generation, body.stream)
         session = Session(work.id, request, Cursor())
         self._start(session, work, None)
         return session
@@ -70,17 +98,24 @@
     async def pick_up(self, contract: Contract, session_id: str, after: int) -> Session:
         """Find a session here or take it over from its engine; raise EgretError."""
         ref = self._ref(contract, session_id)
-        for session in self._session_by_work.values():
-            if session.id == session_id and session.can_read_after(after):
-                return session
+        here = self._find(ref.runner, ref.generation)
+        if here is not None and after > here.cursor.last:
+            raise EgretError(ErrorKind.BAD_REQUEST, f"the generation has no event {after} yet")
+        if here is not None and here.can_read_after(after):
+            return here
         engine = self._engine(ref)
         self.kernel.get(Accounts).open(contract)
-        generation = GenerationRequest(_UNKNOWN_MODEL, "", 0, contract.value)
-        request = SessionRequest(ref.account, ref.service, generation, streamed=True)
-        work = _resumed_work(contract, ref)
+        if here is not None:
+            # Its events before the caller's place are kept no more; the engine has them.
+            self._pump_by_work[here.work_id].release()
+        work = picked_up_work(contract, ref)
+        generation = GenerationRequest(work.model, "", work.max_output_tokens, work.value)
+        request = self._request(ref.account, work, generation, streamed=True)
         session = Session(work.id, request, Cursor(ref.generation, after))
         session.id = SessionId(session_id)
+        session.runner = ref.runner
         self._start(session, work, Placement(work, ref.runner, engine, work.value))
+        self._nursery.start_soon(self._take_over, ref, session)
         return session
 
     async def state(self, contract: Contract, session_id: str) -> GenerationState:
@@ -96,10 +131,10 @@
     async def cancel(self, contract: Contract, session_id: str) -> None:
         """End a session; raise EgretError."""
         ref = self._ref(contract, session_id)
-        for work_id, session in self._session_by_work.items():
-            if session.id == session_id:
-                self._pump_by_work[work_id].cancel()
-                return
+        here = self._find(ref.runner, ref.generation)
+        if here is not None:
+            self._pump_by_work[here.work_id].cancel()
+            return
         try:
             await self._engine(ref).cancel(ref.generation)
         except EngineError as error:
@@ -113,16 +148,54 @@
     async def _wait_for_return(self, session: Session, reader: int) -> None:
         # A caller that was given no id cannot come back.
         if session.request.streamed and session.taken >= 0:
-            await trio.sleep(self.kernel.settings.number("sessions", "resume_window_s"))
+            await trio.sleep(self._resume_window_s)
         pump = self._pump_by_work.get(session.work_id)
         if pump is not None and session.is_reader(reader):
             log(Event.SESSION_ABANDONED, work=session.work_id)
             pump.cancel()
 
+    async def _take_over(self, ref: SessionRef, session: Session) -> None:
+        """Tell who may serve the session still; else its cancel would end this one."""
+        place = (ref.runner, ref.generation)
+        told_before = self._holders.holder(clock.now(), place)
+        self._holders.note(clock.now(), place, self._own)
+        takeover = Takeover(self.kernel.get(Instances), self._own, SessionTaken(self._own, *place))
+        with trio.move_on_after(self._resume_window_s):
+            ask = self.kernel.get(PeerPort).ask
+            await takeover.run(ask, {ref.owner, told_before}, lambda: session.outcome is None)
+        for peer in sorted(takeover.untold):
+            log(Event.SESSION_HOLDER_UNTOLD, work=session.work_id, peer=peer)
+
+    async def _taken_elsewhere(self, message: SessionTaken) -> SessionReleased:
+        texts = (message.holder, message.runner, message.generation)
+        if max(len(text) for text in texts) > MAX_ID_LENGTH:
+            return SessionReleased("")
+        place = (RunnerId(message.runner), GenerationId(message.generation))
+        previous = self._holders.holder(clock.now(), place)
+        self._holders.note(clock.now(), place, InstanceId(message.holder))
+        session = self._find(*place)
+        if session is not None and session.request.streamed:
+            log(Event.SESSION_RELEASED, work=session.work_id, peer=message.holder)
+            self._pump_by_work[session.work_id].release()
+        known = previous not in (None, self._own, message.holder)
+        return SessionReleased(previous if known else "")
+
+    def _find(self, runner: RunnerId, generation: GenerationId) -> Session | None:
+        for session in self._session_by_work.values():
+            if session.cursor.generation == generation and session.runner == runner:
+                return session
+        return None
+
+    def _request(
+        self, account: AccountId, work: Work, generation: GenerationRequest, streamed: bool
+    ) -> SessionRequest:
+        return SessionRequest(account, work.service, generation, streamed, self._unread_s)
+
     def _start(self, session: Session, work: Work, placement: Placement | None) -> None:
         access = self.kernel.get(PlatformAccess)
-        instance = InstanceId(self.kernel.settings.text("instance", "id"))
-        links = PumpLinks(self.kernel.get(Dispatching), access.tokens.seal, instance)
+        links = PumpLinks(
+            self.kernel.get(Dispatching), access.tokens.seal, self._own, self._nursery.start_soon
+        )
         pump = Pump(session, work, links, self._budget, placement)
         self._pump_by_work[work.id] = pump
         self._session_by_work[work.id] = session
@@ -144,43 +217,13 @@
     def _count_end(self, session: Session, account: AccountId) -> None:
         metrics = self.kernel.get(PlatformAccess).metrics
         metrics.open_sessions.dec()
-        metrics.tokens.labels(account).inc(session.tokens)
+        metrics.tokens.labels(account).inc(max(0, session.tokens - session.tokens_before))
         outcome = session.outcome
         name = "finished" if isinstance(outcome, FinishedAnswer) else "cut"
         if isinstance(outcome, EgretError):
             name = outcome.kind.value
         metrics.sessions.labels(account, name).inc()
 
-    def _work(self, contract: Contract, body: GenerationBody) -> Work:
-        state = self.kernel.get(Configuration).state
-        service = state.service_by_model.get(body.model)
-        if service is None:
-            raise EgretError(ErrorKind.UNKNOWN_MODEL, f"model {body.model}")
-        if not contract.allows(service):
-            raise EgretError(ErrorKind.FORBIDDEN, f"service {service} is not in the contract")
-        if body.prompt_tokens > contract.max_prompt_tokens:
-            raise EgretError(
-                ErrorKind.BAD_REQUEST,
-                f"a prompt of some {body.prompt_tokens} tokens; the contract allows "
-                f"{contract.max_prompt_tokens}",
-            )
-        limit = contract.max_output_tokens
-        return Work(
-            id=WorkId(secrets.token_hex(8)),
-            account=contract.account,
-            service=service,
-            model=body.model,
-            prompt_tokens=body.prompt_tokens,
-            max_output_tokens=min(limit, body.max_output_tokens or limit),
-            prefix=body.prompt[:PREFIX_CHARACTERS],
-            value=contract.value,
-            deadline_s=clock.now() + contract.start_deadline_s,
-            streamed=body.stream,
-            stall_weight=contract.stall_weight,
-            preemption_weight=contract.preemption_weight,
-            tail_weight=contract.tail_weight,
-        )
-
     def _ref(self, contract: Contract, session_id: str) -> SessionRef:
         """Open a session id; one of another account is as unknown as one never made."""
         try:
@@ -193,25 +236,11 @@
 
     def _engine(self, ref: SessionRef) -> EngineClient:
         engine = self.kernel.get(Dispatching).engine(ref.runner)
-        if engine is None:
-            raise EgretError(ErrorKind.GENERATION_LOST, "the engine is gone")
-        return engine
-
-
-def _resumed_work(contract: Contract, ref: SessionRef) -> Work:
-    empty = Work(
-        id=WorkId(secrets.token_hex(8)),
-        account=ref.account,
-        service=ref.service,
-        model=_UNKNOWN_MODEL,
-        prompt_tokens=0,
-        max_output_tokens=contract.max_output_tokens,
-        prefix="",
-        value=contract.value,
-        deadline_s=clock.now(),
-        streamed=True,
-    )
-    return replace(empty, excluded=frozenset({ref.runner}))
-
-
-_UNKNOWN_MODEL = ""
+        if engine is not None:
+            return engine
+        # An entry that started while the runner was leaving never gave it work, but the
+        # runner still serves what it has; it is lost only once no list names it.
+        for member in self.kernel.get(Instances).all_members():
+            if member.id == ref.runner and member.service == ref.service:
+                return self.kernel.get(PlatformAccess).engine(member)
+        raise EgretError(ErrorKind.GENERATION_LOST, "the engine is gone")
--- a/egretstack/sessions/__init__.py
+++ b/egretstack/sessions/__init__.py
@@ -3,7 +3,8 @@
 from egretstack.sessions._outcome import FinishedAnswer
 from egretstack.sessions._placing import Placement, Placer
 from egretstack.sessions._pump import Pump, PumpLinks
-from egretstack.sessions._session import Session, SessionRequest
+from egretstack.sessions._session import ReaderStalled, Session, SessionRequest
+from egretstack.sessions._takeover import Takeover
 
 __all__ = [
     "FinishedAnswer",
@@ -11,6 +12,8 @@
     "Placer",
     "Pump",
     "PumpLinks",
+    "ReaderStalled",
     "Session",
     "SessionRequest",
+    "Takeover",
 ]
--- /dev/null
+++ b/egretstack/sessions/_asking.py
@@ -0,0 +1,56 @@
+"""Asks an engine after a generation, and tells failures of its stream apart."""
+
+from egretstack.delivery import EngineWord, Failure
+from egretstack.ids import GenerationId
+from egretstack.upstreams import (
+    EngineBroken,
+    EngineClient,
+    EngineError,
+    EngineNoAnswer,
+    EngineRefused,
+    EngineSilent,
+    EngineUnreachable,
+    GenerationGone,
+)
+
+_FAILURE_BY_ERROR: dict[type[EngineError], Failure] = {
+    EngineUnreachable: Failure.UNREACHABLE,
+    EngineNoAnswer: Failure.NO_ANSWER,
+    EngineRefused: Failure.REFUSED,
+    EngineBroken: Failure.BROKEN,
+    EngineSilent: Failure.SILENT,
+    GenerationGone: Failure.GONE,
+}
+
+
+class StreamFailed(Exception):
+    """Following a stream came to nothing."""
+
+    def __init__(self, failure: Failure, detail: str, retry_after_s: float | None = None) -> None:
+        super().__init__(detail)
+        self.failure = failure
+        self.retry_after_s = retry_after_s
+
+    @classmethod
+    def of(cls, error: EngineError) -> "StreamFailed":
+        """Classify an engine client's error."""
+        failure = _FAILURE_BY_ERROR.get(type(error), Failure.FAILED)
+        return cls(failure, str(error), getattr(error, "retry_after_s", None))
+
+
+async def ask_engine(engine: EngineClient, generation: GenerationId) -> EngineWord:
+    """Ask over a new connection whether the engine has a generation, ended or not.
+
+    A stream that went silent says nothing about the engine: the connection may be dead while
+    new ones work. An engine that accepts no connection in time, or accepts and says nothing,
+    is stalled, or its host is gone without a sign; only a refusal shows that no process listens.
+    """
+    try:
+        await engine.state(generation)
+    except GenerationGone:
+        return EngineWord.GONE
+    except (EngineNoAnswer, EngineSilent):
+        return EngineWord.NO_ANSWER
+    except EngineError:
+        return EngineWord.REFUSED
+    return EngineWord.HAS_IT
--- a/egretstack/sessions/_session.py
+++ b/egretstack/sessions/_session.py
@@ -2,31 +2,36 @@
 caller's connection."""
 
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import trio
 
 from egretstack.delivery import Cursor
 from egretstack.errors import EgretError
-from egretstack.ids import AccountId, ServiceName, SessionId, WorkId
+from egretstack.ids import AccountId, RunnerId, ServiceName, SessionId, WorkId
 from egretstack.sessions._outcome import FinishedAnswer
 from egretstack.upstreams import EngineEvent, EngineEventKind, GenerationRequest
 
-MAX_UNREAD_EVENTS = 4096
+MAX_UNREAD_EVENTS = 1024
 """Events that wait for a slow caller before the engine's stream is left unread."""
-KEPT_EVENTS = 2048
+KEPT_EVENTS = 512
 """Read events that are kept for a caller who comes back with an earlier number."""
 
 
+class ReaderStalled(Exception):
+    """Nobody took events for longer than is allowed, and too many wait."""
+
+
 @dataclass(frozen=True)
 class SessionRequest:
-    """What the caller asked for."""
+    """What the caller asked for. `unread_s` bounds how long a full buffer may stay unread."""
 
     account: AccountId
     service: ServiceName
     generation: GenerationRequest
     streamed: bool
+    unread_s: float = 60.0
 
 
 class Session:
@@ -40,11 +45,16 @@
         self.request = request
         self.cursor = cursor
         self.id: SessionId | None = None
+        self.runner: RunnerId | None = None
         self.outcome: FinishedAnswer | EgretError | None = None
         self.taken = cursor.last
         """Sequence number of the last event that a caller may have seen."""
         self.tokens = max(0, cursor.last)
         """Output tokens received from the engine; event N of a stream is its token N."""
+        self.tokens_before = self.tokens
+        """Tokens that the caller had before this entry took the session over."""
+        self.is_withheld: Callable[[], bool] = lambda: False
+        """Tells that readers may take nothing, since the generation is about to be dropped."""
         self._events: deque[EngineEvent] = deque()
         self._changed = trio.Event()
         self._room = trio.Event()
@@ -56,13 +66,12 @@
         return max(0, self.taken)
 
     async def add(self, event: EngineEvent) -> None:
-        """Add the next event; wait while too many are unread."""
+        """Add the next event; wait while too many are unread. Raises ReaderStalled."""
         self._events.append(event)
         self.tokens = event.sequence
         self._wake()
         while self.request.streamed and self.cursor.last - self.taken > MAX_UNREAD_EVENTS:
-            self._room = trio.Event()
-            await self._room.wait()
+            await self._wait_for_room()
 
     def restart(self) -> None:
         """Forget a generation of which nothing was taken."""
@@ -70,12 +79,14 @@
             raise ValueError("events of this generation were taken")
         self.cursor = Cursor()
         self.id = None
+        self.runner = None
         self.tokens = 0
         self._events.clear()
 
     def end(self, outcome: FinishedAnswer | EgretError) -> None:
-        """Set the outcome; readers get what is left, then it."""
-        self.outcome = outcome
+        """Set the outcome, once; readers get what is left, then it."""
+        if self.outcome is None:
+            self.outcome = outcome
         self._wake()
 
     def text(self) -> str:
@@ -112,7 +123,7 @@
         while self.is_reader(reader):
             changed = self._changed
             ready = self._after(position)
-            if ready and not self._binds_only(ready):
+            if ready and not self._binds_only(ready) and not self.is_withheld():
                 position = ready[-1].sequence
                 self._take(position)
                 yield ready
@@ -124,6 +135,15 @@
             if silence.cancelled_caught:
                 yield []
 
+    async def _wait_for_room(self) -> None:
+        # A connection that is open and never read would keep the buffer, the engine's memory
+        # and the account's place for ever; the bound covers a caller that is away as well.
+        with trio.move_on_after(self.request.unread_s) as wait:
+            self._room = trio.Event()
+            await self._room.wait()
+        if wait.cancelled_caught:
+            raise ReaderStalled
+
     def _binds_only(self, ready: list[EngineEvent]) -> bool:
         """Tell whether all that is ready is the event that names the generation.
 
--- a/egretstack/settings/_schema.py
+++ b/egretstack/settings/_schema.py
@@ -72,6 +72,13 @@
         "Silence after which a stream carries a comment line.",
         "5",
     ),
+    Key(
+        "caller",
+        "send_timeout_s",
+        Number(1, 3600, _SECONDS),
+        "How long a caller may leave what was sent unread before its connection is closed.",
+        "30",
+    ),
     Key(
         "caller",
         "answer_life_s",
--- a/egretstack/upstreams/_engine.py
+++ b/egretstack/upstreams/_engine.py
@@ -21,6 +21,10 @@
     """No connection was made: nothing was sent."""
 
 
+class EngineNoAnswer(EngineUnreachable):
+    """No connection was made in time; the engine may be stalled, or gone without a sign."""
+
+
 class EngineRefused(EngineError):
     """The engine answered that it takes no new generation now."""
 
--- a/egretstack/upstreams/_http_engine.py
+++ b/egretstack/upstreams/_http_engine.py
@@ -19,6 +19,7 @@
     EngineError,
     EngineEvent,
     EngineEventKind,
+    EngineNoAnswer,
     EngineRefused,
     EngineSilent,
     EngineUnreachable,
@@ -79,7 +80,9 @@
     @asynccontextmanager
     async def resume(self, generation: GenerationId, after: int) -> AsyncIterator[AsyncIterator]:
         """Follow a generation from the event after sequence number `after`."""
-        params = {"stream": "true", "starting_after": str(after)}
+        params = {"stream": "true"}
+        if after >= 0:
+            params["starting_after"] = str(after)
         opened = self._fresh.stream(
             "GET",
             f"{self._base}/v1/responses/{generation}",
@@ -141,7 +144,9 @@
     ) -> httpx.Response:
         try:
             return await (client or self._client).request(method, self._base + path, **options)
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+        except (httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            raise EngineNoAnswer(repr(error)) from error
+        except httpx.ConnectError as error:
             raise EngineUnreachable(repr(error)) from error
         except httpx.TimeoutException as error:
             raise EngineSilent(repr(error)) from error
@@ -157,7 +162,9 @@
         async with opened as response:
             _check_stream(response, generation)
             yield _events(response, generation)
-    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+    except (httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+        raise EngineNoAnswer(repr(error)) from error
+    except httpx.ConnectError as error:
         raise EngineUnreachable(repr(error)) from error
     except httpx.TimeoutException as error:
         raise EngineSilent(repr(error)) from error
@@ -170,6 +177,9 @@
         raise EngineRefused(f"status {response.status_code}", _retry_after(response))
     if response.status_code == _HTTP_NOT_FOUND and generation is not None:
         raise GenerationGone(generation)
+    if response.is_error and generation is not None:
+        # The generation may be there still: an answer such as 500 does not say that it is gone.
+        raise EngineBroken(f"status {response.status_code}")
     if response.is_error:
         raise EngineError(f"status {response.status_code}")
 
@@ -192,7 +202,7 @@
             data = json.loads(message.data)
             generation = _generation_of(data, generation)
             sequence = int(data["sequence_number"])
-            yield EngineEvent(generation, sequence, kind, data.get("delta", ""))
+            yield EngineEvent(generation, sequence, kind, _delta(data))
             ended = kind not in (EngineEventKind.CREATED, EngineEventKind.TOKEN)
     except httpx.TimeoutException as error:
         raise EngineSilent(repr(error)) from error
@@ -204,6 +214,13 @@
         raise EngineBroken("the stream ended before the generation did")
 
 
+def _delta(data: dict) -> str:
+    delta = data.get("delta", "")
+    if not isinstance(delta, str):
+        raise TypeError("a delta that is not text")
+    return delta
+
+
 def _generation_of(data: dict, known: GenerationId | None) -> GenerationId:
     """Find the generation an event belongs to.
 
--- a/standins/engine_client.py
+++ b/standins/engine_client.py
@@ -11,6 +11,7 @@
     EngineBroken,
     EngineClient,
     EngineEvent,
+    EngineNoAnswer,
     EngineRefused,
     EngineSilent,
     EngineUnreachable,
@@ -115,7 +116,7 @@
             raise EngineUnreachable("connection refused")
         if self._faults.stalled:
             await trio.sleep(CONNECT_TIMEOUT_S)
-            raise EngineUnreachable("connection timed out")
+            raise EngineNoAnswer("connection timed out")
 
     async def _events(self, generation: Generation, after: int) -> AsyncIterator[EngineEvent]:
         opened_s = trio.current_time()
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -9,6 +9,7 @@
     Recovery,
     RecoveryBudget,
     SessionRef,
+    Standing,
     Step,
     TokenBox,
     TokenRefused,
@@ -36,20 +37,20 @@
 
 def test_generation_lost_before_delivery_is_run_again():
     # The engine dies before a token left. The caller sees one whole answer, from a second run.
-    recovery = Recovery(RecoveryBudget())
-    check.assertIs(recovery.decide(Failure.GONE, bound=True, delivered=0), Step.RERUN)
+    recovery = Recovery(RecoveryBudget(), 0, 10)
+    check.assertIs(recovery.decide(1, Failure.GONE, Standing(True, 0)), Step.RERUN)
 
 
 def test_generation_lost_after_delivery_is_never_run_again():
     # The engine dies while the reader has half the answer. A second run would differ from it,
     # so the reader is told at once that the generation is lost.
-    recovery = Recovery(RecoveryBudget())
-    check.assertIs(recovery.decide(Failure.GONE, bound=True, delivered=3), Step.LOST)
+    recovery = Recovery(RecoveryBudget(), 0, 10)
+    check.assertIs(recovery.decide(1, Failure.GONE, Standing(True, 3)), Step.LOST)
 
 
 def test_broken_connection_is_resumed_within_the_budget():
-    recovery = Recovery(RecoveryBudget(resumes=2))
-    steps = [recovery.decide(Failure.BROKEN, bound=True, delivered=3) for _ in range(3)]
+    recovery = Recovery(RecoveryBudget(resumes=2), 0, 10)
+    steps = [recovery.decide(1, Failure.BROKEN, Standing(True, 3)) for _ in range(3)]
     check.assertEqual(steps, [Step.RESUME, Step.RESUME, Step.LOST])
 
 
