A caller that never reads is cut off by the kernel's bound on unread data

Cause: the HTTP server writes shielded from cancellation, so a write that blocks held its request for ever. Ruled out: a time-out around the write in our own code (shielded below us); closing the socket from another task (the server keeps it private). Conclusion: TCP_USER_TIMEOUT and a send buffer bound on the listening socket.

--- a/egretstack/callers/_answers.py
+++ b/egretstack/callers/_answers.py
@@ -48,6 +48,11 @@
     return body
 
 
+def status_answer(session: SessionId, status: str) -> dict:
+    """Give a response object that tells only how far its generation has come."""
+    return _response(session, ModelName(""), status)
+
+
 def encode_batch(events: list[EngineEvent], session: SessionId, model: ModelName) -> bytes:
     """Encode events for one write; an empty batch is a heartbeat."""
     if not events:
--- a/egretstack/callers/_generations.py
+++ b/egretstack/callers/_generations.py
@@ -3,20 +3,20 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 
-import trio
 from quart import Response
 
 from egretstack.callers._answers import (
     encode_batch,
     encode_end,
     json_answer,
+    status_answer,
     whole_answer,
 )
 from egretstack.callers._requests import GenerationBody, read_generation, read_number
 from egretstack.contracts import Contract
 from egretstack.errors import EgretError
 from egretstack.ids import SessionId
-from egretstack.sessions import Session
+from egretstack.sessions import FinishedAnswer, Session
 from egretstack.upstreams import GenerationState
 
 STREAM_TYPE = "text/event-stream"
@@ -70,12 +70,12 @@
     async def status(self, contract: Contract, session_id: str) -> Response:
         """Answer `GET /v1/responses/ID`."""
         state = await self._door.state(contract, session_id)
-        return json_answer({"id": session_id, "object": "response", "status": state.value})
+        return json_answer(status_answer(SessionId(session_id), state.value))
 
     async def cancel(self, contract: Contract, session_id: str) -> Response:
         """Answer `POST /v1/responses/ID/cancel`."""
         await self._door.cancel(contract, session_id)
-        return json_answer({"id": session_id, "object": "response", "status": "cancelled"})
+        return json_answer(status_answer(SessionId(session_id), "cancelled"))
 
     async def _whole(self, session: Session) -> Response:
         reader = session.supersede()
@@ -95,7 +95,7 @@
         batches = session.batches(reader, after, self._heartbeat_s)
         try:
             first = await anext(batches, None)
-        except trio.Cancelled:
+        except BaseException:
             self._door.left(session, reader)
             raise
         if first is None and isinstance(session.outcome, EgretError):
@@ -124,7 +124,18 @@
             async for batch in batches:
                 last = batch[-1].sequence if batch else last
                 yield encode_batch(batch, session.id or SessionId(""), model)
-            if session.outcome is not None and session.is_reader(reader):
+            if session.is_reader(reader) and _wants_end(session, after):
                 yield encode_end(session.outcome, session.id, model, last + 1)
         finally:
             self._door.left(session, reader)
+
+
+def _wants_end(session: Session, after: int) -> bool:
+    """Tell whether the caller has still to be told the outcome.
+
+    A caller that comes back with the number of the completed event had it before; sent again it
+    would carry a number that the generation never had.
+    """
+    if isinstance(session.outcome, FinishedAnswer):
+        return after <= session.outcome.output_tokens
+    return session.outcome is not None
--- a/egretstack/services/caller_api.py
+++ b/egretstack/services/caller_api.py
@@ -51,7 +51,8 @@
         address = settings.text("caller", "address")
         access = self.kernel.get(PlatformAccess)
         async with trio.open_nursery() as nursery:
-            await nursery.start(access.serve_http, app, address, self._stop)
+            send_s = settings.number("caller", "send_timeout_s")
+            await nursery.start(access.serve_http, app, address, self._stop, send_s)
             task_status.started()
 
     async def drain(self) -> None:
--- a/egretstack/services/platform_access.py
+++ b/egretstack/services/platform_access.py
@@ -4,11 +4,12 @@
 whole programs on a mock clock.
 """
 
+import socket
 from collections.abc import Awaitable, Callable
 
 import httpx
 import trio
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 from hypercorn.trio import serve
 
 from egretstack.callers import AsgiApp
@@ -29,6 +30,8 @@
 CONNECT_TIMEOUT_S = 2.0
 IDLE_CONNECTION_S = 75
 STOP_GRACE_S = 1.0
+SEND_TIMEOUT_S = 30.0
+SEND_BUFFER_BYTES = 131_072
 MAX_KEY_FILE_BYTES = 65_536
 _NO_LIMITS = httpx.Limits(max_connections=None, max_keepalive_connections=200)
 _NO_IDLE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
@@ -88,10 +91,15 @@
         app: AsgiApp,
         address: str,
         stop: trio.Event,
+        send_timeout_s: float = SEND_TIMEOUT_S,
+        *,
         task_status: trio.TaskStatus[object],
     ) -> None:
-        """Serve an HTTP application until `stop`; requests still open are then cut soon."""
-        config = Config()
+        """Serve an HTTP application until `stop`; requests still open are then cut soon.
+
+        A connection whose other end leaves what was sent unread for `send_timeout_s` is closed.
+        """
+        config = _BoundedConfig(send_timeout_s)
         config.bind = [address]
         config.accesslog = None
         config.errorlog = None
@@ -108,3 +116,25 @@
         if len(text) > MAX_KEY_FILE_BYTES:
             raise UserError(f"{path}: larger than {MAX_KEY_FILE_BYTES} bytes")
         return [line.strip() for line in text.splitlines() if line.strip()]
+
+
+class _BoundedConfig(Config):
+    """Bounds what a connection whose other end reads nothing may hold, and for how long.
+
+    The server writes to a connection shielded from cancellation, so no task of ours can end a
+    write that blocks: a caller that is connected and never reads would keep its request open
+    for ever. The kernel's own bound on unread data closes the connection, the write fails, and
+    the request is cancelled as after any lost connection. Accepted sockets inherit both options.
+    """
+
+    def __init__(self, send_timeout_s: float) -> None:
+        super().__init__()
+        self._send_timeout_ms = int(send_timeout_s * 1000)
+
+    def create_sockets(self) -> Sockets:
+        """Create the listening sockets with the bounds set."""
+        sockets = super().create_sockets()
+        for one in sockets.insecure_sockets:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+            one.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._send_timeout_ms)
+        return sockets
--- a/standins/world.py
+++ b/standins/world.py
@@ -190,6 +190,8 @@
         app: AsgiApp,
         address: str,
         stop: trio.Event,
+        send_timeout_s: float = 0.0,
+        *,
         task_status: trio.TaskStatus[object],
     ) -> None:
         """Keep the application for a test to call; no socket is opened."""
