One budgeted client of the object API for all services

Cause: every service called the object API as it liked: no count, no bound in time, no budget, and a watch that had gone silent was waited on for 40 s. A watch has a life, and one without its last bookmark is lost.

Ruled out: one bucket for all classes (configuration reads at a cold start starved the ledger); repeating writes in the client (after a timeout the write may have landed).

The stand-in's watches end with a bookmark now, as the HTTP ones did.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -36,9 +36,17 @@
         Level.ERROR,
         "The store offered an older configuration than is in force: restored from a copy?",
     )
+    CONFIG_FORKED = (
+        303,
+        Level.ERROR,
+        "Another history of changes is offered; the one in force is kept. Compare both stores.",
+    )
     CONFIG_BAD = (302, Level.ERROR, "A part of the configuration does not pass its checks.")
     PLATFORM_AWAY = (310, Level.WARNING, "The platform's object API does not answer.")
     PLATFORM_BACK = (311, Level.INFO, "The platform's object API answers again.")
+    PLATFORM_BREAKER_OPEN = (312, Level.WARNING, "Calls to the platform fail at once for now.")
+    PLATFORM_BREAKER_CLOSED = (313, Level.INFO, "The platform answered a probe; calls go out.")
+    PLATFORM_WATCH_SILENT = (314, Level.WARNING, "A watch sent no bookmark; it is opened anew.")
     PEER_REFUSED = (320, Level.WARNING, "A peer connection was refused; check keys and version.")
     RUNNER_JOINED = (330, Level.INFO, "A runner is known and gets work.")
     RUNNER_LEFT = (331, Level.INFO, "A runner gets no new work.")
--- a/egretstack/metrics.py
+++ b/egretstack/metrics.py
@@ -47,6 +47,18 @@
             "egret_open_sessions", "Sessions in progress.", registry=self.registry
         )
         self.open_calls = Gauge("egret_open_calls", "Calls in progress.", registry=self.registry)
+        self.platform_calls = Counter(
+            "egret_platform_calls",
+            "Calls to the object API, by class, verb and outcome; a watch is one call.",
+            ["class", "verb", "outcome"],
+            registry=self.registry,
+        )
+        self.platform_watches = Gauge(
+            "egret_platform_watches",
+            "Watches that wait at the object API, by class.",
+            ["class"],
+            registry=self.registry,
+        )
         self.revision = Gauge(
             "egret_config_revision", "Configuration revision in force.", registry=self.registry
         )
--- a/egretstack/platform/__init__.py
+++ b/egretstack/platform/__init__.py
@@ -1,5 +1,8 @@
 """What the platform gives: object API, instance list and weight store, each behind one class."""
 
+from egretstack.platform._breaker import Breaker, BreakerState
+from egretstack.platform._budget import CallBudget, CallClass, TokenBucket
+from egretstack.platform._budgeted import BudgetedObjectApi
 from egretstack.platform._http_instance_list import HttpInstanceList
 from egretstack.platform._http_object_api import HttpObjectApi
 from egretstack.platform._instance_list import (
@@ -9,6 +12,7 @@
     MemberState,
 )
 from egretstack.platform._object_api import (
+    WATCH_LIFE_S,
     Conflict,
     ObjectApi,
     ObjectKind,
@@ -24,6 +28,12 @@
 
 __all__ = [
     "ENTRY_SERVICE",
+    "WATCH_LIFE_S",
+    "Breaker",
+    "BreakerState",
+    "BudgetedObjectApi",
+    "CallBudget",
+    "CallClass",
     "Conflict",
     "HttpInstanceList",
     "HttpObjectApi",
@@ -37,6 +47,7 @@
     "PlatformError",
     "PlatformOutcomeUnknown",
     "StoredObject",
+    "TokenBucket",
     "WatchChange",
     "WatchKind",
     "WatchLost",
--- /dev/null
+++ b/egretstack/platform/_breaker.py
@@ -0,0 +1,73 @@
+"""A circuit breaker for the platform; pure, with time and randomness passed in."""
+
+from enum import Enum
+from random import Random
+
+FAILURES_TO_OPEN = 5
+FIRST_OPEN_S = 0.25
+LONGEST_OPEN_S = 2.0
+_JITTER = 0.5
+
+
+class BreakerState(Enum):
+    """Whether calls pass."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+class Breaker:
+    """Opens after failures in a row, then lets one probe through at a time.
+
+    While the platform is away each call would otherwise hold its caller for a whole timeout, and
+    every process would go on loading a platform that tries to come up.
+    """
+
+    def __init__(self, rng: Random) -> None:
+        self.state = BreakerState.CLOSED
+        self._rng = rng
+        self._failures = 0
+        self._open_s = FIRST_OPEN_S
+        self._until_s = 0.0
+        self._probing = False
+
+    def wait_s(self, now_s: float) -> float:
+        """Give the seconds until a call may be tried; 0 for now."""
+        if self.state is BreakerState.CLOSED:
+            return 0.0
+        if self._probing:
+            return self._open_s
+        return max(0.0, self._until_s - now_s)
+
+    def begin(self, now_s: float) -> None:
+        """Note that a call is made, which `wait_s` allowed; when open, it is the probe."""
+        if self.state is not BreakerState.CLOSED:
+            self.state = BreakerState.HALF_OPEN
+            self._probing = True
+
+    def succeeded(self) -> None:
+        """Note an answer of the platform, of any content."""
+        self.state = BreakerState.CLOSED
+        self._failures = 0
+        self._open_s = FIRST_OPEN_S
+        self._probing = False
+
+    def failed(self, now_s: float) -> None:
+        """Note a call without an answer."""
+        self._failures += 1
+        if self.state is BreakerState.HALF_OPEN:
+            self._open_s = min(LONGEST_OPEN_S, self._open_s * 2)
+            self._open(now_s)
+        elif self.state is BreakerState.CLOSED and self._failures >= FAILURES_TO_OPEN:
+            self._open(now_s)
+
+    def given_up(self) -> None:
+        """Note that the caller went away before an answer; another probe may be made."""
+        self._probing = False
+
+    def _open(self, now_s: float) -> None:
+        self.state = BreakerState.OPEN
+        self._probing = False
+        # Without jitter every process of the fleet would probe in the same moment.
+        self._until_s = now_s + self._open_s * (1 + _JITTER * self._rng.random())
--- /dev/null
+++ b/egretstack/platform/_budgeted.py
@@ -0,0 +1,191 @@
+"""The one client of the object API: counts, budgets, bounds and, for reads, retries each call."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from random import Random
+from typing import TypeVar
+
+import trio
+
+from egretstack.events import Event, log
+from egretstack.metrics import Metrics
+from egretstack.platform._breaker import Breaker, BreakerState
+from egretstack.platform._budget import CLASS_BY_KIND, CallBudget
+from egretstack.platform._object_api import (
+    WATCH_LIFE_S,
+    Conflict,
+    ObjectApi,
+    ObjectKind,
+    PlatformAway,
+    PlatformError,
+    PlatformOutcomeUnknown,
+    Spec,
+    StoredObject,
+    WatchChange,
+    WatchLost,
+)
+
+READ_ATTEMPTS = 3
+RETRY_BASE_S = 0.05
+LONGEST_BUDGET_WAIT_S = 1.0
+WATCH_GRACE_S = 0.5
+"""Seconds after the end of a watch's life in which its last bookmark has to come."""
+
+T = TypeVar("T")
+
+
+class BudgetedObjectApi(ObjectApi):
+    """Wraps an object API; every service of a process shares one.
+
+    A call waits a bounded time for the budget of its class, and fails fast with PlatformAway and
+    the time to come back while the breaker is open. Reads are retried with jitter. A write is
+    sent once: after a timeout it may have taken effect, and only its caller can settle that.
+    """
+
+    def __init__(
+        self, inner: ObjectApi, timeout_s: float, metrics: Metrics, rng: Random, now_s: float
+    ) -> None:
+        self.budget = CallBudget(now_s)
+        self.breaker = Breaker(rng)
+        self._inner = inner
+        self._timeout_s = timeout_s
+        self._metrics = metrics
+        self._rng = rng
+
+    async def get(self, kind: ObjectKind, name: str) -> StoredObject | None:
+        """Read one object; None if there is none. Raises PlatformAway."""
+        return await self._read("get", kind, lambda: self._inner.get(kind, name))
+
+    async def list(self, kind: ObjectKind) -> list[StoredObject]:
+        """Read all objects of a kind. Raises PlatformAway."""
+        return await self._read("list", kind, lambda: self._inner.list(kind))
+
+    async def create(self, kind: ObjectKind, name: str, spec: Spec) -> StoredObject:
+        """Create an object; errors as `ObjectApi.create` says."""
+        return await self._write("create", kind, lambda: self._inner.create(kind, name, spec))
+
+    async def replace(self, kind: ObjectKind, name: str, spec: Spec, version: str) -> StoredObject:
+        """Replace an object; errors as `ObjectApi.replace` says."""
+        return await self._write(
+            "replace", kind, lambda: self._inner.replace(kind, name, spec, version)
+        )
+
+    async def delete(self, kind: ObjectKind, name: str, version: str) -> None:
+        """Delete an object; errors as `ObjectApi.delete` says."""
+        await self._write("delete", kind, lambda: self._inner.delete(kind, name, version))
+
+    @asynccontextmanager
+    async def watch(
+        self, kind: ObjectKind, since: str | None, life_s: float = WATCH_LIFE_S
+    ) -> AsyncIterator[AsyncIterator[WatchChange]]:
+        """Follow changes for `life_s`, bounded. Raises PlatformAway, WatchLost."""
+        async with AsyncExitStack() as stack:
+
+            async def enter() -> AsyncIterator[WatchChange]:
+                return await stack.enter_async_context(self._inner.watch(kind, since, life_s))
+
+            deadline_s = trio.current_time() + life_s + WATCH_GRACE_S
+            changes = await self._call("watch", kind, enter, PlatformAway)
+            gauge = self._metrics.platform_watches.labels(CLASS_BY_KIND[kind].value)
+            gauge.inc()
+            try:
+                yield _BoundedChanges(changes, deadline_s)
+            finally:
+                gauge.dec()
+
+    async def _read(self, verb: str, kind: ObjectKind, call: Callable[[], Awaitable[T]]) -> T:
+        for attempt in range(READ_ATTEMPTS):
+            try:
+                return await self._call(verb, kind, call, PlatformAway)
+            except PlatformAway as error:
+                # With a time to come back it was this client that refused: do not wait it out.
+                if error.retry_after_s is not None or attempt == READ_ATTEMPTS - 1:
+                    raise
+            await trio.sleep(RETRY_BASE_S * 2**attempt * (0.5 + self._rng.random()))
+        raise AssertionError("unreachable")
+
+    async def _write(self, verb: str, kind: ObjectKind, call: Callable[[], Awaitable[T]]) -> T:
+        return await self._call(verb, kind, call, PlatformOutcomeUnknown)
+
+    async def _call(
+        self,
+        verb: str,
+        kind: ObjectKind,
+        call: Callable[[], Awaitable[T]],
+        on_timeout: type[PlatformError],
+    ) -> T:
+        await self._admit(kind)
+        outcome = "given_up"
+        self.breaker.begin(trio.current_time())
+        try:
+            result = await self._bounded(call, on_timeout)
+            outcome = "answered"
+            return result
+        except (Conflict, WatchLost):
+            outcome = "answered"
+            raise
+        except (PlatformAway, PlatformOutcomeUnknown):
+            outcome = "failed"
+            raise
+        finally:
+            self._note(verb, kind, outcome)
+
+    async def _bounded(
+        self, call: Callable[[], Awaitable[T]], on_timeout: type[PlatformError]
+    ) -> T:
+        with trio.move_on_after(self._timeout_s):
+            return await call()
+        raise on_timeout("no answer in time")
+
+    async def _admit(self, kind: ObjectKind) -> None:
+        call_class = CLASS_BY_KIND[kind]
+        now_s = trio.current_time()
+        closed_s = self.breaker.wait_s(now_s)
+        if closed_s > 0:
+            raise PlatformAway("the platform has been failing", closed_s)
+        wait_s = self.budget.wait_s(call_class, now_s)
+        if wait_s > LONGEST_BUDGET_WAIT_S:
+            raise PlatformAway(f"the budget for {call_class.value} is spent", wait_s)
+        self.budget.spend(call_class, now_s)
+        if wait_s > 0:
+            await trio.sleep(wait_s)
+            closed_s = self.breaker.wait_s(trio.current_time())
+            if closed_s > 0:
+                raise PlatformAway("the platform has been failing", closed_s)
+
+    def _note(self, verb: str, kind: ObjectKind, outcome: str) -> None:
+        before = self.breaker.state
+        if outcome == "answered":
+            self.breaker.succeeded()
+        elif outcome == "failed":
+            self.breaker.failed(trio.current_time())
+        else:
+            self.breaker.given_up()
+        labels = (CLASS_BY_KIND[kind].value, verb, outcome)
+        self._metrics.platform_calls.labels(*labels).inc()
+        after = self.breaker.state
+        if before is BreakerState.CLOSED and after is BreakerState.OPEN:
+            log(Event.PLATFORM_BREAKER_OPEN)
+        if before is not BreakerState.CLOSED and after is BreakerState.CLOSED:
+            log(Event.PLATFORM_BREAKER_CLOSED)
+
+
+class _BoundedChanges:
+    """The reports of a watch, lost when the bookmark that ends its life does not come.
+
+    A connection that something on the way has forgotten stays open and silent: without the bound
+    its reader would wait for good and miss every change.
+    """
+
+    def __init__(self, changes: AsyncIterator[WatchChange], deadline_s: float) -> None:
+        self._changes = changes
+        self._deadline_s = deadline_s
+
+    def __aiter__(self) -> "_BoundedChanges":
+        return self
+
+    async def __anext__(self) -> WatchChange:
+        with trio.move_on_at(self._deadline_s):
+            return await anext(self._changes)
+        log(Event.PLATFORM_WATCH_SILENT)
+        raise WatchLost("silent past the time of its bookmark")
--- a/egretstack/platform/_http_object_api.py
+++ b/egretstack/platform/_http_object_api.py
@@ -8,6 +8,7 @@
 
 from egretstack.platform._object_api import (
     MAX_OBJECT_BYTES,
+    WATCH_LIFE_S,
     Conflict,
     ObjectApi,
     ObjectKind,
@@ -22,12 +23,6 @@
 )
 
 API_GROUP = "egretstack.dev/v1"
-WATCH_LIFE_S = 30
-"""How long one watch stays open, in seconds.
-
-An open watch can go silent for good when something on the way forgets the connection; ending
-each watch regularly bounds how long that can hide changes.
-"""
 _WATCH_GRACE_S = 10.0
 _HTTP_GONE = 410
 _HTTP_CONFLICT = 409
@@ -76,17 +71,17 @@
 
     @asynccontextmanager
     async def watch(
-        self, kind: ObjectKind, since: str | None
+        self, kind: ObjectKind, since: str | None, life_s: float = WATCH_LIFE_S
     ) -> AsyncIterator[AsyncIterator[WatchChange]]:
         """Follow changes after the version `since`. Raises PlatformAway, WatchLost."""
         params = {
             "watch": "true",
             "allowWatchBookmarks": "true",
-            "timeoutSeconds": str(WATCH_LIFE_S),
+            "timeoutSeconds": f"{life_s:g}",
         }
         if since is not None:
             params["resourceVersion"] = since
-        timeout = httpx.Timeout(self._client.timeout.connect, read=WATCH_LIFE_S + _WATCH_GRACE_S)
+        timeout = httpx.Timeout(self._client.timeout.connect, read=life_s + _WATCH_GRACE_S)
         try:
             async with self._client.stream(
                 "GET", f"{self._base}/{kind.value}", params=params, timeout=timeout
--- a/egretstack/platform/_object_api.py
+++ b/egretstack/platform/_object_api.py
@@ -13,6 +13,13 @@
 MAX_OBJECT_BYTES = 1_048_576
 """Largest object the platform holds."""
 
+WATCH_LIFE_S = 30.0
+"""How long one watch stays open unless its caller says otherwise, in seconds.
+
+An open watch can go silent for good when something on the way forgets the connection; ending
+each watch regularly, with a bookmark, bounds how long that can hide changes.
+"""
+
 Spec = dict[str, object]
 
 
@@ -35,7 +42,14 @@
 
 
 class PlatformAway(PlatformError):
-    """The call was not carried out: no connection, or refused before it had an effect."""
+    """The call was not carried out: no connection, or refused before it had an effect.
+
+    `retry_after_s` is set where this process itself refused to send the call.
+    """
+
+    def __init__(self, detail: str = "", retry_after_s: float | None = None) -> None:
+        super().__init__(detail)
+        self.retry_after_s = retry_after_s
 
 
 class PlatformOutcomeUnknown(PlatformError):
@@ -101,6 +115,9 @@
 
     @abstractmethod
     def watch(
-        self, kind: ObjectKind, since: str | None
+        self, kind: ObjectKind, since: str | None, life_s: float = WATCH_LIFE_S
     ) -> AbstractAsyncContextManager[AsyncIterator[WatchChange]]:
-        """Follow changes after the version `since`. Raises PlatformAway, WatchLost."""
+        """Follow changes after the version `since` for `life_s`, which a bookmark ends.
+
+        Raises PlatformAway, WatchLost.
+        """
--- a/egretstack/services/platform_access.py
+++ b/egretstack/services/platform_access.py
@@ -4,6 +4,7 @@
 whole programs on a mock clock.
 """
 
+import random
 from collections.abc import Awaitable, Callable
 
 import httpx
@@ -18,6 +19,7 @@
 from egretstack.metrics import Metrics
 from egretstack.peers import PeerKeys
 from egretstack.platform import (
+    BudgetedObjectApi,
     HttpInstanceList,
     HttpObjectApi,
     InstanceList,
@@ -47,13 +49,19 @@
         timeout = httpx.Timeout(settings.number("platform", "timeout_s"), connect=CONNECT_TIMEOUT_S)
         self._client = httpx.AsyncClient(timeout=timeout, limits=_NO_LIMITS, trust_env=False)
         self._fresh = httpx.AsyncClient(timeout=timeout, limits=_NO_IDLE, trust_env=False)
-        self.object_api: ObjectApi = HttpObjectApi(self._client, base, namespace)
         self.instance_list: InstanceList = HttpInstanceList(self._client, base, namespace)
         self.metrics = Metrics()
+        self.object_api = self.budgeted(HttpObjectApi(self._client, base, namespace))
         keys = self._keys()
         self.tokens = TokenBox(keys)
         self.peer_keys = PeerKeys(keys, kernel.epoch)
 
+    def budgeted(self, inner: ObjectApi) -> BudgetedObjectApi:
+        """Wrap the object API in this process's budget and breaker."""
+        timeout_s = self.kernel.settings.number("platform", "timeout_s")
+        now_s = trio.current_time()
+        return BudgetedObjectApi(inner, timeout_s, self.metrics, random.Random(), now_s)
+
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Keep the clients open."""
         async with self._client, self._fresh:
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -9,6 +9,7 @@
 import trio
 
 from egretstack.platform import (
+    WATCH_LIFE_S,
     Conflict,
     ObjectApi,
     ObjectKind,
@@ -141,7 +142,7 @@
 
     @asynccontextmanager
     async def watch(
-        self, kind: ObjectKind, since: str | None
+        self, kind: ObjectKind, since: str | None, life_s: float = WATCH_LIFE_S
     ) -> AsyncIterator[AsyncIterator[WatchChange]]:
         """Follow changes."""
         await self._call("watch", kind)
@@ -149,11 +150,13 @@
         self.store.since(kind, start)
         self.store.waiting_watches += 1
         try:
-            yield self._changes(kind, start)
+            yield self._changes(kind, start, trio.current_time() + life_s)
         finally:
             self.store.waiting_watches -= 1
 
-    async def _changes(self, kind: ObjectKind, after: int) -> AsyncIterator[WatchChange]:
+    async def _changes(
+        self, kind: ObjectKind, after: int, until_s: float
+    ) -> AsyncIterator[WatchChange]:
         while True:
             changed = self.store.changed
             if self.cut or self.store.faults.down:
@@ -162,7 +165,14 @@
                 for version, change in self.store.since(kind, after):
                     after = version
                     yield change
-            await changed.wait()
+            with trio.move_on_at(until_s):
+                await changed.wait()
+                continue
+            if not self.store.faults.silent_watches:
+                mark = StoredObject(kind, "", str(self.store.version), {})
+                yield WatchChange(WatchKind.BOOKMARK, mark)
+                return
+            await trio.sleep_forever()
 
     async def _call(self, verb: str, kind: ObjectKind) -> None:
         self.store.calls[verb, kind] += 1
--- a/standins/world.py
+++ b/standins/world.py
@@ -158,7 +158,8 @@
         self._host = host
         self.dead = False
         self.app_by_address: dict[str, AsgiApp] = {}
-        self.object_api = InProcessObjectApi(world.store)
+        self.store_client = InProcessObjectApi(world.store)
+        self.object_api = self.budgeted(self.store_client)
         self.instance_list = world.listed
 
     def engine(self, member: Member) -> EngineClient:
