--- a/egretstack/configuration/_model.py
+++ b/egretstack/configuration/_model.py
@@ -12,6 +12,9 @@
 DIGEST_LENGTH = 16
 """Hexadecimal digits of a part's digest that name its version."""
 
+RECENT_KEPT = 256
+"""Change ids kept in the head: over an hour at the target rate of changes."""
+
 
 class PartKind(Enum):
     """What a part of the configuration describes."""
@@ -31,13 +34,41 @@
     return hashlib.sha256(text).hexdigest()[:DIGEST_LENGTH]
 
 
+def head_digest(digest_by_part: dict[str, str]) -> str:
+    """Give the digest over the versions of all parts, by which a receiver checks the whole."""
+    text = json.dumps(digest_by_part, sort_keys=True).encode()
+    return hashlib.sha256(text).hexdigest()[:DIGEST_LENGTH]
+
+
 @dataclass(frozen=True)
 class Head:
-    """What is accepted: a revision, the change that made it, and each part's version."""
+    """What is accepted: a revision, the change that made it, and each part's version.
+
+    `recent` holds the ids of the latest changes, oldest first and ending with `change_id`; it
+    settles lost answers and shows whether two heads share one history. `inline` holds the text
+    of the last change's parts where they are small, so that one report of a watch is enough.
+    """
 
     revision: Revision
     change_id: ChangeId
     digest_by_part: dict[str, str] = field(default_factory=dict)
+    recent: tuple[ChangeId, ...] = ()
+    inline: dict[str, Sections] = field(default_factory=dict, compare=False)
+
+    def id_at(self, revision: int) -> ChangeId | None:
+        """Give the change that made an earlier revision; None where it is not kept."""
+        if revision == self.revision:
+            return self.change_id
+        place = len(self.recent) - 1 - (self.revision - revision)
+        return self.recent[place] if 0 <= place < len(self.recent) else None
+
+    def revision_of(self, change_id: ChangeId) -> Revision | None:
+        """Give the revision that a recent change made; None where it is not kept."""
+        if change_id == self.change_id:
+            return self.revision
+        if change_id not in self.recent:
+            return None
+        return Revision(self.revision - (len(self.recent) - 1 - self.recent.index(change_id)))
 
 
 @dataclass(frozen=True)
@@ -48,6 +79,25 @@
     sections_by_part: dict[str, Sections]
 
 
+@dataclass(frozen=True)
+class Delta:
+    """What changed between two revisions: new text by part, None for a part that is gone.
+
+    `change_ids` are those after the base, in order. `digest` is over all parts at `revision`.
+    """
+
+    base_revision: Revision
+    base_change_id: ChangeId
+    change_ids: tuple[ChangeId, ...]
+    digest: str
+    sections_by_part: dict[str, Sections | None]
+
+    @property
+    def revision(self) -> Revision:
+        """Give the revision that the delta leads to."""
+        return Revision(self.base_revision + len(self.change_ids))
+
+
 @dataclass(frozen=True)
 class Change:
     """One operator's change: new text for some parts (None removes a part).
--- a/egretstack/configuration/_state.py
+++ b/egretstack/configuration/_state.py
@@ -2,19 +2,46 @@
 
 from enum import Enum
 
-from egretstack.configuration._model import PartKind, Sections, Snapshot
-from egretstack.contracts import Contract, ServiceSpec, read_contract, read_service
+from egretstack.configuration._model import (
+    RECENT_KEPT,
+    Delta,
+    Head,
+    Sections,
+    Snapshot,
+    head_digest,
+    part_digest,
+)
+from egretstack.configuration._parts import PartTable
+from egretstack.contracts import Contract, ServiceSpec
 from egretstack.errors import UserError
-from egretstack.ids import AccountId, ModelName, Revision, ServiceName
+from egretstack.ids import AccountId, ChangeId, ModelName, Revision, ServiceName
+
+MAX_DELTA_CHARACTERS = 262_144
+"""Largest text of a delta; an instance further behind takes the snapshot in pieces."""
 
 
 class Offer(Enum):
-    """What became of a snapshot that was offered."""
+    """What became of a head, snapshot or delta that was offered."""
 
+    NEWER = "newer"
+    """It may be put in force; nothing is done yet."""
     APPLIED = "applied"
     SAME = "same"
     OLDER = "older"
+    FORKED = "forked"
+    """It comes from another history of changes than what is in force."""
     BAD = "bad"
+    """A part does not pass its checks."""
+    GAP = "gap"
+    """A delta that does not start from what is in force, or does not lead to what it says."""
+
+
+class Behind(Enum):
+    """Why there is no delta for an asker."""
+
+    LEVEL = "level"
+    FAR = "far"
+    FORKED = "forked"
 
 
 class ConfigurationState:
@@ -22,59 +49,138 @@
 
     def __init__(self) -> None:
         self.snapshot: Snapshot | None = None
-        self.contract_by_account: dict[AccountId, Contract] = {}
+        self.fault = ""
+        """Why the latest offer was BAD; empty after one was applied."""
         self.account_by_digest: dict[str, AccountId] = {}
-        self.service_by_name: dict[ServiceName, ServiceSpec] = {}
         self.service_by_model: dict[ModelName, ServiceName] = {}
+        self._table = PartTable()
+        self._changed_at: dict[str, Revision] = {}
+        self._floor = Revision(0)
 
     @property
     def revision(self) -> Revision:
         """Give the revision in force; 0 before the first."""
         return Revision(0) if self.snapshot is None else self.snapshot.head.revision
 
+    @property
+    def change_id(self) -> ChangeId:
+        """Give the change that made the revision in force; empty before the first."""
+        return ChangeId("") if self.snapshot is None else self.snapshot.head.change_id
+
+    @property
+    def contract_by_account(self) -> dict[AccountId, Contract]:
+        """Give the contracts in force."""
+        return self._table.contract_by_account
+
+    @property
+    def service_by_name(self) -> dict[ServiceName, ServiceSpec]:
+        """Give the services in force."""
+        return self._table.service_by_name
+
+    def judge(self, head: Head) -> Offer:
+        """Tell what would become of a head: NEWER, SAME, OLDER or FORKED."""
+        if self.snapshot is None:
+            return Offer.NEWER
+        known = self.snapshot.head
+        if head.revision > known.revision:
+            # A store restored from an older copy counts up again from there: when it has passed
+            # the revision in force, only the ids show that accepted changes are missing.
+            same_history = head.id_at(known.revision) in (None, known.change_id)
+            return Offer.NEWER if same_history else Offer.FORKED
+        if known.id_at(head.revision) not in (None, head.change_id):
+            return Offer.FORKED
+        # Taking an older one would undo an accepted change on this instance alone.
+        return Offer.SAME if head.revision == known.revision else Offer.OLDER
+
     def offer(self, snapshot: Snapshot) -> Offer:
-        """Put a newer snapshot in force; refuse an older or a faulty one."""
-        known = self.revision
-        if snapshot.head.revision < known:
-            # A store restored from an old copy, or a peer behind: taking it would undo an
-            # accepted change on this instance alone.
-            return Offer.OLDER
-        if snapshot.head.revision == known:
+        """Put a newer snapshot in force; refuse an older, foreign or faulty one."""
+        judged = self.judge(snapshot.head)
+        if judged is not Offer.NEWER:
+            return judged
+        return self._apply(snapshot, _difference(self.snapshot, snapshot))
+
+    def offer_delta(self, delta: Delta) -> Offer:
+        """Put in force what changed since the present revision."""
+        if self.snapshot is None:
+            return Offer.GAP
+        known = self.snapshot.head
+        if delta.revision <= known.revision:
             return Offer.SAME
+        if delta.base_revision != known.revision:
+            return Offer.GAP
+        if delta.base_change_id != known.change_id:
+            return Offer.FORKED
+        snapshot = _advanced(self.snapshot, delta)
+        if head_digest(snapshot.head.digest_by_part) != delta.digest:
+            # The sender never saw a part that came and went between its own revisions, so its
+            # delta leaves that part here; only the digest over the whole shows it.
+            return Offer.GAP
+        return self._apply(snapshot, delta.sections_by_part)
+
+    def delta_since(self, revision: int, change_id: str) -> Delta | Behind:
+        """Give what changed since an asker's revision, or why it cannot be given."""
+        if self.snapshot is None or revision > self.revision:
+            return Behind.LEVEL
+        head = self.snapshot.head
+        known_id = head.id_at(revision)
+        if known_id is not None and revision > 0 and known_id != change_id:
+            return Behind.FORKED
+        if revision == head.revision:
+            return Behind.LEVEL
+        if known_id is None or revision < self._floor:
+            return Behind.FAR
+        changed = {part for part, at in self._changed_at.items() if at > revision}
+        sections = {part: self.snapshot.sections_by_part.get(part) for part in sorted(changed)}
+        if len(str(sections)) > MAX_DELTA_CHARACTERS:
+            return Behind.FAR
+        ids = head.recent[len(head.recent) - (head.revision - revision) :]
+        digest = head_digest(head.digest_by_part)
+        return Delta(Revision(revision), ChangeId(change_id), ids, digest, sections)
+
+    def _apply(self, snapshot: Snapshot, changed: dict[str, Sections | None]) -> Offer:
         try:
-            self._apply(snapshot)
-        except UserError:
+            table = self._table.changed(changed)
+        except UserError as error:
+            self.fault = str(error)
             return Offer.BAD
+        self._note_changed(snapshot, changed)
+        self._table = table
+        self.account_by_digest = table.account_by_digest()
+        self.service_by_model = table.service_by_model()
+        self.snapshot = snapshot
+        self.fault = ""
         return Offer.APPLIED
 
-    def _apply(self, snapshot: Snapshot) -> None:
-        contracts: dict[AccountId, Contract] = {}
-        services: dict[ServiceName, ServiceSpec] = {}
-        for part, sections in snapshot.sections_by_part.items():
-            _read_part(part, sections, contracts, services)
-        self.contract_by_account = contracts
-        self.service_by_name = services
-        self.account_by_digest = {
-            digest: contract.account
-            for contract in contracts.values()
-            for digest in contract.key_digests
-        }
-        self.service_by_model = {
-            model: service.name for service in services.values() for model in service.models
-        }
-        self.snapshot = snapshot
+    def _note_changed(self, snapshot: Snapshot, changed: dict[str, Sections | None]) -> None:
+        revision = snapshot.head.revision
+        if self.snapshot is None:
+            self._floor = revision
+            return
+        self._changed_at |= dict.fromkeys(changed, revision)
+        oldest = revision - RECENT_KEPT
+        self._changed_at = {part: at for part, at in self._changed_at.items() if at > oldest}
+
+
+def _difference(old: Snapshot | None, new: Snapshot) -> dict[str, Sections | None]:
+    before = {} if old is None else old.head.digest_by_part
+    after = new.head.digest_by_part
+    changed: dict[str, Sections | None] = dict.fromkeys(before.keys() - after.keys())
+    for part, digest in after.items():
+        if before.get(part) != digest:
+            changed[part] = new.sections_by_part[part]
+    return changed
 
 
-def _read_part(
-    part: str,
-    sections: Sections,
-    contracts: dict[AccountId, Contract],
-    services: dict[ServiceName, ServiceSpec],
-) -> None:
-    kind = part.partition(".")[0]
-    if kind == PartKind.CONTRACT.value:
-        contract = read_contract(part, sections)
-        contracts[contract.account] = contract
-    elif kind == PartKind.SERVICE.value:
-        service = read_service(part, sections)
-        services[service.name] = service
+def _advanced(known: Snapshot, delta: Delta) -> Snapshot:
+    digests = dict(known.head.digest_by_part)
+    sections_by_part = dict(known.sections_by_part)
+    for part, sections in delta.sections_by_part.items():
+        if sections is None:
+            digests.pop(part, None)
+            sections_by_part.pop(part, None)
+        else:
+            digests[part] = part_digest(sections)
+            sections_by_part[part] = sections
+    recent = (known.head.recent or (known.head.change_id,)) + delta.change_ids
+    head = Head(delta.revision, delta.change_ids[-1], digests, recent[-RECENT_KEPT:])
+    return Snapshot(head, sections_by_part)
--- a/egretstack/configuration/_store.py
+++ b/egretstack/configuration/_store.py
@@ -5,9 +5,20 @@
 changes are in one order and a change is in force whole or not at all.
 """
 
+import json
+from dataclasses import dataclass
+
 import trio
 
-from egretstack.configuration._model import Change, Head, Sections, Snapshot, part_digest
+from egretstack.configuration._model import (
+    RECENT_KEPT,
+    Change,
+    Head,
+    Sections,
+    Snapshot,
+    part_digest,
+)
+from egretstack.configuration._transfer import is_sections
 from egretstack.ids import ChangeId, Revision
 from egretstack.platform import (
     Conflict,
@@ -21,6 +32,16 @@
 HEAD_NAME = "head"
 APPLY_ATTEMPTS = 8
 RETRY_DELAY_S = 0.2
+MAX_INLINE_CHARACTERS = 8192
+"""Largest text of a change that the head carries itself."""
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """A change is accepted: the revision that it made."""
+
+    revision: Revision
+    change_id: ChangeId
 
 
 class ApplyConflict(Exception):
@@ -62,6 +83,9 @@
         for part, digest in head.digest_by_part.items():
             if known is not None and known.head.digest_by_part.get(part) == digest:
                 sections_by_part[part] = known.sections_by_part[part]
+            elif part in head.inline and part_digest(head.inline[part]) == digest:
+                # The platform may go away between the head and a read of the part.
+                sections_by_part[part] = head.inline[part]
             else:
                 sections_by_part[part] = await self.part(part, digest)
         return Snapshot(head, sections_by_part)
@@ -71,9 +95,12 @@
         stored = await self._api.get(ObjectKind.CONFIG_PART, f"{part}.{digest}")
         if stored is None:
             raise PlatformAway(f"part {part} version {digest} is missing")
-        return stored.spec["sections"]
+        sections = stored.spec.get("sections")
+        if not is_sections(sections) or part_digest(sections) != digest:
+            raise PlatformAway(f"part {part} version {digest} cannot be read")
+        return sections
 
-    async def apply(self, change: Change) -> Head:
+    async def apply(self, change: Change) -> Accepted:
         """Accept a change. Raises ApplyConflict, ApplyUnknown, PlatformAway."""
         for part, sections in change.sections_by_part.items():
             if sections is not None:
@@ -92,10 +119,11 @@
             await trio.sleep(RETRY_DELAY_S)
         raise ApplyUnknown(change.id)
 
-    async def settle(self, change_id: ChangeId) -> Head | None:
-        """Find the head a change made, if the change is the newest one accepted."""
+    async def settle(self, change_id: ChangeId) -> Accepted | None:
+        """Find what became of a change; None if no recent one has the id. Raises PlatformAway."""
         head = await self.head()
-        return head if head is not None and head.change_id == change_id else None
+        revision = None if head is None else head.revision_of(change_id)
+        return None if revision is None else Accepted(revision, change_id)
 
     async def _write_part(self, part: str, sections: Sections) -> None:
         name = f"{part}.{part_digest(sections)}"
@@ -109,12 +137,14 @@
                 await trio.sleep(RETRY_DELAY_S)
         raise PlatformAway(f"part {part} could not be written")
 
-    async def _accept(self, change: Change) -> Head:
+    async def _accept(self, change: Change) -> Accepted:
         stored = await self._api.get(ObjectKind.CONFIG_HEAD, HEAD_NAME)
         current = Head(Revision(0), ChangeId("")) if stored is None else head_of(stored)
-        if current.change_id == change.id:
-            # An earlier attempt took effect and its answer was lost.
-            return current
+        revision = current.revision_of(change.id)
+        if revision is not None:
+            # An earlier attempt took effect and its answer was lost. Others may have changed
+            # the configuration since: accepting again would undo what they did.
+            return Accepted(revision, change.id)
         await self._refuse_stale(change, current)
         head = _next_head(current, change)
         if stored is None:
@@ -123,7 +153,7 @@
             await self._api.replace(
                 ObjectKind.CONFIG_HEAD, HEAD_NAME, _head_spec(head), stored.version
             )
-        return head
+        return Accepted(head.revision, change.id)
 
     async def _refuse_stale(self, change: Change, current: Head) -> None:
         for part, expected in change.expected.items():
@@ -134,9 +164,17 @@
 
 
 def head_of(stored: StoredObject) -> Head:
-    """Read a head object."""
+    """Read a head object; raise PlatformAway where it is none."""
     spec = stored.spec
-    return Head(Revision(spec["revision"]), ChangeId(spec["change_id"]), dict(spec["parts"]))
+    try:
+        revision = int(spec["revision"])
+        change_id = ChangeId(str(spec["change_id"]))
+        digest_by_part = {str(part): str(digest) for part, digest in spec["parts"].items()}
+        recent = tuple(ChangeId(str(one)) for one in spec.get("recent", [change_id]))
+        inline = {part: one for part, one in spec.get("inline", {}).items() if is_sections(one)}
+    except (KeyError, ValueError, TypeError, AttributeError) as error:
+        raise PlatformAway(f"a head that cannot be read: {error!r}") from error
+    return Head(Revision(revision), change_id, digest_by_part, recent[-RECENT_KEPT:], inline)
 
 
 def _next_head(current: Head, change: Change) -> Head:
@@ -146,7 +184,11 @@
             digests.pop(part, None)
         else:
             digests[part] = part_digest(sections)
-    return Head(Revision(current.revision + 1), change.id, digests)
+    recent = (*current.recent, change.id)[-RECENT_KEPT:]
+    inline = {part: one for part, one in change.sections_by_part.items() if one is not None}
+    if len(json.dumps(inline)) > MAX_INLINE_CHARACTERS:
+        inline = {}
+    return Head(Revision(current.revision + 1), change.id, digests, recent, inline)
 
 
 def _head_spec(head: Head) -> dict[str, object]:
@@ -154,4 +196,6 @@
         "revision": head.revision,
         "change_id": head.change_id,
         "parts": head.digest_by_part,
+        "recent": list(head.recent),
+        "inline": head.inline,
     }
--- a/egretstack/operators/_changes.py
+++ b/egretstack/operators/_changes.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from egretstack.configuration import (
+    Accepted,
     Change,
     ConfigurationStore,
     Head,
@@ -14,6 +15,7 @@
     part_name,
 )
 from egretstack.contracts import read_contract, read_service
+from egretstack.errors import UserError
 from egretstack.ids import ChangeId
 from egretstack.schema import read_ini
 
@@ -62,7 +64,7 @@
 
 async def apply_file(
     store: ConfigurationStore, file: PartFile, base: str | None = None
-) -> tuple[Head, ChangeId]:
+) -> Accepted:
     """Accept a file as the part's new text.
 
     `base` is the version the operator started from; by default the one in force now.
@@ -75,15 +77,17 @@
         ChangeId(secrets.token_hex(8)), {file.part: file.sections}, {file.part: expected}
     )
     if head is not None and current == part_digest(file.sections) and base is None:
-        return head, head.change_id
-    return await store.apply(change), change.id
+        return Accepted(head.revision, head.change_id)
+    return await store.apply(change)
 
 
-async def remove_part(store: ConfigurationStore, kind: PartKind, name: str) -> Head:
+async def remove_part(store: ConfigurationStore, kind: PartKind, name: str) -> Accepted:
     """Take a part out of the configuration; errors as for `apply_file`."""
     part = part_name(kind, name)
     head = await store.head()
     current = None if head is None else head.digest_by_part.get(part)
+    if current is None:
+        raise UserError(f"no {kind.value} of {name} is in force")
     return await store.apply(Change(ChangeId(secrets.token_hex(8)), {part: None}, {part: current}))
 
 
--- a/egretstack/programs/ctl.py
+++ b/egretstack/programs/ctl.py
@@ -154,15 +154,15 @@
 
 @app.command
 def settle(change_id: str, *, platform: PlatformUrl, namespace: Namespace = "egretstack") -> None:
-    """Tell whether a change whose outcome was unknown is the newest one accepted."""
+    """Tell whether a change whose outcome was unknown is among the latest accepted."""
 
     async def work() -> None:
         async with _platform(platform, namespace) as (_, api, _listed):
-            head = await ConfigurationStore(api).settle(change_id)
-        if head is None:
-            print(f"change {change_id} is not the newest; show the part and apply it again")
+            accepted = await ConfigurationStore(api).settle(change_id)
+        if accepted is None:
+            print(f"change {change_id} is not among the latest changes accepted")
             sys.exit(ExitCode.UNKNOWN)
-        print(f"change {change_id} was accepted as revision {head.revision}")
+        print(f"change {change_id} was accepted as revision {accepted.revision}")
 
     _run(work)
 
@@ -241,11 +241,14 @@
             async with _platform(platform, namespace) as (_, api, _listed):
                 store = ConfigurationStore(api)
                 try:
-                    head, change = await apply_file(store, part, base)
+                    accepted = await apply_file(store, part, base)
                 except ApplyConflict as error:
                     print(sections_diff(error.theirs, part.sections, "in force", str(file)))
                     raise
-            print(f"{part.part}: accepted as revision {head.revision}, change {change}")
+            print(
+                f"{part.part}: accepted as revision {accepted.revision},"
+                f" change {accepted.change_id}"
+            )
 
         _run(work)
 
--- a/egretstack/programs/steward.py
+++ b/egretstack/programs/steward.py
@@ -13,6 +13,8 @@
     "instances",
     "peer_port",
     "configuration",
+    "configuration_watch",
+    "configuration_news",
     "operator_port",
 )
 
--- a/egretstack/services/configuration.py
+++ b/egretstack/services/configuration.py
@@ -1,24 +1,38 @@
-"""The configuration in force on this process, pulled from peers and, as a last way, the platform.
+"""The configuration in force on this process, and how it is taken from peers.
 
-A steward reads the head from the platform. An entry asks the steward of its own instance and
-then other peers, and asks the platform only where no peer has a configuration.
+Stewards hear of a revision from others and ask the sender for what changed. An entry asks the
+steward of its own instance, then others. The platform is read by `configuration_watch` of a few
+stewards; here it is the last way, for a process that no peer answers.
 """
 
 import random
+from contextlib import suppress
 
 import trio
 
 from egretstack.configuration import (
+    Behind,
     ConfigAsk,
+    ConfigFar,
+    ConfigForked,
+    ConfigNews,
     ConfigTell,
     ConfigurationState,
     ConfigurationStore,
+    Delta,
     Head,
     Offer,
     Snapshot,
+    SnapshotAsk,
+    SnapshotBuilder,
+    SnapshotPiece,
+    TransferError,
+    piece,
+    tell,
+    told_delta,
 )
 from egretstack.events import Event, log
-from egretstack.ids import ChangeId, InstanceId, Revision
+from egretstack.ids import InstanceId
 from egretstack.kernel import Kernel, Service
 from egretstack.peers import Message, Nothing, PeerGone, PeerRefused
 from egretstack.platform import ENTRY_SERVICE, Member, PlatformAway
@@ -27,7 +41,22 @@
 from egretstack.services.platform_access import PlatformAccess
 
 PULL_PERIOD_S = 1.0
+PULL_TIMEOUT_S = 1.2
+"""Time for one exchange with a peer: three round trips between far regions, and no more, since
+a frozen peer must not use up the seconds in which a change has to be in force."""
+
 PEERS_ASKED = 2
+PEERS_ASKED_AT_START = 5
+SNAPSHOT_TRIES = 3
+MAX_PULLS = 3
+MAX_PIECES = 1024
+FLEET_READS_PER_S = 2.0
+"""Reads of the head that all processes without a watch make together, whatever their number."""
+
+STARTING_READS_PER_S = 20.0
+"""The same for processes that have no configuration yet, as in a start of the whole fleet."""
+
+REPEAT_ALARM_S = 60.0
 STEWARD_PORT = "steward"
 
 
@@ -40,91 +69,211 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self.state = ConfigurationState()
-        self._rng = random.Random()
+        self._rng = random.Random(self.own)
         self._changed = trio.Event()
+        self._news_send, self._news = trio.open_memory_channel[ConfigNews](MAX_PULLS)
+        self._alarm_at_s: dict[tuple[Event, int, str], float] = {}
+        self._reading = trio.Lock()
+
+    @property
+    def own(self) -> InstanceId:
+        """Give the name of this instance."""
+        return InstanceId(self.kernel.settings.text("instance", "id"))
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Pull for ever."""
-        self.kernel.get(PeerPort).answer(ConfigAsk, self._answer)
-        task_status.started()
-        while True:
-            await self._pull()
-            await trio.sleep(PULL_PERIOD_S)
+        port = self.kernel.get(PeerPort)
+        port.answer(ConfigAsk, self._answer)
+        port.answer(ConfigNews, self._hear)
+        port.answer(SnapshotAsk, self._answer_snapshot)
+        self.kernel.get(Instances).on_change(self._share_budget)
+        async with trio.open_nursery() as nursery:
+            for _ in range(MAX_PULLS):
+                nursery.start_soon(self._follow_news)
+            task_status.started()
+            await self._pull_at_start()
+            while True:
+                await self._pull()
+                await trio.sleep(PULL_PERIOD_S * (0.8 + 0.4 * self._rng.random()))
 
     async def wait_for_change(self) -> None:
         """Wait until another revision is in force."""
         await self._changed.wait()
 
-    def offer(self, snapshot: Snapshot) -> None:
+    def offer(self, snapshot: Snapshot) -> Offer:
         """Put a snapshot in force if it is newer."""
         offer = self.state.offer(snapshot)
-        revision = snapshot.head.revision
-        if offer is Offer.APPLIED:
-            log(Event.CONFIG_APPLIED, revision=revision)
-            self.kernel.get(PlatformAccess).metrics.revision.set(revision)
-            self._changed.set()
-            self._changed = trio.Event()
-        elif offer is Offer.BAD:
-            log(Event.CONFIG_BAD, revision=revision)
-        elif offer is Offer.OLDER:
-            log(Event.CONFIG_REFUSED_OLDER, revision=revision, known=self.state.revision)
+        self._note(offer, snapshot.head.revision, snapshot.head.change_id)
+        return offer
 
-    async def _pull(self) -> None:
-        if self._reads_platform():
-            await self._pull_platform()
-            return
-        for member in self._peers():
-            if await self._pull_peer(member):
+    async def read_platform(self) -> None:
+        """Read the head, and what it names that is not known. Raises PlatformAway."""
+        async with self._reading:
+            # Only a read that began after a revision was in force here proves the store older.
+            known = self.state.revision
+            head = await self._store().head()
+            if head is None:
+                if known > 0:
+                    self._alarm(Event.CONFIG_REFUSED_OLDER, 0, "")
+                return
+            if self.state.judge(head) is Offer.OLDER and head.revision >= known:
                 return
-        if self.state.snapshot is None:
-            await self._pull_platform()
+            await self.take_head(head)
 
-    def _reads_platform(self) -> bool:
-        return not self.kernel.settings.has("caller", "address")
+    async def take_head(self, head: Head) -> Offer:
+        """Put a head of the platform in force if it is newer. Raises PlatformAway."""
+        judged = self.state.judge(head)
+        if judged is not Offer.NEWER:
+            self._note(judged, head.revision, head.change_id)
+            return judged
+        return self.offer(await self._store().complete(head, self.state.snapshot))
 
-    def _peers(self) -> list[Member]:
-        own = self.kernel.settings.text("instance", "id")
+    async def sample_platform(self) -> None:
+        """Read the head with a chance that keeps the whole fleet's reads at a fixed rate."""
+        stewards = max(1, len(self._members()))
+        starting = self.state.snapshot is None
+        rate = STARTING_READS_PER_S if starting else FLEET_READS_PER_S
+        if self._rng.random() * stewards >= rate * PULL_PERIOD_S:
+            return
+        try:
+            await self.read_platform()
+        except PlatformAway as error:
+            self._alarm(Event.PLATFORM_AWAY, 0, str(error))
+
+    async def _pull_at_start(self) -> None:
+        # The store may have been restored from an older copy: a process that starts takes the
+        # newest configuration that several peers know before it looks there.
+        peers = self._others(PEERS_ASKED_AT_START)
+        async with trio.open_nursery() as nursery:
+            for member in peers:
+                nursery.start_soon(self._pull_peer, member)
+
+    async def _pull(self) -> None:
+        is_entry = self.kernel.settings.has("caller", "address")
+        answered = False
+        for member in (self._mine() if is_entry else []) + self._others(PEERS_ASKED):
+            answered = await self._pull_peer(member)
+            if answered:
+                break
+        if is_entry and not (answered and self.state.snapshot is not None):
+            await self.sample_platform()
+
+    def _members(self) -> list[Member]:
         members = self.kernel.get(Instances).members(ENTRY_SERVICE)
-        mine = [member for member in members if member.id == own]
-        others = [member for member in members if member.id != own]
-        return mine + self._rng.sample(others, min(PEERS_ASKED, len(others)))
+        return [member for member in members if STEWARD_PORT in member.ports]
+
+    def _mine(self) -> list[Member]:
+        return [member for member in self._members() if member.id == self.own]
+
+    def _others(self, count: int) -> list[Member]:
+        others = [member for member in self._members() if member.id != self.own]
+        return self._rng.sample(others, min(count, len(others)))
+
+    async def _follow_news(self) -> None:
+        async for news in self._news:
+            for member in self._members():
+                if member.id == news.instance and news.revision > self.state.revision:
+                    await self._pull_peer(member)
 
     async def _pull_peer(self, member: Member) -> bool:
-        """Ask one peer; True when it answered."""
-        port = member.ports.get(STEWARD_PORT)
-        if port is None:
-            return False
-        instance = InstanceId(member.id)
+        """Ask a peer for what changed; True when it answered."""
+        ask = ConfigAsk(self.state.revision, self.state.change_id)
         try:
-            answer = await self.kernel.get(PeerPort).ask(
-                instance, member.host, port, ConfigAsk(self.state.revision)
-            )
+            answer = await self._ask(member, ask)
+            if isinstance(answer, ConfigTell):
+                delta = told_delta(answer)
+                offer = self.state.offer_delta(delta)
+                self._note(offer, delta.revision, delta.change_ids[-1])
+                if offer is Offer.GAP and delta.base_revision == self.state.revision:
+                    await self._pull_snapshot(member)
+            elif isinstance(answer, ConfigFar):
+                await self._pull_snapshot(member)
+            elif isinstance(answer, ConfigForked):
+                self._note(Offer.FORKED, answer.revision, answer.change_id)
         except (PeerGone, PeerRefused):
             return False
-        if isinstance(answer, ConfigTell):
-            self.offer(_snapshot(answer))
+        except TransferError as error:
+            log(Event.PEER_REFUSED, peer=member.id, error=str(error))
+            return False
         return True
 
-    async def _pull_platform(self) -> None:
-        store = ConfigurationStore(self.kernel.get(PlatformAccess).object_api)
-        try:
-            head = await store.head()
-            if head is None or head.revision == self.state.revision:
-                return
-            self.offer(await store.complete(head, self.state.snapshot))
-        except PlatformAway as error:
-            log(Event.PLATFORM_AWAY, what="configuration", error=str(error))
+    async def _pull_snapshot(self, member: Member) -> None:
+        for _ in range(SNAPSHOT_TRIES):
+            try:
+                snapshot = await self._read_pieces(member)
+            except TransferError:
+                continue
+            if snapshot is not None:
+                self.offer(snapshot)
+            return
+        raise TransferError("no whole snapshot")
+
+    async def _read_pieces(self, member: Member) -> Snapshot | None:
+        builder = SnapshotBuilder()
+        for _ in range(MAX_PIECES):
+            answer = await self._ask(member, SnapshotAsk(builder.after))
+            if not isinstance(answer, SnapshotPiece):
+                return None
+            snapshot = builder.add(answer)
+            if snapshot is not None:
+                return snapshot
+        raise TransferError("too many pieces")
+
+    async def _ask(self, member: Member, message: Message) -> Message:
+        port = member.ports[STEWARD_PORT]
+        with trio.move_on_after(PULL_TIMEOUT_S):
+            peers = self.kernel.get(PeerPort)
+            return await peers.ask(InstanceId(member.id), member.host, port, message)
+        raise PeerGone("no answer in time")
+
+    async def _answer(self, message: ConfigAsk) -> Message:
+        found = self.state.delta_since(message.revision, message.change_id)
+        if isinstance(found, Delta):
+            return tell(found)
+        if found is Behind.FAR:
+            return ConfigFar(self.state.revision)
+        if found is Behind.FORKED:
+            self._note(Offer.FORKED, message.revision, message.change_id)
+            known = self.state.snapshot.head.id_at(message.revision)
+            return ConfigForked(message.revision, known)
+        return Nothing()
 
-    async def _answer(self, message: Message) -> Message:
+    async def _answer_snapshot(self, message: SnapshotAsk) -> Message:
         snapshot = self.state.snapshot
-        if snapshot is None or snapshot.head.revision <= message.revision:
-            return Nothing()
-        head = snapshot.head
-        return ConfigTell(
-            head.revision, head.change_id, head.digest_by_part, snapshot.sections_by_part
-        )
+        return Nothing() if snapshot is None else piece(snapshot, message.after)
+
+    async def _hear(self, message: ConfigNews) -> Message:
+        if message.revision > self.state.revision:
+            # With the channel full, enough pulls wait already; each takes the newest there is.
+            with suppress(trio.WouldBlock):
+                self._news_send.send_nowait(message)
+        return Nothing()
+
+    def _note(self, offer: Offer, revision: int, change_id: str) -> None:
+        if offer is Offer.APPLIED:
+            log(Event.CONFIG_APPLIED, revision=revision)
+            self.kernel.get(PlatformAccess).metrics.revision.set(revision)
+            self._changed.set()
+            self._changed = trio.Event()
+        elif offer is Offer.BAD:
+            self._alarm(Event.CONFIG_BAD, revision, self.state.fault)
+        elif offer is Offer.OLDER:
+            self._alarm(Event.CONFIG_REFUSED_OLDER, revision, change_id)
+        elif offer is Offer.FORKED:
+            self._alarm(Event.CONFIG_FORKED, revision, change_id)
+
+    def _alarm(self, event: Event, revision: int, detail: str) -> None:
+        """Log an alarm that stands, at most once in a while."""
+        now_s = trio.current_time()
+        recent = {k: at for k, at in self._alarm_at_s.items() if now_s - at < REPEAT_ALARM_S}
+        if (event, revision, detail) not in recent:
+            recent[event, revision, detail] = now_s
+            log(event, revision=revision, detail=detail, known=self.state.revision)
+        self._alarm_at_s = recent
 
+    def _share_budget(self) -> None:
+        access = self.kernel.get(PlatformAccess)
+        access.object_api.budget.share_among(len(self._members()), trio.current_time())
 
-def _snapshot(told: ConfigTell) -> Snapshot:
-    head = Head(Revision(told.revision), ChangeId(told.change_id), told.digest_by_part)
-    return Snapshot(head, told.sections_by_part)
+    def _store(self) -> ConfigurationStore:
+        return ConfigurationStore(self.kernel.get(PlatformAccess).object_api)
--- /dev/null
+++ b/egretstack/services/configuration_news.py
@@ -0,0 +1,66 @@
+"""Tells other stewards, and the entry of this instance, that a revision is in force here."""
+
+import trio
+
+from egretstack.configuration import ConfigNews
+from egretstack.ids import InstanceId, Revision
+from egretstack.kernel import Kernel, Service
+from egretstack.peers import PeerGone, PeerRefused
+from egretstack.platform import ENTRY_SERVICE, Member
+from egretstack.services.configuration import STEWARD_PORT, Configuration
+from egretstack.services.configuration_watch import ConfigurationWatch
+from egretstack.services.instances import Instances
+from egretstack.services.peer_port import PeerPort
+
+ENTRY_PORT = "peer"
+
+
+class ConfigurationNews(Service):
+    """Sends news; the receiver asks for what changed only if it has not got it yet."""
+
+    name = "configuration_news"
+    requires = ("instances", "peer_port", "configuration", "configuration_watch")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.sent = 0
+        self._busy: set[tuple[str, str]] = set()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Tell of each revision; one that is passed at once is left out."""
+        configuration = self.kernel.get(Configuration)
+        told = Revision(0)
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            while True:
+                if configuration.state.revision == told:
+                    await configuration.wait_for_change()
+                told = configuration.state.revision
+                for member, port in self._receivers():
+                    if (member.id, port) not in self._busy:
+                        nursery.start_soon(self._tell, member, port)
+
+    def _receivers(self) -> list[tuple[Member, str]]:
+        own = self.kernel.get(Configuration).own
+        members = self.kernel.get(Instances).members(ENTRY_SERVICE)
+        entry = [(one, ENTRY_PORT) for one in members if one.id == own and ENTRY_PORT in one.ports]
+        children = self.kernel.get(ConfigurationWatch).fan_out.children
+        return entry + [(one, STEWARD_PORT) for one in children]
+
+    async def _tell(self, member: Member, port: str) -> None:
+        """Tell one receiver until it has heard the newest; a lost message is left to its pulls."""
+        configuration = self.kernel.get(Configuration)
+        self._busy.add((member.id, port))
+        try:
+            told = Revision(0)
+            while told != configuration.state.revision:
+                told = configuration.state.revision
+                self.sent += 1
+                news = ConfigNews(configuration.own, told)
+                await self.kernel.get(PeerPort).ask(
+                    InstanceId(member.id), member.host, member.ports[port], news
+                )
+        except (PeerGone, PeerRefused):
+            return
+        finally:
+            self._busy.discard((member.id, port))
--- /dev/null
+++ b/egretstack/services/configuration_watch.py
@@ -0,0 +1,106 @@
+"""Watches the configuration's head at the platform, on a few stewards of the fleet."""
+
+import random
+
+import trio
+
+from egretstack.configuration import FanOut, Offer, head_of
+from egretstack.events import Event, log
+from egretstack.ids import InstanceId
+from egretstack.kernel import Kernel, Service
+from egretstack.platform import (
+    ENTRY_SERVICE,
+    ObjectKind,
+    PlatformAway,
+    StoredObject,
+    WatchKind,
+    WatchLost,
+)
+from egretstack.services.configuration import PULL_PERIOD_S, STEWARD_PORT, Configuration
+from egretstack.services.instances import Instances
+from egretstack.services.platform_access import PlatformAccess
+
+WATCH_LIFE_S = 2.0
+"""Life of one watch: a silent one is found, and the head read, well within five seconds."""
+
+RETRY_S = 0.3
+
+
+class ConfigurationWatch(Service):
+    """Watches where this steward is chosen to, and elsewhere reads the head now and then."""
+
+    name = "configuration_watch"
+    requires = ("platform_access", "instances", "configuration")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        own = InstanceId(kernel.settings.text("instance", "id"))
+        self.fan_out = FanOut(own)
+        self._rng = random.Random(own)
+        self._away = False
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Watch for ever."""
+        instances = self.kernel.get(Instances)
+        instances.on_change(self._list_changed)
+        self._list_changed()
+        task_status.started()
+        while True:
+            if self.fan_out.is_watcher():
+                await self._watch_until_lost()
+            else:
+                # Every chosen watcher may be dead or cut off while the list still names it.
+                await self.kernel.get(Configuration).sample_platform()
+                await trio.sleep(PULL_PERIOD_S * (0.8 + 0.4 * self._rng.random()))
+
+    def _list_changed(self) -> None:
+        members = self.kernel.get(Instances).members(ENTRY_SERVICE)
+        self.fan_out.update([one for one in members if STEWARD_PORT in one.ports])
+
+    async def _watch_until_lost(self) -> None:
+        configuration = self.kernel.get(Configuration)
+        try:
+            since = await self._version()
+            await configuration.read_platform()
+            self._note_away("")
+            while self.fan_out.is_watcher():
+                since = await self._watch(since)
+        except PlatformAway as error:
+            self._note_away(str(error))
+            await trio.sleep(error.retry_after_s or RETRY_S * (1 + self._rng.random()))
+        except WatchLost:
+            await trio.sleep(RETRY_S * self._rng.random())
+
+    async def _version(self) -> str | None:
+        # Taken before the head is read, so that no change falls between the two.
+        api = self.kernel.get(PlatformAccess).object_api
+        stored = await api.get(ObjectKind.CONFIG_HEAD, "head")
+        return None if stored is None else stored.version
+
+    async def _watch(self, since: str | None) -> str | None:
+        api = self.kernel.get(PlatformAccess).object_api
+        async with api.watch(ObjectKind.CONFIG_HEAD, since, WATCH_LIFE_S) as changes:
+            if since is None:
+                await self.kernel.get(Configuration).read_platform()
+            async for change in changes:
+                since = change.object.version
+                if change.kind is not WatchKind.BOOKMARK:
+                    await self._take(change.kind, change.object)
+        return since
+
+    async def _take(self, kind: WatchKind, stored: StoredObject) -> None:
+        configuration = self.kernel.get(Configuration)
+        if kind is not WatchKind.DELETED:
+            head = head_of(stored)
+            if configuration.state.judge(head) in (Offer.NEWER, Offer.SAME):
+                await configuration.take_head(head)
+                return
+        # A peer may have been faster than the watch: only a new read tells a store that is older.
+        await configuration.read_platform()
+
+    def _note_away(self, error: str) -> None:
+        if error and not self._away:
+            log(Event.PLATFORM_AWAY, what="configuration", error=error)
+        if self._away and not error:
+            log(Event.PLATFORM_BACK, what="configuration")
+        self._away = bool(error)
