Configuration by deltas: few watchers, trees of news, one history

Cause: every steward read the head from the platform each second (420 calls a second at the target), and a change travelled as the whole configuration. Now three stewards, in different availability zones, watch; news of a revision travel in trees of width 8 under each of them, and the receiver asks the sender for what changed. Stewards without a watch read the head with a chance that keeps the whole fleet at two reads a second, which finds a change also with every watcher dead.

The head carries the ids of the last 256 changes and the text of the newest: lost answers are settled after later changes, a store that was restored and counted past the revision in force is refused as a fork, and one report of a watch is enough when the platform goes away.

Ruled out: a lease for the watchers (the hash needs no write); one tree (a frozen inner node held its whole branch until the pulls found the change); reading every part again for each change.

Also: the trusted certificates are loaded once in a process, 70 ms each before; a site of 25 processes in a test took 4.5 s and most of that was this.

--- a/egretstack/services/platform_access.py
+++ b/egretstack/services/platform_access.py
@@ -5,7 +5,9 @@
 """
 
 import random
+import ssl
 from collections.abc import Awaitable, Callable
+from functools import cache
 
 import httpx
 import trio
@@ -36,6 +38,16 @@
 _NO_IDLE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 
 
+@cache
+def _tls() -> ssl.SSLContext:
+    """Load the trusted certificates once; each load takes some 70 ms of the one loop."""
+    return httpx.create_ssl_context(trust_env=False)
+
+
+def _http_client(timeout: httpx.Timeout, limits: httpx.Limits) -> httpx.AsyncClient:
+    return httpx.AsyncClient(timeout=timeout, limits=limits, trust_env=False, verify=_tls())
+
+
 class PlatformAccess(Service):
     """Holds what the other services reach the outside with: HTTP and TCP."""
 
@@ -47,8 +59,8 @@
         base = settings.text("platform", "object_api")
         namespace = settings.text("platform", "namespace")
         timeout = httpx.Timeout(settings.number("platform", "timeout_s"), connect=CONNECT_TIMEOUT_S)
-        self._client = httpx.AsyncClient(timeout=timeout, limits=_NO_LIMITS, trust_env=False)
-        self._fresh = httpx.AsyncClient(timeout=timeout, limits=_NO_IDLE, trust_env=False)
+        self._client = _http_client(timeout, _NO_LIMITS)
+        self._fresh = _http_client(timeout, _NO_IDLE)
         self.instance_list: InstanceList = HttpInstanceList(self._client, base, namespace)
         self.metrics = Metrics()
         self.object_api = self.budgeted(HttpObjectApi(self._client, base, namespace))
--- /dev/null
+++ b/tests/test_configuration_state.py
@@ -0,0 +1,274 @@
+"""The configuration in force: only up, whole or not at all, one history."""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from egretstack.configuration import (
+    Behind,
+    ConfigurationState,
+    Delta,
+    FanOut,
+    Offer,
+    SnapshotBuilder,
+    TransferError,
+    part_digest,
+    piece,
+    tell,
+    told_delta,
+    watchers,
+)
+from egretstack.configuration._model import RECENT_KEPT
+from egretstack.ids import InstanceId, ZoneName
+from egretstack.platform import ENTRY_SERVICE, Member, MemberState
+from tests.configuration_fixtures import snapshot_of
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+NAMES = ("ada", "bo", "cy")
+
+
+def marks_of(state):
+    """Give the mark of each contract in force."""
+    return {name: int(one.key_digests[0], 16) for name, one in state.contract_by_account.items()}
+
+
+def state_at(snapshot):
+    state = ConfigurationState()
+    check.assertIs(state.offer(snapshot), Offer.APPLIED)
+    return state
+
+
+def test_an_older_snapshot_is_refused():
+    state = state_at(snapshot_of(2, {"ada": 2}))
+    check.assertIs(state.offer(snapshot_of(1, {"ada": 1})), Offer.OLDER)
+    check.assertEqual(marks_of(state), {"ada": 2})
+
+
+def test_the_same_revision_by_another_change_is_a_fork():
+    state = state_at(snapshot_of(2, {"ada": 2}))
+    other = snapshot_of(2, {"ada": 9}, ["c1", "x2"])
+    check.assertIs(state.offer(other), Offer.FORKED)
+    check.assertEqual(marks_of(state), {"ada": 2})
+
+
+def test_a_higher_revision_of_another_history_is_a_fork():
+    # The store was restored from a copy and counted up past what is in force here. Taking the
+    # higher revision would undo an accepted change without a word.
+    state = state_at(snapshot_of(2, {"ada": 2}))
+    other = snapshot_of(4, {"ada": 9}, ["c1", "x2", "x3", "x4"])
+    check.assertIs(state.offer(other), Offer.FORKED)
+    check.assertEqual(marks_of(state), {"ada": 2})
+
+
+def test_an_older_revision_of_another_history_is_a_fork():
+    state = state_at(snapshot_of(3, {"ada": 3}))
+    check.assertIs(state.offer(snapshot_of(2, {"ada": 9}, ["c1", "x2"])), Offer.FORKED)
+
+
+def test_a_peer_of_another_history_gets_no_delta():
+    state = state_at(snapshot_of(2, {"ada": 2}))
+    state.offer(snapshot_of(3, {"ada": 3}))
+    check.assertIs(state.delta_since(2, "x2"), Behind.FORKED)
+    check.assertIs(state.delta_since(3, "x3"), Behind.FORKED)
+    check.assertIsInstance(state.delta_since(2, "c2"), Delta)
+
+
+def test_a_delta_from_another_history_is_refused():
+    sender = state_at(snapshot_of(2, {"ada": 2}))
+    sender.offer(snapshot_of(3, {"ada": 3}))
+    receiver = state_at(snapshot_of(2, {"ada": 9}, ["c1", "x2"]))
+    check.assertIs(receiver.offer_delta(sender.delta_since(2, "c2")), Offer.FORKED)
+    check.assertEqual(marks_of(receiver), {"ada": 9})
+
+
+def test_a_delta_carries_only_what_changed():
+    sender = state_at(snapshot_of(1, {f"a{n}": n for n in range(700)}))
+    sender.offer(snapshot_of(2, {f"a{n}": n for n in range(700)} | {"a5": 1005}))
+    delta = sender.delta_since(1, "c1")
+    check.assertEqual(set(delta.sections_by_part), {"contract.a5"})
+
+
+def test_a_part_that_came_and_went_unseen_by_the_sender_is_found_out():
+    # The sender went from revision 1 to 3 at once and never saw a part that revision 2 added
+    # and 3 removed. Its delta says nothing of the part, which the receiver, at 2, has in force.
+    sender = state_at(snapshot_of(1, {"ada": 1}))
+    sender.offer(snapshot_of(3, {"ada": 1}))
+    receiver = state_at(snapshot_of(2, {"ada": 1, "bo": 2}))
+    check.assertIs(receiver.offer_delta(sender.delta_since(2, "c2")), Offer.GAP)
+    check.assertEqual(marks_of(receiver), {"ada": 1, "bo": 2})
+
+
+def test_a_bad_part_leaves_the_whole_old_revision_in_force():
+    state = state_at(snapshot_of(1, {"ada": 1}))
+    bad = snapshot_of(2, {"ada": 2, "bo": 2})
+    bad.sections_by_part["contract.bo"] = {"contract": {"account": "bo"}}
+    check.assertIs(state.offer(bad), Offer.BAD)
+    check.assertIn("key_sha256", state.fault)
+    check.assertEqual(marks_of(state), {"ada": 1})
+    check.assertIs(state.offer(snapshot_of(3, {"ada": 3})), Offer.APPLIED)
+
+
+def test_a_part_that_describes_another_name_is_bad():
+    state = state_at(snapshot_of(1, {"ada": 1}))
+    bad = snapshot_of(2, {"ada": 1})
+    bad.sections_by_part["contract.bo"] = bad.sections_by_part["contract.ada"]
+    bad.head.digest_by_part["contract.bo"] = bad.head.digest_by_part["contract.ada"]
+    check.assertIs(state.offer(bad), Offer.BAD)
+
+
+def test_an_asker_further_behind_than_the_ids_kept_is_told_to_take_the_snapshot():
+    state = state_at(snapshot_of(1, {"ada": 1}))
+    for revision in range(2, RECENT_KEPT + 3):
+        ids = [f"c{n}" for n in range(1, revision + 1)][-RECENT_KEPT:]
+        state.offer(snapshot_of(revision, {"ada": revision}, ids))
+    check.assertIs(state.delta_since(1, "c1"), Behind.FAR)
+    check.assertIs(state.delta_since(0, ""), Behind.FAR)
+    check.assertIsInstance(state.delta_since(RECENT_KEPT, f"c{RECENT_KEPT}"), Delta)
+
+
+def big_snapshot():
+    snapshot = snapshot_of(1, {f"a{n}": n for n in range(3000)})
+    for sections in snapshot.sections_by_part.values():
+        sections["contract"]["note"] = "x" * 200
+    digests = snapshot.head.digest_by_part
+    digests.update({part: part_digest(one) for part, one in snapshot.sections_by_part.items()})
+    return snapshot
+
+
+def test_a_snapshot_travels_in_bounded_pieces():
+    snapshot = big_snapshot()
+    builder = SnapshotBuilder()
+    pieces = 0
+    whole = None
+    while whole is None:
+        one = piece(snapshot, builder.after)
+        check.assertLess(len(str(one.sections_by_part)), 300_000)
+        whole = builder.add(one)
+        pieces += 1
+    check.assertGreater(pieces, 2)
+    check.assertEqual(whole.sections_by_part, snapshot.sections_by_part)
+
+
+def test_pieces_of_two_revisions_never_make_one_snapshot():
+    first, second = big_snapshot(), snapshot_of(2, {"zz": 1})
+    builder = SnapshotBuilder()
+    check.assertIsNone(builder.add(piece(first, "")))
+    with check.assertRaises(TransferError):
+        builder.add(piece(second, builder.after))
+
+
+def test_a_message_of_another_shape_is_refused():
+    sender = state_at(snapshot_of(1, {"ada": 1}))
+    sender.offer(snapshot_of(2, {"ada": 2}))
+    good = tell(sender.delta_since(1, "c1"))
+    for field, value in {
+        "change_ids": ["c"] * (RECENT_KEPT + 1),
+        "sections_by_part": {"contract.ada": {"contract": {"account": 7}}},
+    }.items():
+        with check.assertRaises(TransferError):
+            told_delta(type(good)(**(vars(good) | {field: value})))
+
+
+class Configurations(RuleBasedStateMachine):
+    """Accepted changes, instances that take them in any way, and a store that goes back."""
+
+    def __init__(self):
+        super().__init__()
+        self.accepted = [(("c0",), {})]
+        self.states = [ConfigurationState() for _ in range(3)]
+        self.highest = [0, 0, 0]
+        self.old_copy = 0
+        self.forks = 0
+
+    def _snapshot(self, place):
+        ids, marks = self.accepted[place]
+        return snapshot_of(len(ids), marks, ids[-RECENT_KEPT:])
+
+    @rule(name=st.sampled_from(NAMES), mark=st.none() | st.integers(0, 9))
+    def accept(self, name, mark):
+        ids, marks = self.accepted[-1]
+        changed = {one: value for one, value in marks.items() if one != name}
+        if mark is not None:
+            changed[name] = mark
+        self.accepted.append(((*ids, f"c{len(ids)}"), changed))
+
+    @rule(instance=st.integers(0, 2), back=st.integers(0, 5))
+    def read_store(self, instance, back):
+        self.states[instance].offer(self._snapshot(max(0, len(self.accepted) - 1 - back)))
+
+    @rule(instance=st.integers(0, 2), back=st.integers(0, 4), more=st.integers(1, 6))
+    def read_forked_store(self, instance, back, more):
+        state = self.states[instance]
+        if state.snapshot is None:
+            return
+        ids, _ = self.accepted[max(0, len(self.accepted) - 1 - back)]
+        if len(ids) >= state.revision:
+            return
+        self.forks += 1
+        foreign = (*ids, *(f"x{self.forks}.{n}" for n in range(more)))
+        state.offer(snapshot_of(len(foreign), {"ada": 99}, foreign))
+
+    @rule(receiver=st.integers(0, 2), sender=st.integers(0, 2))
+    def pull(self, receiver, sender):
+        target, source = self.states[receiver], self.states[sender]
+        found = source.delta_since(target.revision, target.change_id)
+        if isinstance(found, Delta):
+            offer = target.offer_delta(told_delta(tell(found)))
+            if offer is not Offer.GAP:
+                return
+        if found is Behind.FAR or isinstance(found, Delta):
+            target.offer(SnapshotBuilder().add(piece(source.snapshot, "")))
+
+    @invariant()
+    def each_instance_has_one_whole_accepted_revision(self):
+        for state in self.states:
+            if state.snapshot is not None:
+                ids, marks = self.accepted[state.revision - 1]
+                check.assertEqual(state.change_id, ids[-1])
+                check.assertEqual(marks_of(state), marks)
+
+    @invariant()
+    def no_instance_goes_back(self):
+        for place, state in enumerate(self.states):
+            check.assertGreaterEqual(state.revision, self.highest[place])
+            self.highest[place] = state.revision
+
+
+def test_no_way_of_taking_the_configuration_goes_back_or_takes_half():
+    run_state_machine_as_test(
+        Configurations,
+        settings=settings(
+            max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+        ),
+    )
+
+
+def members(count):
+    return [
+        Member(f"i-{n}", ENTRY_SERVICE, ZoneName("abc"[n % 3]), "10.0.0.1", {}, MemberState.LIVE)
+        for n in range(count)
+    ]
+
+
+def test_the_number_of_watchers_does_not_grow_and_they_are_in_different_zones():
+    for count in (3, 6, 420):
+        listed = members(count)
+        chosen = watchers(listed)
+        zones = {one.zone for one in listed if one.id in chosen}
+        check.assertEqual((len(chosen), len(zones)), (3, 3))
+
+
+def test_every_tree_reaches_every_steward_and_no_steward_tells_many():
+    listed = members(420)
+    children = {}
+    for one in listed:
+        fan_out = FanOut(InstanceId(one.id))
+        fan_out.update(listed)
+        children[one.id] = [child.id for child in fan_out.children]
+    check.assertLessEqual(max(map(len, children.values())), 24)
+    heard = {watchers(listed)[0]}
+    for _ in range(4):
+        heard |= {child for one in heard for child in children[one]}
+    check.assertEqual(len(heard), 420)
