Lend an account's limits from one home to the entries that serve it

Cause: each entry enforced its n-th part of every limit, so an account served by one entry of six got a sixth of its contract. Now one instance per account (rendezvous hash) lends rate, burst and slots with a life of 4 s; tokens move between buckets and are never made twice. Requests that find too little wait at most 0.3 s for the home. Seams: session_host and calls await Accounts.ready before Accounts.open; peers exports MessageError.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -30,6 +30,16 @@
     SESSION_LOST = (214, Level.ERROR, "A generation was lost in part; the caller was told.")
     SESSION_ABANDONED = (215, Level.INFO, "The caller left and did not come back; cancelled.")
     CALL_UNKNOWN = (220, Level.ERROR, "A call that may not be repeated has no known outcome.")
+    LIMITS_HOME_AWAY = (
+        230,
+        Level.WARNING,
+        "The instance that lends the limits of some accounts does not answer; a share is used.",
+    )
+    LIMITS_HOME_THAWED = (
+        231,
+        Level.WARNING,
+        "This process stood still; it forgot the limits it had lent and waits before lending.",
+    )
     CONFIG_APPLIED = (300, Level.INFO, "A configuration revision is in force on this instance.")
     CONFIG_REFUSED_OLDER = (
         301,
--- /dev/null
+++ b/egretstack/limits/_entry.py
@@ -0,0 +1,203 @@
+"""The entry side: admits requests by the slices it holds, and asks homes for them."""
+
+from dataclasses import dataclass
+
+from egretstack.contracts import Contract
+from egretstack.errors import EgretError, ErrorKind
+from egretstack.ids import AccountId, InstanceId
+from egretstack.limits._held import Asked, Held, Mode
+from egretstack.limits._homes import Homes
+from egretstack.limits._messages import MAX_ROWS, LimitsAnswer, LimitsAsk, answer_grants, make_ask
+from egretstack.limits._share import NOTHING, Share, whole_of
+from egretstack.limits._timing import LIFE_S
+
+MAX_WAITERS = 256
+"""Requests of one account that wait for its home at once; more are refused."""
+
+EARLY_S = 1.0
+"""Renewals due within this time go along with an ask that is sent to their home anyway."""
+
+MIN_RETRY_S = 1.0
+MAX_RETRY_S = 60.0
+SWEEP_S = 5.0
+
+
+@dataclass(frozen=True)
+class HomeAsk:
+    """An ask for one home, with what was stated by account in the order of its rows."""
+
+    home: InstanceId
+    message: LimitsAsk
+    asked_by_account: dict[AccountId, Asked]
+
+
+class EntrySide:
+    """Decides on each request of an account here; times in seconds of the runtime's clock.
+
+    `serial` has to be greater than every serial that an earlier process of this instance used.
+    """
+
+    def __init__(self, own: InstanceId, homes: Homes, now_s: float, serial: int = 0) -> None:
+        self._own = own
+        self._homes = homes
+        self._serial = serial
+        self._sweep_s = now_s
+        self._held_by_account: dict[AccountId, Held] = {}
+        self._asking: set[InstanceId] = set()
+
+    @property
+    def accounts(self) -> int:
+        """Tell how many accounts this entry keeps a record of."""
+        return len(self._held_by_account)
+
+    def open_count(self, account: AccountId) -> int:
+        """Tell how many requests of an account are open here."""
+        held = self._held_by_account.get(account)
+        return 0 if held is None else held.open
+
+    def mode(self, now_s: float, account: AccountId) -> Mode:
+        """Tell by what requests of an account are admitted now."""
+        held = self._held_by_account.get(account)
+        return Mode.COLD if held is None else held.mode(now_s)
+
+    def should_wait(self, now_s: float, contract: Contract) -> bool:
+        """Tell whether the answer of the account's home may let in what is refused now."""
+        held = self._held(now_s, contract)
+        held.forget_old(now_s)
+        if held.mode(now_s) is Mode.FALLBACK or held.waiting >= MAX_WAITERS:
+            return False
+        if self._homes.home(contract.account) is None or now_s < held.not_before_s:
+            return False
+        return self._refusal(now_s, contract.account, held) is not None
+
+    def wait(self, account: AccountId, count: int) -> None:
+        """Count requests that wait for the home in (1) or out (-1)."""
+        held = self._held_by_account.get(account)
+        if held is not None:
+            held.waiting += count
+
+    def unanswered(self, account: AccountId) -> None:
+        """Note that a request waited long enough for the home of its account."""
+        held = self._held_by_account.get(account)
+        if held is not None:
+            held.unanswered()
+
+    def open(self, now_s: float, contract: Contract) -> None:
+        """Count a request in; raise EgretError that says when to come back."""
+        held = self._held(now_s, contract)
+        held.forget_old(now_s)
+        held.arrived(now_s)
+        refusal = self._refusal(now_s, contract.account, held)
+        if refusal is not None:
+            if held.mode(now_s) is Mode.COLD:
+                held.due_s = now_s
+            raise refusal
+        held.take_token(now_s, self._conservative(contract.account, held))
+        held.opened()
+
+    def close(self, now_s: float, account: AccountId) -> None:
+        """Count a request out."""
+        self._held_by_account[account].closed(now_s)
+
+    def due(self, now_s: float) -> list[HomeAsk]:
+        """Give the asks to send now; each has to end in `answered` or `failed`."""
+        if now_s - self._sweep_s > SWEEP_S:
+            self._sweep(now_s)
+        due_homes = {
+            home
+            for account, held in self._held_by_account.items()
+            if (home := self._homes.home(account)) is not None
+            and home not in self._asking
+            and self._is_due(now_s, held, home)
+        }
+        return [self._ask(now_s, home) for home in sorted(due_homes)]
+
+    def answered(self, now_s: float, ask: HomeAsk, answer: LimitsAnswer) -> None:
+        """Take an answer; raise MessageError, after which `failed` has to be called."""
+        grants = answer_grants(answer, len(ask.asked_by_account))
+        self._asking.discard(ask.home)
+        for (account, asked), grant in zip(ask.asked_by_account.items(), grants, strict=True):
+            held = self._held_by_account.get(account)
+            if held is not None:
+                held.answered(now_s, asked, grant)
+
+    def failed(self, now_s: float, ask: HomeAsk) -> None:
+        """Note that a home did not answer in time."""
+        self._asking.discard(ask.home)
+        for account in ask.asked_by_account:
+            held = self._held_by_account.get(account)
+            if held is not None:
+                held.failed(now_s)
+
+    def _held(self, now_s: float, contract: Contract) -> Held:
+        held = self._held_by_account.get(contract.account)
+        if held is None:
+            held = Held(now_s, whole_of(contract))
+            self._held_by_account[contract.account] = held
+        held.whole = whole_of(contract)
+        return held
+
+    def _conservative(self, account: AccountId, held: Held) -> Share:
+        return self._homes.conservative(account, self._own, held.whole)
+
+    def _refusal(self, now_s: float, account: AccountId, held: Held) -> EgretError | None:
+        conservative = self._conservative(account, held)
+        share = held.slice_share(now_s)
+        if held.mode(now_s) is Mode.FALLBACK:
+            share = conservative
+        if held.open >= share.slots:
+            return _over_concurrency(held, share)
+        tokens = held.tokens(now_s, conservative)
+        if tokens < 1.0:
+            return _rate_limited(held, share, tokens)
+        return None
+
+    def _is_due(self, now_s: float, held: Held, home: InstanceId) -> bool:
+        if held.waiting and now_s >= held.not_before_s and held.mode(now_s) is not Mode.FALLBACK:
+            return True
+        # A new home counts what is open only if it is told before its warm-up ends.
+        moved = held.home is not None and held.home != home
+        if moved and (held.open or held.share is not NOTHING):
+            return True
+        return held.due_s <= now_s
+
+    def _ask(self, now_s: float, home: InstanceId) -> HomeAsk:
+        self._serial += 1
+        self._asking.add(home)
+        asked_by_account: dict[AccountId, Asked] = {}
+        for account, held in self._held_by_account.items():
+            if self._homes.home(account) != home or len(asked_by_account) >= MAX_ROWS:
+                continue
+            if self._is_due(now_s, held, home) or held.due_s <= now_s + EARLY_S:
+                asked_by_account[account] = held.ask(now_s, self._conservative(account, held))
+                held.home = home
+        rows = [asked.row(account) for account, asked in asked_by_account.items()]
+        return HomeAsk(home, make_ask(self._own, self._serial, rows), asked_by_account)
+
+    def _sweep(self, now_s: float) -> None:
+        self._sweep_s = now_s
+        idle = [account for account, held in self._held_by_account.items() if held.is_idle(now_s)]
+        for account in idle:
+            del self._held_by_account[account]
+
+
+def _over_concurrency(held: Held, share: Share) -> EgretError:
+    gap_s = held.close_gap_s if held.close_gap_s is not None else LIFE_S
+    return EgretError(
+        ErrorKind.OVER_CONCURRENCY,
+        f"{held.open} requests are open here; the contract allows {held.whole.slots} in all",
+        retry_after_s=_bounded(gap_s if share.slots else LIFE_S),
+    )
+
+
+def _rate_limited(held: Held, share: Share, level: float) -> EgretError:
+    wait_s = (1.0 - level) / share.rate if share.rate else held.forecast_s
+    return EgretError(
+        ErrorKind.RATE_LIMITED,
+        f"more than {held.whole.rate:g} requests a second",
+        retry_after_s=_bounded(wait_s),
+    )
+
+
+def _bounded(wait_s: float) -> float:
+    return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
--- a/egretstack/peers/__init__.py
+++ b/egretstack/peers/__init__.py
@@ -10,6 +10,7 @@
 )
 from egretstack.peers._messages import (
     Message,
+    MessageError,
     Nothing,
     decode,
     encode,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "Message",
+    "MessageError",
     "Nothing",
     "PeerGone",
     "PeerKeys",
--- a/egretstack/programs/entry.py
+++ b/egretstack/programs/entry.py
@@ -13,6 +13,7 @@
     "instances",
     "peer_port",
     "configuration",
+    "limits",
     "accounts",
     "runners",
     "dispatching",
--- a/egretstack/services/accounts.py
+++ b/egretstack/services/accounts.py
@@ -1,18 +1,15 @@
-"""Client accounts: who holds a key, and what its contract allows on this instance."""
+"""Client accounts: who holds a key, and what its contract allows."""
 
 import hashlib
 
 import trio
 
-from egretstack import clock
 from egretstack.contracts import Contract
 from egretstack.errors import EgretError, ErrorKind
 from egretstack.ids import AccountId
-from egretstack.kernel import Kernel, Service
-from egretstack.limits import LocalLimits
-from egretstack.platform import ENTRY_SERVICE, MemberState
+from egretstack.kernel import Service
 from egretstack.services.configuration import Configuration
-from egretstack.services.instances import Instances
+from egretstack.services.limits import Limits
 
 _SCHEME = "Bearer "
 MAX_KEY_LENGTH = 512
@@ -22,17 +19,10 @@
     """Authenticates callers and applies their limits."""
 
     name = "accounts"
-    requires = ("configuration", "instances")
-
-    def __init__(self, kernel: Kernel) -> None:
-        super().__init__(kernel)
-        self._limits = LocalLimits()
+    requires = ("configuration", "limits")
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
-        """Follow the number of live instances that share the limits."""
-        instances = self.kernel.get(Instances)
-        instances.on_change(self._recount)
-        self._recount()
+        """Do nothing by itself."""
         task_status.started()
         await trio.sleep_forever()
 
@@ -52,14 +42,14 @@
             raise EgretError(ErrorKind.UNAUTHENTICATED, "no client account has this key")
         return state.contract_by_account[account]
 
+    async def ready(self, contract: Contract) -> None:
+        """Wait briefly for the account's home where that may let a request in; before `open`."""
+        await self.kernel.get(Limits).ready(contract)
+
     def open(self, contract: Contract) -> None:
         """Count a request in; raise EgretError."""
-        self._limits.open(clock.now(), contract)
+        self.kernel.get(Limits).open(contract)
 
     def close(self, account: AccountId) -> None:
         """Count a request out."""
-        self._limits.close(account)
-
-    def _recount(self) -> None:
-        live = self.kernel.get(Instances).members(ENTRY_SERVICE, MemberState.LIVE)
-        self._limits.instances = max(1, len(live))
+        self.kernel.get(Limits).close(account)
--- a/egretstack/services/calls.py
+++ b/egretstack/services/calls.py
@@ -52,6 +52,7 @@
         """Pass a call on; raise EgretError."""
         spec = self._spec(contract, service)
         accounts = self.kernel.get(Accounts)
+        await accounts.ready(contract)
         accounts.open(contract)
         self._open += 1
         try:
--- /dev/null
+++ b/egretstack/services/limits.py
@@ -0,0 +1,141 @@
+"""Asks the homes of the accounts served here for slices, and is a home itself."""
+
+import trio
+
+from egretstack import clock
+from egretstack.contracts import Contract
+from egretstack.events import Event, log
+from egretstack.ids import AccountId, InstanceId
+from egretstack.kernel import Kernel, Service
+from egretstack.limits import (
+    ASK_TIMEOUT_S,
+    BEAT_S,
+    READY_WAIT_S,
+    EntrySide,
+    HomeAsk,
+    Homes,
+    HomeSide,
+    LimitsAnswer,
+    LimitsAsk,
+)
+from egretstack.peers import Message, MessageError, Nothing, PeerGone, PeerRefused
+from egretstack.platform import ENTRY_SERVICE, Member, MemberState
+from egretstack.services.configuration import Configuration
+from egretstack.services.instances import Instances
+from egretstack.services.peer_port import PeerPort
+
+PEER_PORT = "peer"
+_SERIALS_A_SECOND = 1000
+
+
+class Limits(Service):
+    """Counts requests in and out within the limits of their accounts' contracts."""
+
+    name = "limits"
+    requires = ("configuration", "instances", "peer_port")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._own = InstanceId(kernel.settings.text("instance", "id"))
+        now_s = clock.now()
+        self._homes = Homes(now_s)
+        # A process that follows another on this instance starts above all its serials.
+        serial = int(kernel.epoch.now() * _SERIALS_A_SECOND)
+        self.entry = EntrySide(self._own, self._homes, now_s, serial)
+        self.home = HomeSide(self._own, self._homes, now_s)
+        self._wake = trio.Event()
+        self._answered = trio.Event()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Answer entries, and send the asks that are due."""
+        self.kernel.get(PeerPort).answer(LimitsAsk, self._answer)
+        self.kernel.get(Instances).on_change(self._see)
+        self._see()
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            while True:
+                self._beat(nursery)
+                with trio.move_on_after(BEAT_S):
+                    await self._wake.wait()
+                self._wake = trio.Event()
+
+    async def ready(self, contract: Contract) -> None:
+        """Wait, at most READY_WAIT_S, while the account's home may let in one more request.
+
+        Call it right before `open`, which decides. A caller waits here only where this entry
+        holds too little of the account's limits and its home has not just said that no more is
+        left.
+        """
+        with trio.move_on_after(READY_WAIT_S) as scope:
+            while self.entry.should_wait(clock.now(), contract):
+                await self._wait(contract.account)
+        if scope.cancelled_caught:
+            self.entry.unanswered(contract.account)
+
+    def open(self, contract: Contract) -> None:
+        """Count a request in; raise EgretError."""
+        self.entry.open(clock.now(), contract)
+
+    def close(self, account: AccountId) -> None:
+        """Count a request out."""
+        self.entry.close(clock.now(), account)
+
+    async def _wait(self, account: AccountId) -> None:
+        self.entry.wait(account, 1)
+        self._wake.set()
+        try:
+            await self._answered.wait()
+        finally:
+            self.entry.wait(account, -1)
+
+    def _beat(self, nursery: trio.Nursery) -> None:
+        if self.home.beat(clock.now()):
+            log(Event.LIMITS_HOME_THAWED)
+        for ask in self.entry.due(clock.now()):
+            nursery.start_soon(self._ask, ask)
+
+    async def _ask(self, ask: HomeAsk) -> None:
+        try:
+            answer = await self._reach(ask)
+            self.entry.answered(clock.now(), ask, answer)
+        except (PeerGone, PeerRefused, MessageError) as error:
+            log(Event.LIMITS_HOME_AWAY, home=ask.home, error=str(error))
+            self.entry.failed(clock.now(), ask)
+        self._answered.set()
+        self._answered = trio.Event()
+        self._wake.set()
+
+    async def _reach(self, ask: HomeAsk) -> LimitsAnswer:
+        if ask.home == self._own:
+            return self._decide(ask.message)
+        member = self._live().get(ask.home)
+        if member is None or PEER_PORT not in member.ports:
+            raise PeerGone("not listed")
+        port = member.ports[PEER_PORT]
+        with trio.move_on_after(ASK_TIMEOUT_S):
+            answer = await self.kernel.get(PeerPort).ask(ask.home, member.host, port, ask.message)
+            if isinstance(answer, LimitsAnswer):
+                return answer
+            raise PeerRefused("not an answer about limits")
+        raise PeerGone("no answer in time")
+
+    async def _answer(self, message: Message) -> Message:
+        try:
+            return self._decide(message)
+        except MessageError as error:
+            log(Event.PEER_REFUSED, error=str(error))
+            return Nothing()
+
+    def _decide(self, ask: Message) -> LimitsAnswer:
+        contracts = self.kernel.get(Configuration).state.contract_by_account
+        return self.home.answer(clock.now(), ask, contracts)
+
+    def _see(self) -> None:
+        zone_by_id = {instance: member.zone for instance, member in self._live().items()}
+        self._homes.see(clock.now(), zone_by_id)
+        self._wake.set()
+
+    def _live(self) -> dict[InstanceId, Member]:
+        """Give the live entries: the one place that asks who may be a home."""
+        members = self.kernel.get(Instances).members(ENTRY_SERVICE, MemberState.LIVE)
+        return {InstanceId(member.id): member for member in members}
--- a/egretstack/services/session_host.py
+++ b/egretstack/services/session_host.py
@@ -60,6 +60,7 @@
     async def open(self, contract: Contract, body: GenerationBody) -> Session:
         """Start a session; raise EgretError."""
         work = self._work(contract, body)
+        await self.kernel.get(Accounts).ready(contract)
         self.kernel.get(Accounts).open(contract)
         generation = GenerationRequest(work.model, body.prompt, work.max_output_tokens, work.value)
         request = SessionRequest(contract.account, work.service, generation, body.stream)
@@ -74,6 +75,7 @@
             if session.id == session_id and session.can_read_after(after):
                 return session
         engine = self._engine(ref)
+        await self.kernel.get(Accounts).ready(contract)
         self.kernel.get(Accounts).open(contract)
         generation = GenerationRequest(_UNKNOWN_MODEL, "", 0, contract.value)
         request = SessionRequest(ref.account, ref.service, generation, streamed=True)
