--- a/egretstack/services/session_host.py
+++ b/egretstack/services/session_host.py
@@ -88,6 +88,7 @@
         """Start a session; raise EgretError."""
         state = self.kernel.get(Configuration).state
         work = new_work(contract, body, state.service_by_model.get(body.model))
+        await self.kernel.get(Accounts).ready(contract)
         self.kernel.get(Accounts).open(contract)
         generation = GenerationRequest(work.model, body.prompt, work.max_output_tokens, work.value)
         request = self._request(contract.account, work, generation, body.stream)
@@ -104,6 +105,7 @@
         if here is not None and here.can_read_after(after):
             return here
         engine = self._engine(ref)
+        await self.kernel.get(Accounts).ready(contract)
         self.kernel.get(Accounts).open(contract)
         if here is not None:
             # Its events before the caller's place are kept no more; the engine has them.
