Count service levels against contracts exactly, and report their burn

Cause: the histograms of first token and gap were never observed, and a target between two of their buckets could not be judged. Each event is now judged when it happens, by the contract in force, in plain integers that the registry reads on a scrape; the histograms keep their names. Ruled out: a prometheus_client counter for each gap, since a gap is counted for each token. Hooks: Session.on_taken and Session.on_outcome, set by SessionLevels in the session host.

--- /dev/null
+++ b/egretstack/metrics/__init__.py
@@ -0,0 +1,39 @@
+"""Metrics of a process, served on the operator port."""
+
+from egretstack.metrics._levels import (
+    OUTCOME_SHARE,
+    AccountLevels,
+    LevelTargets,
+    Objective,
+    ServiceLevels,
+    Tally,
+)
+from egretstack.metrics._metrics import Metrics
+from egretstack.metrics._names import (
+    EVENTS,
+    GOOD,
+    INSTANCE_LABEL,
+    SNAPSHOT,
+    STARTED,
+    TARGET_SECONDS,
+    TARGET_SHARE,
+)
+from egretstack.metrics._pace import Pace
+
+__all__ = [
+    "EVENTS",
+    "GOOD",
+    "INSTANCE_LABEL",
+    "OUTCOME_SHARE",
+    "SNAPSHOT",
+    "STARTED",
+    "TARGET_SECONDS",
+    "TARGET_SHARE",
+    "AccountLevels",
+    "LevelTargets",
+    "Metrics",
+    "Objective",
+    "Pace",
+    "ServiceLevels",
+    "Tally",
+]
--- a/egretstack/metrics.py
+++ b/egretstack/metrics/_metrics.py
@@ -1,16 +1,27 @@
 """Metrics of a process, served on the operator port."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from collections.abc import Callable
 
-FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.63, 1.0, 2.0, 5.0, 10.0, 30.0)
-GAP_BUCKETS_S = (0.01, 0.02, 0.036, 0.054, 0.072, 0.1, 0.2, 0.5, 1.0, 5.0)
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from egretstack.metrics._levels import ServiceLevels
+from egretstack.metrics._names import INSTANCE_LABEL, SNAPSHOT, STARTED
+
+UNNAMED = "unnamed"
 
 
 class Metrics:
-    """Every metric of the product, in one registry for each process."""
+    """Every metric of the product, in one registry for each process.
+
+    `epoch_now` gives seconds since the epoch. Metrics carry the time at which they were read, and
+    the time the process started, so that a saved file tells by itself what it is.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, instance: str = UNNAMED, epoch_now: Callable[[], float] = lambda: 0.0
+    ) -> None:
         self.registry = CollectorRegistry()
+        self._add_times(instance, epoch_now)
         self.sessions = Counter(
             "egret_sessions",
             "Sessions ended, by account and outcome.",
@@ -29,20 +40,8 @@
         self.tokens = Counter(
             "egret_tokens", "Output tokens passed on.", ["account"], registry=self.registry
         )
-        self.first_token = Histogram(
-            "egret_first_token_seconds",
-            "Time from a request to its first token.",
-            ["account"],
-            buckets=FIRST_TOKEN_BUCKETS_S,
-            registry=self.registry,
-        )
-        self.gap = Histogram(
-            "egret_token_gap_seconds",
-            "Time between the tokens of a session.",
-            ["account"],
-            buckets=GAP_BUCKETS_S,
-            registry=self.registry,
-        )
+        self.levels = ServiceLevels()
+        self.registry.register(self.levels)
         self.open_sessions = Gauge(
             "egret_open_sessions", "Sessions in progress.", registry=self.registry
         )
@@ -62,3 +61,19 @@
         self.revision = Gauge(
             "egret_config_revision", "Configuration revision in force.", registry=self.registry
         )
+
+    def _add_times(self, instance: str, epoch_now: Callable[[], float]) -> None:
+        started = Gauge(
+            STARTED,
+            "When this process started, in seconds since the epoch.",
+            [INSTANCE_LABEL],
+            registry=self.registry,
+        )
+        started.labels(instance).set(epoch_now())
+        snapshot = Gauge(
+            SNAPSHOT,
+            "When these metrics were read, in seconds since the epoch.",
+            [INSTANCE_LABEL],
+            registry=self.registry,
+        )
+        snapshot.labels(instance).set_function(epoch_now)
--- /dev/null
+++ b/egretstack/reports/_burn.py
@@ -0,0 +1,172 @@
+"""Burn of service-level budgets over several windows.
+
+The burn rate is the share of bad events in a window, divided by the share that may be bad: at 1
+the budget lasts exactly as long as the period it is meant for. Alerts need a long window, so that
+a few bad events do not ring, and a short one, so that they stop soon after the cause has (Beyer
+and others, "The Site Reliability Workbook", chapter 5, "Alerting on SLOs").
+"""
+
+from bisect import bisect_right
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from egretstack.ids import AccountId, InstanceId
+from egretstack.metrics import Objective, Tally
+from egretstack.reports._snapshots import Place, Snapshot
+
+
+class Window(Enum):
+    """A span of time that ends with the newest snapshot: name and length in seconds."""
+
+    FIVE_MINUTES = ("5m", 300.0)
+    HALF_HOUR = ("30m", 1_800.0)
+    HOUR = ("1h", 3_600.0)
+    SIX_HOURS = ("6h", 21_600.0)
+    THREE_DAYS = ("3d", 259_200.0)
+
+    def __init__(self, label: str, length_s: float) -> None:
+        self.label = label
+        self.length_s = length_s
+
+
+BUDGET_WINDOW = Window.THREE_DAYS
+"""Period over which the budget left is told."""
+
+
+class Alert(Enum):
+    """What a burn asks of an operator: burn rate, and the long and the short window."""
+
+    PAGE_FAST = ("page", 14.4, Window.HOUR, Window.FIVE_MINUTES)
+    PAGE_SLOW = ("page", 6.0, Window.SIX_HOURS, Window.HALF_HOUR)
+    TICKET = ("ticket", 1.0, Window.THREE_DAYS, Window.SIX_HOURS)
+
+    def __init__(self, label: str, rate: float, long: Window, short: Window) -> None:
+        self.label = label
+        self.rate = rate
+        self.long = long
+        self.short = short
+
+
+@dataclass(frozen=True)
+class WindowBurn:
+    """The events of one window. `covered_s` is how much of it the snapshots cover, in seconds."""
+
+    window: Window
+    total: int
+    good: int
+    share: float
+    covered_s: float
+
+    @property
+    def bad(self) -> int:
+        """Give the events that missed the target."""
+        return self.total - self.good
+
+    @property
+    def rate(self) -> float:
+        """Give the burn rate; 0 without events."""
+        return self.bad / self.total / (1 - self.share) if self.total else 0.0
+
+
+@dataclass(frozen=True)
+class LevelBurn:
+    """One account's burn of one objective. `target_s` is None where the target is no time."""
+
+    account: AccountId
+    objective: Objective
+    target_s: float | None
+    share: float
+    burn_by_window: dict[Window, WindowBurn]
+
+    @property
+    def budget_left(self) -> float:
+        """Give the share of the budget that is left; below 0 once it is overspent."""
+        return 1 - self.burn_by_window[BUDGET_WINDOW].rate
+
+    @property
+    def alert(self) -> Alert | None:
+        """Give the most urgent alert that both of its windows call for."""
+        for alert in Alert:
+            burns = (self.burn_by_window[alert.long], self.burn_by_window[alert.short])
+            if all(burn.rate >= alert.rate for burn in burns):
+                return alert
+        return None
+
+
+def burns_of(snapshots: Sequence[Snapshot]) -> list[LevelBurn]:
+    """Work out every account's burn at the time of the newest snapshot."""
+    end_s = max(one.at_s for one in snapshots)
+    histories = _histories(snapshots)
+    newest = {place: one for one in snapshots for place in one.share_by_place}
+    found = []
+    for place, told in sorted(newest.items(), key=lambda item: _order(item[0])):
+        share = told.share_by_place[place]
+        burns = {window: _window_burn(histories, place, share, window, end_s) for window in Window}
+        found.append(LevelBurn(*place, told.target_s_by_place.get(place), share, burns))
+    return found
+
+
+def _order(place: Place) -> tuple[str, int]:
+    return place[0], list(Objective).index(place[1])
+
+
+def _histories(snapshots: Sequence[Snapshot]) -> dict[InstanceId, list[Snapshot]]:
+    by_instance: dict[InstanceId, list[Snapshot]] = {}
+    for snapshot in sorted(snapshots, key=lambda one: one.at_s):
+        by_instance.setdefault(snapshot.instance, []).append(snapshot)
+    return by_instance
+
+
+def _window_burn(
+    histories: dict[InstanceId, list[Snapshot]],
+    place: Place,
+    share: float,
+    window: Window,
+    end_s: float,
+) -> WindowBurn:
+    begin_s = end_s - window.length_s
+    total = Tally()
+    covered_s = window.length_s
+    for history in histories.values():
+        first, from_s = _first_of(history, begin_s)
+        covered_s = min(covered_s, end_s - from_s)
+        grown = _growth(history[first:], place, from_zero=first == 0 and _began(history, begin_s))
+        total.total += grown.total
+        total.good += grown.good
+    return WindowBurn(window, total.total, total.good, share, max(0.0, covered_s))
+
+
+def _began(history: list[Snapshot], begin_s: float) -> bool:
+    """Tell whether the process of the first snapshot started inside the window."""
+    return history[0].started_s >= begin_s
+
+
+def _first_of(history: list[Snapshot], begin_s: float) -> tuple[int, float]:
+    """Give the snapshot that a window starts from, and the time from which it is covered."""
+    before = bisect_right([one.at_s for one in history], begin_s) - 1
+    if before >= 0:
+        return before, begin_s
+    return 0, begin_s if _began(history, begin_s) else history[0].at_s
+
+
+def _growth(history: list[Snapshot], place: Place, *, from_zero: bool) -> Tally:
+    """Add up what the counters grew by; a process that restarted counts from 0 again."""
+    grown = Tally()
+    if from_zero:
+        _add(grown, _tally(history[0], place), Tally())
+    for earlier, later in zip(history, history[1:], strict=False):
+        old = _tally(earlier, place)
+        new = _tally(later, place)
+        restarted = later.started_s != earlier.started_s or new.total < old.total
+        _add(grown, new, Tally() if restarted else old)
+    return grown
+
+
+def _add(grown: Tally, new: Tally, old: Tally) -> None:
+    grown.total += new.total - old.total
+    grown.good += max(0, min(new.good - old.good, new.total - old.total))
+
+
+def _tally(snapshot: Snapshot, place: Place) -> Tally:
+    return snapshot.tally_by_place.get(place, Tally())
--- /dev/null
+++ b/egretstack/reports/_plots.py
@@ -0,0 +1,68 @@
+"""Plots of the burn report."""
+
+from collections.abc import Sequence
+from io import BytesIO, StringIO
+
+from matplotlib import rc_context
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+
+from egretstack.reports._burn import Alert, LevelBurn, Window
+
+WIDTH_IN = 8.0
+ROW_IN = 0.34
+HEAD_IN = 1.3
+BAR = 0.16
+SVG_SALT = "egretstack"
+PNG_DPI = 90
+
+
+def burn_figure(burns: Sequence[LevelBurn]) -> Figure:
+    """Draw the burn rate of every window and the budget left, one row an objective."""
+    height = HEAD_IN + ROW_IN * 2 * max(1, len(burns))
+    figure = Figure(figsize=(WIDTH_IN, height), layout="constrained")
+    rates, left = figure.subplots(1, 2, sharey=True, width_ratios=(3, 1))
+    names = [f"{burn.account}\n{burn.objective.value}" for burn in burns]
+    rates.set_yticks(range(len(burns)), names)
+    rates.invert_yaxis()
+    _draw_rates(rates, burns)
+    _draw_left(left, burns)
+    return figure
+
+
+def svg_of(figure: Figure) -> str:
+    """Give a figure as an SVG element without the file's head; the same figure gives the same."""
+    out = StringIO()
+    with rc_context({"svg.hashsalt": SVG_SALT}):
+        figure.savefig(out, format="svg", metadata={"Date": None, "Creator": None})
+    text = out.getvalue()
+    return text[text.index("<svg") :]
+
+
+def png_of(figure: Figure) -> bytes:
+    """Give a figure as a PNG image."""
+    out = BytesIO()
+    figure.savefig(out, format="png", dpi=PNG_DPI, metadata={"Software": None})
+    return out.getvalue()
+
+
+def _draw_rates(axes: Axes, burns: Sequence[LevelBurn]) -> None:
+    for place, window in enumerate(Window):
+        offset = (place - (len(Window) - 1) / 2) * BAR
+        values = [burn.burn_by_window[window].rate for burn in burns]
+        rows = [row + offset for row in range(len(burns))]
+        axes.barh(rows, values, height=BAR, label=window.label)
+    for alert in Alert:
+        axes.axvline(alert.rate, color="0.6", linewidth=0.8, linestyle="--")
+    axes.set_xscale("symlog", linthresh=1.0)
+    axes.set_xlim(left=0)
+    axes.set_xlabel("burn rate (dashed: alerts at 1, 6 and 14.4)")
+    axes.legend(title="window", fontsize="small")
+
+
+def _draw_left(axes: Axes, burns: Sequence[LevelBurn]) -> None:
+    values = [max(0.0, burn.budget_left) * 100 for burn in burns]
+    colours = ["tab:red" if burn.budget_left <= 0 else "tab:green" for burn in burns]
+    axes.barh(range(len(burns)), values, color=colours, height=0.5)
+    axes.set_xlim(0, 100)
+    axes.set_xlabel("budget left, %")
--- /dev/null
+++ b/egretstack/reports/_snapshots.py
@@ -0,0 +1,127 @@
+"""Snapshots of entries' metrics, from files of Prometheus text.
+
+A snapshot tells by itself which instance it is of, when it was taken and when its process
+started, so file names and their order mean nothing.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import isfinite
+from pathlib import Path
+
+from prometheus_client.parser import text_string_to_metric_families
+from prometheus_client.samples import Sample
+
+from egretstack.errors import UserError
+from egretstack.ids import AccountId, InstanceId, is_name
+from egretstack.metrics import (
+    EVENTS,
+    GOOD,
+    INSTANCE_LABEL,
+    SNAPSHOT,
+    STARTED,
+    TARGET_SECONDS,
+    TARGET_SHARE,
+    Objective,
+    Tally,
+)
+
+MAX_FILE_BYTES = 16_777_216
+MAX_FILES = 10_000
+_OBJECTIVE_BY_NAME = {objective.value: objective for objective in Objective}
+Place = tuple[AccountId, Objective]
+
+
+@dataclass
+class Snapshot:
+    """What one process had counted when it was asked; times in seconds since the epoch."""
+
+    instance: InstanceId
+    at_s: float
+    started_s: float
+    tally_by_place: dict[Place, Tally] = field(default_factory=dict)
+    share_by_place: dict[Place, float] = field(default_factory=dict)
+    target_s_by_place: dict[Place, float] = field(default_factory=dict)
+
+
+def read_snapshots(files: Iterable[Path]) -> list[Snapshot]:
+    """Read files, oldest snapshot first; raise UserError that names the file."""
+    paths = list(files)
+    if not paths:
+        raise UserError("no files were named; save the metrics of the entries first")
+    if len(paths) > MAX_FILES:
+        raise UserError(f"{len(paths)} files; the most is {MAX_FILES}")
+    found: dict[tuple[InstanceId, float], Snapshot] = {}
+    for path in paths:
+        snapshot = _snapshot(path, read_samples([path]))
+        found.setdefault((snapshot.instance, snapshot.at_s), snapshot)
+    return sorted(found.values(), key=lambda one: one.at_s)
+
+
+def read_samples(files: Iterable[Path]) -> list[Sample]:
+    """Read every sample of the files; raise UserError that names the file."""
+    samples: list[Sample] = []
+    for path in files:
+        try:
+            if path.stat().st_size > MAX_FILE_BYTES:
+                raise UserError(f"{path}: larger than {MAX_FILE_BYTES} bytes")
+            families = text_string_to_metric_families(path.read_text(encoding="utf-8"))
+            samples.extend(sample for family in families for sample in family.samples)
+        except OSError as error:
+            raise UserError(f"{path}: cannot be read: {error.strerror}") from error
+        except ValueError as error:
+            raise UserError(f"{path}: is not Prometheus text: {error}") from error
+    return samples
+
+
+def _snapshot(path: Path, samples: list[Sample]) -> Snapshot:
+    instance, at_s = _one(path, samples, SNAPSHOT)
+    _, started_s = _one(path, samples, STARTED)
+    snapshot = Snapshot(instance, at_s, started_s)
+    for sample in samples:
+        _take(path, snapshot, sample)
+    for place, tally in snapshot.tally_by_place.items():
+        if not 0 <= tally.good <= tally.total:
+            raise UserError(f"{path}: {place[0]} has more good events than events")
+        if not 0 < snapshot.share_by_place.get(place, 0) < 1:
+            raise UserError(f"{path}: {place[0]} has no share between 0 and 1")
+    return snapshot
+
+
+def _one(path: Path, samples: list[Sample], name: str) -> tuple[InstanceId, float]:
+    rows = [sample for sample in samples if sample.name == name]
+    if len(rows) != 1:
+        raise UserError(f"{path}: {len(rows)} samples of {name}; it has to be one entry's metrics")
+    instance = rows[0].labels.get(INSTANCE_LABEL, "")
+    if not is_name(instance):
+        raise UserError(f"{path}: {name} names no instance")
+    return InstanceId(instance), _finite(path, rows[0])
+
+
+def _take(path: Path, snapshot: Snapshot, sample: Sample) -> None:
+    if sample.name not in _KNOWN:
+        return
+    objective = _OBJECTIVE_BY_NAME.get(sample.labels.get("objective", ""))
+    account = sample.labels.get("account", "")
+    if objective is None or not is_name(account):
+        raise UserError(f"{path}: a sample of {sample.name} without an account and an objective")
+    place = (AccountId(account), objective)
+    value = _finite(path, sample)
+    if sample.name == TARGET_SHARE:
+        snapshot.share_by_place[place] = value
+    elif sample.name == TARGET_SECONDS:
+        snapshot.target_s_by_place[place] = value
+    elif sample.name == _EVENTS_SAMPLE:
+        snapshot.tally_by_place.setdefault(place, Tally()).total = int(value)
+    else:
+        snapshot.tally_by_place.setdefault(place, Tally()).good = int(value)
+
+
+def _finite(path: Path, sample: Sample) -> float:
+    if not isfinite(sample.value) or sample.value < 0:
+        raise UserError(f"{path}: {sample.name} is {sample.value}")
+    return sample.value
+
+
+_EVENTS_SAMPLE = f"{EVENTS}_total"
+_KNOWN = frozenset({_EVENTS_SAMPLE, f"{GOOD}_total", TARGET_SHARE, TARGET_SECONDS})
--- a/egretstack/services/platform_access.py
+++ b/egretstack/services/platform_access.py
@@ -65,7 +65,7 @@
         self._client = _http_client(timeout, _NO_LIMITS)
         self._fresh = _http_client(timeout, _NO_IDLE)
         self.instance_list: InstanceList = HttpInstanceList(self._client, base, namespace)
-        self.metrics = Metrics()
+        self.metrics = Metrics(settings.text("instance", "id"), kernel.epoch.now)
         self.object_api = self.budgeted(HttpObjectApi(self._client, base, namespace))
         keys = self._keys()
         self.tokens = TokenBox(keys)
--- a/egretstack/services/session_host.py
+++ b/egretstack/services/session_host.py
@@ -19,6 +19,7 @@
 from egretstack.events import Event, log
 from egretstack.ids import AccountId, GenerationId, InstanceId, RunnerId, SessionId, WorkId
 from egretstack.kernel import Kernel, Service
+from egretstack.metrics import ServiceLevels
 from egretstack.policy import Work
 from egretstack.services.accounts import Accounts
 from egretstack.services.configuration import Configuration
@@ -32,6 +33,7 @@
     Pump,
     PumpLinks,
     Session,
+    SessionLevels,
     SessionRequest,
     Takeover,
 )
@@ -86,6 +88,7 @@
 
     async def open(self, contract: Contract, body: GenerationBody) -> Session:
         """Start a session; raise EgretError."""
+        opened_s = clock.now()
         state = self.kernel.get(Configuration).state
         work = new_work(contract, body, state.service_by_model.get(body.model))
         await self.kernel.get(Accounts).ready(contract)
@@ -93,11 +96,13 @@
         generation = GenerationRequest(work.model, body.prompt, work.max_output_tokens, work.value)
         request = self._request(contract.account, work, generation, body.stream)
         session = Session(work.id, request, Cursor())
+        SessionLevels(session, contract, self._service_levels(), opened_s)
         self._start(session, work, None)
         return session
 
     async def pick_up(self, contract: Contract, session_id: str, after: int) -> Session:
         """Find a session here or take it over from its engine; raise EgretError."""
+        opened_s = clock.now()
         ref = self._ref(contract, session_id)
         here = self._find(ref.runner, ref.generation)
         if here is not None and after > here.cursor.last:
@@ -116,6 +121,7 @@
         session = Session(work.id, request, Cursor(ref.generation, after))
         session.id = SessionId(session_id)
         session.runner = ref.runner
+        SessionLevels(session, contract, self._service_levels(), opened_s)
         self._start(session, work, Placement(work, ref.runner, engine, work.value))
         self._nursery.start_soon(self._take_over, ref, session)
         return session
@@ -216,6 +222,9 @@
             if not self._session_by_work:
                 self._idle.set()
 
+    def _service_levels(self) -> ServiceLevels:
+        return self.kernel.get(PlatformAccess).metrics.levels
+
     def _count_end(self, session: Session, account: AccountId) -> None:
         metrics = self.kernel.get(PlatformAccess).metrics
         metrics.open_sessions.dec()
--- a/egretstack/sessions/__init__.py
+++ b/egretstack/sessions/__init__.py
@@ -1,5 +1,6 @@
 """Sessions: one generation each, from an engine to a caller."""
 
+from egretstack.sessions._levels import SessionLevels, is_kept
 from egretstack.sessions._outcome import FinishedAnswer
 from egretstack.sessions._placing import Placement, Placer
 from egretstack.sessions._pump import Pump, PumpLinks
@@ -14,6 +15,8 @@
     "PumpLinks",
     "ReaderStalled",
     "Session",
+    "SessionLevels",
     "SessionRequest",
     "Takeover",
+    "is_kept",
 ]
--- a/egretstack/sessions/_session.py
+++ b/egretstack/sessions/_session.py
@@ -55,6 +55,9 @@
         """Tokens that the caller had before this entry took the session over."""
         self.is_withheld: Callable[[], bool] = lambda: False
         """Tells that readers may take nothing, since the generation is about to be dropped."""
+        self.on_taken: Callable[[int], None] = lambda tokens: None
+        """Told of how many tokens a reader takes that none took before."""
+        self.on_outcome: Callable[[FinishedAnswer | EgretError], None] = lambda outcome: None
         self._events: deque[EngineEvent] = deque()
         self._changed = trio.Event()
         self._room = trio.Event()
@@ -87,6 +90,7 @@
         """Set the outcome, once; readers get what is left, then it."""
         if self.outcome is None:
             self.outcome = outcome
+            self.on_outcome(outcome)
         self._wake()
 
     def text(self) -> str:
@@ -163,6 +167,7 @@
         return newest_first[::-1]
 
     def _take(self, position: int) -> None:
+        self.on_taken(max(0, position) - self.delivered)
         self.taken = max(self.taken, position)
         while self._events and self._events[0].sequence <= self.taken - KEPT_EVENTS:
             self._events.popleft()
--- /dev/null
+++ b/tests/test_burn.py
@@ -0,0 +1,158 @@
+"""The burn report: windows, restarts, several entries, and what it refuses to read."""
+
+import json
+import re
+
+from egretstack.errors import UserError
+from egretstack.ids import AccountId
+from egretstack.metrics import Objective
+from egretstack.reports import Alert, Window, burns_of, json_report, read_snapshots, text_report
+from egretstack.reports._page import html_report
+from tests.burn_fixtures import Entry, saved_files
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+START_S = 1_000_000.0
+DAY_S = 86_400.0
+
+
+def burn_of(files, objective=Objective.GAP):
+    [found] = [one for one in burns_of(read_snapshots(files)) if one.objective is objective]
+    return found
+
+
+def test_a_burn_rate_is_the_share_of_bad_events_over_the_share_allowed():
+    with saved_files() as folder:
+        entry = Entry(folder, started_s=START_S)
+        entry.levels().gap(0.05, 90)
+        entry.levels().gap(0.2, 10)
+        burn = burn_of([entry.save(START_S + 60)])
+    check.assertAlmostEqual(burn.burn_by_window[Window.HOUR].rate, 0.1 / 0.05)
+    check.assertAlmostEqual(burn.budget_left, -1.0)
+
+
+def test_a_target_between_two_buckets_of_the_histogram_is_judged_exactly():
+    # 0.06 s lies between the buckets 0.054 and 0.072: a report made from buckets would have to
+    # guess for the gaps of 0.055 to 0.06 s.
+    with saved_files() as folder:
+        entry = Entry(folder)
+        levels = entry.levels()
+        levels.targets = type(levels.targets)(0.63, 0.06, 0.95)
+        levels.gap(0.0599)
+        levels.gap(0.0601)
+        [tally] = [levels.tally_by_objective[Objective.GAP]]
+    check.assertEqual((tally.total, tally.good), (2, 1))
+
+
+def test_windows_start_from_the_snapshot_before_them():
+    with saved_files() as folder:
+        entry = Entry(folder, started_s=START_S)
+        entry.levels().gap(0.2, 100)
+        files = [entry.save(START_S + DAY_S)]
+        entry.levels().gap(0.01, 100)
+        files.append(entry.save(START_S + DAY_S + 300))
+        burn = burn_of(files)
+    short, long = burn.burn_by_window[Window.FIVE_MINUTES], burn.burn_by_window[Window.THREE_DAYS]
+    check.assertEqual((short.total, short.bad), (100, 0))
+    check.assertEqual((long.total, long.bad), (200, 100))
+
+
+def test_a_window_covered_in_part_says_so():
+    with saved_files() as folder:
+        entry = Entry(folder, started_s=START_S - 10 * DAY_S)
+        entry.levels().gap(0.2, 100)
+        files = [entry.save(START_S)]
+        entry.levels().gap(0.01, 10)
+        files.append(entry.save(START_S + 60))
+        burn = burn_of(files)
+        text = text_report([burn])
+    hour = burn.burn_by_window[Window.HOUR]
+    check.assertEqual((hour.total, hour.covered_s), (10, 60))
+    check.assertIn("covered by the snapshots in part: 5m 1.0 min", text)
+
+
+def test_a_restarted_entry_counts_from_zero_again():
+    # The operator sees a burn that is too low, or below zero, after each restart. The counters
+    # of the new process start at 0, and so the growth since the last snapshot seems negative.
+    # The time at which the process started is in each snapshot and tells them apart, also when
+    # the new process has already counted more than the old one had.
+    with saved_files() as folder:
+        old = Entry(folder, started_s=START_S)
+        old.levels().gap(0.2, 10)
+        files = [old.save(START_S + 100)]
+        new = Entry(folder, started_s=START_S + 150)
+        new.levels().gap(0.2, 50)
+        files.append(new.save(START_S + 200))
+        burn = burn_of(files)
+    check.assertEqual(burn.burn_by_window[Window.HOUR].bad, 60)
+
+
+def test_entries_are_added_up_and_a_file_given_twice_counts_once():
+    with saved_files() as folder:
+        files = []
+        for name in ("entry-a", "entry-b"):
+            entry = Entry(folder, name, START_S)
+            entry.levels().gap(0.2, 5)
+            files.append(entry.save(START_S + 60))
+        burn = burn_of([*files, files[0]])
+    check.assertEqual(burn.burn_by_window[Window.HOUR].total, 10)
+
+
+def test_alerts_need_both_windows():
+    with saved_files() as folder:
+        entry = Entry(folder, started_s=START_S)
+        files = [entry.save(START_S + 2700)]
+        entry.levels().gap(0.2, 900)
+        entry.levels().gap(0.01, 100)
+        files.append(entry.save(START_S + 3000))
+        check.assertIs(burn_of(files).alert, Alert.PAGE_FAST)
+        entry.levels().gap(0.01, 1000)
+        files.append(entry.save(START_S + 3300))
+        calmed = burn_of(files)
+    check.assertLess(calmed.burn_by_window[Window.FIVE_MINUTES].rate, Alert.PAGE_FAST.rate)
+    check.assertIsNot(calmed.alert, Alert.PAGE_FAST)
+
+
+def test_the_report_comes_as_json_and_as_one_page():
+    with saved_files() as folder:
+        entry = Entry(folder, started_s=START_S)
+        entry.levels().first_token(0.2)
+        entry.levels().ended(kept=False)
+        entry.levels(AccountId("zeta")).gap(0.2, 3)
+        burns = burns_of(read_snapshots([entry.save(START_S + 60)]))
+        rows = json.loads(json_report(burns))
+        page = html_report(burns, "now")
+    check.assertEqual(len(rows), 6)
+    check.assertEqual(rows[2]["windows"]["1h"]["bad"], 1)
+    check.assertIn("<svg", page)
+    check.assertNotRegex(page, re.compile(r"(src|href)=.https?:"))
+    check.assertEqual(page, html_report(burns, "now"))
+
+
+def test_files_that_are_no_snapshot_are_refused_by_name():
+    good = 'egret_snapshot_seconds{instance_id="a"} 5\negret_start_seconds{instance_id="a"} 1\n'
+    labels = '{account="acme",objective="gap"}'
+    faults = {
+        "": "0 samples of egret_snapshot_seconds",
+        "{": "is not Prometheus text",
+        good.replace('"a"', '"../a"'): "names no instance",
+        good + good.replace('"a"', '"b"'): "2 samples",
+        good.replace(" 5", " NaN"): "is nan",
+        good + f"egret_level_events_total{labels} 3\n": "no share between 0 and 1",
+        good + f"egret_level_events_total{labels} -1\n": "is -1",
+        good
+        + 'egret_level_events_total{account="acme"} 1\n': "without an account and an objective",
+        good
+        + f"egret_level_events_total{labels} 1\negret_level_good_total{labels} 2\n": "more good",
+    }
+    with saved_files() as folder:
+        path = folder / "x.prom"
+        for text, said in faults.items():
+            path.write_text(text)
+            with check.assertRaises(UserError) as caught:
+                read_snapshots([path])
+            check.assertIn(said, str(caught.exception))
+            check.assertIn(str(path), str(caught.exception))
+    with check.assertRaises(UserError):
+        read_snapshots([])
