--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -114,11 +114,11 @@
 kill -KILL "${PID_OF[entry-b]}"
 wait "$ASKED" && STATUS=0 || STATUS=$?
 echo "the first connection ended with curl status $STATUS and $(wc -c <"$WORK/lost" 2>/dev/null || echo 0) bytes"
-curl -fs -H "$HJOLAFERDIR" --data-binary @samples/prompts/summary.json \
+curl -s --fail-with-body -H "$HJOLAFERDIR" --data-binary @samples/prompts/summary.json \
     http://$NET.0.13:8080/v1/responses | "$BIN/python" -c '
 import json, sys
 answer = json.load(sys.stdin)
-print(answer["status"], answer["usage"])'
+print(answer["status"], answer.get("usage") or answer)'
 
 say "metrics of entry-a"
 for name in a c; do
