--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -40,8 +40,26 @@
     PLATFORM_AWAY = (310, Level.WARNING, "The platform's object API does not answer.")
     PLATFORM_BACK = (311, Level.INFO, "The platform's object API answers again.")
     PEER_REFUSED = (320, Level.WARNING, "A peer connection was refused; check keys and version.")
+    INSTANCE_LIVE = (321, Level.INFO, "An instance takes work.")
+    INSTANCE_LEAVING = (322, Level.INFO, "An instance leaves; callers are sent elsewhere.")
+    INSTANCE_SUSPECT = (
+        323,
+        Level.WARNING,
+        "An instance does not answer heartbeats; it is used for some seconds more.",
+    )
+    INSTANCE_GONE = (
+        324,
+        Level.WARNING,
+        "An instance stopped, or did not answer a suspicion; no caller is sent there.",
+    )
     RUNNER_JOINED = (330, Level.INFO, "A runner is known and gets work.")
     RUNNER_LEFT = (331, Level.INFO, "A runner gets no new work.")
+    RUNNER_SILENT = (
+        332,
+        Level.WARNING,
+        "A runner's load report cannot be read; it gets no new work from this instance.",
+    )
+    RUNNER_NOTICED = (333, Level.INFO, "A runner said, or was ordered, to leave or to return.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
         self.number = number
--- a/egretstack/kernel/_kernel.py
+++ b/egretstack/kernel/_kernel.py
@@ -12,6 +12,7 @@
 from egretstack.settings import Settings
 
 S = TypeVar("S", bound=Service)
+FAREWELL_S = 2.0
 
 
 class Kernel:
@@ -53,6 +54,9 @@
             log(Event.DRAIN_BEGUN)
             for name in reversed(order):
                 await self._by_name[name].drain()
+            with trio.move_on_after(FAREWELL_S):
+                for name in reversed(order):
+                    await self._by_name[name].farewell()
             for scope in reversed(scopes):
                 scope.cancel()
         log(Event.STOPPED)
--- /dev/null
+++ b/egretstack/membership/_choice.py
@@ -0,0 +1,77 @@
+"""Choices by rendezvous hash: entries for a caller, and runners whose reports are read."""
+
+import hashlib
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+
+from egretstack.ids import AccountId, InstanceId, RunnerId, ZoneName
+from egretstack.platform import Member
+from egretstack.policy import RunnerInfo
+
+ENTRIES_ANSWERED = 5
+FROM_OTHER_ZONES = 2
+"""Places kept for other availability zones: a caller that knew only its own would have nowhere
+to go for as long as it keeps the answer, should that zone fail."""
+MAX_REPORTS = 32
+"""Load reports that one instance reads, over all services."""
+
+
+def rendezvous(key: str, name: str) -> bytes:
+    """Give the rank of a name for a key; the least comes first.
+
+    When a name goes, only the keys that had it first move to another.
+    """
+    return hashlib.blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
+
+
+def entries_for(
+    account: AccountId, zone: ZoneName, live: Iterable[Member], own: Member, own_leaves: bool
+) -> list[Member]:
+    """Choose the entries a caller of an account should use, the best first; never none.
+
+    `live` are those that take work; `own` is named where there is no other, even if it leaves.
+    """
+    by_id = {member.id: member for member in live}
+    by_id.pop(own.id, None)
+    if not own_leaves or not by_id:
+        by_id[own.id] = own
+    ranked = sorted(by_id.values(), key=lambda one: rendezvous(account, one.id))
+    near = [member for member in ranked if member.zone == zone]
+    far = [member for member in ranked if member.zone != zone]
+    kept = min(FROM_OTHER_ZONES, len(far))
+    return (near[: ENTRIES_ANSWERED - kept] + far)[:ENTRIES_ANSWERED]
+
+
+class ReportChooser(ABC):
+    """Chooses the engines whose load reports this instance reads."""
+
+    @abstractmethod
+    def choose(self, runners: Iterable[RunnerInfo]) -> set[RunnerId]:
+        """Choose among the runners that take work; at most `MAX_REPORTS` are then read."""
+
+
+class NearbyReports(ReportChooser):
+    """Chooses a stable subset for each instance: every service in turn, own zone first."""
+
+    def __init__(self, instance: InstanceId, zone: ZoneName, most: int = MAX_REPORTS) -> None:
+        self._instance = instance
+        self._zone = zone
+        self._most = most
+
+    def choose(self, runners: Iterable[RunnerInfo]) -> set[RunnerId]:
+        """Choose among the runners that take work."""
+        by_service: dict[str, list[RunnerInfo]] = {}
+        for runner in sorted(runners, key=self._rank):
+            by_service.setdefault(runner.service, []).append(runner)
+        chosen: set[RunnerId] = set()
+        place = 0
+        longest = max((len(found) for found in by_service.values()), default=0)
+        while len(chosen) < self._most and place < longest:
+            for found in by_service.values():
+                if place < len(found) and len(chosen) < self._most:
+                    chosen.add(found[place].id)
+            place += 1
+        return chosen
+
+    def _rank(self, runner: RunnerInfo) -> tuple[bool, bytes]:
+        return (runner.zone != self._zone, rendezvous(self._instance, runner.id))
--- /dev/null
+++ b/egretstack/membership/_forgetting.py
@@ -0,0 +1,51 @@
+"""Forgets rows of what is neither listed nor alive, a while after nobody needs them."""
+
+from dataclasses import dataclass, field
+
+from egretstack.membership._rows import (
+    FOR_GOOD,
+    InstanceRow,
+    InstanceState,
+    ListedRow,
+    Row,
+    RunnerNotice,
+)
+from egretstack.membership._table import Key, Table
+
+FORGET_S = 900.0
+"""How long such rows are kept, so that no late message brings back what they tell the end of."""
+SWEEP_S = 30.0
+
+
+@dataclass
+class Forgetting:
+    """Sweeps a table now and then; times are seconds on the runtime's clock."""
+
+    swept_s: float
+    _old_since_s: dict[Key, float] = field(default_factory=dict)
+
+    def sweep(self, now_s: float, epoch_ms: int, table: Table, listed_ids: set[str]) -> bool:
+        """Sweep if it is time; True if a row was forgotten."""
+        if now_s - self.swept_s < SWEEP_S:
+            return False
+        self.swept_s = now_s
+        old = {row.key for row in table.rows() if _is_old(row, listed_ids)}
+        since_s = {key: self._old_since_s.get(key, now_s) for key in old}
+        expired = {key for key in old if now_s - since_s[key] >= FORGET_S}
+        expired |= {row.key for row in table.rows() if _is_over(row, epoch_ms)}
+        for key in expired:
+            table.remove(key)
+        self._old_since_s = {key: since_s[key] for key in old - expired}
+        return bool(expired)
+
+
+def _is_over(row: Row, epoch_ms: int) -> bool:
+    return isinstance(row, RunnerNotice) and row.until != FOR_GOOD and row.until <= epoch_ms
+
+
+def _is_old(row: Row, listed_ids: set[str]) -> bool:
+    if isinstance(row, ListedRow):
+        return row.state is None
+    if isinstance(row, InstanceRow):
+        return row.state is InstanceState.GONE and row.member.id not in listed_ids
+    return not row.leaving or row.runner not in listed_ids
--- /dev/null
+++ b/egretstack/membership/_reading.py
@@ -0,0 +1,31 @@
+"""When this process reads the whole list, so that few read it at a time.
+
+What one reader finds changed spreads with the heartbeats. The turns of the instances are spaced
+evenly over the period, so the fleet as a whole reads often though each instance reads rarely.
+"""
+
+from dataclasses import dataclass
+
+ROW_BYTES = 200
+READ_BYTES_PER_S = 1000
+"""What a process may spend on reading the list, on average."""
+
+
+@dataclass(frozen=True)
+class ReadingPlan:
+    """The period of this process's reads, in seconds, and its turn within it."""
+
+    period_s: float
+    offset_s: float
+
+    @classmethod
+    def make(cls, least_s: float, members: int, rank: int, readers: int) -> "ReadingPlan":
+        """Plan for a list of `members` rows that `readers` processes read, this one `rank`th."""
+        period_s = max(least_s, members * ROW_BYTES / READ_BYTES_PER_S)
+        return cls(period_s, period_s * rank / max(1, readers))
+
+    def wait_s(self, epoch_s: float) -> float:
+        """Give the time until the next turn. Clocks need to agree only for an even spacing."""
+        wait_s = (self.offset_s - epoch_s) % self.period_s
+        # A read that began a little early must not be followed by one more in the same turn.
+        return wait_s if wait_s >= self.period_s / 2 else wait_s + self.period_s
--- /dev/null
+++ b/egretstack/membership/_runner_watch.py
@@ -0,0 +1,100 @@
+"""Which runners get new work: by list, by notice, and by their own load reports."""
+
+from dataclasses import dataclass
+
+from egretstack.ids import RunnerId
+from egretstack.policy import RunnerInfo, RunnerLeft, RunnerSeen
+
+SILENCE_S = 2.0
+"""Time without a readable load report after which a runner gets no new work from here."""
+
+
+@dataclass
+class _Runner:
+    info: RunnerInfo
+    listed_live: bool
+    failed_since_s: float | None = None
+    silent: bool = False
+    says_leaving: bool = False
+
+    @property
+    def usable(self) -> bool:
+        return self.listed_live and not self.silent and not self.says_leaving
+
+
+WatchEvent = RunnerSeen | RunnerLeft
+
+
+class RunnerWatch:
+    """Follows runners; whichever source first says that one leaves is believed.
+
+    Times are seconds on the runtime's clock. Each call gives the events for the policy.
+    """
+
+    def __init__(self) -> None:
+        self._runner_by_id: dict[RunnerId, _Runner] = {}
+
+    def usable(self) -> list[RunnerInfo]:
+        """Give the runners that get new work."""
+        return [runner.info for runner in self._runner_by_id.values() if runner.usable]
+
+    def known(self) -> list[RunnerInfo]:
+        """Give all runners that are listed, leaving ones too."""
+        return [runner.info for runner in self._runner_by_id.values()]
+
+    def is_silent(self, runner_id: RunnerId) -> bool:
+        """Tell whether the runner's reports cannot be read."""
+        runner = self._runner_by_id.get(runner_id)
+        return runner is not None and runner.silent
+
+    def listed(self, live_by_info: dict[RunnerInfo, bool]) -> list[WatchEvent]:
+        """Take the list with notices applied: runners, and whether each is live there."""
+        events: list[WatchEvent] = []
+        found = {info.id for info in live_by_info}
+        for runner_id in self._runner_by_id.keys() - found:
+            if self._runner_by_id.pop(runner_id).usable:
+                events.append(RunnerLeft(runner_id))
+        for info, live in live_by_info.items():
+            events.extend(self._listed_one(info, live))
+        return events
+
+    def reported(self, runner_id: RunnerId, leaving: bool) -> list[WatchEvent]:
+        """Take a load report that was read."""
+        runner = self._runner_by_id.get(runner_id)
+        if runner is None:
+            return []
+        before = runner.usable
+        runner.failed_since_s = None
+        runner.silent = False
+        runner.says_leaving = leaving
+        return _turned(runner, before)
+
+    def failed(self, now_s: float, runner_id: RunnerId) -> list[WatchEvent]:
+        """Take note that a load report could not be read."""
+        runner = self._runner_by_id.get(runner_id)
+        if runner is None:
+            return []
+        before = runner.usable
+        if runner.failed_since_s is None:
+            runner.failed_since_s = now_s
+        runner.silent = now_s - runner.failed_since_s >= SILENCE_S
+        return _turned(runner, before)
+
+    def _listed_one(self, info: RunnerInfo, live: bool) -> list[WatchEvent]:
+        runner = self._runner_by_id.get(info.id)
+        if runner is None:
+            runner = self._runner_by_id[info.id] = _Runner(info, live)
+            return _turned(runner, False)
+        before = runner.usable
+        changed = runner.info != info
+        runner.info = info
+        runner.listed_live = live
+        if changed and before and runner.usable:
+            return [RunnerSeen(info)]
+        return _turned(runner, before)
+
+
+def _turned(runner: _Runner, before: bool) -> list[WatchEvent]:
+    if runner.usable == before:
+        return []
+    return [RunnerSeen(runner.info)] if runner.usable else [RunnerLeft(runner.info.id)]
--- /dev/null
+++ b/egretstack/membership/_state.py
@@ -0,0 +1,296 @@
+"""Decides whom to send heartbeats, whom to suspect, and what is known of every instance."""
+
+import random
+from dataclasses import dataclass
+
+from egretstack.ids import InstanceId, Revision, RunnerId
+from egretstack.membership._agreement import Agreement
+from egretstack.membership._detector import Detector
+from egretstack.membership._exchange import AnyHeartbeat, Exchange
+from egretstack.membership._forgetting import Forgetting
+from egretstack.membership._listing import Listing
+from egretstack.membership._messages import Heartbeat, HeartbeatAnswer
+from egretstack.membership._rings import Rings
+from egretstack.membership._rows import (
+    FOR_GOOD,
+    InstanceRow,
+    InstanceState,
+    RunnerNotice,
+)
+from egretstack.membership._steadiness import Steadiness
+from egretstack.membership._table import Table
+from egretstack.membership._views import InstanceView, instance_views, listed_members
+from egretstack.platform import Member
+
+TICK_S = 0.2
+"""Time between calls of `tick`, and between two messages to one neighbour that carry news."""
+HEARTBEAT_S = 1.0
+ANSWER_TIMEOUT_S = 1.0
+SUSPECT_S = 4.0
+"""Time in which a suspect can answer the suspicion before it counts as gone."""
+FREEZE_S = 2.0
+PROBE_S = 5.0
+DEFEND_S = 1.0
+NOTICE_S = 180.0
+_MS = 1000
+
+
+@dataclass(frozen=True)
+class Ask:
+    """Send a heartbeat to a peer, and tell the state of the answer or that none came."""
+
+    peer: Member
+    message: Heartbeat
+
+
+class MembershipState:
+    """Membership as one process sees it.
+
+    `now_s` is the runtime's clock, `epoch_s` seconds since the Unix epoch. Calls that change
+    what is known raise `changes`.
+    """
+
+    def __init__(self, own: Member, now_s: float, epoch_s: float, rng: random.Random) -> None:
+        self.own = InstanceId(own.id)
+        self.changes = 0
+        self._rng = rng
+        self._epoch_offset_s = epoch_s - now_s
+        self._table = Table()
+        self._row = InstanceRow(own, int(epoch_s * _MS), InstanceState.LIVE)
+        self._table.put(self._row)
+        self._exchange = Exchange(self._row.incarnation, self._table)
+        self._listing = Listing(self._table)
+        self._detector = Detector()
+        self._agreement = Agreement()
+        self._steadiness = Steadiness()
+        self._rings = Rings(self.own)
+        self._views: dict[InstanceId, InstanceView] = {}
+        self._asked_s: dict[InstanceId, float] = {}
+        self._in_flight: set[InstanceId] = set()
+        self._accused: set[InstanceId] = set()
+        self._suspect_until_s: dict[InstanceId, float] = {}
+        self._forgetting = Forgetting(now_s)
+        self._ticked_s = now_s
+        self._probed_s = now_s
+        self._defended_s = float("-inf")
+        self._refresh()
+
+    @property
+    def digest(self) -> int:
+        """Give the digest of everything known; equal ones mean equal knowledge."""
+        return self._table.digest
+
+    @property
+    def own_member(self) -> Member:
+        """Give this instance's own address."""
+        return self._row.member
+
+    def views(self) -> dict[InstanceId, InstanceView]:
+        """Give every instance known, this one too."""
+        return self._views
+
+    def live(self, now_s: float) -> list[Member]:
+        """Give the instances that take work and are not held back for coming and going."""
+        return [
+            view.member
+            for name, view in self._views.items()
+            if view.takes_work and self._steadiness.is_steady(now_s, name)
+        ]
+
+    def members(self) -> list[Member]:
+        """Give the platform's list as it was last read by anyone."""
+        return listed_members(self._table)
+
+    def neighbours(self) -> set[InstanceId]:
+        """Give the instances that this one exchanges heartbeats with."""
+        return {*self._rings.watched(), *self._rings.watchers()}
+
+    def set_revision(self, revision: Revision) -> None:
+        """Carry another applied configuration revision, from the next tick on."""
+        self._exchange.revision = revision
+        self._asked_s.clear()
+
+    def listed(self, now_s: float, members: list[Member]) -> None:
+        """Take a reading of the platform's list."""
+        self._detector.listed(now_s)
+        self._agreement.listed(now_s)
+        if self._listing.take(self._epoch_ms(now_s), members):
+            self._refresh()
+
+    def wants_list(self, now_s: float) -> bool:
+        """Tell whether the list is to be read ahead of the plan."""
+        return self._agreement.wants_list(now_s)
+
+    def leave(self) -> None:
+        """Let everyone know that this instance leaves, from the next tick on."""
+        self._declare(InstanceState.LEAVING)
+
+    def stop(self) -> None:
+        """Let everyone know that this instance is gone, from the next tick on."""
+        self._declare(InstanceState.GONE)
+
+    def notice(self, now_s: float, runner: RunnerId, leaving: bool, for_good: bool) -> None:
+        """Spread that a runner leaves, or takes work again.
+
+        A notice that is not for good ends after `NOTICE_S` unless it is given again.
+        """
+        old = self._table.get(RunnerNotice.key_of(runner))
+        if old is None and not leaving:
+            return
+        if old is not None and old.leaving == leaving and old.until == FOR_GOOD:
+            return
+        epoch_ms = self._epoch_ms(now_s)
+        stamp = epoch_ms if old is None else max(epoch_ms, old.stamp + 1)
+        until = FOR_GOOD if for_good else stamp + int(NOTICE_S * _MS)
+        self._table.put(RunnerNotice(runner, leaving, stamp, until))
+        self._refresh()
+
+    def tick(self, now_s: float) -> list[Ask]:
+        """Give the heartbeats that are due; call it every `TICK_S`."""
+        if now_s - self._ticked_s > FREEZE_S:
+            self._thaw(now_s)
+        self._ticked_s = now_s
+        self._defend(now_s)
+        self._expire(now_s)
+        if self._forgetting.sweep(now_s, self._epoch_ms(now_s), self._table, self._listed_ids):
+            self._refresh()
+        due = [peer for peer in self._rings.watched() if self._is_due(now_s, peer, HEARTBEAT_S)]
+        due += [peer for peer in sorted(self.neighbours()) if self._is_told(now_s, peer)]
+        due += self._probe(now_s)
+        return [self._ask(now_s, peer) for peer in dict.fromkeys(due) if peer in self._views]
+
+    def asked(self, now_s: float, peer: InstanceId, message: Heartbeat) -> HeartbeatAnswer:
+        """Take a peer's heartbeat and give the answer. Raises RowError."""
+        self._detector.heard(now_s, peer)
+        self._take(now_s, peer, message)
+        return self._exchange.message(peer, HeartbeatAnswer)
+
+    def answered(self, now_s: float, peer: InstanceId, message: HeartbeatAnswer) -> None:
+        """Take a peer's answer. Raises RowError."""
+        self._in_flight.discard(peer)
+        self._detector.answered(now_s, peer)
+        self._take(now_s, peer, message)
+
+    def missed(self, now_s: float, peer: InstanceId) -> None:
+        """Take note that a heartbeat got no answer in time."""
+        self._in_flight.discard(peer)
+        view = self._views.get(peer)
+        if view is None or not self._detector.missed(now_s, peer):
+            return
+        if view.state in (InstanceState.LIVE, InstanceState.LEAVING):
+            self._accused.add(peer)
+            self._set_state(now_s, peer, InstanceState.SUSPECT)
+
+    def _is_due(self, now_s: float, peer: InstanceId, period_s: float) -> bool:
+        waited_s = now_s - self._asked_s.get(peer, float("-inf"))
+        return peer not in self._in_flight and waited_s >= period_s - TICK_S / 2
+
+    def _is_told(self, now_s: float, peer: InstanceId) -> bool:
+        """Tell whether to send news ahead of the next heartbeat."""
+        # One that does not answer gets heartbeats alone: refused connections fail at once, and
+        # the misses of a second would be counted in a fraction of it.
+        well = self._detector.is_well(peer)
+        return well and self._is_due(now_s, peer, TICK_S) and self._exchange.has_news(peer)
+
+    def _ask(self, now_s: float, peer: InstanceId) -> Ask:
+        self._in_flight.add(peer)
+        self._asked_s[peer] = now_s
+        return Ask(self._views[peer].member, self._exchange.message(peer))
+
+    def _probe(self, now_s: float) -> list[InstanceId]:
+        """Ask after one instance that is gone: two halves of a fleet find each other so."""
+        if now_s - self._probed_s < PROBE_S:
+            return []
+        self._probed_s = now_s
+        gone = [
+            name
+            for name, view in self._views.items()
+            if view.state is InstanceState.GONE and name != self.own
+        ]
+        free = [name for name in gone if name not in self._in_flight]
+        return [self._rng.choice(free)] if free else []
+
+    def _take(self, now_s: float, peer: InstanceId, message: AnyHeartbeat) -> None:
+        before = self._views
+        news = self._exchange.take(peer, message)
+        self._agreement.compared(now_s, peer, message.digest == self._table.digest)
+        if not news:
+            return
+        for row in news:
+            if isinstance(row, InstanceRow):
+                self._note(now_s, row, before)
+        self._refresh()
+
+    def _note(self, now_s: float, row: InstanceRow, before: dict[InstanceId, InstanceView]) -> None:
+        name = InstanceId(row.member.id)
+        if name == self.own:
+            return
+        if row.state is InstanceState.SUSPECT:
+            self._suspect_until_s[name] = now_s + SUSPECT_S
+            return
+        self._suspect_until_s.pop(name, None)
+        if row.state is InstanceState.GONE:
+            return
+        was_gone = name in before and before[name].state is InstanceState.GONE
+        if was_gone:
+            self._steadiness.returned(now_s, name)
+        elif name in self._accused:
+            self._detector.wronged(now_s, name)
+        self._accused.discard(name)
+
+    def _defend(self, now_s: float) -> None:
+        """Answer what others say of this instance, by a higher incarnation."""
+        held = self._table.get(self._row.key)
+        if held == self._row or now_s - self._defended_s < DEFEND_S:
+            return
+        self._defended_s = now_s
+        # A frozen process that thaws, or one that restarted on a machine whose clock is behind,
+        # finds its own row overruled; nobody would believe it until it is above that row.
+        self._row = InstanceRow(self._row.member, held.incarnation + 1, self._row.state)
+        self._table.put(self._row)
+        self._refresh()
+
+    def _declare(self, state: InstanceState) -> None:
+        self._row = self._row.turned(state)
+        self._table.put(self._row)
+        self._refresh()
+
+    def _set_state(self, now_s: float, peer: InstanceId, state: InstanceState) -> None:
+        row = self._table.get(InstanceRow.key_of(peer))
+        if row is None:
+            row = InstanceRow(self._views[peer].member, 0, InstanceState.LIVE)
+        row = row.turned(state)
+        if self._table.put(row):
+            if state is InstanceState.SUSPECT:
+                self._suspect_until_s[peer] = now_s + SUSPECT_S
+            self._refresh()
+
+    def _expire(self, now_s: float) -> None:
+        for name, until_s in list(self._suspect_until_s.items()):
+            if now_s >= until_s:
+                del self._suspect_until_s[name]
+                self._set_state(now_s, name, InstanceState.GONE)
+
+    def _epoch_ms(self, now_s: float) -> int:
+        return int((now_s + self._epoch_offset_s) * _MS)
+
+    def _thaw(self, now_s: float) -> None:
+        self._detector.thawed()
+        for name in self._suspect_until_s:
+            self._suspect_until_s[name] = now_s + SUSPECT_S
+
+    def _refresh(self) -> None:
+        self._views = instance_views(self._table)
+        self._listed_ids = {member.id for member in self.members()}
+        present = {
+            name for name, view in self._views.items() if view.state is not InstanceState.GONE
+        }
+        self._rings.update(present)
+        near = self.neighbours() | self._in_flight
+        self._exchange.forget(near)
+        self._detector.forget(near)
+        self._agreement.forget(near)
+        self._steadiness.forget(set(self._views))
+        for name in self._asked_s.keys() - near:
+            del self._asked_s[name]
+        self.changes += 1
--- /dev/null
+++ b/egretstack/membership/_table.py
@@ -0,0 +1,85 @@
+"""The table of rows that instances share, with the order in which this process learned them."""
+
+import hashlib
+from collections.abc import Iterator
+
+from egretstack.membership._rows import Row, pack_row
+
+MAX_ROWS = 20_000
+"""Bound on the rows kept; new subjects beyond it are not taken from peers."""
+_DIGEST_BYTES = 8
+
+Key = tuple[str, str]
+
+
+class Table:
+    """Rows by subject; the newest of each.
+
+    Each change gets the next version. A neighbour is sent the rows above the version that it has
+    confirmed, so nothing is lost with a message, and a cut-off neighbour catches up by itself.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.digest = 0
+        self._row_by_key: dict[Key, Row] = {}
+        self._version_by_key: dict[Key, int] = {}
+        self._source_by_key: dict[Key, str] = {}
+
+    def get(self, key: Key) -> Row | None:
+        """Give the row of a subject."""
+        return self._row_by_key.get(key)
+
+    def rows(self) -> Iterator[Row]:
+        """Give every row."""
+        return iter(self._row_by_key.values())
+
+    def put(self, row: Row, source: str = "", *, is_news: bool = True) -> bool:
+        """Take a row if it is newer than the one known; True if it was taken.
+
+        One that is no news is kept, and sent to nobody.
+        """
+        old = self._row_by_key.get(row.key)
+        if old is not None and old.order >= row.order:
+            return False
+        if old is None and source and len(self._row_by_key) >= MAX_ROWS:
+            return False
+        if old is not None:
+            self.remove(row.key)
+        self._row_by_key[row.key] = row
+        if is_news:
+            # The order of the dictionary is that of the versions: a changed row goes to the end.
+            self.version += 1
+            self._version_by_key[row.key] = self.version
+            self._source_by_key[row.key] = source
+        self.digest ^= _digest(row)
+        return True
+
+    def remove(self, key: Key) -> None:
+        """Forget a subject."""
+        row = self._row_by_key.pop(key)
+        self._version_by_key.pop(key, None)
+        self._source_by_key.pop(key, None)
+        self.digest ^= _digest(row)
+
+    def news(self, after: int, reader: str, most: int) -> tuple[list[Row], int]:
+        """Give rows above a version, at most `most`, and the version they reach.
+
+        What came from the reader itself is left out.
+        """
+        rows: list[Row] = []
+        for key in reversed(self._version_by_key):
+            if self._version_by_key[key] <= after:
+                break
+            if self._source_by_key[key] != reader:
+                rows.append(self._row_by_key[key])
+        rows.reverse()
+        if len(rows) <= most:
+            return rows, self.version
+        rows = rows[:most]
+        return rows, self._version_by_key[rows[-1].key]
+
+
+def _digest(row: Row) -> int:
+    text = repr(pack_row(row)).encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest(), "big")
--- a/egretstack/services/caller_api.py
+++ b/egretstack/services/caller_api.py
@@ -1,7 +1,5 @@
 """The callers' port of an entry, and its graceful shutdown."""
 
-import hashlib
-
 import trio
 
 from egretstack.callers import (
@@ -13,18 +11,19 @@
 )
 from egretstack.contracts import Contract
 from egretstack.errors import EgretError, ErrorKind
-from egretstack.ids import ServiceName
+from egretstack.ids import ServiceName, ZoneName
 from egretstack.kernel import Kernel, Service
-from egretstack.platform import ENTRY_SERVICE, Member, MemberState
+from egretstack.membership import entries_for
 from egretstack.services.accounts import Accounts
 from egretstack.services.calls import Calls
-from egretstack.services.instances import Instances
+from egretstack.services.membership import Membership
 from egretstack.services.platform_access import PlatformAccess
 from egretstack.services.session_host import SessionHost
 from egretstack.upstreams import CallRequest, CallResponse
 
-ENTRIES_ANSWERED = 5
-DRAIN_MARGIN_S = 1.0
+LEAVING_KNOWN_S = 5.0
+"""Time in which every other instance knows that this one leaves, with a margin: until then one of
+them may still give its address to a caller, who keeps it for the answers' whole life."""
 CALLER_PORT = "caller"
 
 
@@ -32,7 +31,7 @@
     """Serves callers; a drain outlives the answers callers keep, and cuts no request."""
 
     name = "caller_api"
-    requires = ("platform_access", "instances", "accounts", "session_host", "calls")
+    requires = ("platform_access", "membership", "accounts", "session_host", "calls")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -56,8 +55,9 @@
 
     async def drain(self) -> None:
         """Serve on until callers' cached answers have run out, then take nothing new."""
-        await trio.sleep(self._answer_life_s() + DRAIN_MARGIN_S)
+        await trio.sleep(LEAVING_KNOWN_S + self._answer_life_s())
         self._closed = True
+        self._requests.close()
         await self._requests.wait_idle()
 
     def authenticate(self, authorization: str) -> Contract:
@@ -71,11 +71,16 @@
 
     def entries(self, contract: Contract) -> dict[str, object]:
         """Give which entries to use, own availability zone first, and for how long."""
-        members = self.kernel.get(Instances).members(ENTRY_SERVICE, MemberState.LIVE)
-        ranked = sorted(members, key=lambda member: self._rank(contract, member))
+        membership = self.kernel.get(Membership)
+        chosen = entries_for(
+            contract.account,
+            ZoneName(self.kernel.settings.text("instance", "zone")),
+            [member for member in membership.live_members() if CALLER_PORT in member.ports],
+            membership.own_member,
+            self.kernel.draining.is_set(),
+        )
         rows = [
-            {"instance": one.id, "zone": one.zone, "url": one.url(CALLER_PORT)}
-            for one in ranked[:ENTRIES_ANSWERED]
+            {"instance": one.id, "zone": one.zone, "url": one.url(CALLER_PORT)} for one in chosen
         ]
         return {"entries": rows, "keep_s": self._answer_life_s()}
 
@@ -91,14 +96,3 @@
 
     def _answer_life_s(self) -> float:
         return self.kernel.settings.number("caller", "answer_life_s")
-
-    def _rank(self, contract: Contract, member: Member) -> tuple[bool, bool, str]:
-        own = self.kernel.settings.text("instance", "id")
-        zone = self.kernel.settings.text("instance", "zone")
-        leaving = member.id == own and self.kernel.draining.is_set()
-        return (leaving, member.zone != zone, _account_order(contract, member))
-
-
-def _account_order(contract: Contract, member: Member) -> str:
-    """Spread accounts over entries by rendezvous hashing."""
-    return hashlib.sha256(f"{contract.account}/{member.id}".encode()).hexdigest()
--- a/egretstack/services/instances.py
+++ b/egretstack/services/instances.py
@@ -1,4 +1,4 @@
-"""Follows the platform's instance list."""
+"""The platform's instance list as far as this process knows it."""
 
 from collections.abc import Callable
 
@@ -7,12 +7,19 @@
 from egretstack.events import Event, log
 from egretstack.ids import ServiceName
 from egretstack.kernel import Kernel, Service
-from egretstack.platform import Member, MemberState, PlatformAway
+from egretstack.membership import ReadingPlan
+from egretstack.platform import ENTRY_SERVICE, Member, MemberState, PlatformAway
 from egretstack.services.platform_access import PlatformAccess
 
+Reading = Callable[[list[Member]], None]
+
 
 class Instances(Service):
-    """Holds the members last listed; an outage of the list keeps the last known ones."""
+    """Holds the members last listed; an outage of the list keeps the last known ones.
+
+    This process reads the list in its turn only. Where membership runs, what other instances
+    read comes with the heartbeats and is put in here by `put`.
+    """
 
     name = "instances"
     requires = ("platform_access",)
@@ -21,7 +28,10 @@
         super().__init__(kernel)
         self._members: list[Member] = []
         self._listeners: list[Callable[[], None]] = []
+        self._reading: Reading | None = None
+        self._wanted = trio.Event()
         self._away = False
+        self.last_read: list[Member] | None = None
 
     def members(self, service: ServiceName, state: MemberState | None = None) -> list[Member]:
         """Give the members of a service, of one state or of any."""
@@ -39,15 +49,40 @@
         """Call `listener` after each change of the list."""
         self._listeners.append(listener)
 
+    def on_reading(self, reading: Reading) -> None:
+        """Hand each reading to `reading`, which answers with `put`; the last one at once."""
+        self._reading = reading
+        if self.last_read is not None:
+            reading(self.last_read)
+
+    def put(self, members: list[Member]) -> None:
+        """Hold these members, and tell of a change."""
+        if members == self._members:
+            return
+        self._members = members
+        for listener in self._listeners:
+            listener()
+
+    def read_soon(self) -> None:
+        """Read the list ahead of the plan."""
+        self._wanted.set()
+
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
-        """Read the list again and again."""
-        period_s = self.kernel.settings.number("platform", "list_period_s")
+        """Read the list in this process's turns."""
         await self._read()
         task_status.started()
         while True:
-            await trio.sleep(period_s)
+            self._wanted = trio.Event()
+            with trio.move_on_after(self._plan().wait_s(self.kernel.epoch.now())):
+                await self._wanted.wait()
             await self._read()
 
+    def _plan(self) -> ReadingPlan:
+        least_s = self.kernel.settings.number("platform", "list_period_s")
+        own = self.kernel.settings.text("instance", "id")
+        readers = sorted({member.id for member in self.members(ENTRY_SERVICE)} | {own})
+        return ReadingPlan.make(least_s, len(self._members), readers.index(own), len(readers))
+
     async def _read(self) -> None:
         try:
             members = await self.kernel.get(PlatformAccess).instance_list.members()
@@ -59,7 +94,8 @@
         if self._away:
             log(Event.PLATFORM_BACK, what="instance list")
         self._away = False
-        if members != self._members:
-            self._members = members
-            for listener in self._listeners:
-                listener()
+        self.last_read = members
+        if self._reading is None:
+            self.put(members)
+        else:
+            self._reading(members)
--- a/egretstack/services/membership.py
+++ b/egretstack/services/membership.py
@@ -1,15 +1,40 @@
 """Which instances of the system live, and which configuration revision each has applied."""
 
+import random
 from collections.abc import Callable
+from ipaddress import ip_address
 
 import trio
 
-from egretstack.ids import InstanceId, Revision
+from egretstack.errors import UserError
+from egretstack.events import Event, log
+from egretstack.ids import InstanceId, Revision, RunnerId, ZoneName
 from egretstack.kernel import Kernel, Service
+from egretstack.membership import (
+    ANSWER_TIMEOUT_S,
+    TICK_S,
+    Ask,
+    Heartbeat,
+    HeartbeatAnswer,
+    InstanceState,
+    InstanceView,
+    MembershipState,
+    RowError,
+)
+from egretstack.peers import Message, PeerGone, PeerRefused
 from egretstack.platform import ENTRY_SERVICE, Member, MemberState
 from egretstack.services.instances import Instances
+from egretstack.services.peer_port import Lane, PeerPort
 
 RevisionListener = Callable[[InstanceId, Revision], None]
+PEER_PORT = "peer"
+HELD_CHECK_S = 1.0
+_EVENT_BY_STATE = {
+    InstanceState.LIVE: Event.INSTANCE_LIVE,
+    InstanceState.LEAVING: Event.INSTANCE_LEAVING,
+    InstanceState.SUSPECT: Event.INSTANCE_SUSPECT,
+    InstanceState.GONE: Event.INSTANCE_GONE,
+}
 
 
 class Membership(Service):
@@ -20,14 +45,35 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
+        self.own = InstanceId(kernel.settings.text("instance", "id"))
+        self._rng = random.Random()
         self._listeners: list[Callable[[], None]] = []
         self._revision_listeners: list[RevisionListener] = []
+        self._revision_by_peer: dict[InstanceId, int] = {}
+        self._state = MembershipState(
+            _own_member(kernel), trio.current_time(), kernel.epoch.now(), self._rng
+        )
+        self._told_changes = -1
+        self._told_live: tuple[InstanceId, ...] = ()
+        self._told_states: dict[InstanceId, InstanceState] = {}
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
-        """Follow the instances."""
-        self.kernel.get(Instances).on_change(self._tell)
-        task_status.started()
-        await trio.sleep_forever()
+        """Send heartbeats, answer them, and follow the list."""
+        self.kernel.get(Instances).on_reading(self._take_reading)
+        port = self.kernel.get(PeerPort)
+        port.answer_peer(Heartbeat, self._answer)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._leave_when_draining)
+            task_status.started()
+            while True:
+                self._beat(nursery)
+                await trio.sleep(TICK_S)
+
+    async def farewell(self) -> None:
+        """Let the neighbours know that this instance is gone, so that none has to find it out."""
+        self._state.stop()
+        async with trio.open_nursery() as nursery:
+            self._beat(nursery)
 
     def live_instances(self) -> tuple[InstanceId, ...]:
         """Give the ids of instances that take work, sorted; this one too unless it leaves.
@@ -36,18 +82,31 @@
         instances may differ in their answers for a few seconds, or as long as they are cut off
         from each other; what is decided by it has to bear that.
         """
-        own = InstanceId(self.kernel.settings.text("instance", "id"))
-        found = {InstanceId(member.id) for member in self.live_members()} - {own}
-        if not self.kernel.draining.is_set():
-            found.add(own)
-        return tuple(sorted(found))
+        return tuple(sorted(InstanceId(member.id) for member in self.live_members()))
 
     def live_members(self) -> list[Member]:
-        """Give addresses of the instances that take work, as far as they are known."""
-        return self.kernel.get(Instances).members(ENTRY_SERVICE, MemberState.LIVE)
+        """Give addresses of the instances that take work, this one too unless it leaves."""
+        live = [one for one in self._state.live(trio.current_time()) if one.id != self.own]
+        if not self.kernel.draining.is_set():
+            live.append(self._state.own_member)
+        return live
+
+    @property
+    def own_member(self) -> Member:
+        """Give this instance's own address."""
+        return self._state.own_member
+
+    def views(self) -> dict[InstanceId, InstanceView]:
+        """Give every instance known, with its state."""
+        return self._state.views()
+
+    def member(self, instance: InstanceId) -> Member | None:
+        """Give the address of an instance in any state, or None for an unknown one."""
+        view = self._state.views().get(instance)
+        return None if view is None else view.member
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after each change of `live_instances` or `live_members`."""
+        """Call `listener` after each change of `live_instances`."""
         self._listeners.append(listener)
 
     def on_peer_revision(self, listener: RevisionListener) -> None:
@@ -59,14 +118,118 @@
 
     def set_revision(self, revision: Revision) -> None:
         """Let heartbeats carry this applied revision; the next ones go out at once."""
+        self._state.set_revision(revision)
 
-    def member(self, instance: InstanceId) -> Member | None:
-        """Give the address of an instance in any state, or None for an unknown one."""
-        for member in self.kernel.get(Instances).members(ENTRY_SERVICE):
-            if member.id == instance:
-                return member
-        return None
+    def notice_runner(self, runner: RunnerId, leaving: bool, *, for_good: bool) -> None:
+        """Let every instance know that a runner leaves, or takes work again.
 
-    def _tell(self) -> None:
+        A notice that is not for good ends after some minutes unless it is given again.
+        """
+        log(Event.RUNNER_NOTICED, runner=runner, leaving=leaving)
+        self._state.notice(trio.current_time(), runner, leaving, for_good)
+        self._publish()
+
+    def _beat(self, nursery: trio.Nursery) -> None:
+        for ask in self._state.tick(trio.current_time()):
+            nursery.start_soon(self._ask, ask)
+        if self._state.wants_list(trio.current_time()):
+            self.kernel.get(Instances).read_soon()
+        self._publish()
+
+    async def _ask(self, ask: Ask) -> None:
+        peer = InstanceId(ask.peer.id)
+        try:
+            answer = await self._send(ask)
+            self._state.answered(trio.current_time(), peer, answer)
+        except (PeerGone, PeerRefused, RowError):
+            self._state.missed(trio.current_time(), peer)
+            return
+        self._hear_revision(peer, answer.revision)
+        self._publish()
+
+    async def _send(self, ask: Ask) -> HeartbeatAnswer:
+        port = ask.peer.ports.get(PEER_PORT)
+        if port is None:
+            raise PeerGone("no peer port is listed")
+        answer = await self.kernel.get(PeerPort).ask(
+            InstanceId(ask.peer.id),
+            ask.peer.host,
+            port,
+            ask.message,
+            ANSWER_TIMEOUT_S,
+            Lane.HEARTBEAT,
+        )
+        if not isinstance(answer, HeartbeatAnswer):
+            raise PeerRefused("another answer than to a heartbeat")
+        return answer
+
+    async def _answer(self, sender: InstanceId, message: Message) -> Message:
+        try:
+            answer = self._state.asked(trio.current_time(), sender, message)
+        except RowError as error:
+            raise PeerRefused(f"a row that cannot be read: {error}") from error
+        self._hear_revision(sender, message.revision)
+        self._publish()
+        return answer
+
+    def _hear_revision(self, peer: InstanceId, revision: int) -> None:
+        if self._revision_by_peer.get(peer) == revision:
+            return
+        self._revision_by_peer[peer] = revision
+        for listener in self._revision_listeners:
+            listener(peer, Revision(revision))
+
+    def _take_reading(self, members: list[Member]) -> None:
+        self._state.listed(trio.current_time(), members)
+        self._publish()
+
+    async def _leave_when_draining(self) -> None:
+        await self.kernel.draining.wait()
+        self._state.leave()
+        self._publish()
+
+    def _publish(self) -> None:
+        """Tell listeners of what has changed since they were told last."""
+        if self._told_changes != self._state.changes:
+            self._told_changes = self._state.changes
+            self.kernel.get(Instances).put(self._state.members())
+            self._log_states()
+        live = self.live_instances()
+        if live == self._told_live:
+            return
+        self._told_live = live
         for listener in self._listeners:
             listener()
+
+    def _log_states(self) -> None:
+        views = self._state.views()
+        for name, view in views.items():
+            before = self._told_states.get(name, InstanceState.LIVE)
+            if before is not view.state:
+                log(_EVENT_BY_STATE[view.state], instance=name)
+        self._told_states = {name: view.state for name, view in views.items()}
+        for name in self._revision_by_peer.keys() - views.keys():
+            del self._revision_by_peer[name]
+
+
+def _own_member(kernel: Kernel) -> Member:
+    settings = kernel.settings
+    host, _, port = settings.text("instance", "peer_address").rpartition(":")
+    if ip_address(host.strip("[]")).is_unspecified:
+        raise UserError("instance.peer_address: give the address that other instances connect to")
+    ports = {PEER_PORT: int(port)}
+    ports["operator"] = _port(settings.text("instance", "operator_address"))
+    if settings.has("caller", "address"):
+        ports["caller"] = _port(settings.text("caller", "address"))
+    return Member(
+        settings.text("instance", "id"),
+        ENTRY_SERVICE,
+        ZoneName(settings.text("instance", "zone")),
+        host.strip("[]"),
+        ports,
+        MemberState.LIVE,
+    )
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
--- a/egretstack/services/operator_port.py
+++ b/egretstack/services/operator_port.py
@@ -8,8 +8,10 @@
 from quart_trio import QuartTrio
 
 from egretstack import __version__
+from egretstack.ids import RunnerId, is_name
 from egretstack.kernel import Service
 from egretstack.services.configuration import Configuration
+from egretstack.services.membership import Membership
 from egretstack.services.platform_access import PlatformAccess
 
 
@@ -39,6 +41,14 @@
         async def status() -> Response:
             return Response(json.dumps(self._status()), content_type="application/json")
 
+        @app.post("/runners/<runner>/leave")
+        async def leave(runner: str) -> Response:
+            return self._notice(runner, True)
+
+        @app.post("/runners/<runner>/return")
+        async def take_back(runner: str) -> Response:
+            return self._notice(runner, False)
+
         @app.post("/drain")
         async def drain() -> Response:
             self.kernel.begin_drain()
@@ -46,10 +56,22 @@
 
         return app
 
+    def _notice(self, runner: str, leaving: bool) -> Response:
+        """Let every instance know of an operator's order about a runner."""
+        if not is_name(runner) or not self.kernel.has(Membership):
+            return Response(json.dumps({"error": "no such runner here"}), status=404)
+        self.kernel.get(Membership).notice_runner(RunnerId(runner), leaving, for_good=True)
+        body = {"runner": runner, "leaving": leaving}
+        return Response(json.dumps(body), content_type="application/json")
+
     def _status(self) -> dict[str, object]:
-        return {
+        status: dict[str, object] = {
             "instance": self.kernel.settings.text("instance", "id"),
             "version": __version__,
             "draining": self.kernel.draining.is_set(),
             "revision": self.kernel.get(Configuration).state.revision,
         }
+        if self.kernel.has(Membership):
+            views = self.kernel.get(Membership).views()
+            status["instances"] = {name: view.state.value for name, view in views.items()}
+        return status
--- a/egretstack/services/peer_port.py
+++ b/egretstack/services/peer_port.py
@@ -1,6 +1,9 @@
 """The port on which other processes of the system ask this one, and the links to them."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import Enum
 from functools import partial
 from ipaddress import ip_address
 
@@ -20,8 +23,33 @@
 from egretstack.services.platform_access import PlatformAccess
 
 ASK_TIMEOUT_S = 2.0
-MAX_LINKS = 256
+MAX_LINKS = 512
+MAX_LINKS_OF_PEER = 8
+MAX_OPEN_LINKS = 512
+IDLE_LINK_S = 60.0
+"""Silence after which an accepted link is closed."""
+REUSE_S = 30.0
+"""Least idle time after which a link is opened anew; below `IDLE_LINK_S`, so that a question is
+never sent into a link that the other side is closing."""
 Answerer = Callable[[Message], Awaitable[Message]]
+PeerAnswerer = Callable[[InstanceId, Message], Awaitable[Message]]
+
+
+class Lane(Enum):
+    """Which of the links to a peer carries a question."""
+
+    ORDINARY = "ordinary"
+    HEARTBEAT = "heartbeat"
+    """Apart from the rest: a long answer ahead of it would look like a peer that is gone."""
+
+
+@dataclass
+class _OpenLink:
+    link: PeerLink
+    used_s: float
+
+
+_Place = tuple[str, int, Lane]
 
 
 class PeerPort(Service):
@@ -32,13 +60,22 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self._answerer_by_kind: dict[type[Message], Answerer] = {}
-        self._link_by_address: dict[tuple[str, int], PeerLink] = {}
-        self._lock_by_address: dict[tuple[str, int], trio.Lock] = {}
+        self._answerer_by_kind: dict[type[Message], PeerAnswerer] = {}
+        self._link_by_place: dict[_Place, _OpenLink] = {}
+        self._lock_by_place: dict[_Place, trio.Lock] = {}
         self._accepted = 0
+        self._accepted_by_peer: Counter[InstanceId] = Counter()
 
     def answer(self, kind: type[Message], answerer: Answerer) -> None:
         """Let `answerer` answer messages of a kind."""
+
+        async def without_sender(_: InstanceId, message: Message) -> Message:
+            return await answerer(message)
+
+        self._answerer_by_kind[kind] = without_sender
+
+    def answer_peer(self, kind: type[Message], answerer: PeerAnswerer) -> None:
+        """Let `answerer` answer messages of a kind, given the sender's proven name too."""
         self._answerer_by_kind[kind] = answerer
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
@@ -50,53 +87,104 @@
             await nursery.start(access.serve_streams, self._serve, address, int(port))
             task_status.started()
 
-    async def ask(self, peer: InstanceId, host: str, port: int, message: Message) -> Message:
+    async def ask(
+        self,
+        peer: InstanceId,
+        host: str,
+        port: int,
+        message: Message,
+        timeout_s: float = ASK_TIMEOUT_S,
+        lane: Lane = Lane.ORDINARY,
+    ) -> Message:
         """Ask a peer. Raises PeerGone (also where no answer came in time), PeerRefused."""
-        lock = self._lock_by_address.setdefault((host, port), trio.Lock())
-        with trio.move_on_after(ASK_TIMEOUT_S):
-            async with lock:
-                return await self._ask(peer, host, port, message)
+        place = (host, port, lane)
+        lock = self._lock_by_place.setdefault(place, trio.Lock())
+        try:
+            with trio.move_on_after(timeout_s):
+                async with lock:
+                    return await self._ask(peer, place, message)
+        finally:
+            self._forget_unused(place, lock)
         raise PeerGone("no answer in time")
 
-    async def _ask(self, peer: InstanceId, host: str, port: int, message: Message) -> Message:
-        link = self._link_by_address.pop((host, port), None)
-        if link is None:
-            access = self.kernel.get(PlatformAccess)
-            opener = partial(access.open_stream, host, port)
-            link = await connect_peer(opener, access.peer_keys, self._own())
+    async def _ask(self, peer: InstanceId, place: _Place, message: Message) -> Message:
+        link = await self._take_link(place)
         try:
             if link.peer != peer:
                 raise PeerRefused(f"{link.peer} answers in place of {peer}")
             answer = await link.ask(message)
         except BaseException:
-            # A link left in the middle of an exchange would give the next asker this answer.
+            # A link left in the middle of an exchange would give the next asker this answer. And
+            # one that went silent for good is never used again: the next question opens another.
             await trio.aclose_forcefully(link)
             raise
-        self._link_by_address[host, port] = link
+        await self._keep_link(place, link)
         return answer
 
+    async def _take_link(self, place: _Place) -> PeerLink:
+        kept = self._link_by_place.pop(place, None)
+        if kept is not None and trio.current_time() - kept.used_s < REUSE_S:
+            return kept.link
+        if kept is not None:
+            await trio.aclose_forcefully(kept.link)
+        host, port, _ = place
+        access = self.kernel.get(PlatformAccess)
+        opener = partial(access.open_stream, host, port)
+        return await connect_peer(opener, access.peer_keys, self._own())
+
+    async def _keep_link(self, place: _Place, link: PeerLink) -> None:
+        former = self._link_by_place.pop(place, None)
+        if former is not None:
+            await trio.aclose_forcefully(former.link)
+        self._link_by_place[place] = _OpenLink(link, trio.current_time())
+        while len(self._link_by_place) > MAX_OPEN_LINKS:
+            oldest = next(iter(self._link_by_place))
+            await trio.aclose_forcefully(self._link_by_place.pop(oldest).link)
+
+    def _forget_unused(self, place: _Place, lock: trio.Lock) -> None:
+        """Keep no lock of a peer that is gone: addresses change with every replacement."""
+        if place not in self._link_by_place and not lock.locked():
+            self._lock_by_place.pop(place, None)
+
     async def _serve(self, stream: trio.abc.Stream) -> None:
         if self._accepted >= MAX_LINKS:
+            await trio.aclose_forcefully(stream)
             return
         self._accepted += 1
         try:
             keys = self.kernel.get(PlatformAccess).peer_keys
             link = await greet_peer(stream, keys, self._own())
-            while True:
-                await self._serve_one(link)
+            await self._serve_link(link)
         except PeerGone:
             return
         except PeerRefused as error:
             log(Event.PEER_REFUSED, error=str(error))
         finally:
             self._accepted -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_link(self, link: PeerLink) -> None:
+        if self._accepted_by_peer[link.peer] >= MAX_LINKS_OF_PEER:
+            raise PeerRefused(f"{link.peer} has too many links")
+        self._accepted_by_peer[link.peer] += 1
+        try:
+            while True:
+                await self._serve_one(link)
+        finally:
+            self._accepted_by_peer[link.peer] -= 1
+            self._accepted_by_peer += Counter()
 
     async def _serve_one(self, link: PeerLink) -> None:
-        message = await link.receive()
+        # A link whose other end vanished without a sign says nothing for ever; kept, such links
+        # would fill the places of those that work.
+        with trio.move_on_after(IDLE_LINK_S) as idle:
+            message = await link.receive()
+        if idle.cancelled_caught:
+            raise PeerGone("idle")
         answerer = self._answerer_by_kind.get(type(message))
         if answerer is None:
             raise PeerRefused(f"no answer to {type(message).__name__} here")
-        await link.send(await answerer(message))
+        await link.send(await answerer(link.peer, message))
 
     def _own(self) -> InstanceId:
         return InstanceId(self.kernel.settings.text("instance", "id"))
--- a/egretstack/services/runners.py
+++ b/egretstack/services/runners.py
@@ -1,34 +1,53 @@
 """Runners of every service: clients by id, and the load reports of engines."""
 
+import random
 from collections.abc import Callable
 
 import trio
 
 from egretstack.contracts import ServiceKind, ServiceSpec
 from egretstack.events import Event, log
-from egretstack.ids import RunnerId, ServiceName, ZoneName
+from egretstack.ids import InstanceId, RunnerId, ServiceName, ZoneName
 from egretstack.kernel import Kernel, Service
+from egretstack.membership import MAX_REPORTS, NearbyReports, ReportChooser, RunnerWatch
 from egretstack.platform import Member, MemberState
 from egretstack.policy import PolicyEvent, RunnerInfo, RunnerLeft, RunnerReported, RunnerSeen
 from egretstack.services.configuration import Configuration
 from egretstack.services.instances import Instances
+from egretstack.services.membership import Membership
 from egretstack.services.platform_access import PlatformAccess
-from egretstack.upstreams import EngineClient, EngineError, PlainService
+from egretstack.upstreams import EngineClient, EngineError, LoadReport, PlainService
+
+MAX_READS_PER_S = 26.0
+"""Load reports read in a second; with more runners chosen, each is read less often."""
+REPORT_TIMEOUT_S = 2.0
+RENEW_S = 60.0
+"""How often it is spread again that a runner's own report says it leaves."""
+CLIENT_KEPT_S = 3600.0
+"""How long the client of a runner that is not listed any more is kept, for what still runs."""
 
 
 class Runners(Service):
-    """Follows list and configuration; tells the policy of engines that come, report and leave."""
+    """Follows list, notices and reports; tells the policy of engines that come, report, leave."""
 
     name = "runners"
-    requires = ("platform_access", "instances", "configuration")
+    requires = ("platform_access", "instances", "membership", "configuration")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
+        settings = kernel.settings
+        self._zone = ZoneName(settings.text("instance", "zone"))
+        own = InstanceId(settings.text("instance", "id"))
+        self._chooser: ReportChooser = NearbyReports(own, self._zone)
+        self._rng = random.Random()
+        self._watch = RunnerWatch()
         self._engine_by_id: dict[RunnerId, EngineClient] = {}
-        self._info_by_id: dict[RunnerId, RunnerInfo] = {}
+        self._member_by_id: dict[RunnerId, Member] = {}
+        self._unlisted_s: dict[RunnerId, float] = {}
+        self._renewed_s: dict[RunnerId, float] = {}
         self._listeners: list[Callable[[PolicyEvent], None]] = []
-        self._nursery: trio.Nursery
         self._scope_by_id: dict[RunnerId, trio.CancelScope] = {}
+        self._nursery: trio.Nursery
 
     def on_event(self, listener: Callable[[PolicyEvent], None]) -> None:
         """Tell `listener` of every runner that comes, reports or leaves.
@@ -37,24 +56,45 @@
         otherwise never get work, and its callers would be refused as if there were no runner.
         """
         self._listeners.append(listener)
-        for info in self._info_by_id.values():
+        for info in self._watch.usable():
             listener(RunnerSeen(info))
 
+    def choose_reports(self, chooser: ReportChooser) -> None:
+        """Let another chooser say whose load reports this instance reads.
+
+        At most `MAX_REPORTS` of its choice are read; call `reconsider` when its choice changes.
+        """
+        self._chooser = chooser
+        self.reconsider()
+
+    def reconsider(self) -> None:
+        """Ask the chooser again."""
+        known = self._watch.known()
+        chosen = sorted(self._chooser.choose(known) & {info.id for info in known})[:MAX_REPORTS]
+        for runner_id in self._scope_by_id.keys() - set(chosen):
+            self._scope_by_id.pop(runner_id).cancel()
+        for runner_id in chosen:
+            if runner_id not in self._scope_by_id:
+                self._scope_by_id[runner_id] = trio.CancelScope()
+                self._nursery.start_soon(self._report, runner_id, self._scope_by_id[runner_id])
+
     def engine(self, runner_id: RunnerId) -> EngineClient | None:
         """Give the client of an engine, also of a leaving one."""
         return self._engine_by_id.get(runner_id)
 
     def plain(self, service: ServiceName) -> list[PlainService]:
-        """Give the live runners of a plain service."""
+        """Give the live runners of a plain service, those of the own zone first."""
         members = self.kernel.get(Instances).members(service, MemberState.LIVE)
+        self._rng.shuffle(members)
+        members.sort(key=lambda member: member.zone != self._zone)
         access = self.kernel.get(PlatformAccess)
         return [access.plain(member) for member in members]
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Follow the instance list and the configuration."""
-        self.kernel.get(Instances).on_change(self._refresh)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            self.kernel.get(Instances).on_change(self._refresh)
             self._refresh()
             task_status.started()
             while True:
@@ -62,72 +102,99 @@
                 self._refresh()
 
     def _refresh(self) -> None:
-        found = self._found()
-        for runner_id in self._info_by_id.keys() - found.keys():
-            self._leave(runner_id)
-        for info, member in found.values():
-            self._join(info, member)
-
-    def _found(self) -> dict[RunnerId, tuple[RunnerInfo, Member]]:
+        live_by_info: dict[RunnerInfo, bool] = {}
         services = self.kernel.get(Configuration).state.service_by_name
-        found = {}
         for member in self.kernel.get(Instances).all_members():
             spec = services.get(member.service)
-            if spec is None or spec.kind is not ServiceKind.ENGINE:
-                continue
-            if member.state is MemberState.LIVE:
-                info = _info(member, spec)
-                found[info.id] = (info, member)
-        return found
-
-    def _join(self, info: RunnerInfo, member: Member) -> None:
-        if self._info_by_id.get(info.id) == info:
-            return
-        self._info_by_id[info.id] = info
-        self._engine_by_id[info.id] = self.kernel.get(PlatformAccess).engine(member)
-        log(Event.RUNNER_JOINED, runner=info.id, service=info.service)
-        self._tell(RunnerSeen(info))
-        if info.id not in self._scope_by_id:
-            self._nursery.start_soon(self._report, info.id)
-
-    def _leave(self, runner_id: RunnerId) -> None:
-        del self._info_by_id[runner_id]
-        log(Event.RUNNER_LEFT, runner=runner_id)
-        self._tell(RunnerLeft(runner_id))
-        scope = self._scope_by_id.pop(runner_id, None)
-        if scope is not None:
-            scope.cancel()
-
-    async def _report(self, runner_id: RunnerId) -> None:
-        period_s = self.kernel.settings.number("engines", "report_period_s")
-        with trio.CancelScope() as scope:
-            self._scope_by_id[runner_id] = scope
+            if spec is not None and spec.kind is ServiceKind.ENGINE:
+                self._keep_client(member)
+                live_by_info[_info(member, spec)] = member.state is MemberState.LIVE
+        self._drop_clients({info.id for info in live_by_info})
+        self._tell_all(self._watch.listed(live_by_info))
+        self.reconsider()
+
+    def _keep_client(self, member: Member) -> None:
+        """Have a client for every listed engine: a leaving one still runs generations."""
+        runner_id = RunnerId(member.id)
+        known = self._member_by_id.get(runner_id)
+        if known is None or (known.host, known.ports) != (member.host, member.ports):
+            self._engine_by_id[runner_id] = self.kernel.get(PlatformAccess).engine(member)
+        self._member_by_id[runner_id] = member
+
+    def _drop_clients(self, listed: set[RunnerId]) -> None:
+        now_s = trio.current_time()
+        for runner_id in list(self._engine_by_id):
+            if runner_id in listed:
+                self._unlisted_s.pop(runner_id, None)
+            elif now_s - self._unlisted_s.setdefault(runner_id, now_s) >= CLIENT_KEPT_S:
+                del self._engine_by_id[runner_id]
+                del self._member_by_id[runner_id]
+                del self._unlisted_s[runner_id]
+                self._renewed_s.pop(runner_id, None)
+
+    async def _report(self, runner_id: RunnerId, scope: trio.CancelScope) -> None:
+        least_s = self.kernel.settings.number("engines", "report_period_s")
+        with scope:
             while True:
                 await self._read_report(runner_id)
-                await trio.sleep(period_s)
+                await trio.sleep(max(least_s, len(self._scope_by_id) / MAX_READS_PER_S))
 
     async def _read_report(self, runner_id: RunnerId) -> None:
-        try:
-            report = await self._engine_by_id[runner_id].load()
-        except EngineError:
+        report = None
+        with trio.move_on_after(REPORT_TIMEOUT_S):
+            try:
+                report = await self._engine_by_id[runner_id].load()
+            except EngineError:
+                report = None
+        if report is None:
+            self._note_silence(runner_id)
             return
-        self._tell(
-            RunnerReported(
-                runner_id=runner_id,
-                taken_s=trio.current_time() - report.age_s,
-                running=report.running,
-                waiting=report.waiting,
-                kv_used_tokens=report.kv_used_tokens,
-                kv_capacity_tokens=report.kv_capacity_tokens,
-                preemptions=report.preemptions,
-            )
-        )
+        self._tell_all(self._watch.reported(runner_id, report.leaving))
+        self._spread(runner_id, report.leaving)
+        self._tell(_reported(runner_id, report))
+
+    def _note_silence(self, runner_id: RunnerId) -> None:
+        was_silent = self._watch.is_silent(runner_id)
+        self._tell_all(self._watch.failed(trio.current_time(), runner_id))
+        if self._watch.is_silent(runner_id) and not was_silent:
+            log(Event.RUNNER_SILENT, runner=runner_id)
+
+    def _spread(self, runner_id: RunnerId, leaving: bool) -> None:
+        """Let instances that do not read this runner's reports know what it says."""
+        now_s = trio.current_time()
+        renewed_s = self._renewed_s.get(runner_id)
+        if leaving and (renewed_s is None or now_s - renewed_s >= RENEW_S):
+            self._renewed_s[runner_id] = now_s
+            self.kernel.get(Membership).notice_runner(runner_id, True, for_good=False)
+        elif not leaving and renewed_s is not None:
+            del self._renewed_s[runner_id]
+            self.kernel.get(Membership).notice_runner(runner_id, False, for_good=False)
+
+    def _tell_all(self, events: list[PolicyEvent]) -> None:
+        for event in events:
+            if isinstance(event, RunnerSeen):
+                log(Event.RUNNER_JOINED, runner=event.runner.id, service=event.runner.service)
+            elif isinstance(event, RunnerLeft):
+                log(Event.RUNNER_LEFT, runner=event.runner_id)
+            self._tell(event)
 
     def _tell(self, event: PolicyEvent) -> None:
         for listener in self._listeners:
             listener(event)
 
 
+def _reported(runner_id: RunnerId, report: LoadReport) -> RunnerReported:
+    return RunnerReported(
+        runner_id=runner_id,
+        taken_s=trio.current_time() - report.age_s,
+        running=report.running,
+        waiting=report.waiting,
+        kv_used_tokens=report.kv_used_tokens,
+        kv_capacity_tokens=report.kv_capacity_tokens,
+        preemptions=report.preemptions,
+    )
+
+
 def _info(member: Member, spec: ServiceSpec) -> RunnerInfo:
     return RunnerInfo(
         id=RunnerId(member.id),
--- a/egretstack/upstreams/_engine.py
+++ b/egretstack/upstreams/_engine.py
@@ -94,6 +94,8 @@
     kv_used_tokens: int
     kv_capacity_tokens: int
     preemptions: int
+    leaving: bool = False
+    """The engine says that it is to get no new work."""
 
 
 @dataclass(frozen=True)
--- a/egretstack/upstreams/_http_engine.py
+++ b/egretstack/upstreams/_http_engine.py
@@ -233,4 +233,5 @@
         kv_used_tokens=round(values["vllm:kv_cache_usage_perc"] * capacity),
         kv_capacity_tokens=capacity,
         preemptions=int(values["vllm:num_preemptions_total"]),
+        leaving=bool(values.get("egret_engine_leaving", 0)),
     )
--- a/standins/engine_http.py
+++ b/standins/engine_http.py
@@ -93,6 +93,7 @@
         "vllm:num_preemptions_total": report.preemptions,
         "egret_engine_kv_capacity_tokens": report.kv_capacity_tokens,
         "egret_engine_report_age_seconds": report.age_s,
+        "egret_engine_leaving": int(report.leaving),
     }
     return "".join(f"{name} {value}\n" for name, value in rows.items())
 
--- a/standins/live_engine.py
+++ b/standins/live_engine.py
@@ -88,6 +88,7 @@
         self.models = models
         self.by_id: dict[GenerationId, Generation] = {}
         self.orders: list[Order] = []
+        self.leaving = False
         self._checks_fencing = checks_fencing
         self._fencing = 0
         self._rng = random.Random(seed)
@@ -136,6 +137,7 @@
             kv_used_tokens=snapshot.kv_used_tokens,
             kv_capacity_tokens=self.model.parameters.kv_capacity_tokens,
             preemptions=snapshot.preemptions,
+            leaving=self.leaving,
         )
 
     def cache_events(self, after: int) -> list[CacheEvent]:
--- /dev/null
+++ b/tests/test_membership_state.py
@@ -0,0 +1,403 @@
+"""Membership of a whole fleet as objects: leavings, deaths, cuts, freezes, lists that lag."""
+
+import random
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egretstack.ids import InstanceId, RunnerId
+from egretstack.membership import Heartbeat, InstanceState, MembershipState, RowError
+from egretstack.membership._detector import MAX_MISSES
+from egretstack.membership._exchange import Exchange
+from egretstack.membership._rings import RINGS, Rings
+from egretstack.membership._rows import InstanceRow, ListedRow, pack_row, unpack_row
+from egretstack.membership._table import Table
+from egretstack.peers import encode
+from egretstack.platform import MemberState
+from tests.membership_fleet import EPOCH_S, fleet_of, instance, runner
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+LEAVING_KNOWN_S = 3.0
+GONE_KNOWN_S = 12.0
+
+
+def state_of(fleet, observer, subject):
+    view = fleet.of(observer).views().get(InstanceId(f"entry-{subject}"))
+    return None if view is None else view.state
+
+
+def states(fleet, subject, observers):
+    return {state_of(fleet, one, subject) for one in observers}
+
+
+def transitions(fleet, observer, subject, seconds):
+    """Let time pass; give the states that the observer held of the subject, in order."""
+    seen = []
+    for _ in range(int(seconds * 10)):
+        fleet.run(0.1)
+        state = state_of(fleet, observer, subject)
+        if not seen or seen[-1] is not state:
+            seen.append(state)
+    return seen
+
+
+def digests(fleet, observers):
+    return {fleet.of(one).digest for one in observers}
+
+
+def test_a_leaving_instance_is_known_to_all_within_seconds():
+    fleet, _ = fleet_of(60)
+    fleet.run(5)
+    fleet.of(7).leave()
+    fleet.run(LEAVING_KNOWN_S)
+    check.assertEqual(states(fleet, 7, range(60)), {InstanceState.LEAVING})
+    for observer in range(60):
+        live = {member.id for member in fleet.of(observer).live(fleet.now_s)}
+        check.assertNotIn("entry-7", live)
+
+
+def test_leaving_is_known_to_all_while_a_fifth_of_the_messages_is_lost():
+    # Callers would be sent to a leaving instance by those who missed the news. The message that
+    # carries it is lost again and again; it is sent until the neighbour confirms it.
+    fleet, _ = fleet_of(40)
+    fleet.lost = 0.2
+    fleet.run(5)
+    fleet.of(3).leave()
+    fleet.run(2 * LEAVING_KNOWN_S)
+    check.assertLessEqual(
+        states(fleet, 3, range(40)), {InstanceState.LEAVING, InstanceState.SUSPECT}
+    )
+    fleet.lost = 0.0
+    fleet.run(10)
+    check.assertEqual(states(fleet, 3, range(40)), {InstanceState.LEAVING})
+    check.assertEqual(len(digests(fleet, range(40))), 1)
+
+
+def test_a_dead_instance_is_gone_for_all_and_nobody_else_is():
+    fleet, _ = fleet_of(30)
+    fleet.run(5)
+    fleet.node(4).down = True
+    fleet.run(GONE_KNOWN_S)
+    others = set(range(30)) - {4}
+    check.assertEqual(states(fleet, 4, others), {InstanceState.GONE})
+    for subject in others:
+        check.assertEqual(states(fleet, subject, others), {InstanceState.LIVE})
+
+
+def test_an_instance_that_says_it_stops_is_gone_at_once():
+    fleet, _ = fleet_of(30)
+    fleet.run(5)
+    fleet.of(4).stop()
+    fleet.run(LEAVING_KNOWN_S)
+    check.assertEqual(states(fleet, 4, range(30)), {InstanceState.GONE})
+
+
+def test_a_cut_between_two_instances_makes_neither_gone():
+    # Only the way between two instances is cut, in one direction. The one that watches the other
+    # gets no answer and suspects it; the other hears that through third ones and answers the
+    # suspicion, so callers are sent to both all the time. Nor is it suspected every few seconds.
+    fleet, _ = fleet_of(12)
+    fleet.run(5)
+    watched = int(sorted(fleet.of(0).neighbours())[0].removeprefix("entry-"))
+    fleet.cut({watched}, {0})
+    fleet.cut({0}, {watched})
+    seen = transitions(fleet, 5 if watched != 5 else 6, watched, 300)
+    check.assertNotIn(InstanceState.GONE, seen)
+    check.assertLessEqual(seen.count(InstanceState.SUSPECT), 8)
+    check.assertEqual(states(fleet, watched, range(12)), {InstanceState.LIVE})
+
+
+def test_an_instance_that_nobody_can_reach_is_gone_although_it_can_send():
+    # All ways to one instance are cut, none from it. Its heartbeats still arrive, but callers
+    # and peers cannot reach it, and it never hears that it is suspected.
+    fleet, _ = fleet_of(12)
+    fleet.run(5)
+    fleet.cut(set(range(12)) - {2}, {2})
+    fleet.run(GONE_KNOWN_S)
+    check.assertEqual(states(fleet, 2, set(range(12)) - {2}), {InstanceState.GONE})
+    # It accuses nobody: what it sees is its own fault.
+    check.assertEqual({state_of(fleet, 2, one) for one in range(12)}, {InstanceState.LIVE})
+    fleet.cuts.clear()
+    fleet.run(GONE_KNOWN_S)
+    check.assertEqual(states(fleet, 2, range(12)), {InstanceState.LIVE})
+
+
+def test_a_frozen_instance_comes_back_and_accuses_nobody():
+    # An instance is frozen for a minute and thaws. In between the others take it for gone. When
+    # it thaws, every answer it waited for is long overdue; it must not suspect them for that.
+    fleet, _ = fleet_of(20)
+    fleet.run(5)
+    fleet.node(6).down = True
+    fleet.run(60)
+    check.assertEqual(states(fleet, 6, set(range(20)) - {6}), {InstanceState.GONE})
+    fleet.node(6).down = False
+    watched = sorted(set(range(20)) - {6})
+    for _ in range(100):
+        fleet.run(0.1)
+        for subject in watched:
+            check.assertEqual(state_of(fleet, 0 if subject else 1, subject), InstanceState.LIVE)
+    check.assertEqual(states(fleet, 6, range(20)), {InstanceState.LIVE})
+
+
+def test_a_flapping_instance_is_held_back():
+    # An instance goes and comes back again and again. Each turn would move the homes of its
+    # accounts and the addresses that callers get; after the third it has to stay for a while.
+    fleet, _ = fleet_of(12)
+    fleet.run(5)
+    for _ in range(3):
+        fleet.node(3).down = True
+        fleet.run(GONE_KNOWN_S + 3)
+        fleet.node(3).down = False
+        fleet.run(6)
+    check.assertEqual(state_of(fleet, 0, 3), InstanceState.LIVE)
+    live = {member.id for member in fleet.of(0).live(fleet.now_s)}
+    check.assertNotIn("entry-3", live)
+    fleet.run(31)
+    check.assertIn("entry-3", {member.id for member in fleet.of(0).live(fleet.now_s)})
+
+
+def test_an_instance_restarted_under_the_same_id_is_live_again():
+    fleet, listed = fleet_of(12)
+    fleet.run(5)
+    fleet.node(3).down = True
+    fleet.run(GONE_KNOWN_S)
+    fleet.start(instance(3), listed)
+    fleet.run(LEAVING_KNOWN_S)
+    check.assertEqual(states(fleet, 3, range(12)), {InstanceState.LIVE})
+    check.assertEqual(len(digests(fleet, range(12))), 1)
+
+
+def test_an_instance_restarted_on_a_machine_whose_clock_is_behind_is_live_again():
+    # The restarted process starts with a lower incarnation than its former run. Everyone holds a
+    # newer row that says it is gone, so its own word would not count until it goes above that.
+    fleet, listed = fleet_of(12)
+    fleet.run(50)
+    fleet.of(3).stop()
+    fleet.run(3)
+    behind = MembershipState(instance(3), fleet.now_s, EPOCH_S - 3600, random.Random(1))
+    behind.listed(fleet.now_s, listed)
+    fleet.node(3).state = behind
+    fleet.run(LEAVING_KNOWN_S + 5)
+    check.assertEqual(states(fleet, 3, range(12)), {InstanceState.LIVE})
+
+
+def test_a_new_instance_that_is_not_listed_yet_is_known_to_all():
+    fleet, listed = fleet_of(20)
+    fleet.run(5)
+    fleet.start(instance(99), listed)
+    fleet.run(LEAVING_KNOWN_S)
+    check.assertEqual(states(fleet, 99, range(20)), {InstanceState.LIVE})
+
+
+def test_a_dead_instance_that_is_listed_still_stays_gone():
+    fleet, listed = fleet_of(12)
+    fleet.run(5)
+    fleet.node(3).down = True
+    fleet.run(GONE_KNOWN_S)
+    for number in range(3):
+        fleet.read_list(number, listed)
+    fleet.run(5)
+    check.assertEqual(states(fleet, 3, set(range(12)) - {3}), {InstanceState.GONE})
+
+
+def test_a_list_that_says_leaving_of_an_earlier_run_is_not_believed():
+    fleet, listed = fleet_of(8)
+    fleet.run(5)
+    leaving = [replace(one, state=MemberState.LEAVING) if one.id == "entry-3" else one
+               for one in listed]  # fmt: skip
+    fleet.read_list(0, leaving)
+    fleet.run(LEAVING_KNOWN_S)
+    check.assertEqual(states(fleet, 3, range(8)), {InstanceState.LEAVING})
+    fleet.start(instance(3), leaving)
+    fleet.run(LEAVING_KNOWN_S)
+    check.assertEqual(states(fleet, 3, range(8)), {InstanceState.LIVE})
+
+
+def test_during_an_outage_of_the_list_heartbeats_go_on():
+    # Nobody reads the list after the start. A death, a leaving and a start still reach everyone.
+    fleet, listed = fleet_of(12)
+    fleet.run(120)
+    fleet.node(1).down = True
+    fleet.of(2).leave()
+    fleet.start(instance(50), listed)
+    fleet.run(GONE_KNOWN_S)
+    observers = set(range(12)) - {1}
+    check.assertEqual(states(fleet, 1, observers), {InstanceState.GONE})
+    check.assertEqual(states(fleet, 2, observers), {InstanceState.LEAVING})
+    check.assertEqual(states(fleet, 50, observers), {InstanceState.LIVE})
+
+
+def test_both_halves_of_a_partition_go_on_and_find_each_other_again():
+    # Regions lose each other for a long while. Each half takes the other for gone and serves on; when
+    # the cut ends, the halves have no heartbeats between them any more, and must still meet.
+    fleet, _ = fleet_of(16)
+    fleet.run(5)
+    one, other = set(range(8)), set(range(8, 16))
+    fleet.cut(one, other)
+    fleet.cut(other, one)
+    fleet.run(400)
+    for subject in other:
+        check.assertEqual(states(fleet, subject, one), {InstanceState.GONE})
+    for subject in one:
+        check.assertEqual(states(fleet, subject, one), {InstanceState.LIVE})
+        check.assertEqual(states(fleet, subject, other), {InstanceState.GONE})
+    fleet.cuts.clear()
+    fleet.run(30)
+    for subject in range(16):
+        check.assertEqual(states(fleet, subject, range(16)), {InstanceState.LIVE})
+    check.assertEqual(len(digests(fleet, range(16))), 1)
+
+
+def test_a_list_change_read_by_one_reaches_all():
+    fleet, listed = fleet_of(20, runners=10)
+    fleet.run(5)
+    changed = [one for one in listed if one.id != "runner-4"] + [runner(77)]
+    fleet.read_list(5, changed)
+    fleet.run(LEAVING_KNOWN_S)
+    for number in range(20):
+        names = {member.id for member in fleet.of(number).members()}
+        check.assertNotIn("runner-4", names)
+        check.assertIn("runner-77", names)
+
+
+def test_a_first_reading_that_was_old_is_corrected():
+    # One instance started with an old reading: a runner that the others know to be leaving is
+    # live there, and nobody sends what was in a first reading. It must not go on like that.
+    fleet, listed = fleet_of(8, runners=3)
+    leaving = [replace(one, state=MemberState.LEAVING) if one.id == "runner-1" else one
+               for one in listed]  # fmt: skip
+    for number in range(8):
+        if number != 5:
+            fleet.start(instance(number), leaving)
+    fleet.start(instance(5), listed)
+    fleet.run(5)
+    check.assertFalse(fleet.of(5).wants_list(fleet.now_s))
+    fleet.run(70)
+    check.assertTrue(fleet.of(5).wants_list(fleet.now_s))
+    check.assertEqual([fleet.of(n).wants_list(fleet.now_s) for n in range(5)], [False] * 5)
+    fleet.read_list(5, leaving)
+    fleet.run(LEAVING_KNOWN_S)
+    check.assertEqual(len(digests(fleet, range(8))), 1)
+
+
+def test_a_notice_of_a_leaving_runner_reaches_all_and_ends():
+    fleet, _ = fleet_of(12, runners=3)
+    fleet.run(5)
+
+    def runner_states():
+        found = [m for n in range(12) for m in fleet.of(n).members() if m.id == "runner-2"]
+        return {member.state for member in found}
+
+    fleet.of(0).notice(fleet.now_s, RunnerId("runner-2"), True, for_good=True)
+    fleet.run(LEAVING_KNOWN_S)
+    check.assertEqual(runner_states(), {MemberState.LEAVING})
+    fleet.run(240)
+    check.assertEqual(runner_states(), {MemberState.LEAVING})
+    fleet.of(7).notice(fleet.now_s, RunnerId("runner-2"), False, for_good=True)
+    fleet.run(LEAVING_KNOWN_S)
+    check.assertEqual(runner_states(), {MemberState.LIVE})
+    fleet.of(3).notice(fleet.now_s, RunnerId("runner-2"), True, for_good=False)
+    fleet.run(LEAVING_KNOWN_S)
+    check.assertEqual(runner_states(), {MemberState.LEAVING})
+    fleet.run(240)
+    check.assertEqual(runner_states(), {MemberState.LIVE})
+
+
+def test_messages_for_each_instance_do_not_grow_with_the_fleet():
+    rates = {}
+    for size in (10, 80):
+        fleet, _ = fleet_of(size)
+        fleet.run(10)
+        before = [(node.messages, node.sent_bytes) for node in fleet.node_by_id.values()]
+        fleet.run(20)
+        after = [(node.messages, node.sent_bytes) for node in fleet.node_by_id.values()]
+        pairs = list(zip(before, after, strict=True))
+        rates[size] = (
+            max(new[0] - old[0] for old, new in pairs) / 20,
+            max(new[1] - old[1] for old, new in pairs) / 20,
+        )
+    check.assertLessEqual(rates[80][0], 2 * RINGS + 1)
+    check.assertAlmostEqual(rates[10][0], rates[80][0], delta=1.0)
+    check.assertAlmostEqual(rates[10][1], rates[80][1], delta=50.0)
+
+
+@given(st.integers(2, 60))
+def test_each_instance_is_watched_by_as_many_as_there_are_rings(size):
+    names = {InstanceId(f"entry-{number}") for number in range(size)}
+    watchers = dict.fromkeys(names, 0)
+    for name in names:
+        rings = Rings(name)
+        rings.update(names)
+        watched = rings.watched()
+        check.assertNotIn(name, watched)
+        check.assertEqual(len(watched), min(RINGS, size - 1))
+        for one in watched:
+            watchers[one] += 1
+    check.assertTrue(all(1 <= count <= 2 * RINGS for count in watchers.values()))
+
+
+def test_what_a_former_run_had_confirmed_leaves_no_hole():
+    # A neighbour counts on rows that the former run of this process had confirmed and sends only
+    # what came after. Taken as a whole, the rows before would be missing here for ever, and
+    # callers would be sent to an instance that everyone else knows to be gone.
+    sender = Exchange(1000, Table())
+    for number in range(3):
+        sender.table.put(InstanceRow(instance(number), 1000, InstanceState.GONE))
+    peer, own = InstanceId("peer"), InstanceId("own")
+    former = Exchange(2000, Table())
+    former.take(own, sender.message(peer))
+    sender.take(peer, former.message(own))
+    sender.table.put(InstanceRow(instance(9), 1000, InstanceState.LIVE))
+    restarted = Exchange(3000, Table())
+    restarted.take(own, sender.message(peer))
+    for _ in range(2):
+        sender.take(peer, restarted.message(own))
+        restarted.take(own, sender.message(peer))
+    check.assertEqual(restarted.table.digest, sender.table.digest)
+
+
+def test_patience_has_an_end():
+    fleet, _ = fleet_of(3)
+    detector = fleet.of(0)._detector
+    peer = InstanceId("entry-1")
+    for _ in range(20):
+        detector.wronged(0.0, peer)
+    detector.heard(0.0, InstanceId("entry-2"))
+    answers = [detector.missed(0.0, peer) for _ in range(MAX_MISSES)]
+    check.assertEqual(answers, [False] * (MAX_MISSES - 1) + [True])
+
+
+def test_rows_from_a_peer_are_checked():
+    good = pack_row(ListedRow(runner(1), MemberState.LIVE, 5))
+    check.assertEqual(unpack_row(good), ListedRow(runner(1), MemberState.LIVE, 5))
+    for place, value in (
+        (0, 9),
+        (1, -1),
+        (1, 2**60),
+        (1, "5"),
+        (2, "asleep"),
+        (3, "Not A Name"),
+        (3, "x" * 99),
+        (6, "h" * 60),
+        (7, {f"p{n}": n for n in range(40)}),
+        (7, {"http": "80"}),
+        (7, "ports"),
+    ):
+        bad = list(good)
+        bad[place] = value
+        with check.assertRaises(RowError, msg=f"{place} {value}"):
+            unpack_row(bad)
+    for bad in (None, 5, [], good[:-1], [*good, 1], "row"):
+        with check.assertRaises(RowError):
+            unpack_row(bad)
+
+
+def test_a_heartbeat_without_news_is_small():
+    state = MembershipState(instance(0), 0.0, EPOCH_S, random.Random(1))
+    state.listed(0.0, [instance(0), instance(1)])
+    ask = next(iter(state.tick(1.0)))
+    check.assertIsInstance(ask.message, Heartbeat)
+    check.assertLessEqual(len(encode(replace(ask.message, rows=[]))), 60)
