--- a/standins/network.py
+++ b/standins/network.py
@@ -15,10 +15,12 @@
         self._inner = inner
         self._network = network
         self._way = (source, target)
+        self._opened = network.opened
+        network.opened += 1
 
     async def send_all(self, data: bytes) -> None:
         """Send, or lose."""
-        if self._way not in self._network.cuts:
+        if self._way not in self._network.cuts and not self._is_silent():
             await self._inner.send_all(data)
 
     async def wait_send_all_might_not_block(self) -> None:
@@ -30,23 +32,32 @@
 
     async def aclose(self) -> None:
         """Close; the other end sees it unless the way is cut."""
-        if self._way in self._network.cuts:
+        if self._way in self._network.cuts or self._is_silent():
             await trio.lowlevel.checkpoint()
             return
         await self._inner.aclose()
 
+    def _is_silent(self) -> bool:
+        return self._opened < self._network.silent_below
+
 
 class Network:
     """Connects hosts by IP number. A pair (source, target) in `cuts` loses what goes that way."""
 
     def __init__(self) -> None:
         self.cuts: set[tuple[str, str]] = set()
+        self.opened = 0
+        self.silent_below = 0
         self._listeners: dict[tuple[str, int], tuple[Handler, trio.Nursery]] = {}
 
     def cut(self, one: str, other: str) -> None:
         """Cut both ways between two hosts."""
         self.cuts |= {(one, other), (other, one)}
 
+    def silence_open_streams(self) -> None:
+        """Lose all that is sent over streams open now, without a sign; new ones work."""
+        self.silent_below = self.opened
+
     def mend(self) -> None:
         """End every cut."""
         self.cuts.clear()
--- /dev/null
+++ b/tests/test_membership_services.py
@@ -0,0 +1,336 @@
+"""Membership inside whole programs: answers to callers, leaving, runners, links that go silent."""
+
+from contextlib import asynccontextmanager
+
+import trio
+
+from egretstack.callers import GenerationBody
+from egretstack.errors import EgretError, ErrorKind, UserError
+from egretstack.ids import InstanceId, ModelName, Revision, RunnerId
+from egretstack.kernel import Kernel
+from egretstack.membership import InstanceState
+from egretstack.peers import connect_peer
+from egretstack.platform import MemberState
+from egretstack.replay import EngineParameters
+from egretstack.services.caller_api import LEAVING_KNOWN_S, CallerApi
+from egretstack.services.instances import Instances
+from egretstack.services.membership import Membership
+from egretstack.services.peer_port import IDLE_LINK_S, PeerPort
+from egretstack.services.runners import Runners
+from egretstack.services.session_host import SessionHost
+from egretstack.settings import Program, schema_of
+from standins.world import open_world
+from tests.support import check, tests_of
+from tests.test_world import (
+    CONTRACT,
+    ENGINES,
+    contract_of,
+    open_story,
+    read_all,
+    small_site,
+)
+
+load_tests = tests_of(globals())
+
+KNOWN_S = 3.0
+GONE_KNOWN_S = 12.0
+ANSWER_LIFE_S = 30.0
+
+
+def named(process):
+    """Give the instances that an entry answers its callers with."""
+    answer = process.kernel.get(CallerApi).entries(contract_of(process))
+    return [row["instance"] for row in answer["entries"]]
+
+
+def usable(process):
+    """Give the runners that get new work from an entry."""
+    found = []
+    process.kernel.get(Runners).on_event(found.append)
+    return {event.runner.id for event in found}
+
+
+@asynccontextmanager
+async def zoned_site(zones):
+    """Give a world with an entry in each of the zones named."""
+    async with open_world() as world:
+        await world.configure(contract__acme=CONTRACT, service__llm=ENGINES)
+        started = [
+            await world.start(f"entry-{number}", Program.ENTRY, zone)
+            for number, zone in enumerate(zones)
+        ]
+        await trio.sleep(5)
+        yield world, started
+
+
+async def test_callers_are_told_of_their_own_zone_first_and_of_another():
+    async with zoned_site(("a",) * 7 + ("b", "c")) as (_, entries):
+        answer = entries[0].kernel.get(CallerApi).entries(contract_of(entries[0]))
+        zones = [row["zone"] for row in answer["entries"]]
+        check.assertEqual(zones[:3], ["a", "a", "a"])
+        check.assertEqual(sorted(zones[3:]), ["b", "c"])
+        check.assertEqual(answer["keep_s"], ANSWER_LIFE_S)
+        check.assertEqual(named(entries[0]), named(entries[1]))
+
+
+async def test_a_leaving_entry_drops_out_of_every_answer_within_seconds():
+    async with small_site(entries=4) as (_, entries):
+        entries[1].kernel.begin_drain()
+        await trio.sleep(0)
+        check.assertNotIn("entry-1", entries[1].kernel.get(Membership).live_instances())
+        await trio.sleep(KNOWN_S)
+        for process in entries:
+            check.assertNotIn("entry-1", named(process))
+            check.assertTrue(named(process))
+
+
+async def test_a_leaving_entry_serves_as_long_as_answers_are_kept_and_longer():
+    # A caller was told of this entry just before it began to leave, or by one that had not heard
+    # of it yet, and comes while its answer holds. Refused then, it could not know where to go.
+    async with small_site(entries=2) as (_, entries):
+        entries[1].kernel.begin_drain()
+        await trio.sleep(ANSWER_LIFE_S + LEAVING_KNOWN_S - 0.5)
+        api = entries[1].kernel.get(CallerApi)
+        api.check_open()
+        session = await open_story(entries[1], 600)
+        await trio.sleep(1)
+        with check.assertRaises(EgretError) as refused:
+            api.check_open()
+        check.assertIs(refused.exception.kind, ErrorKind.DRAINING)
+        check.assertGreaterEqual(refused.exception.retry_after_s, 1)
+        check.assertEqual(named(entries[1]), ["entry-0"])
+        check.assertEqual(await read_all(session), list(range(601)))
+        await entries[1].stopped.wait()
+
+
+async def test_a_last_entry_that_leaves_still_names_itself():
+    async with small_site(entries=1) as (_, entries):
+        entries[0].kernel.begin_drain()
+        await trio.sleep(KNOWN_S)
+        check.assertEqual(named(entries[0]), ["entry-0"])
+
+
+async def test_a_very_long_stream_outlasts_a_drain_and_a_second_order_to_stop():
+    # An entry is told to stop, and told again, while a session of tens of thousands of tokens is
+    # under way. The caller must see every token; nothing of it may be cut by a bound on time.
+    async with small_site(entries=2, engines=1) as (world, entries):
+        body = GenerationBody(ModelName("story"), "a story tokens:20000", True, 20_000)
+        host = entries[0].kernel.get(SessionHost)
+        session = await host.open(contract_of(entries[0]), body)
+        entries[0].kernel.begin_drain()
+        await trio.sleep(1)
+        entries[0].kernel.begin_drain()
+        check.assertEqual(await read_all(session), list(range(20_001)))
+        await entries[0].stopped.wait()
+
+
+async def test_the_others_hear_of_a_stop_at_once():
+    async with small_site(entries=3) as (_, entries):
+        entries[2].kernel.begin_drain()
+        await entries[2].stopped.wait()
+        await trio.sleep(1)
+        view = entries[0].kernel.get(Membership).views()[InstanceId("entry-2")]
+        check.assertIs(view.state, InstanceState.GONE)
+
+
+async def test_a_killed_entry_is_gone_for_the_others_though_listed():
+    async with small_site(entries=4) as (world, entries):
+        entries[3].kill()
+        await trio.sleep(GONE_KNOWN_S)
+        for process in entries[:3]:
+            check.assertEqual(
+                process.kernel.get(Membership).live_instances(), ("entry-0", "entry-1", "entry-2")
+            )
+            check.assertNotIn("entry-3", named(process))
+
+
+async def test_listeners_hear_of_changes_and_of_applied_revisions():
+    async with small_site(entries=3) as (_, entries):
+        membership = entries[0].kernel.get(Membership)
+        seen, revisions = [], []
+        membership.on_change(lambda: seen.append(membership.live_instances()))
+        membership.on_peer_revision(lambda peer, revision: revisions.append((peer, revision)))
+        entries[1].kernel.get(Membership).set_revision(Revision(41))
+        await trio.sleep(1)
+        check.assertEqual(revisions, [("entry-1", 41)])
+        check.assertEqual(membership.member(InstanceId("entry-1")).host, entries[1].host)
+        entries[2].kernel.begin_drain()
+        await trio.sleep(KNOWN_S)
+        check.assertEqual(seen, [("entry-0", "entry-1")])
+
+
+async def test_the_list_is_read_rarely_and_its_changes_reach_all():
+    # Of three entries one alone reads the list within its period; the others must still send no
+    # work to a runner that the list calls leaving.
+    async with small_site(entries=3) as (world, entries):
+        for process in entries[1:]:
+            process.access.instance_list = _NoList()
+        await trio.sleep(5)
+        world.set_state("engine-0", MemberState.LEAVING)
+        await trio.sleep(2 + KNOWN_S)
+        for process in entries:
+            check.assertEqual(usable(process), {"engine-1"})
+
+
+class _NoList:
+    async def members(self):
+        await trio.sleep_forever()
+
+
+async def test_a_runner_that_the_list_calls_leaving_gets_no_new_work_and_runs_on():
+    async with small_site(entries=2) as (world, entries):
+        session = await open_story(entries[0], 400)
+        await trio.sleep(1)
+        runner = session_runner(world)
+        world.set_state(runner, MemberState.LEAVING)
+        await trio.sleep(2 + KNOWN_S)
+        for process in entries:
+            check.assertNotIn(runner, usable(process))
+            check.assertIsNotNone(process.kernel.get(Runners).engine(RunnerId(runner)))
+        check.assertEqual(await read_all(session), list(range(401)))
+        world.set_state(runner, MemberState.LIVE)
+        await trio.sleep(2 + KNOWN_S)
+        check.assertIn(runner, usable(entries[1]))
+
+
+def session_runner(world):
+    """Name the engine that holds a generation."""
+    return next(name for name, one in world.engine_by_id.items() if one.live.by_id)
+
+
+async def test_a_runner_whose_report_says_leaving_gets_no_new_work_anywhere():
+    # The engine's own report says that it leaves, before the list does. One entry does not read
+    # that engine's reports at all; it hears of it with the heartbeats.
+    async with small_site(entries=2) as (world, entries):
+        entries[1].kernel.get(Runners).choose_reports(_NoReports())
+        world.engine_by_id["engine-0"].live.leaving = True
+        await trio.sleep(KNOWN_S)
+        check.assertEqual([usable(one) for one in entries], [{"engine-1"}, {"engine-1"}])
+        await trio.sleep(400)
+        check.assertEqual([usable(one) for one in entries], [{"engine-1"}, {"engine-1"}])
+        world.engine_by_id["engine-0"].live.leaving = False
+        await trio.sleep(KNOWN_S)
+        check.assertEqual(usable(entries[0]), {"engine-0", "engine-1"})
+        check.assertEqual(usable(entries[1]), {"engine-0", "engine-1"})
+
+
+class _NoReports:
+    def choose(self, runners):
+        return set()
+
+
+async def test_a_runner_that_stops_answering_gets_no_new_work_until_it_answers():
+    async with small_site(entries=1) as (world, entries):
+        world.engine_by_id["engine-0"].faults.dead = True
+        await trio.sleep(4)
+        check.assertEqual(usable(entries[0]), {"engine-1"})
+        world.engine_by_id["engine-0"].faults.dead = False
+        await trio.sleep(1)
+        check.assertEqual(usable(entries[0]), {"engine-0", "engine-1"})
+
+
+async def test_one_missed_report_takes_no_runner_away():
+    async with small_site(entries=1) as (world, entries):
+        events = []
+        entries[0].kernel.get(Runners).on_event(events.append)
+        events.clear()
+        world.engine_by_id["engine-0"].faults.dead = True
+        await trio.sleep(1)
+        world.engine_by_id["engine-0"].faults.dead = False
+        await trio.sleep(3)
+        check.assertEqual({type(one).__name__ for one in events}, {"RunnerReported"})
+
+
+async def test_an_operators_order_reaches_every_entry_for_engines_and_plain_services():
+    async with small_site(entries=3) as (_, entries):
+        membership = entries[0].kernel.get(Membership)
+        membership.notice_runner(RunnerId("engine-1"), True, for_good=True)
+        membership.notice_runner(RunnerId("holds-0"), True, for_good=True)
+        await trio.sleep(KNOWN_S)
+        for process in entries:
+            check.assertEqual(usable(process), {"engine-0"})
+            check.assertEqual(process.kernel.get(Runners).plain("holds"), [])
+        entries[2].kernel.get(Membership).notice_runner(RunnerId("holds-0"), False, for_good=True)
+        await trio.sleep(KNOWN_S)
+        check.assertEqual(len(entries[0].kernel.get(Runners).plain("holds")), 1)
+
+
+async def test_an_entry_reads_a_bounded_number_of_load_reports():
+    async with open_world() as world:
+        await world.configure(contract__acme=CONTRACT, service__llm=ENGINES)
+        for number in range(60):
+            world.add_engine(f"engine-{number}", "llm", ("story",), EngineParameters())
+        process = await world.start("entry-0", Program.ENTRY)
+        await trio.sleep(3)
+        events = []
+        process.kernel.get(Runners).on_event(events.append)
+        check.assertEqual(len(events), 60)
+        events.clear()
+        await trio.sleep(10)
+        reports = [one for one in events if type(one).__name__ == "RunnerReported"]
+        check.assertLessEqual(len({one.runner_id for one in reports}), 32)
+        check.assertLessEqual(len(reports), 280)
+        check.assertGreaterEqual(len(reports), 200)
+
+
+async def test_a_link_that_went_silent_for_good_is_replaced():
+    # Something between two instances has forgotten their connection: what is sent over it is
+    # lost without a sign, while new connections work. Heartbeats over the old one get no answer;
+    # it must be dropped and opened anew before the other end counts as gone.
+    async with small_site(entries=2) as (world, entries):
+        await trio.sleep(3)
+        world.network.silence_open_streams()
+        states = set()
+        for _ in range(150):
+            await trio.sleep(0.1)
+            for process in entries:
+                views = process.kernel.get(Membership).views()
+                states |= {view.state for view in views.values()}
+        check.assertEqual(states, {InstanceState.LIVE})
+        ports = [process.kernel.get(PeerPort) for process in entries]
+        await trio.sleep(IDLE_LINK_S + 5)
+        for port in ports:
+            check.assertLessEqual(port._accepted, 2)
+
+
+async def test_one_peer_cannot_take_every_link():
+    async with small_site(entries=2) as (world, entries):
+        host, port = entries[0].host, 9200
+        access = entries[1].access
+
+        async def opener():
+            return await world.network.connect(entries[1].host, host, port)
+
+        links = [
+            await connect_peer(opener, access.peer_keys, InstanceId("entry-1")) for _ in range(20)
+        ]
+        await trio.sleep(1)
+        check.assertEqual(len(links), 20)
+        check.assertLessEqual(entries[0].kernel.get(PeerPort)._accepted, 8)
+
+
+async def test_an_outage_of_the_list_keeps_everything_known():
+    async with small_site(entries=3) as (world, entries):
+        world.listed.down = True
+        await trio.sleep(60)
+        check.assertEqual(len(entries[0].kernel.get(Membership).live_instances()), 3)
+        check.assertEqual(usable(entries[0]), {"engine-0", "engine-1"})
+        check.assertEqual(len(entries[0].kernel.get(Instances).all_members()), 6)
+
+
+async def test_an_address_that_others_cannot_use_is_refused_at_the_start():
+    async with small_site(entries=1) as (_, entries):
+        sections = {
+            "instance": {
+                "id": "entry-x",
+                "zone": "a",
+                "operator_address": "10.0.0.9:9100",
+                "peer_address": "0.0.0.0:9200",
+            },
+            "sessions": {"key_file": "unused"},
+            "platform": {"object_api": "http://unused"},
+            "caller": {"address": "10.0.0.9:8080"},
+        }
+        kernel = Kernel(schema_of(Program.ENTRY).check("entry-x", sections))
+        with check.assertRaises(UserError):
+            Membership(kernel)
--- a/tests/test_membership_state.py
+++ b/tests/test_membership_state.py
@@ -231,7 +231,7 @@
 
 
 def test_both_halves_of_a_partition_go_on_and_find_each_other_again():
-    # Regions lose each other for a long while. Each half takes the other for gone and serves on; when
+    # Regions lose each other. Each half takes the other for gone and serves on; when
     # the cut ends, the halves have no heartbeats between them any more, and must still meet.
     fleet, _ = fleet_of(16)
     fleet.run(5)
