--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -29,16 +29,47 @@
     SESSION_RESUMED = (213, Level.INFO, "A session goes on over a new connection.")
     SESSION_LOST = (214, Level.ERROR, "A generation was lost in part; the caller was told.")
     SESSION_ABANDONED = (215, Level.INFO, "The caller left and did not come back; cancelled.")
+    SESSION_RELEASED = (216, Level.INFO, "Another entry took the session over; let go here.")
+    SESSION_HOLDER_UNTOLD = (
+        217,
+        Level.WARNING,
+        "An entry that may serve a session taken over here did not answer; if it is alive it "
+        "cancels the generation at the end of its resume window.",
+    )
+    SESSION_SILENT = (
+        218,
+        Level.WARNING,
+        "A stream went silent; the engine was asked over a new connection, and `answer` is what "
+        "came of it.",
+    )
     CALL_UNKNOWN = (220, Level.ERROR, "A call that may not be repeated has no known outcome.")
+    LIMITS_HOME_AWAY = (
+        230,
+        Level.WARNING,
+        "The instance that lends the limits of some accounts does not answer; a share is used.",
+    )
+    LIMITS_HOME_THAWED = (
+        231,
+        Level.WARNING,
+        "This process stood still; it forgot the limits it had lent and waits before lending.",
+    )
     CONFIG_APPLIED = (300, Level.INFO, "A configuration revision is in force on this instance.")
     CONFIG_REFUSED_OLDER = (
         301,
         Level.ERROR,
         "The store offered an older configuration than is in force: restored from a copy?",
     )
+    CONFIG_FORKED = (
+        303,
+        Level.ERROR,
+        "Another history of changes is offered; the one in force is kept. Compare both stores.",
+    )
     CONFIG_BAD = (302, Level.ERROR, "A part of the configuration does not pass its checks.")
     PLATFORM_AWAY = (310, Level.WARNING, "The platform's object API does not answer.")
     PLATFORM_BACK = (311, Level.INFO, "The platform's object API answers again.")
+    PLATFORM_BREAKER_OPEN = (312, Level.WARNING, "Calls to the platform fail at once for now.")
+    PLATFORM_BREAKER_CLOSED = (313, Level.INFO, "The platform answered a probe; calls go out.")
+    PLATFORM_WATCH_SILENT = (314, Level.WARNING, "A watch sent no bookmark; it is opened anew.")
     PEER_REFUSED = (320, Level.WARNING, "A peer connection was refused; check keys and version.")
     INSTANCE_LIVE = (321, Level.INFO, "An instance takes work.")
     INSTANCE_LEAVING = (322, Level.INFO, "An instance leaves; callers are sent elsewhere.")
--- a/egretstack/services/platform_access.py
+++ b/egretstack/services/platform_access.py
@@ -4,11 +4,15 @@
 whole programs on a mock clock.
 """
 
+import random
+import socket
+import ssl
 from collections.abc import Awaitable, Callable
+from functools import cache
 
 import httpx
 import trio
-from hypercorn.config import Config
+from hypercorn.config import Config, Sockets
 from hypercorn.trio import serve
 
 from egretstack.callers import AsgiApp
@@ -18,6 +22,7 @@
 from egretstack.metrics import Metrics
 from egretstack.peers import PeerKeys
 from egretstack.platform import (
+    BudgetedObjectApi,
     HttpInstanceList,
     HttpObjectApi,
     InstanceList,
@@ -29,11 +34,23 @@
 CONNECT_TIMEOUT_S = 2.0
 IDLE_CONNECTION_S = 75
 STOP_GRACE_S = 1.0
+SEND_TIMEOUT_S = 30.0
+SEND_BUFFER_BYTES = 131_072
 MAX_KEY_FILE_BYTES = 65_536
 _NO_LIMITS = httpx.Limits(max_connections=None, max_keepalive_connections=200)
 _NO_IDLE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 
 
+@cache
+def _tls() -> ssl.SSLContext:
+    """Load the trusted certificates once; each load takes some 70 ms of the one loop."""
+    return httpx.create_ssl_context(trust_env=False)
+
+
+def _http_client(timeout: httpx.Timeout, limits: httpx.Limits) -> httpx.AsyncClient:
+    return httpx.AsyncClient(timeout=timeout, limits=limits, trust_env=False, verify=_tls())
+
+
 class PlatformAccess(Service):
     """Holds what the other services reach the outside with: HTTP and TCP."""
 
@@ -45,15 +62,21 @@
         base = settings.text("platform", "object_api")
         namespace = settings.text("platform", "namespace")
         timeout = httpx.Timeout(settings.number("platform", "timeout_s"), connect=CONNECT_TIMEOUT_S)
-        self._client = httpx.AsyncClient(timeout=timeout, limits=_NO_LIMITS, trust_env=False)
-        self._fresh = httpx.AsyncClient(timeout=timeout, limits=_NO_IDLE, trust_env=False)
-        self.object_api: ObjectApi = HttpObjectApi(self._client, base, namespace)
+        self._client = _http_client(timeout, _NO_LIMITS)
+        self._fresh = _http_client(timeout, _NO_IDLE)
         self.instance_list: InstanceList = HttpInstanceList(self._client, base, namespace)
         self.metrics = Metrics()
+        self.object_api = self.budgeted(HttpObjectApi(self._client, base, namespace))
         keys = self._keys()
         self.tokens = TokenBox(keys)
         self.peer_keys = PeerKeys(keys, kernel.epoch)
 
+    def budgeted(self, inner: ObjectApi) -> BudgetedObjectApi:
+        """Wrap the object API in this process's budget and breaker."""
+        timeout_s = self.kernel.settings.number("platform", "timeout_s")
+        now_s = trio.current_time()
+        return BudgetedObjectApi(inner, timeout_s, self.metrics, random.Random(), now_s)
+
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Keep the clients open."""
         async with self._client, self._fresh:
@@ -88,10 +111,15 @@
         app: AsgiApp,
         address: str,
         stop: trio.Event,
+        send_timeout_s: float = SEND_TIMEOUT_S,
+        *,
         task_status: trio.TaskStatus[object],
     ) -> None:
-        """Serve an HTTP application until `stop`; requests still open are then cut soon."""
-        config = Config()
+        """Serve an HTTP application until `stop`; requests still open are then cut soon.
+
+        A connection whose other end leaves what was sent unread for `send_timeout_s` is closed.
+        """
+        config = _BoundedConfig(send_timeout_s)
         config.bind = [address]
         config.accesslog = None
         config.errorlog = None
@@ -108,3 +136,25 @@
         if len(text) > MAX_KEY_FILE_BYTES:
             raise UserError(f"{path}: larger than {MAX_KEY_FILE_BYTES} bytes")
         return [line.strip() for line in text.splitlines() if line.strip()]
+
+
+class _BoundedConfig(Config):
+    """Bounds what a connection whose other end reads nothing may hold, and for how long.
+
+    The server writes to a connection shielded from cancellation, so no task of ours can end a
+    write that blocks: a caller that is connected and never reads would keep its request open
+    for ever. The kernel's own bound on unread data closes the connection, the write fails, and
+    the request is cancelled as after any lost connection. Accepted sockets inherit both options.
+    """
+
+    def __init__(self, send_timeout_s: float) -> None:
+        super().__init__()
+        self._send_timeout_ms = int(send_timeout_s * 1000)
+
+    def create_sockets(self) -> Sockets:
+        """Create the listening sockets with the bounds set."""
+        sockets = super().create_sockets()
+        for one in sockets.insecure_sockets:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+            one.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._send_timeout_ms)
+        return sockets
