--- a/egretstack/limits/_held.py
+++ b/egretstack/limits/_held.py
@@ -1,6 +1,6 @@
 """One account on one entry: the slice held, the requests open, and the demand seen."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from math import ceil, inf
 
@@ -88,6 +88,7 @@
         self._direct_until_s = -inf
         self._spare_bucket: TokenBucket | None = None
         self._failures = 0
+        self._is_contested = False
         self._tried_s = -inf
         self._arrived = 0
         self._counted_s = now_s
@@ -169,8 +170,9 @@
             old_s = gap_s if self.close_gap_s is None else self.close_gap_s
             self.close_gap_s = old_s + _CLOSE_SMOOTHING * (gap_s - old_s)
         self._closed_s = now_s
-        if self.share.rate == 0 and 2 * self.open <= self.share.slots:
-            # A slice that only counts is renewed seldom; others may wait for these slots.
+        holds = self.share.rate == 0 and 2 * self.open <= self.share.slots
+        if holds or self._is_contested:
+            # The next renewal may be far off, and others may wait for these slots.
             self.due_s = min(self.due_s, now_s + REASK_S)
 
     def is_idle(self, now_s: float) -> bool:
@@ -186,7 +188,7 @@
         if self.mode(now_s) is Mode.SLICE:
             self.fill(now_s)
             # From here on the home may lend all above `keep` to others.
-            self.share = self.slice_share(now_s).at_most(want)
+            self.share = self.slice_share(now_s).at_most(self._kept(want))
             self._whole_at_grant = self.whole
             returned = self._bucket.take(max(0.0, self._bucket.level - self.share.burst))
             keep = self.share
@@ -231,6 +233,7 @@
         self._direct = grant.direct
         self._direct_until_s = asked.sent_s + FLIGHT_S
         self.share = grant.share
+        self._is_contested = grant.share.slots < asked.want.slots
         self._whole_at_grant = asked.whole
         self.until_s = until_s
         self.fallback = False
@@ -240,7 +243,7 @@
 
     def _is_all(self, asked: Asked, grant: Grant) -> bool:
         slots = grant.share.slots
-        if slots < asked.want.slots or slots >= self.whole.slots:
+        if slots < asked.open + asked.waiting or slots >= self.whole.slots:
             return True
         return grant.tokens + grant.direct < asked.waiting
 
@@ -268,13 +271,18 @@
         if self._failures > 1:
             return Share(slots=self.open)
         if self._demand < DEMAND_THRESHOLD:
-            return Share(slots=self.open + self.waiting)
+            return Share(burst=min(1.0, self.waiting), slots=self.open + self.waiting)
         rate = self._demand * _RATE_HEADROOM
         slots = ceil(max(self._peak, self.open) * _SLOT_HEADROOM) + self.waiting + _SPARE_SLOTS
         return Share(rate, max(LEAST_BURST, rate), slots).at_most(
             self.whole.at_least(Share(slots=self.open))
         )
 
+    def _kept(self, want: Share) -> Share:
+        # Where the home had too few slots, idle ones go back to it at once.
+        needed = self.open + self.waiting
+        return replace(want, slots=needed) if self._is_contested else want
+
     def _count(self, now_s: float) -> None:
         if now_s - self.last_demand_s > QUIET_S:
             # Asking again costs one round trip; keeping what is not used costs other entries.
--- a/egretstack/limits/_loans.py
+++ b/egretstack/limits/_loans.py
@@ -1,7 +1,7 @@
 """One account at its home: what each entry may use, and what is left."""
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil
 
 from egretstack.ids import InstanceId
@@ -71,7 +71,7 @@
             return _REFUSED
         self._settle(now_s, whole)
         left = whole.left_after(self._total_without(entry))
-        granted = self._target(entry, row, whole).at_most(left)
+        granted = self._target(entry, row, whole, left)
         if granted.burst < min(LEAST_BURST, whole.burst):
             # Arrivals are uneven: a bucket that holds one token refuses while tokens lie unused
             # in the others. Such entries are served from the home's bucket, request by request.
@@ -132,11 +132,15 @@
         self._total = total
         self._fair = self._fair_share()
 
-    def _target(self, entry: InstanceId, row: AskRow, whole: Share) -> Share:
+    def _target(self, entry: InstanceId, row: AskRow, whole: Share, left: Share) -> Share:
         want = row.want.at_most(whole)
-        if self._loan_by_entry.keys() <= {entry}:
-            return want
-        return want.at_most(self._fair)
+        if not self._loan_by_entry.keys() <= {entry}:
+            want = want.at_most(self._fair)
+        # Slots beyond the need lie idle until they are given back; the fewer there are, the
+        # fewer are lent ahead, and the rest goes to whoever has a request waiting.
+        need = row.open + row.waiting
+        ahead = max(0, left.slots - need) // 2
+        return replace(want, slots=min(want.slots, need + ahead)).at_most(left)
 
     def _fair_share(self) -> Share:
         wants = [loan.want for loan in self._loan_by_entry.values()]
--- /dev/null
+++ b/scripts/slopes_limits.py
@@ -0,0 +1,211 @@
+"""Measure what limits cost each node, how much of a limit can be used, and the overshoot.
+
+Prints JSON lines: `python -m scripts.slopes_limits` from the root. Entries are objects in
+simulated time; messages pass through the real codec. With `cost`, `use` or `faults` as argument,
+prints only those.
+"""
+
+import gc
+import json
+import random
+import sys
+import time
+import tracemalloc
+
+from tests.limits_fleet import Fleet, contract, most_in_bucket
+
+SEED = 7
+COST_S = 30
+USE_S = 40
+NODES = (5, 20, 80, 320)
+SPREAD = 3
+"""Entries that serve each account in the runs for cost."""
+
+
+def cost(nodes: int, accounts_each: int) -> dict:
+    """Run steady demand; each node serves `accounts_each` accounts, each on SPREAD entries."""
+    count = max(1, nodes * accounts_each // SPREAD)
+    contracts = [contract(f"account-{n}", 20, 40, 100) for n in range(count)]
+    rng = random.Random(SEED)
+    fleet = Fleet(nodes, contracts)
+    names = fleet.nodes()
+    served = {one.account: rng.sample(names, min(SPREAD, nodes)) for one in contracts}
+
+    def demand() -> None:
+        for account, entries in served.items():
+            if rng.random() < 0.3:
+                fleet.request(rng.choice(entries), account, hold_s=5.0)
+
+    fleet.run(5, demand)
+    messages = sum(node.sent_messages for node in names)
+    size = sum(node.sent_bytes for node in names)
+    began = time.process_time()
+    fleet.run(COST_S, demand)
+    used = time.process_time() - began
+    share = 1 / (COST_S * nodes)
+    return {
+        "kind": "cost",
+        "nodes": nodes,
+        "accounts": count,
+        "active_accounts_per_node": round(count * min(SPREAD, nodes) / nodes, 1),
+        "messages_per_s": round((sum(n.sent_messages for n in names) - messages) * share, 3),
+        "bytes_per_s": round((sum(n.sent_bytes for n in names) - size) * share, 1),
+        "cpu_us_per_s": round(used * 1e6 * share, 1),
+        "memory_bytes": _memory(nodes, contracts, served),
+    }
+
+
+def _memory(nodes: int, contracts: list, served: dict) -> int:
+    """Give the bytes that one node holds more after each of its accounts was active."""
+    fleet = Fleet(nodes, contracts)
+    gc.collect()
+    tracemalloc.start()
+    for account, entries in served.items():
+        for node in entries:
+            fleet.request(fleet.node_by_name[node.name], account, hold_s=5.0)
+    fleet.run(3)
+    fleet.admitted.clear()
+    gc.collect()
+    grown = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return grown // nodes
+
+
+def use(nodes: int, spread: int, over: float, burst: int, slots: int) -> dict:
+    """Give what share of the rate and of the slots is used with demand on `spread` entries."""
+    return {
+        "kind": "use",
+        "nodes": nodes,
+        "spread": spread,
+        "demand": over,
+        "burst": burst,
+        "rate_share": _rate_share(nodes, spread, over, burst),
+        "slots": slots,
+        "slots_share": _slots_share(nodes, spread, over, slots),
+    }
+
+
+def _rate_share(nodes: int, spread: int, over: float, burst: int) -> float:
+    rate = 20
+    fleet = Fleet(nodes, [contract("acme", rate, burst, 10_000)])
+    entries, rng = fleet.nodes()[:spread], random.Random(SEED)
+
+    def demand() -> None:
+        for _ in range(10):
+            if rng.random() < over * rate * 0.05 / 10:
+                fleet.request(rng.choice(entries))
+
+    fleet.run(10, demand)
+    fleet.admitted.clear()
+    fleet.run(USE_S, demand)
+    return round(len(fleet.admitted) / (USE_S * rate), 3)
+
+
+def _slots_share(nodes: int, spread: int, over: float, slots: int) -> float:
+    fleet = Fleet(nodes, [contract("acme", 10_000, 10_000, slots)])
+    entries, rng = fleet.nodes()[:spread], random.Random(SEED)
+    seen = []
+
+    def demand() -> None:
+        for _ in range(slots):
+            if rng.random() < over * 0.05 / 2.0:
+                fleet.request(rng.choice(entries), hold_s=2.0)
+        seen.append(fleet.open_total())
+
+    fleet.run(10, demand)
+    seen.clear()
+    fleet.run(USE_S, demand)
+    return round(sum(seen) / len(seen) / slots, 3)
+
+
+def overshoot(fault: str, nodes: int = 20, slots: int = 100) -> dict:
+    """Give the most open requests, as a multiple of the contract, during and after a fault."""
+    fleet = Fleet(nodes, [contract("acme", 100, 100, slots)])
+    rng = random.Random(SEED)
+    home = fleet.home_of("acme")
+    half = fleet.nodes()[: nodes // 2]
+    rest = fleet.nodes()[nodes // 2 :]
+    most = [0]
+
+    def demand() -> None:
+        for _ in range(10):
+            fleet.request(rng.choice(fleet.nodes()), hold_s=3.0)
+        most[0] = max(most[0], fleet.open_total())
+
+    def peak(seconds: float) -> float:
+        most[0] = 0
+        fleet.run(seconds, demand)
+        return round(most[0] / slots, 3)
+
+    whole = peak(15)
+    began = fleet.now
+    _begin(fleet, fault, home, half, rest)
+    blind = peak(3)
+    _learn(fleet, fault, home, half, rest)
+    during = peak(30)
+    _end(fleet, fault, home)
+    after = peak(20)
+    settled = peak(20)
+    times = [at for at, _, _ in fleet.admitted if at >= began]
+    return {
+        "kind": "overshoot",
+        "fault": fault,
+        "whole": whole,
+        "before_the_views_change": blind,
+        "during": during,
+        "after_the_mend": after,
+        "settled": settled,
+        "burst_of_contract": round(most_in_bucket(times, 100) / 100, 3),
+    }
+
+
+def _begin(fleet: Fleet, fault: str, home, half: list, rest: list) -> None:
+    if fault == "partition":
+        fleet.cut(half, rest)
+    elif fault == "home killed":
+        fleet.kill(home)
+    elif fault == "home frozen and thawed":
+        home.frozen = True
+    elif fault == "home cut off":
+        fleet.cut([home], fleet.others(home))
+
+
+def _learn(fleet: Fleet, fault: str, home, half: list, rest: list) -> None:
+    if fault == "partition":
+        for side in (half, rest):
+            for node in side:
+                fleet.tell(node, [one.name for one in side])
+    elif fault == "home killed":
+        fleet.tell_all()
+    else:
+        for node in fleet.others(home):
+            fleet.tell(node, [one.name for one in fleet.others(home)])
+
+
+def _end(fleet: Fleet, fault: str, home) -> None:
+    home.frozen = False
+    fleet.cuts.clear()
+    if fault == "home frozen and thawed":
+        fleet.run(2)
+    fleet.tell_all()
+
+
+def main() -> None:
+    """Print the measurements asked for."""
+    wanted = sys.argv[1:] or ["cost", "use", "faults"]
+    if "cost" in wanted:
+        for nodes in NODES:
+            for accounts_each in (2, 5, 10) if nodes < 320 else (2, 5):
+                print(json.dumps(cost(nodes, accounts_each)), flush=True)
+    if "use" in wanted:
+        for nodes in NODES:
+            for spread in sorted({1, 2, nodes}):
+                for over in (0.8, 2.0):
+                    print(json.dumps(use(nodes, spread, over, 20, 50)), flush=True)
+    if "faults" in wanted:
+        for fault in ("partition", "home killed", "home frozen and thawed", "home cut off"):
+            print(json.dumps(overshoot(fault)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/limits_faults.py
@@ -0,0 +1,32 @@
+"""Fixtures of the tests of limits under faults."""
+
+from egretstack.limits import whole_of
+from tests.limits_fleet import Fleet, contract
+
+LONG_S = 1000.0
+SLOTS = 48
+ACME = contract(rate=1000, burst=1000, concurrency=SLOTS)
+
+
+def fleet_and_home(count=6):
+    """Give a settled fleet, the home of acme, and the other nodes."""
+    fleet = Fleet(count, [ACME])
+    home = fleet.home_of("acme")
+    return fleet, home, fleet.others(home)
+
+
+def press(fleet, nodes, hold_s=LONG_S, each=4):
+    """Give a demand, far above the limits, on some nodes."""
+
+    def demand():
+        for node in nodes:
+            for _ in range(each):
+                fleet.request(node, hold_s=hold_s)
+
+    return demand
+
+
+def fallback_of(nodes):
+    """Give how many slots the conservative shares of nodes come to, in their own views."""
+    whole = whole_of(ACME)
+    return sum(node.homes.conservative("acme", node.name, whole).slots for node in nodes)
