--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -29,6 +29,19 @@
     SESSION_RESUMED = (213, Level.INFO, "A session goes on over a new connection.")
     SESSION_LOST = (214, Level.ERROR, "A generation was lost in part; the caller was told.")
     SESSION_ABANDONED = (215, Level.INFO, "The caller left and did not come back; cancelled.")
+    SESSION_RELEASED = (216, Level.INFO, "Another entry took the session over; let go here.")
+    SESSION_HOLDER_UNTOLD = (
+        217,
+        Level.WARNING,
+        "An entry that may serve a session taken over here did not answer; if it is alive it "
+        "cancels the generation at the end of its resume window.",
+    )
+    SESSION_SILENT = (
+        218,
+        Level.WARNING,
+        "A stream went silent; the engine was asked over a new connection, and `answer` is what "
+        "came of it.",
+    )
     CALL_UNKNOWN = (220, Level.ERROR, "A call that may not be repeated has no known outcome.")
     LIMITS_HOME_AWAY = (
         230,
@@ -46,9 +59,17 @@
         Level.ERROR,
         "The store offered an older configuration than is in force: restored from a copy?",
     )
+    CONFIG_FORKED = (
+        303,
+        Level.ERROR,
+        "Another history of changes is offered; the one in force is kept. Compare both stores.",
+    )
     CONFIG_BAD = (302, Level.ERROR, "A part of the configuration does not pass its checks.")
     PLATFORM_AWAY = (310, Level.WARNING, "The platform's object API does not answer.")
     PLATFORM_BACK = (311, Level.INFO, "The platform's object API answers again.")
+    PLATFORM_BREAKER_OPEN = (312, Level.WARNING, "Calls to the platform fail at once for now.")
+    PLATFORM_BREAKER_CLOSED = (313, Level.INFO, "The platform answered a probe; calls go out.")
+    PLATFORM_WATCH_SILENT = (314, Level.WARNING, "A watch sent no bookmark; it is opened anew.")
     PEER_REFUSED = (320, Level.WARNING, "A peer connection was refused; check keys and version.")
     RUNNER_JOINED = (330, Level.INFO, "A runner is known and gets work.")
     RUNNER_LEFT = (331, Level.INFO, "A runner gets no new work.")
--- a/standins/world.py
+++ b/standins/world.py
@@ -158,7 +158,8 @@
         self._host = host
         self.dead = False
         self.app_by_address: dict[str, AsgiApp] = {}
-        self.object_api = InProcessObjectApi(world.store)
+        self.store_client = InProcessObjectApi(world.store)
+        self.object_api = self.budgeted(self.store_client)
         self.instance_list = world.listed
 
     def engine(self, member: Member) -> EngineClient:
@@ -190,6 +191,8 @@
         app: AsgiApp,
         address: str,
         stop: trio.Event,
+        send_timeout_s: float = 0.0,
+        *,
         task_status: trio.TaskStatus[object],
     ) -> None:
         """Keep the application for a test to call; no socket is opened."""
