--- a/egretstack/limits/_loans.py
+++ b/egretstack/limits/_loans.py
@@ -1,7 +1,7 @@
 """One account at its home: what each entry may use, and what is left."""
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil
 
 from egretstack.ids import InstanceId
@@ -71,7 +71,7 @@
             return _REFUSED
         self._settle(now_s, whole)
         left = whole.left_after(self._total_without(entry))
-        granted = self._target(entry, row, whole).at_most(left)
+        granted = self._target(entry, row, whole, left)
         if granted.burst < min(LEAST_BURST, whole.burst):
             # Arrivals are uneven: a bucket that holds one token refuses while tokens lie unused
             # in the others. Such entries are served from the home's bucket, request by request.
@@ -83,31 +83,33 @@
         holds = only_holds(granted, direct, row.open)
         life_s = HOLD_LIFE_S if holds else LIFE_S
         self._charge(entry, _Loan(serial, now_s + life_s, charged, row.want))
-        self._bucket.level = min(self._bucket.level, self._bound(now_s))
+        self._bucket.level = min(self._bucket.level, self._bound())
         wait_s = self._wait(row.waiting - tokens - direct, whole)
         return Grant(Standing.GRANTED, granted, tokens, direct, wait_s)
 
     def _direct(self, now_s: float, wanted: float, room: float) -> int:
         # Tokens under way are in no bucket. Were the bucket filled up behind them, the entries
         # could spend a whole burst and what was under way at one time.
-        most = min(wanted, room - self._under_way(now_s), self._bucket.level)
-        direct = max(0, int(most))
+        most = min(room - self._under_way(), self._bucket.level)
+        direct = max(0, min(ceil(wanted), int(most)))
         if direct:
             self._bucket.take(float(direct))
             self._flights.append((now_s + FLIGHT_S, direct))
         return direct
 
-    def _under_way(self, now_s: float) -> int:
-        while self._flights and self._flights[0][0] <= now_s:
-            self._flights.popleft()
+    def _under_way(self) -> int:
         return sum(count for _, count in self._flights)
 
-    def _bound(self, now_s: float) -> float:
-        return max(0.0, self._whole.left_after(self._total).burst - self._under_way(now_s))
+    def _bound(self) -> float:
+        return max(0.0, self._whole.left_after(self._total).burst - self._under_way())
 
     def _fill(self, now_s: float) -> None:
-        free = self._whole.left_after(self._total)
-        self._bucket.fill(now_s, free.rate, self._bound(now_s))
+        rate = self._whole.left_after(self._total).rate
+        # Up to the end of each flight the bucket was bounded by it, also when nobody looked.
+        while self._flights and self._flights[0][0] <= now_s:
+            self._bucket.fill(self._flights[0][0], rate, self._bound())
+            self._flights.popleft()
+        self._bucket.fill(now_s, rate, self._bound())
 
     def _settle(self, now_s: float, whole: Share) -> None:
         if self._whole is NOTHING:
@@ -130,11 +132,15 @@
         self._total = total
         self._fair = self._fair_share()
 
-    def _target(self, entry: InstanceId, row: AskRow, whole: Share) -> Share:
+    def _target(self, entry: InstanceId, row: AskRow, whole: Share, left: Share) -> Share:
         want = row.want.at_most(whole)
-        if self._loan_by_entry.keys() <= {entry}:
-            return want
-        return want.at_most(self._fair)
+        if not self._loan_by_entry.keys() <= {entry}:
+            want = want.at_most(self._fair)
+        # Slots beyond the need lie idle until they are given back; the fewer there are, the
+        # fewer are lent ahead, and the rest goes to whoever has a request waiting.
+        need = row.open + row.waiting
+        ahead = max(0, left.slots - need) // 2
+        return replace(want, slots=min(want.slots, need + ahead)).at_most(left)
 
     def _fair_share(self) -> Share:
         wants = [loan.want for loan in self._loan_by_entry.values()]
