--- a/egretstack/sessions/_pump.py
+++ b/egretstack/sessions/_pump.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
+from math import inf
 
 import trio
 
@@ -30,6 +31,8 @@
 
 REPORT_EVERY_TOKENS = 32
 CANCEL_TIMEOUT_S = 5.0
+PROOF_TIMEOUT_S = 5.0
+"""Longest wait for the event at a caller's place, which the engine had before."""
 MAX_EXTRA_EVENTS = 64
 """Events allowed above the number of tokens that were asked for."""
 Spawn = Callable[..., None]
@@ -131,13 +134,18 @@
         """Follow one stream to its end; False when the policy took the work away."""
         placement = await self._placed()
         with placement.new_scope() as scope:
+            if self._unproven:
+                scope.deadline = clock.now() + PROOF_TIMEOUT_S
             async with self._stream(placement) as events:
                 async for event in events:
+                    scope.deadline = inf
                     if await self._take_in(placement, event):
                         return True
         if self._session.outcome is not None:
             # The last event came in the same instant as the eviction: the answer is whole.
             return True
+        if scope.cancelled_caught and not placement.evicted:
+            raise StreamFailed(Failure.SILENT, "no event at the caller's place")
         if scope.cancelled_caught:
             await self._place_again(placement)
             return False
