A session that was admitted is not refused by limits where it is picked up

Ruled out: waiting for the home before a pick-up (a reader waits, and the home may be gone). Conclusion: a pick-up is counted where there is room and served in any case.

--- a/egretstack/services/session_host.py
+++ b/egretstack/services/session_host.py
@@ -61,6 +61,7 @@
         super().__init__(kernel)
         self._pump_by_work: dict[WorkId, Pump] = {}
         self._session_by_work: dict[WorkId, Session] = {}
+        self._uncounted: set[WorkId] = set()
         self._nursery: trio.Nursery
         self._idle = trio.Event()
         self._budget = RecoveryBudget()
@@ -105,8 +106,6 @@
         if here is not None and here.can_read_after(after):
             return here
         engine = self._engine(ref)
-        await self.kernel.get(Accounts).ready(contract)
-        self.kernel.get(Accounts).open(contract)
         if here is not None:
             # Its events before the caller's place are kept no more; the engine has them.
             self._pump_by_work[here.work_id].release()
@@ -116,6 +115,7 @@
         session = Session(work.id, request, Cursor(ref.generation, after))
         session.id = SessionId(session_id)
         session.runner = ref.runner
+        self._count_in(contract, work.id)
         self._start(session, work, Placement(work, ref.runner, engine, work.value))
         self._nursery.start_soon(self._take_over, ref, session)
         return session
@@ -193,6 +193,15 @@
     ) -> SessionRequest:
         return SessionRequest(account, work.service, generation, streamed, self._unread_s)
 
+    def _count_in(self, contract: Contract, work: WorkId) -> None:
+        try:
+            self.kernel.get(Accounts).open(contract)
+        except EgretError:
+            # The session was admitted when it was opened. Refused here, a caller whose entry
+            # died would lose an accepted answer to the limits; what goes uncounted is bounded
+            # by the sessions admitted, since the newest connection of each replaces the others.
+            self._uncounted.add(work)
+
     def _start(self, session: Session, work: Work, placement: Placement | None) -> None:
         access = self.kernel.get(PlatformAccess)
         links = PumpLinks(
@@ -212,7 +221,10 @@
             self._count_end(session, account)
             del self._pump_by_work[session.work_id]
             del self._session_by_work[session.work_id]
-            self.kernel.get(Accounts).close(account)
+            if session.work_id in self._uncounted:
+                self._uncounted.remove(session.work_id)
+            else:
+                self.kernel.get(Accounts).close(account)
             if not self._session_by_work:
                 self._idle.set()
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -10,6 +10,7 @@
 from egretstack.errors import EgretError, ErrorKind
 from egretstack.ids import AccountId, GenerationId, InstanceId, ModelName, RunnerId, ServiceName
 from egretstack.platform import MemberState
+from egretstack.services.accounts import Accounts
 from egretstack.services.platform_access import PlatformAccess
 from egretstack.services.session_host import SessionHost
 from egretstack.sessions import FinishedAnswer
@@ -320,3 +321,19 @@
         RunnerId("engine-0"),
         GenerationId("g"),
     )
+
+
+async def test_a_session_admitted_once_is_not_refused_by_limits_at_another_entry():
+    # The first entry dies; the second holds no share of the account's limits at that moment.
+    # The answer was accepted, so the caller gets the rest of it and not a refusal.
+    async with long_stream() as (site, first):
+        site.entries[0].kill()
+        accounts = site.entries[1].kernel.get(Accounts)
+
+        def refuse(contract):
+            raise EgretError(ErrorKind.OVER_CONCURRENCY, "no share is held here")
+
+        accounts.open = refuse
+        second = await site.reconnect(1, first)
+        await second.closed.wait()
+        check_once(first, second)
