--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -30,6 +30,23 @@
     SESSION_LOST = (214, Level.ERROR, "A generation was lost in part; the caller was told.")
     SESSION_ABANDONED = (215, Level.INFO, "The caller left and did not come back; cancelled.")
     CALL_UNKNOWN = (220, Level.ERROR, "A call that may not be repeated has no known outcome.")
+    INTENT_ABANDONED = (
+        221,
+        Level.WARNING,
+        "The store gave no answer to an intent in time; the call was refused and is never sent.",
+    )
+    INTENT_TOO_OLD = (
+        222,
+        Level.WARNING,
+        "This process stood still after it wrote an intent; the call was not sent.",
+    )
+    CALL_TAKEN_OVER = (
+        223,
+        Level.WARNING,
+        "A repeat took a key over from an attempt that was given up, or that is fenced off.",
+    )
+    CALL_LOOKED_UP = (224, Level.INFO, "A service was asked whether a call ran.")
+    LEDGER_PRUNED = (225, Level.INFO, "Old segments of the ledger were dropped.")
     CONFIG_APPLIED = (300, Level.INFO, "A configuration revision is in force on this instance.")
     CONFIG_REFUSED_OLDER = (
         301,
--- /dev/null
+++ b/egretstack/ledger/_once.py
@@ -0,0 +1,178 @@
+"""One call that runs at most once, from its key to its final answer."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import trio
+
+from egretstack.clock import EpochClock
+from egretstack.contracts import Fencing, ServiceSpec
+from egretstack.errors import EgretError, ErrorKind
+from egretstack.events import Event, log
+from egretstack.ids import AccountId, IdempotencyKey
+from egretstack.ledger._attempts import NextMove, SendHistory, next_move
+from egretstack.ledger._entry import CallState, fingerprint
+from egretstack.ledger._intents import CallLedger, Intent, IntentRequest
+from egretstack.ledger._lookup import (
+    FENCING_HEADER,
+    KEY_HEADER,
+    LookUp,
+    lookup_request,
+    read_lookup,
+)
+from egretstack.ledger._row import KeptAnswer, Row, check_same_request, key_id
+from egretstack.upstreams import CallRequest, CallResponse, OutcomeUnknown, PlainService, Unsent
+
+MAX_KEY_LENGTH = 255
+MAX_RUNNERS_TRIED = 3
+IN_PROGRESS_RETRY_S = 2.0
+_HTTP_CONFLICT = 409
+RAN = KeptAnswer(0)
+
+
+class OnceCall:
+    """A call with its key; `runners` gives the live runners of its service."""
+
+    def __init__(
+        self,
+        ledger: CallLedger,
+        epoch: EpochClock,
+        spec: ServiceSpec,
+        account: AccountId,
+        request: CallRequest,
+        runners: Callable[[], list[PlainService]],
+    ) -> None:
+        self._ledger = ledger
+        self._epoch = epoch
+        self._spec = spec
+        self._account = account
+        self._request = request
+        self._runners = runners
+        self._key = _key(request)
+        self._deadline_s = trio.current_time() + request.timeout_s
+
+    async def run(self) -> CallResponse:
+        """Begin and send, or answer from what the ledger has; raise EgretError."""
+        asked = IntentRequest(
+            key_id(self._account, self._spec.name, self._key),
+            fingerprint(self._request),
+            self._request.timeout_s,
+            self._spec.retention_s,
+        )
+        begun = await self._ledger.begin(asked)
+        if isinstance(begun, Row) and begun.open:
+            begun = await self._repeat(asked, begun)
+        if isinstance(begun, Intent):
+            return await self._dispatch(begun)
+        return self._ended(begun)
+
+    def _ended(self, row: Row) -> CallResponse:
+        check_same_request(row, fingerprint(self._request))
+        if row.state is CallState.DONE:
+            return row.answer.replay()
+        if row.state is CallState.UNKNOWN:
+            raise EgretError(ErrorKind.OUTCOME_UNKNOWN, "the first call's outcome is unknown")
+        raise _in_progress("another attempt has just begun")
+
+    async def _repeat(self, asked: IntentRequest, row: Row) -> Intent | Row:
+        """Decide about another attempt's open intent; take the key over only if that is safe."""
+        check_same_request(row, asked.fingerprint)
+        stage = await self._ledger.stage(row)
+        now_s = self._epoch.now()
+        move = next_move(stage, row, now_s, bool(self._spec.lookup))
+        if move is NextMove.LOOK_UP:
+            move = await self._look_up(row, next_move(stage, row, now_s, has_lookup=False))
+        if move is NextMove.RAN:
+            return row.ended(CallState.DONE, RAN)
+        if move is NextMove.WAIT:
+            raise _in_progress(f"a call with this key has begun; its sender is {stage.value}")
+        if move is NextMove.UNKNOWN:
+            raise EgretError(ErrorKind.OUTCOME_UNKNOWN, f"the call's sender is {stage.value}")
+        log(Event.CALL_TAKEN_OVER, attempt=row.attempt, stage=stage.value)
+        return await self._ledger.begin(replace(asked, over=row.attempt))
+
+    async def _look_up(self, row: Row, otherwise: NextMove) -> NextMove:
+        """Ask the service whether the call ran; `otherwise` is the move if that settles nothing.
+
+        "It did not run" settles it only where the look-up fences the attempt off as well: its
+        sender may be frozen with the call in its hands, and would send it after the look-up.
+        """
+        ask = lookup_request(self._spec, self._account, self._key, row.fence + 1)
+        found = LookUp.NO_ANSWER
+        for runner in self._runners()[:MAX_RUNNERS_TRIED]:
+            try:
+                found = read_lookup(await runner.call(ask))
+            except (Unsent, OutcomeUnknown):
+                continue
+            break
+        log(Event.CALL_LOOKED_UP, attempt=row.attempt, found=found.value)
+        if found is LookUp.RAN:
+            return NextMove.RAN
+        fenced = self._spec.fencing is Fencing.CHECKED
+        return NextMove.REPLACE if found is LookUp.NOT_RAN and fenced else otherwise
+
+    async def _dispatch(self, intent: Intent) -> CallResponse:
+        history = SendHistory()
+        for runner in self._runners()[:MAX_RUNNERS_TRIED]:
+            if trio.current_time() >= self._deadline_s:
+                break
+            try:
+                answer = await self._send(runner, intent)
+            except Unsent as error:
+                history.unsent(error.proof)
+                continue
+            except EgretError as error:
+                # The check before the first byte found the intent too old to be sent.
+                history.unsent(error.proof)
+                break
+            except OutcomeUnknown as error:
+                log(Event.CALL_UNKNOWN, attempt=intent.row.attempt, cause=str(error))
+                history.unknown(str(error))
+                await self._ledger.finish(intent, None)
+                break
+            return await self._answered(intent, answer)
+        if not history.may_have_run:
+            await self._ledger.release(intent)
+        raise history.refusal(f"service {self._spec.name}", ErrorKind.OUTCOME_UNKNOWN)
+
+    async def _send(self, runner: PlainService, intent: Intent) -> CallResponse:
+        headers = self._request.headers
+        if self._spec.fencing is Fencing.CHECKED:
+            headers = (*headers, (FENCING_HEADER, str(intent.row.fence)))
+        left_s = self._deadline_s - trio.current_time()
+        request = replace(self._request, headers=headers, timeout_s=left_s)
+
+        def check() -> None:
+            self._ledger.check_send(intent)
+
+        check()
+        return await runner.call(request, check)
+
+    async def _answered(self, intent: Intent, answer: CallResponse) -> CallResponse:
+        if self._spec.fencing is Fencing.CHECKED and _fenced_off(intent, answer):
+            # A repeat fenced this attempt off while it stood still. That it was refused is no
+            # answer to the call, and the key is free or in the hands of the repeat.
+            await self._ledger.release(intent)
+            raise _in_progress("a later attempt took this one's place")
+        if not await self._ledger.finish(intent, KeptAnswer.of(answer)):
+            raise _in_progress("a later attempt took this one's place")
+        return answer
+
+
+def _fenced_off(intent: Intent, answer: CallResponse) -> bool:
+    """Tell a refusal of an old number: status 409 that names the higher number it has seen."""
+    if answer.status != _HTTP_CONFLICT:
+        return False
+    seen = [value for name, value in answer.headers if name.lower() == FENCING_HEADER.lower()]
+    return len(seen) == 1 and seen[0].isdecimal() and int(seen[0]) > intent.row.fence
+
+
+def _in_progress(detail: str) -> EgretError:
+    return EgretError(ErrorKind.IN_PROGRESS, detail, retry_after_s=IN_PROGRESS_RETRY_S)
+
+
+def _key(request: CallRequest) -> IdempotencyKey:
+    found = [value for name, value in request.headers if name.lower() == KEY_HEADER.lower()]
+    if len(found) != 1 or not 0 < len(found[0]) <= MAX_KEY_LENGTH:
+        raise EgretError(ErrorKind.KEY_REQUIRED, f"{request.method} {request.path}")
+    return IdempotencyKey(found[0])
--- /dev/null
+++ b/egretstack/ledger/_store.py
@@ -0,0 +1,181 @@
+"""Carries a shard's steps out at the object API, one at a time, for each shard by itself."""
+
+import random
+import secrets
+from dataclasses import dataclass
+
+import trio
+
+from egretstack.clock import EpochClock
+from egretstack.ledger._shard import SHARDS, BadShard, Shard, head_name, read_rows, rows_spec
+from egretstack.ledger._steps import (
+    DropSegment,
+    MakeSegment,
+    Operation,
+    Outcome,
+    ReadHead,
+    ReadSegment,
+    Step,
+    WriteHead,
+)
+from egretstack.ledger._writer import ShardWriter
+from egretstack.platform import (
+    Conflict,
+    ObjectApi,
+    ObjectKind,
+    PlatformError,
+    PlatformOutcomeUnknown,
+    StoredObject,
+)
+
+STORE_TIMEOUT_S = 1.0
+"""Time allowed for one call; a slow store must not hold callers longer than an absent one."""
+AWAY_PAUSE_S = 1.0
+"""After a failed call, how long new beginnings of the shard are refused without asking."""
+CONFLICT_PAUSE_S = 0.01
+PACE_S = 0.02
+"""Least time between the starts of two commits of a shard; what comes meanwhile shares one."""
+
+
+@dataclass
+class _Lane:
+    """One shard's writer with its task."""
+
+    writer: ShardWriter
+    name: str
+    working: bool = False
+    next_write_s: float = 0.0
+    away_until_s: float = 0.0
+    conflicts: int = 0
+
+
+class ShardStore:
+    """Runs operations on every shard; `nursery` holds the tasks."""
+
+    def __init__(
+        self,
+        api: ObjectApi,
+        epoch: EpochClock,
+        nursery: trio.Nursery,
+        shards: int = SHARDS,
+        pace_s: float = PACE_S,
+    ) -> None:
+        self._api = api
+        self._epoch = epoch
+        self._nursery = nursery
+        self._pace_s = pace_s
+        self._rng = random.Random()
+        self._lanes = [_Lane(ShardWriter(), head_name(number)) for number in range(shards)]
+        self._event_by_operation: dict[Operation, trio.Event] = {}
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing waits to be written or settled."""
+        return all(lane.writer.idle for lane in self._lanes)
+
+    def submit(self, number: int, operation: Operation) -> None:
+        """Start an operation on a shard."""
+        lane = self._lanes[number]
+        lane.writer.submit(operation)
+        if not lane.working:
+            lane.working = True
+            self._nursery.start_soon(self._work, lane)
+
+    def refuses(self, number: int) -> bool:
+        """Tell whether the shard's store was away a moment ago."""
+        return trio.current_time() < self._lanes[number].away_until_s
+
+    async def wait(self, number: int, operation: Operation) -> Outcome:
+        """Wait for an operation's outcome, for a beginning at most until it gives up."""
+        event = self._event_by_operation.setdefault(operation, trio.Event())
+        if operation.outcome is None:
+            with trio.move_on_at(operation.give_up_s):
+                await event.wait()
+        self._event_by_operation.pop(operation, None)
+        if operation.outcome is None:
+            self._lanes[number].writer.give_up(trio.current_time())
+        return operation.outcome
+
+    async def _work(self, lane: _Lane) -> None:
+        while True:
+            await trio.sleep_until(lane.next_write_s)
+            lane.writer.give_up(trio.current_time())
+            step = lane.writer.step(self._epoch.now())
+            self._announce()
+            if step is None:
+                lane.working = False
+                return
+            await self._take(lane, step)
+            self._announce()
+
+    def _announce(self) -> None:
+        for operation in [one for one in self._event_by_operation if one.outcome is not None]:
+            self._event_by_operation.pop(operation).set()
+
+    async def _take(self, lane: _Lane, step: Step) -> None:
+        sent = isinstance(step, WriteHead)
+        try:
+            with trio.fail_after(STORE_TIMEOUT_S):
+                await self._perform(lane, step)
+            return
+        except Conflict:
+            lane.conflicts += 1
+            lane.writer.conflict()
+            pause_s = CONFLICT_PAUSE_S
+        except (trio.TooSlowError, PlatformOutcomeUnknown):
+            lane.writer.failed(sent)
+            pause_s = CONFLICT_PAUSE_S if sent else AWAY_PAUSE_S
+        except (PlatformError, BadShard):
+            lane.writer.failed(False)
+            pause_s = AWAY_PAUSE_S
+        if isinstance(step, DropSegment):
+            lane.writer.segment_dropped()
+        if pause_s == AWAY_PAUSE_S:
+            lane.away_until_s = trio.current_time() + AWAY_PAUSE_S
+        self._announce()
+        # Entries that wrote at the same moment would do so again after equal pauses.
+        await trio.sleep(pause_s * (0.5 + self._rng.random()))
+
+    async def _perform(self, lane: _Lane, step: Step) -> None:
+        writer = lane.writer
+        match step:
+            case ReadHead():
+                stored = await self._api.get(ObjectKind.LEDGER, lane.name)
+                writer.head_read(Shard.from_stored(stored), stored and stored.version)
+            case ReadSegment(name):
+                stored = await self._api.get(ObjectKind.LEDGER, name)
+                writer.segment_read(name, _segment_rows(stored))
+            case MakeSegment():
+                # A random part: a name that another process could write would let a late write
+                # change a segment that is listed already.
+                name = f"seg-{lane.name}-{secrets.token_hex(8)}"
+                await self._api.create(ObjectKind.LEDGER, name, _segment_spec(step))
+                writer.segment_made(name, step)
+            case DropSegment(name):
+                stored = await self._api.get(ObjectKind.LEDGER, name)
+                if stored is not None:
+                    await self._api.delete(ObjectKind.LEDGER, name, stored.version)
+                writer.segment_dropped()
+            case WriteHead(spec, version):
+                lane.next_write_s = trio.current_time() + self._pace_s
+                await self._write(lane, spec, version)
+
+    async def _write(self, lane: _Lane, spec: dict, version: str | None) -> None:
+        if version is None:
+            stored = await self._api.create(ObjectKind.LEDGER, lane.name, spec)
+        else:
+            stored = await self._api.replace(ObjectKind.LEDGER, lane.name, spec, version)
+        lane.writer.written(stored.version)
+
+
+def _segment_spec(step: MakeSegment) -> dict[str, object]:
+    return {"rows": rows_spec(step.row_by_key), "until_s": step.until_s}
+
+
+def _segment_rows(stored: StoredObject | None):
+    if stored is None:
+        return None
+    try:
+        return read_rows(stored.spec)
+    except (KeyError, TypeError, ValueError) as error:
+        raise BadShard(f"{stored.name}: {error!r}") from error
--- a/egretstack/programs/entry.py
+++ b/egretstack/programs/entry.py
@@ -17,6 +17,7 @@
     "runners",
     "dispatching",
     "session_host",
+    "ledger_store",
     "calls",
     "caller_api",
     "operator_port",
--- a/egretstack/services/calls.py
+++ b/egretstack/services/calls.py
@@ -1,42 +1,39 @@
 """Calls to plain services: passed on, and those that may not be repeated run at most once."""
 
-import secrets
 from dataclasses import replace
+from functools import partial
 
 import trio
 
 from egretstack.contracts import Contract, ServiceKind, ServiceSpec
 from egretstack.errors import EgretError, ErrorKind
-from egretstack.events import Event, log
-from egretstack.ids import AttemptId, IdempotencyKey, ServiceName
+from egretstack.ids import AccountId, ServiceName
 from egretstack.kernel import Kernel, Service
-from egretstack.ledger import CallState, LedgerEntry, PerCallLedger, fingerprint
+from egretstack.ledger import ACCOUNT_HEADER, FENCING_HEADER, OnceCall, SendHistory
 from egretstack.services.accounts import Accounts
 from egretstack.services.configuration import Configuration
-from egretstack.services.platform_access import PlatformAccess
+from egretstack.services.ledger_store import LedgerStore
 from egretstack.services.runners import Runners
-from egretstack.upstreams import CallRequest, CallResponse, OutcomeUnknown, PlainService, Unsent
+from egretstack.upstreams import CallRequest, CallResponse, OutcomeUnknown, Unsent
 
-KEY_HEADER = "idempotency-key"
-MAX_KEY_LENGTH = 255
 REPEATS = 3
+"""Runners tried for one repeatable call, all within the call's one deadline."""
+_OWN_HEADERS = frozenset({ACCOUNT_HEADER.lower(), FENCING_HEADER.lower()})
 
 
 class Calls(Service):
     """Passes calls on to the runners of plain services."""
 
     name = "calls"
-    requires = ("platform_access", "accounts", "configuration", "runners")
+    requires = ("accounts", "configuration", "runners", "ledger_store")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self._ledger: PerCallLedger
         self._open = 0
         self._idle = trio.Event()
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
-        """Make the ledger; nothing else runs by itself."""
-        self._ledger = PerCallLedger(self.kernel.get(PlatformAccess).object_api)
+        """Run nothing by itself."""
         task_status.started()
         await trio.sleep_forever()
 
@@ -51,6 +48,7 @@
     ) -> CallResponse:
         """Pass a call on; raise EgretError."""
         spec = self._spec(contract, service)
+        request = _for_account(request, contract.account)
         accounts = self.kernel.get(Accounts)
         accounts.open(contract)
         self._open += 1
@@ -59,7 +57,7 @@
                 return await self._repeatable(service, request)
             # A caller that goes away must not cut a call between its intent and its outcome.
             with trio.CancelScope(shield=True):
-                return await self._once(contract, service, request)
+                return await self._once(spec, contract.account, request)
         finally:
             self._open -= 1
             accounts.close(contract.account)
@@ -74,60 +72,34 @@
             raise EgretError(ErrorKind.FORBIDDEN, f"service {service} is not in the contract")
         return spec
 
-    async def _repeatable(self, service: ServiceName, request: CallRequest) -> CallResponse:
-        cause = "no runner is listed"
-        for runner in self._runners(service)[:REPEATS]:
-            try:
-                return await runner.call(request)
-            except (Unsent, OutcomeUnknown) as error:
-                cause = str(error)
-        raise EgretError(ErrorKind.UPSTREAM_FAILED, cause)
-
     async def _once(
-        self, contract: Contract, service: ServiceName, request: CallRequest
-    ) -> CallResponse:
-        key = _key(request)
-        attempt = AttemptId(secrets.token_hex(12))
-        entry = await self._ledger.begin(
-            contract.account, service, key, attempt, fingerprint(request)
-        )
-        if entry.state is CallState.DONE:
-            return entry.answer
-        return await self._dispatch(service, entry, request)
-
-    async def _dispatch(
-        self, service: ServiceName, entry: LedgerEntry, request: CallRequest
+        self, spec: ServiceSpec, account: AccountId, request: CallRequest
     ) -> CallResponse:
-        unsent: Unsent | None = None
-        for runner in self._runners(service)[:REPEATS]:
+        ledger = self.kernel.get(LedgerStore)
+        runners = partial(self.kernel.get(Runners).plain, spec.name)
+        return await OnceCall(ledger, self.kernel.epoch, spec, account, request, runners).run()
+
+    async def _repeatable(self, service: ServiceName, request: CallRequest) -> CallResponse:
+        history = SendHistory()
+        deadline_s = trio.current_time() + request.timeout_s
+        for runner in self.kernel.get(Runners).plain(service)[:REPEATS]:
+            left_s = deadline_s - trio.current_time()
+            if left_s <= 0:
+                break
             try:
-                answer = await self._send(runner, entry, request)
+                return await runner.call(replace(request, timeout_s=left_s))
             except Unsent as error:
-                unsent = error
-                continue
-            await self._ledger.finish(replace(entry, state=CallState.DONE, answer=answer))
-            return answer
-        await self._ledger.finish(replace(entry, state=CallState.NOT_RUN))
-        if unsent is None:
-            raise EgretError(ErrorKind.NO_RUNNER, f"service {service}")
-        raise EgretError(ErrorKind.NOT_RUN, str(unsent), proof=unsent.proof)
-
-    async def _send(
-        self, runner: PlainService, entry: LedgerEntry, request: CallRequest
-    ) -> CallResponse:
-        try:
-            return await runner.call(request)
-        except OutcomeUnknown as error:
-            log(Event.CALL_UNKNOWN, attempt=entry.attempt, cause=str(error))
-            await self._ledger.finish(replace(entry, state=CallState.UNKNOWN))
-            raise EgretError(ErrorKind.OUTCOME_UNKNOWN, str(error)) from error
+                history.unsent(error.proof)
+            except OutcomeUnknown as error:
+                history.unknown(str(error))
+        raise history.refusal(f"service {service}", ErrorKind.UPSTREAM_FAILED)
 
-    def _runners(self, service: ServiceName) -> list[PlainService]:
-        return self.kernel.get(Runners).plain(service)
 
+def _for_account(request: CallRequest, account: AccountId) -> CallRequest:
+    """Name the account to the upstream; what a caller says of it or of fencing is dropped.
 
-def _key(request: CallRequest) -> IdempotencyKey:
-    found = [value for name, value in request.headers if name.lower() == KEY_HEADER]
-    if len(found) != 1 or not 0 < len(found[0]) <= MAX_KEY_LENGTH:
-        raise EgretError(ErrorKind.KEY_REQUIRED, f"{request.method} {request.path}")
-    return IdempotencyKey(found[0])
+    Two accounts may use the same key: without its name a look-up could tell one of them the
+    outcome of the other's call.
+    """
+    kept = [pair for pair in request.headers if pair[0].lower() not in _OWN_HEADERS]
+    return replace(request, headers=(*kept, (ACCOUNT_HEADER, account)))
--- /dev/null
+++ b/egretstack/services/ledger_store.py
@@ -0,0 +1,185 @@
+"""The ledger of calls that run at most once, and what this process remembers of its attempts."""
+
+import secrets
+from dataclasses import replace
+from math import inf
+
+import trio
+
+from egretstack.errors import EgretError, ErrorKind, NotRunProof
+from egretstack.events import Event, log
+from egretstack.ids import AttemptId, InstanceId
+from egretstack.kernel import Kernel, Service
+from egretstack.ledger import (
+    AttemptAsk,
+    AttemptBook,
+    AttemptTell,
+    CallLedger,
+    CallState,
+    Intent,
+    IntentRequest,
+    KeptAnswer,
+    Operation,
+    Outcome,
+    Row,
+    ShardStore,
+    Stage,
+    Wanted,
+    shard_number,
+)
+from egretstack.peers import Message, PeerGone, PeerRefused
+from egretstack.platform import ENTRY_SERVICE
+from egretstack.services.instances import Instances
+from egretstack.services.peer_port import PeerPort
+from egretstack.services.platform_access import PlatformAccess
+
+BEGIN_PATIENCE_S = 2.5
+"""How long a call waits for its intent to be written."""
+FINISH_PATIENCE_S = 0.5
+"""How long an answer waits for its outcome to be written; it is written later otherwise."""
+SEND_WITHIN_S = 5.0
+"""Age of an intent, from before it was written, above which it is not sent any more."""
+DEADLINE_MARGIN_S = 10.0
+NOT_RUN_KEPT_S = 600.0
+PLATFORM_RETRY_S = 5.0
+MAX_ATTEMPTS = 10_000
+DRAIN_PATIENCE_S = 30.0
+FENCES_PER_S = 1_000
+"""A key's first fencing number is its time in milliseconds, so that one which was forgotten and
+is used again starts above the numbers that the service remembers."""
+_PEER = "peer"
+
+
+class LedgerStore(Service, CallLedger):
+    """Writes intents and outcomes, and answers other entries that ask about an attempt."""
+
+    name = "ledger_store"
+    requires = ("platform_access", "instances", "peer_port")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._boot = secrets.token_hex(8)
+        self._owner = InstanceId(kernel.settings.text("instance", "id"))
+        self._book = AttemptBook(self._boot, MAX_ATTEMPTS)
+        self._nursery: trio.Nursery
+        self._store: ShardStore
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Hold the tasks that write."""
+        self.kernel.get(PeerPort).answer(AttemptAsk, self._answer)
+        api = self.kernel.get(PlatformAccess).object_api
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._store = ShardStore(api, self.kernel.epoch, nursery)
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Write what is left, within a bound: with the platform away it would never end."""
+        with trio.move_on_after(DRAIN_PATIENCE_S):
+            while not self._store.idle:
+                await trio.sleep(0.1)
+
+    async def begin(self, ask: IntentRequest) -> Intent | Row:
+        """Write an intent, or give the row that the key has already.
+
+        Raises EgretError PLATFORM_AWAY; the call was then not sent and never will be.
+        """
+        number = shard_number(ask.key)
+        if self._book.full or self._store.refuses(number):
+            raise _away("the store did not answer a moment ago")
+        began_s = trio.current_time()
+        row = self._new_row(ask)
+        operation = Operation(Wanted.BEGIN, ask.key, row, began_s + BEGIN_PATIENCE_S, ask.over)
+        self._book.begin(row.attempt)
+        self._store.submit(number, operation)
+        outcome = await self._store.wait(number, operation)
+        if outcome is Outcome.WRITTEN:
+            return Intent(ask.key, operation.row, began_s)
+        if outcome is Outcome.ABANDONED:
+            log(Event.INTENT_ABANDONED, attempt=row.attempt)
+            self._book.abandon(row.attempt)
+            self._nursery.start_soon(self._forget_after, number, operation.retraction)
+            raise _away("the intent may be in the store; it was given up and is never sent")
+        self._book.forget(row.attempt)
+        if outcome is Outcome.FOUND:
+            return operation.found
+        raise _away("the intent was not written")
+
+    def check_send(self, intent: Intent) -> None:
+        """Raise EgretError NOT_RUN if the intent is too old to be sent.
+
+        A process that was frozen after it wrote its intent wakes up here. Its key may have been
+        forgotten meanwhile and used again, so what it would send now could run a second time.
+        """
+        age_s = trio.current_time() - intent.began_s
+        if age_s > SEND_WITHIN_S or not self._book.may_send(intent.row.attempt):
+            log(Event.INTENT_TOO_OLD, attempt=intent.row.attempt, age_s=round(age_s, 3))
+            proof = NotRunProof(f"the intent was {age_s:.1f} s old, so the call was not sent")
+            raise EgretError(ErrorKind.NOT_RUN, proof.reason, proof=proof)
+
+    async def release(self, intent: Intent) -> None:
+        """Free the key of an intent that was not sent and, from this moment, never will be."""
+        self._book.abandon(intent.row.attempt)
+        until_s = min(intent.row.until_s, self.kernel.epoch.now() + NOT_RUN_KEPT_S)
+        row = replace(intent.row.ended(CallState.NOT_RUN), until_s=until_s)
+        await self._finish(intent, row)
+
+    async def finish(self, intent: Intent, answer: KeptAnswer | None) -> bool:
+        """Write the outcome, None for unknown; False if another attempt has taken the key over."""
+        self._book.end(intent.row.attempt, answer is not None)
+        state = CallState.UNKNOWN if answer is None else CallState.DONE
+        return await self._finish(intent, intent.row.ended(state, answer))
+
+    async def stage(self, row: Row) -> Stage:
+        """Ask the owner of an attempt how far it has come."""
+        if row.owner == self._owner:
+            return self._book.stage(row.boot, row.attempt)
+        members = self.kernel.get(Instances).members(ENTRY_SERVICE)
+        owner = next((one for one in members if one.id == row.owner), None)
+        if owner is None or _PEER not in owner.ports:
+            # The list lags, and a live instance may be missing from it: no proof of anything.
+            return Stage.SILENT
+        ask = AttemptAsk(row.boot, row.attempt)
+        try:
+            told = await self.kernel.get(PeerPort).ask(
+                row.owner, owner.host, owner.ports[_PEER], ask
+            )
+            return Stage(told.stage)
+        except (PeerGone, PeerRefused, ValueError, AttributeError):
+            return Stage.SILENT
+
+    async def _finish(self, intent: Intent, row: Row) -> bool:
+        number = shard_number(intent.key)
+        operation = Operation(Wanted.FINISH, intent.key, row, inf)
+        self._store.submit(number, operation)
+        self._nursery.start_soon(self._forget_after, number, operation)
+        with trio.move_on_after(FINISH_PATIENCE_S):
+            while operation.outcome is None:
+                await trio.sleep(0.005)
+        return operation.outcome is not Outcome.LOST
+
+    async def _forget_after(self, number: int, operation: Operation) -> None:
+        await self._store.wait(number, operation)
+        self._book.forget(operation.row.attempt)
+
+    async def _answer(self, message: Message) -> Message:
+        return AttemptTell(self._book.stage(message.boot, AttemptId(message.attempt)).value)
+
+    def _new_row(self, ask: IntentRequest) -> Row:
+        now_s = self.kernel.epoch.now()
+        return Row(
+            AttemptId(secrets.token_hex(12)),
+            self._owner,
+            self._boot,
+            ask.fingerprint,
+            CallState.INTENT,
+            int(now_s * FENCES_PER_S),
+            now_s + ask.timeout_s + SEND_WITHIN_S + DEADLINE_MARGIN_S,
+            now_s + ask.retention_s,
+        )
+
+
+def _away(cause: str) -> EgretError:
+    proof = NotRunProof("the call was not sent and never will be")
+    return EgretError(ErrorKind.PLATFORM_AWAY, cause, retry_after_s=PLATFORM_RETRY_S, proof=proof)
--- a/egretstack/upstreams/_http_plain.py
+++ b/egretstack/upstreams/_http_plain.py
@@ -1,6 +1,9 @@
 """A plain service over HTTP."""
 
+from collections.abc import Callable
+
 import httpx
+import trio
 
 from egretstack.errors import NotRunProof
 from egretstack.upstreams._plain import (
@@ -12,6 +15,7 @@
 )
 
 MAX_RESPONSE_BYTES = 8_388_608
+_BEFORE_FIRST_BYTE = ".send_request_headers.started"
 
 
 class HttpPlainService(PlainService):
@@ -21,28 +25,47 @@
         self._client = client
         self._base = base_url
 
-    async def call(self, request: CallRequest) -> CallResponse:
-        """Make a call. Raises Unsent or OutcomeUnknown."""
-        url = self._base + request.path + (f"?{request.query}" if request.query else "")
-        timeout = httpx.Timeout(request.timeout_s, connect=self._client.timeout.connect)
+    async def call(
+        self, request: CallRequest, check: Callable[[], None] | None = None
+    ) -> CallResponse:
+        """Make a call. Raises Unsent, OutcomeUnknown, or what `check` raises."""
         try:
-            async with self._client.stream(
-                request.method,
-                url,
-                headers=list(request.headers),
-                content=request.body,
-                timeout=timeout,
-            ) as response:
-                body = await _bounded_body(response)
+            # The client's own bounds are for each read: a runner that sends a byte now and then
+            # would hold the call for ever.
+            with trio.fail_after(request.timeout_s):
+                return await self._call(request, check)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             # Only a connection that was never made proves that nothing left. A reused one that
             # breaks proves nothing: the upstream may have read the call before it broke.
             raise Unsent(NotRunProof(repr(error))) from error
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, httpx.InvalidURL, trio.TooSlowError) as error:
             raise OutcomeUnknown(repr(error)) from error
+
+    async def _call(self, request: CallRequest, check: Callable[[], None] | None) -> CallResponse:
+        url = self._base + request.path + (f"?{request.query}" if request.query else "")
+        timeout = httpx.Timeout(request.timeout_s, connect=self._client.timeout.connect)
+        async with self._client.stream(
+            request.method,
+            url,
+            headers=list(request.headers),
+            content=request.body,
+            timeout=timeout,
+            extensions={} if check is None else {"trace": _before_first_byte(check)},
+        ) as response:
+            body = await _bounded_body(response)
         return CallResponse(response.status_code, tuple(response.headers.items()), body)
 
 
+def _before_first_byte(check: Callable[[], None]):
+    """Call `check` from the trace of the connection, after it was made or taken from the pool."""
+
+    async def trace(event: str, info: dict) -> None:
+        if event.endswith(_BEFORE_FIRST_BYTE):
+            check()
+
+    return trace
+
+
 async def _bounded_body(response: httpx.Response) -> bytes:
     body = bytearray()
     async for chunk in response.aiter_bytes():
--- a/egretstack/upstreams/_plain.py
+++ b/egretstack/upstreams/_plain.py
@@ -1,6 +1,7 @@
 """What a plain service beside the engines does for the system."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from egretstack.errors import NotRunProof
@@ -20,7 +21,7 @@
 
 @dataclass(frozen=True)
 class CallRequest:
-    """One HTTP call as it is passed on. `timeout_s` is in seconds."""
+    """One HTTP call as it is passed on. `timeout_s`, in seconds, bounds all of it."""
 
     method: str
     path: str
@@ -43,5 +44,11 @@
     """One runner of a plain service."""
 
     @abstractmethod
-    async def call(self, request: CallRequest) -> CallResponse:
-        """Make a call. Raises Unsent or OutcomeUnknown."""
+    async def call(
+        self, request: CallRequest, check: Callable[[], None] | None = None
+    ) -> CallResponse:
+        """Make a call. Raises Unsent, OutcomeUnknown, or what `check` raises.
+
+        `check` is called with the connection made, just before the first byte leaves; where it
+        raises, nothing was sent.
+        """
--- /dev/null
+++ b/scripts/slopes_ledger.py
@@ -0,0 +1,180 @@
+"""Measures how many writes the ledger makes for calls that may not be repeated.
+
+Each line is one run on the mock clock: entries offer calls at a rate, spread evenly, through the
+in-process object store with a delay for each call to it. Each call writes an intent and, 50 ms
+later, its outcome. `way` is per-call (one object a call), sharded (every entry writes the shard
+of the key itself) or homed (one entry writes a shard; the others' calls reach it).
+"""
+
+import json
+import random
+import sys
+from functools import partial
+from math import inf
+
+import trio
+import trio.testing
+
+from egretstack.clock import EpochClock
+from egretstack.errors import EgretError
+from egretstack.ids import AccountId, AttemptId, IdempotencyKey, InstanceId, ServiceName
+from egretstack.ledger import (
+    CallState,
+    KeptAnswer,
+    LedgerEntry,
+    Operation,
+    Outcome,
+    PerCallLedger,
+    Row,
+    ShardStore,
+    Wanted,
+    key_id,
+    shard_number,
+)
+from egretstack.platform import ObjectKind
+from egretstack.upstreams import CallResponse
+from standins.object_store import InProcessObjectApi, ObjectStore
+
+DELAY_S = 0.005
+CALL_S = 0.05
+OFFERED_S = 10.0
+PATIENCE_S = 2.5
+ANSWER = CallResponse(201, (("content-type", "application/json"),), b'{"hold": "hold-000001"}')
+ACCOUNT = AccountId("acme")
+SERVICE = ServiceName("holds")
+
+
+class Run:
+    """One measurement."""
+
+    def __init__(self, way: str, entries: int, rate: float, shards: int, pace_s: float) -> None:
+        self.way, self.entries, self.rate = way, entries, rate
+        self.shards, self.pace_s = shards, pace_s
+        self.store = ObjectStore()
+        self.store.faults.delay_s = DELAY_S
+        self.waits: list[float] = []
+        self.done = self.refused = 0
+        self.rng = random.Random(7)
+
+    async def measure(self) -> None:
+        """Offer the calls, wait for them, print the line."""
+        epoch = EpochClock.start()
+        async with trio.open_nursery() as nursery:
+            stores = [self._ledger(epoch, nursery) for _ in range(self.entries)]
+            calls = int(self.rate * OFFERED_S)
+            async with trio.open_nursery() as offered:
+                for number in range(calls):
+                    offered.start_soon(self._call, stores[number % self.entries], number, epoch)
+                    await trio.sleep(self.rng.expovariate(self.rate))
+            nursery.cancel_scope.cancel()
+        self._print(calls)
+
+    def _ledger(self, epoch: EpochClock, nursery: trio.Nursery) -> ShardStore | PerCallLedger:
+        api = InProcessObjectApi(self.store)
+        if self.way == "per-call":
+            return PerCallLedger(api)
+        if self.way == "homed" and hasattr(self, "home"):
+            return self.home
+        self.home = ShardStore(api, epoch, nursery, self.shards, self.pace_s)
+        return self.home
+
+    async def _call(self, ledger: ShardStore | PerCallLedger, number: int, epoch: EpochClock):
+        began_s = trio.current_time()
+        if isinstance(ledger, PerCallLedger):
+            await self._per_call(ledger, number, began_s)
+            return
+        key = key_id(ACCOUNT, SERVICE, IdempotencyKey(f"key-{number}"))
+        now_s = epoch.now()
+        row = Row(
+            AttemptId(f"{number:024x}"),
+            InstanceId("entry-0"),
+            "0" * 16,
+            "0" * 64,
+            CallState.INTENT,
+            1,
+            now_s + 30,
+            now_s + 86_400,
+        )
+        shard = shard_number(key, self.shards)
+        begin = Operation(Wanted.BEGIN, key, row, began_s + PATIENCE_S)
+        ledger.submit(shard, begin)
+        if await ledger.wait(shard, begin) is not Outcome.WRITTEN:
+            self.refused += 1
+            return
+        self.waits.append(trio.current_time() - began_s)
+        await trio.sleep(CALL_S)
+        ended = row.ended(CallState.DONE, KeptAnswer.of(ANSWER))
+        finish = Operation(Wanted.FINISH, key, ended, inf)
+        ledger.submit(shard, finish)
+        await ledger.wait(shard, finish)
+        self.done += 1
+
+    async def _per_call(self, ledger: PerCallLedger, number: int, began_s: float) -> None:
+        key = IdempotencyKey(f"key-{number}")
+        try:
+            entry = await ledger.begin(ACCOUNT, SERVICE, key, AttemptId(str(number)), "0" * 64)
+        except EgretError:
+            self.refused += 1
+            return
+        self.waits.append(trio.current_time() - began_s)
+        await trio.sleep(CALL_S)
+        await ledger.finish(LedgerEntry(entry.attempt, "0" * 64, CallState.DONE, ANSWER))
+        self.done += 1
+
+    def _print(self, calls: int) -> None:
+        counts = self.store.calls
+        writes = sum(
+            count for (verb, _), count in counts.items() if verb in ("create", "replace", "delete")
+        )
+        landed = self.store.version
+        heads = [one for one in self.store.of_kind(ObjectKind.LEDGER) if "turn" in one.spec]
+        waits = sorted(self.waits) or [inf]
+        print(
+            json.dumps(
+                {
+                    "way": self.way,
+                    "entries": self.entries,
+                    "shards": self.shards,
+                    "pace_ms": round(self.pace_s * 1000),
+                    "offered_per_s": self.rate,
+                    "calls": calls,
+                    "done": self.done,
+                    "refused": self.refused,
+                    "writes_per_s": round(writes / OFFERED_S, 1),
+                    "reads_per_s": round(counts["get", ObjectKind.LEDGER] / OFFERED_S, 1),
+                    "calls_per_write": round(self.done / max(1, writes), 3),
+                    "conflicts_per_write": round(1 - landed / max(1, writes), 3),
+                    "begin_ms_p50": round(waits[len(waits) // 2] * 1000, 1),
+                    "begin_ms_p99": round(waits[len(waits) * 99 // 100] * 1000, 1),
+                    "objects": len(self.store.by_place),
+                    "head_bytes": max((len(json.dumps(one.spec)) for one in heads), default=0),
+                }
+            ),
+            flush=True,
+        )
+
+
+def run(way: str, entries: int, rate: float, shards: int = 8, pace_s: float = 0.02) -> None:
+    """Make one measurement."""
+    one = Run(way, entries, rate, shards, pace_s)
+    trio.run(partial(one.measure), clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def main() -> None:
+    """Print every line: today's sizes, then the target's rates."""
+    for entries in (1, 2, 4, 7, 20):
+        for rate in (3, 30, 100):
+            for way in ("per-call", "sharded"):
+                run(way, entries, rate)
+    for shards in (2, 8, 32, 128):
+        run("sharded", 7, 30, shards)
+    for way in ("per-call", "sharded", "homed"):
+        for rate in (100, 200, 400):
+            run(way, 40, rate)
+    for shards, pace_s in ((8, 0.02), (8, 0.05), (16, 0.05)):
+        for rate in (400, 800, 1600):
+            run("homed", 40, rate, shards, pace_s)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -2,7 +2,8 @@
 
 import json
 from collections import Counter
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 
 import trio
 from quart import Response, request
@@ -19,6 +20,7 @@
 
 KEY_HEADER = "idempotency-key"
 FENCING_HEADER = "egret-fencing"
+ACCOUNT_HEADER = "egret-account"
 
 
 @dataclass
@@ -29,41 +31,80 @@
     offers_lookup: bool = False
     checks_fencing: bool = False
     runs_by_key: Counter = field(default_factory=Counter)
-    fencing_by_key: dict[str, int] = field(default_factory=dict)
+    padding: int = 0
+    fencing_by_scope: dict[tuple[str, str], int] = field(default_factory=dict)
+    ran: set[tuple[str, str]] = field(default_factory=set)
     lose_answers: int = 0
 
     async def handle(self, method: str, path: str, headers: dict[str, str]) -> CallResponse:
         """Carry out one call."""
         if method == "GET" and path.startswith("/outcomes/"):
-            return self._outcome(path.removeprefix("/outcomes/"))
+            return self._outcome(headers)
         await trio.sleep(self.delay_s)
         if method == "GET":
             return _answer(200, {"path": path, "free_seats": 12})
         key = headers.get(KEY_HEADER, "")
-        fencing = int(headers.get(FENCING_HEADER, "0"))
-        if self.checks_fencing and fencing < self.fencing_by_key.get(key, 0):
-            return _answer(409, {"refused": "old fencing number"})
-        self.fencing_by_key[key] = fencing
+        refused = self._fence(headers)
+        if refused is not None:
+            return refused
+        self.ran.add(_scope(headers))
         self.runs_by_key[key] += 1
-        return _answer(201, {"path": path, "hold": f"hold-{sum(self.runs_by_key.values())}"})
+        hold = f"hold-{sum(self.runs_by_key.values())}"
+        return _answer(201, {"path": path, "hold": hold, "padding": "x" * self.padding})
 
-    def _outcome(self, key: str) -> CallResponse:
+    def _outcome(self, headers: dict[str, str]) -> CallResponse:
+        """Answer a look-up; its fencing number shuts out older ones from then on."""
         if not self.offers_lookup:
             return _answer(404, {})
-        return _answer(200, {"ran": self.runs_by_key[key] > 0})
+        refused = self._fence(headers)
+        if refused is not None:
+            return refused
+        return _answer(200, {"ran": _scope(headers) in self.ran})
+
+    def _fence(self, headers: dict[str, str]) -> CallResponse | None:
+        """Keep the highest number of a key, and refuse a lower one."""
+        if not self.checks_fencing:
+            return None
+        scope = _scope(headers)
+        number = int(headers.get(FENCING_HEADER, "0"))
+        seen = self.fencing_by_scope.get(scope, 0)
+        self.fencing_by_scope[scope] = max(number, seen)
+        if number >= seen:
+            return None
+        refused = _answer(409, {"refused": "old fencing number"})
+        return replace(refused, headers=(*refused.headers, ("Egret-Fencing", str(seen))))
 
 
 class InProcessPlainService(PlainService):
-    """The book as one runner, with faults: `down` refuses connections."""
+    """The book as one runner, with faults.
+
+    `down` refuses connections. `connecting` and `sending` are waited for where they are set:
+    before the connection is made, and between the sender's last check and the first byte.
+    """
 
     def __init__(self, book: Book) -> None:
         self.book = book
         self.down = False
+        self.connecting: trio.Event | None = None
+        self.sending: trio.Event | None = None
 
-    async def call(self, request: CallRequest) -> CallResponse:
+    async def call(
+        self, request: CallRequest, check: Callable[[], None] | None = None
+    ) -> CallResponse:
         """Make a call."""
+        with trio.move_on_after(request.timeout_s):
+            return await self._call(request, check)
+        raise OutcomeUnknown("no answer in time")
+
+    async def _call(self, request: CallRequest, check: Callable[[], None] | None) -> CallResponse:
+        if self.connecting is not None:
+            await self.connecting.wait()
         if self.down:
             raise Unsent(NotRunProof("connection refused"))
+        if check is not None:
+            check()
+        if self.sending is not None:
+            await self.sending.wait()
         headers = {name.lower(): value for name, value in request.headers}
         answer = await self.book.handle(request.method, request.path, headers)
         if self.book.lose_answers:
@@ -72,6 +113,32 @@
         return answer
 
 
+class ProcessKilled(Exception):
+    """A task of a process that a test has killed came to the outside; it goes no further."""
+
+
+class ClientOfProcess(PlainService):
+    """The runner as one process sees it: one that was killed sends nothing and hears nothing."""
+
+    def __init__(self, runner: InProcessPlainService, dead: Callable[[], bool]) -> None:
+        self._runner = runner
+        self._dead = dead
+
+    async def call(
+        self, request: CallRequest, check: Callable[[], None] | None = None
+    ) -> CallResponse:
+        """Make a call. Raises ProcessKilled as well."""
+        self._check_alive()
+        try:
+            return await self._runner.call(request, check)
+        finally:
+            self._check_alive()
+
+    def _check_alive(self) -> None:
+        if self._dead():
+            raise ProcessKilled
+
+
 def make_plain_app(book: Book) -> QuartTrio:
     """Build the HTTP app."""
     app = QuartTrio("plain-standin")
@@ -81,11 +148,15 @@
         await request.get_data()
         headers = {name.lower(): value for name, value in request.headers.items()}
         answer = await book.handle(request.method, "/" + path, headers)
-        return Response(answer.body, status=answer.status, content_type="application/json")
+        return Response(answer.body, status=answer.status, headers=dict(answer.headers))
 
     return app
 
 
+def _scope(headers: dict[str, str]) -> tuple[str, str]:
+    return headers.get(ACCOUNT_HEADER, ""), headers.get(KEY_HEADER, "")
+
+
 def _answer(status: int, body: dict[str, object]) -> CallResponse:
     headers = (("content-type", "application/json"),)
     return CallResponse(status, headers, json.dumps(body).encode())
--- a/standins/world.py
+++ b/standins/world.py
@@ -25,7 +25,7 @@
 from standins.live_engine import LiveEngine
 from standins.network import Network
 from standins.object_store import InProcessObjectApi, ObjectStore
-from standins.plain_service import Book, InProcessPlainService
+from standins.plain_service import Book, ClientOfProcess, InProcessPlainService
 
 PORTS = {
     "caller": 8080,
@@ -146,6 +146,7 @@
     def kill(self) -> None:
         """End the process at once; nothing that it would do while stopping reaches outside."""
         self.access.dead = True
+        self.access.object_api.cut = True
         self.scope.cancel()
 
 
@@ -169,7 +170,7 @@
 
     def plain(self, member: Member) -> PlainService:
         """Make the client of a plain service's runner."""
-        return self._world.plain_by_id[member.id]
+        return ClientOfProcess(self._world.plain_by_id[member.id], lambda: self.dead)
 
     async def open_stream(self, host: str, port: int) -> trio.abc.Stream:
         """Connect to a peer."""
--- /dev/null
+++ b/tests/ledger_support.py
@@ -0,0 +1,179 @@
+"""Parts for tests of the ledger: rows, operations, and a store whose writes can be delayed."""
+
+from dataclasses import dataclass, field
+from math import inf
+
+from egretstack.errors import EgretError
+from egretstack.ids import AccountId, AttemptId, IdempotencyKey, InstanceId, ServiceName
+from egretstack.ledger import (
+    CallState,
+    DropSegment,
+    MakeSegment,
+    Operation,
+    ReadHead,
+    ReadSegment,
+    Row,
+    Shard,
+    ShardWriter,
+    Step,
+    Wanted,
+    WriteHead,
+    key_id,
+    read_rows,
+    rows_spec,
+)
+from egretstack.platform import (
+    Conflict,
+    ObjectKind,
+    PlatformOutcomeUnknown,
+    StoredObject,
+)
+from standins.object_store import InProcessObjectApi, ObjectStore
+
+RETENTION_S = 86_400.0
+HEAD = "head-0"
+
+
+def key(name):
+    return key_id(AccountId("acme"), ServiceName("holds"), IdempotencyKey(name))
+
+
+def row(attempt, owner="a", fingerprint="f", state=CallState.INTENT, until_s=RETENTION_S):
+    return Row(
+        AttemptId(attempt), InstanceId(owner), owner, fingerprint, state, 1, 30.0, until_s, None
+    )
+
+
+def begin(name, attempt, over=None, give_up_s=inf, **more):
+    return Operation(Wanted.BEGIN, key(name), row(attempt, **more), give_up_s, over)
+
+
+def finish(name, attempt, state=CallState.DONE, **more):
+    return Operation(Wanted.FINISH, key(name), row(attempt, state=state, **more), inf)
+
+
+@dataclass
+class Late:
+    """A write that is on its way still."""
+
+    name: str
+    spec: dict
+    version: str | None
+
+
+@dataclass
+class SlowStore:
+    """The head and segments of one shard; each step is carried out with a chosen fault."""
+
+    store: ObjectStore = field(default_factory=ObjectStore)
+    late: list[Late] = field(default_factory=list)
+    made: int = 0
+
+    def take(self, writer: ShardWriter, step: Step, fault: str = "") -> None:
+        """Carry a step out; faults are away, lost-request, lost-answer and late."""
+        if fault == "away":
+            writer.failed(False)
+            return
+        match step:
+            case ReadHead():
+                stored = self.head()
+                writer.head_read(Shard.from_stored(stored), stored and stored.version)
+            case ReadSegment(name):
+                stored = self.store.by_place.get((ObjectKind.LEDGER, name))
+                writer.segment_read(name, stored and read_rows(stored.spec))
+            case MakeSegment(row_by_key):
+                self.made += 1
+                name = f"seg-{self.made}"
+                self.store.put(ObjectKind.LEDGER, name, {"rows": rows_spec(row_by_key)}, None)
+                writer.segment_made(name, step)
+            case DropSegment(name):
+                stored = self.store.by_place[ObjectKind.LEDGER, name]
+                self.store.remove(ObjectKind.LEDGER, name, stored.version)
+                writer.segment_dropped()
+            case WriteHead(spec, version):
+                self._write(writer, spec, version, fault)
+
+    def run(self, writer: ShardWriter, epoch_s: float = 0.0) -> None:
+        """Carry every step out until nothing waits."""
+        while (step := writer.step(epoch_s)) is not None:
+            self.take(writer, step)
+
+    def until_write(self, writer: ShardWriter, epoch_s: float = 0.0) -> WriteHead:
+        """Carry steps out up to the next write and give that."""
+        while not isinstance(step := writer.step(epoch_s), WriteHead):
+            self.take(writer, step)
+        return step
+
+    def deliver(self, late: Late) -> bool:
+        """Let a late write arrive; True if it takes effect."""
+        self.late.remove(late)
+        try:
+            self.store.put(ObjectKind.LEDGER, late.name, late.spec, late.version)
+        except Conflict:
+            return False
+        return True
+
+    def head(self) -> StoredObject | None:
+        return self.store.by_place.get((ObjectKind.LEDGER, HEAD))
+
+    def rows(self) -> dict:
+        return Shard.from_stored(self.head()).row_by_key
+
+    def _write(self, writer, spec, version, fault):
+        if fault == "late":
+            self.late.append(Late(HEAD, spec, version))
+        if fault in ("late", "lost-request"):
+            writer.failed(True)
+            return
+        try:
+            stored = self.store.put(ObjectKind.LEDGER, HEAD, spec, version)
+        except Conflict:
+            writer.conflict()
+            return
+        if fault == "lost-answer":
+            writer.failed(True)
+        else:
+            writer.written(stored.version)
+
+
+class LateObjectApi(InProcessObjectApi):
+    """An object API on which the next `late_writes` writes are held back until `arrive`."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        super().__init__(store)
+        self.late_writes = 0
+        self.late: list[Late] = []
+
+    async def create(self, kind, name, spec):
+        self._hold(name, spec, None)
+        return await super().create(kind, name, spec)
+
+    async def replace(self, kind, name, spec, version):
+        self._hold(name, spec, version)
+        return await super().replace(kind, name, spec, version)
+
+    def arrive(self) -> int:
+        """Let the late writes arrive; give how many took effect."""
+        landed = 0
+        for one in self.late:
+            try:
+                self.store.put(ObjectKind.LEDGER, one.name, one.spec, one.version)
+                landed += 1
+            except Conflict:
+                continue
+        self.late.clear()
+        return landed
+
+    def _hold(self, name, spec, version):
+        if self.late_writes:
+            self.late_writes -= 1
+            self.late.append(Late(name, spec, version))
+            raise PlatformOutcomeUnknown("no answer in time")
+
+
+async def outcome_of(call, *arguments):
+    """Give the answer of a call, or the kind of its error."""
+    try:
+        return await call(*arguments)
+    except EgretError as error:
+        return error.kind
--- /dev/null
+++ b/tests/test_ledger_machine.py
@@ -0,0 +1,333 @@
+"""A random history of several entries, one store with faults, and one upstream.
+
+Entries write one shard; writes are lost, answered in vain, or arrive late; entries freeze,
+thaw and die. After every step: no key ran twice, and no attempt ran whose caller was told "not
+run". At the end the faults cease, and every repeat gets a final answer in a bounded number of
+tries.
+"""
+
+from dataclasses import dataclass, field
+from math import inf
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from egretstack.ledger import (
+    AttemptBook,
+    CallState,
+    NextMove,
+    Operation,
+    Outcome,
+    ShardWriter,
+    Stage,
+    Wanted,
+    next_move,
+)
+from tests.ledger_support import SlowStore, begin
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+KEYS = ("k0", "k1", "k2", "k3")
+SMALL_ROLL_BYTES = 250
+"""So small that ended rows move into segments all the time."""
+SEND_WITHIN_S = 5.0
+MAX_TRIES = 12
+entries = st.integers(0, 2)
+faults = st.sampled_from(["", "", "", "", "away", "lost-request", "lost-answer", "late"])
+
+
+@dataclass
+class Call:
+    """One attempt at an entry."""
+
+    name: str
+    operation: Operation
+    began_s: float
+    armed: bool = False
+    done: bool = False
+    finish: Operation | None = None
+
+    @property
+    def attempt(self):
+        return self.operation.row.attempt
+
+
+@dataclass
+class Entry:
+    """One process."""
+
+    boot: str
+    writer: ShardWriter = field(default_factory=lambda: ShardWriter(SMALL_ROLL_BYTES))
+    calls: list[Call] = field(default_factory=list)
+    frozen: bool = False
+    dead: bool = False
+
+    def __post_init__(self):
+        self.book = AttemptBook(self.boot, 1000)
+
+
+class Upstream:
+    """Runs calls; `checks` refuses old fencing numbers, and a look-up fences too."""
+
+    def __init__(self, checks):
+        self.checks = checks
+        self.ran_by_key = {}
+        self.fence_by_key = {}
+
+    def run(self, call):
+        """Run a call; False where it is fenced off."""
+        number = call.operation.row.fence
+        if self.checks and number < self.fence_by_key.get(call.name, 0):
+            return False
+        self.fence_by_key[call.name] = max(number, self.fence_by_key.get(call.name, 0))
+        self.ran_by_key.setdefault(call.name, []).append(call.attempt)
+        return True
+
+    def look_up(self, name, number):
+        """Tell whether a key ran; None where the number is old."""
+        if self.checks:
+            if number < self.fence_by_key.get(name, 0):
+                return None
+            self.fence_by_key[name] = number
+        return name in self.ran_by_key
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """The rules; `checks` and `lookup` say what the upstream offers."""
+
+    checks = False
+    lookup = False
+    writer_class = ShardWriter
+
+    def __init__(self):
+        super().__init__()
+        self.store = SlowStore()
+        self.upstream = Upstream(self.checks)
+        self.entries = [self.new_entry(f"boot-{number}") for number in range(3)]
+        self.graves = []
+        self.attempts = 0
+        self.now_s = 0.0
+        self.told_not_run = set()
+
+    def new_entry(self, boot):
+        return Entry(boot, self.writer_class(SMALL_ROLL_BYTES))
+
+    @rule(number=entries, name=st.sampled_from(KEYS))
+    def call(self, number, name):
+        self.start(self.entries[number], name)
+
+    @rule(number=entries, fault=faults)
+    def step(self, number, fault):
+        entry = self.entries[number]
+        if entry.frozen:
+            return
+        step = entry.writer.step(self.now_s)
+        if step is not None:
+            self.store.take(entry.writer, step, fault)
+        self.look(entry)
+
+    @rule(number=entries)
+    def give_up(self, number):
+        entry = self.entries[number]
+        if not entry.frozen:
+            entry.writer.give_up(inf)
+            self.look(entry)
+
+    @rule(number=entries, connects=st.booleans())
+    def send(self, number, connects):
+        entry = self.entries[number]
+        for call in entry.calls:
+            if not entry.frozen and self.may_arm(entry, call):
+                if connects:
+                    call.armed = True
+                else:
+                    self.release(entry, call)
+                return
+
+    @rule(number=entries, answered=st.booleans())
+    def first_byte(self, number, answered):
+        entry = self.entries[number]
+        for call in entry.calls:
+            if not entry.frozen and call.armed:
+                self.fire(entry, call, answered)
+                return
+
+    @rule(number=entries, frozen=st.booleans())
+    def freeze_or_thaw(self, number, frozen):
+        self.entries[number].frozen = frozen
+
+    @rule(number=entries)
+    def kill(self, number):
+        self.graves.append(self.entries[number])
+        self.entries[number].dead = True
+        self.entries[number] = self.new_entry(f"boot-{len(self.graves) + 10}")
+
+    @precondition(lambda self: self.store.late)
+    @rule(data=st.data())
+    def late_write_arrives(self, data):
+        self.store.deliver(data.draw(st.sampled_from(self.store.late)))
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 10.0, 60.0]))
+    def time_passes(self, seconds):
+        self.now_s += seconds
+
+    @invariant()
+    def each_key_ran_at_most_once(self):
+        for name, attempts in self.upstream.ran_by_key.items():
+            check.assertEqual(len(attempts), 1, name)
+
+    @invariant()
+    def what_was_told_not_to_run_did_not(self):
+        ran = {one for attempts in self.upstream.ran_by_key.values() for one in attempts}
+        check.assertEqual(ran & self.told_not_run, set())
+
+    def teardown(self):
+        self.store.late.clear()
+        for entry in self.entries:
+            entry.frozen = False
+            self.settle(entry)
+        self.now_s += 600
+        for name in KEYS:
+            self.repeat_until_final(name)
+        self.each_key_ran_at_most_once()
+        self.what_was_told_not_to_run_did_not()
+
+    def settle(self, entry):
+        while True:
+            self.store.run(entry.writer, self.now_s)
+            self.look(entry)
+            ready = [one for one in entry.calls if one.armed or self.may_arm(entry, one)]
+            for call in ready:
+                self.fire(entry, call, True)
+            if not ready and entry.writer.idle:
+                return
+
+    def repeat_until_final(self, name):
+        entry = self.entries[0]
+        for _ in range(MAX_TRIES):
+            call = self.start(entry, name)
+            self.settle(entry)
+            found = call.operation.found
+            over = call.operation.outcome is Outcome.WRITTEN and call.done
+            if over or found is not None and not found.open:
+                return
+            if found is not None and self.move(found, name) is NextMove.UNKNOWN:
+                return
+        raise AssertionError(f"{name}: no final answer in {MAX_TRIES} tries")
+
+    def start(self, entry, name, over=None):
+        self.attempts += 1
+        operation = begin(name, f"attempt-{self.attempts}", over, owner=entry.boot)
+        call = Call(name, operation, self.now_s)
+        if entry.frozen:
+            return call
+        entry.book.begin(call.attempt)
+        entry.calls.append(call)
+        entry.writer.submit(operation)
+        return call
+
+    def look(self, entry):
+        """Take in the outcomes that the writer has set."""
+        for call in list(entry.calls):
+            outcome = call.operation.outcome
+            if outcome is Outcome.WRITTEN or outcome is None:
+                continue
+            entry.calls.remove(call)
+            if outcome in (Outcome.REFUSED, Outcome.ABANDONED):
+                self.told_not_run.add(call.attempt)
+                entry.book.abandon(call.attempt)
+                continue
+            entry.book.forget(call.attempt)
+            found = call.operation.found
+            if found.open and self.move(found, call.name) is NextMove.REPLACE:
+                self.start(entry, call.name, found.attempt)
+
+    def move(self, found, name):
+        move = next_move(self.stage(found), found, self.now_s, self.lookup)
+        if move is not NextMove.LOOK_UP:
+            return move
+        ran = self.upstream.look_up(name, found.fence + 1)
+        if ran:
+            return NextMove.UNKNOWN
+        if ran is False and self.checks:
+            return NextMove.REPLACE
+        return next_move(self.stage(found), found, self.now_s, False)
+
+    def stage(self, found):
+        for entry in self.entries:
+            if entry.boot == found.boot:
+                return Stage.SILENT if entry.frozen else entry.book.stage(found.boot, found.attempt)
+        return Stage.GONE
+
+    def may_arm(self, entry, call):
+        written = call.operation.outcome is Outcome.WRITTEN
+        if not written or call.armed or call.done:
+            return False
+        if self.now_s - call.began_s <= SEND_WITHIN_S and entry.book.may_send(call.attempt):
+            return True
+        self.release(entry, call)
+        return False
+
+    def release(self, entry, call):
+        """End a call that did not leave."""
+        call.done = True
+        entry.book.abandon(call.attempt)
+        self.told_not_run.add(call.attempt)
+        self.end(entry, call, CallState.NOT_RUN)
+
+    def fire(self, entry, call, answered):
+        call.armed, call.done = False, True
+        if not self.upstream.run(call):
+            entry.book.abandon(call.attempt)
+            self.end(entry, call, CallState.NOT_RUN)
+            return
+        entry.book.end(call.attempt, answered)
+        self.end(entry, call, CallState.DONE if answered else CallState.UNKNOWN)
+
+    def end(self, entry, call, state):
+        row = call.operation.row.ended(state)
+        call.finish = Operation(Wanted.FINISH, call.operation.key, row, inf)
+        entry.writer.submit(call.finish)
+
+
+class CheckedMachine(LedgerMachine):
+    """The upstream checks fencing numbers and offers a look-up."""
+
+    checks = True
+    lookup = True
+
+
+class LookupMachine(LedgerMachine):
+    """The upstream offers a look-up and checks nothing."""
+
+    lookup = True
+
+
+MACHINE_SETTINGS = settings(
+    max_examples=120,
+    stateful_step_count=60,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_an_upstream_that_checks_nothing():
+    run_state_machine_as_test(LedgerMachine, settings=MACHINE_SETTINGS)
+
+
+def test_an_upstream_that_checks_fencing_numbers_and_offers_a_look_up():
+    run_state_machine_as_test(CheckedMachine, settings=MACHINE_SETTINGS)
+
+
+def test_an_upstream_that_offers_a_look_up_alone():
+    run_state_machine_as_test(LookupMachine, settings=MACHINE_SETTINGS)
--- /dev/null
+++ b/tests/test_ledger_safeguards.py
@@ -0,0 +1,264 @@
+"""Each safeguard of the ledger taken out: random or scripted histories must then show the harm.
+
+A machine that passes without its safeguard proves nothing, so these tests fail when it does.
+"""
+
+from math import inf
+
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from egretstack.ledger import NextMove, Outcome, ShardWriter, Stage
+from tests.ledger_support import SlowStore, begin
+from tests.support import check, tests_of
+from tests.test_ledger_machine import (
+    MACHINE_SETTINGS,
+    CheckedMachine,
+    LedgerMachine,
+    LookupMachine,
+)
+
+load_tests = tests_of(globals())
+
+_SEARCH = settings(MACHINE_SETTINGS, max_examples=3000, phases=[Phase.generate])
+
+
+def finds_harm(machine):
+    with check.assertRaises(AssertionError):
+        run_state_machine_as_test(machine, settings=_SEARCH)
+
+
+def with_writer(machine, writer):
+    return type(f"{machine.__name__}{writer.__name__}", (machine,), {"writer_class": writer})
+
+
+class WithoutSegments(ShardWriter):
+    """Looks for a key in the head alone."""
+
+    def _segment_of(self, operation, epoch_s):
+        return None
+
+
+class WithoutMovedRows(ShardWriter):
+    """Forgets, in the write that moves rows into a segment, that they exist."""
+
+    def _plan(self, epoch_s):
+        self._moved = dict(self._moved)
+        moved, self._moved = self._moved, _Unseen(self._moved)
+        step = super()._plan(epoch_s)
+        if isinstance(self._moved, _Unseen):
+            self._moved = moved
+        return step
+
+
+class _Unseen(dict):
+    def get(self, key, default=None):
+        return default
+
+
+class WithoutCondition(ShardWriter):
+    """Takes an update for written when its answer was lost."""
+
+    def failed(self, sent):
+        if sent and self._batch:
+            self.written(self._version)
+            self._shard = None
+        else:
+            super().failed(sent)
+
+
+class WithoutMovingTheVersion(ShardWriter):
+    """Takes a read-back that finds nothing for the end of the matter."""
+
+    def _may_land_yet(self, operation):
+        return False
+
+
+class SentAfterAbandoning(LedgerMachine):
+    """Sends an intent that turns out to be written after its caller was told "not run"."""
+
+    def look(self, entry):
+        before = list(entry.calls)
+        super().look(entry)
+        for call in before:
+            if call.operation.outcome is Outcome.ABANDONED and not call.done:
+                call.done = True
+                self.upstream.run(call)
+
+
+class TakesOverUnfenced(LookupMachine):
+    """Takes a look-up's "it did not run" for the end of an attempt that nothing fences off."""
+
+    def move(self, found, name):
+        move = super().move(found, name)
+        unclear = self.stage(found) in (Stage.SILENT, Stage.GONE)
+        unrun = name not in self.upstream.ran_by_key
+        return NextMove.REPLACE if unclear and unrun else move
+
+
+class TakesOverFromSilent(LedgerMachine):
+    """Takes the key over from a sender that does not answer."""
+
+    def move(self, found, name):
+        silent = self.stage(found) is Stage.SILENT
+        return NextMove.REPLACE if silent else super().move(found, name)
+
+
+class LookUpThatDoesNotFence(CheckedMachine):
+    """Looks up with the old number, which shuts nothing out."""
+
+    def move(self, found, name):
+        fence = self.upstream.fence_by_key.get(name, 0)
+        move = super().move(found, name)
+        self.upstream.fence_by_key[name] = fence
+        return move
+
+
+class SendsTakenOverWithOldNumber(CheckedMachine):
+    """Sends every attempt with the same number."""
+
+    def fire(self, entry, call, answered):
+        self.upstream.fence_by_key.pop(call.name, None)
+        super().fire(entry, call, answered)
+
+
+class OwnerForgets(LedgerMachine):
+    """An owner does not remember what it abandoned, and tells that it may be under way."""
+
+    def stage(self, found):
+        stage = super().stage(found)
+        return Stage.RUNNING if stage is Stage.ABANDONED else stage
+
+
+def test_without_the_look_into_segments_a_late_repeat_runs_again():
+    finds_harm(with_writer(LedgerMachine, WithoutSegments))
+
+
+def test_without_the_rows_being_moved_a_repeat_in_that_write_runs_again():
+    finds_harm(with_writer(LedgerMachine, WithoutMovedRows))
+
+
+def test_without_reading_a_lost_answer_back_a_key_runs_twice():
+    finds_harm(with_writer(LedgerMachine, WithoutCondition))
+
+
+def test_sending_after_the_refusal_breaks_not_run():
+    finds_harm(SentAfterAbandoning)
+
+
+def thaw_after_a_repeat(machine_class):
+    """Freeze a sender between its last check and its first byte; repeat elsewhere; thaw it."""
+    machine = machine_class()
+    frozen, other = machine.entries[:2]
+    call = machine.start(frozen, "k0")
+    machine.store.run(frozen.writer)
+    check.assertTrue(machine.may_arm(frozen, call))
+    call.armed = True
+    frozen.frozen = True
+    machine.now_s += 600
+    machine.start(other, "k0")
+    machine.settle(other)
+    frozen.frozen = False
+    machine.settle(frozen)
+    machine.each_key_ran_at_most_once()
+    return machine
+
+
+def test_a_sender_thawed_after_a_repeat_runs_its_call_at_most_once():
+    # A sender is frozen with the call in its hands; a repeat comes to another entry, which is
+    # told nothing by the sender. Nothing is taken over where the upstream checks nothing; where
+    # it does, the look-up shuts the frozen sender out before the repeat runs.
+    for machine in (LedgerMachine, LookupMachine, CheckedMachine):
+        check.assertEqual(len(thaw_after_a_repeat(machine).upstream.ran_by_key["k0"]), 1)
+
+
+def test_a_take_over_on_an_unfenced_look_up_runs_twice():
+    with check.assertRaises(AssertionError):
+        thaw_after_a_repeat(TakesOverUnfenced)
+
+
+def test_a_take_over_from_a_silent_sender_runs_twice():
+    with check.assertRaises(AssertionError):
+        thaw_after_a_repeat(TakesOverFromSilent)
+
+
+def test_a_take_over_with_the_old_number_runs_twice():
+    with check.assertRaises(AssertionError):
+        thaw_after_a_repeat(SendsTakenOverWithOldNumber)
+
+
+def thaw_between_look_up_and_take_over(machine_class):
+    """The frozen sender wakes up after the look-up and before the repeat has sent its own."""
+    machine = machine_class()
+    frozen, other = machine.entries[:2]
+    call = machine.start(frozen, "k0")
+    machine.store.run(frozen.writer)
+    call.armed = True
+    frozen.frozen = True
+    machine.start(other, "k0")
+    machine.store.run(other.writer)
+    machine.look(other)
+    machine.store.run(other.writer)
+    frozen.frozen = False
+    machine.settle(frozen)
+    machine.settle(other)
+    machine.each_key_ran_at_most_once()
+
+
+def test_a_sender_thawed_between_look_up_and_take_over_is_shut_out():
+    # The look-up carries the next fencing number. The sender that wakes up right after it is
+    # refused by the upstream, although the repeat has not sent anything yet.
+    thaw_between_look_up_and_take_over(CheckedMachine)
+
+
+def test_a_look_up_that_does_not_fence_runs_twice():
+    with check.assertRaises(AssertionError):
+        thaw_between_look_up_and_take_over(LookUpThatDoesNotFence)
+
+
+def repeat_of_an_abandoned_intent(machine_class):
+    """Let an intent land after its caller was refused; repeat the key elsewhere."""
+    machine = machine_class()
+    owner = machine.entries[1]
+    machine.start(owner, "k0")
+    write = machine.store.until_write(owner.writer)
+    machine.store.take(owner.writer, write, "late")
+    owner.writer.give_up(inf)
+    machine.look(owner)
+    check.assertTrue(machine.store.deliver(machine.store.late[0]))
+    machine.repeat_until_final("k0")
+    check.assertEqual(len(machine.upstream.ran_by_key["k0"]), 1)
+
+
+def test_a_repeat_of_an_abandoned_intent_runs():
+    # The intent's write is late, the caller is told "not run", then the intent lands. The
+    # repeat learns from the owner that it was abandoned, before the owner has retracted it.
+    repeat_of_an_abandoned_intent(LedgerMachine)
+
+
+def test_repeats_never_end_where_the_owner_forgets_what_it_abandoned():
+    with check.assertRaises(AssertionError):
+        repeat_of_an_abandoned_intent(OwnerForgets)
+
+
+def late_write_after_retraction(writer_class):
+    """Give whether a delayed intent still lands once its refusal has been settled."""
+    store, writer = SlowStore(), writer_class()
+    operation = begin("k0", "attempt-1")
+    writer.submit(operation)
+    store.take(writer, store.until_write(writer), "late")
+    writer.give_up(inf)
+    check.assertIs(operation.outcome, Outcome.ABANDONED)
+    store.run(writer)
+    check.assertTrue(writer.idle)
+    return store.deliver(store.late[0])
+
+
+def test_a_retracted_intent_cannot_land_any_more():
+    # The read-back finds no intent and the head at the version that the delayed write is
+    # conditional on. The retraction moves the version, so the write is refused when it arrives.
+    check.assertFalse(late_write_after_retraction(ShardWriter))
+
+
+def test_without_moving_the_version_the_intent_lands_after_the_read_back():
+    check.assertTrue(late_write_after_retraction(WithoutMovingTheVersion))
--- /dev/null
+++ b/tests/test_plain_http.py
@@ -0,0 +1,119 @@
+"""Plain services over real sockets: what a broken connection proves."""
+
+from contextlib import asynccontextmanager
+
+import httpx
+import trio
+
+from egretstack.errors import EgretError, ErrorKind, NotRunProof
+from egretstack.upstreams import CallRequest, HttpPlainService, OutcomeUnknown, Unsent
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+ANSWER = b"HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\n{}"
+HEAD_END = b"\r\n\r\n"
+
+
+def post(timeout_s=30.0):
+    return CallRequest("POST", "/h", "", (("Idempotency-Key", "k"),), b"", timeout_s)
+
+
+async def read_request(stream):
+    """Read one request without a body; give False at the end of the connection."""
+    data = b""
+    while HEAD_END not in data:
+        part = await stream.receive_some()
+        if not part:
+            return False
+        data += part
+    return True
+
+
+@asynccontextmanager
+async def upstream(handler):
+    """Give the client of a server that treats each connection with `handler`."""
+    async with trio.open_nursery() as nursery, httpx.AsyncClient(trust_env=False) as client:
+        listeners = await nursery.start(trio.serve_tcp, handler, 0)
+        port = listeners[0].socket.getsockname()[1]
+        yield HttpPlainService(client, f"http://127.0.0.1:{port}")
+        nursery.cancel_scope.cancel()
+
+
+@on_real_clock
+async def test_a_refused_connection_proves_that_nothing_left():
+    with trio.socket.socket() as free:
+        await free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+        async with httpx.AsyncClient(trust_env=False) as client:
+            with check.assertRaises(Unsent) as caught:
+                await HttpPlainService(client, f"http://127.0.0.1:{port}").call(post())
+    check.assertIsInstance(caught.exception.proof, NotRunProof)
+
+
+@on_real_clock
+async def test_a_reused_connection_that_breaks_proves_nothing():
+    # The first call is answered and its connection kept. The upstream reads the second call
+    # and closes: to the sender this looks like an idle connection that was closed before.
+    read = []
+
+    async def handler(stream):
+        while await read_request(stream):
+            read.append(1)
+            if len(read) == 2:
+                return
+            await stream.send_all(ANSWER)
+
+    async with upstream(handler) as service:
+        check.assertEqual((await service.call(post())).status, 201)
+        with check.assertRaises(OutcomeUnknown):
+            await service.call(post())
+    check.assertEqual(len(read), 2)
+
+
+@on_real_clock
+async def test_a_break_in_the_middle_of_an_answer_proves_nothing():
+    async def handler(stream):
+        await read_request(stream)
+        await stream.send_all(ANSWER[:30])
+
+    async with upstream(handler) as service:
+        with check.assertRaises(OutcomeUnknown):
+            await service.call(post())
+
+
+@on_real_clock
+async def test_an_answer_that_drips_in_ends_at_the_calls_bound():
+    # The upstream sends a byte now and then, so no single read takes long. The call's own bound
+    # ends it; what it did is unknown.
+    async def handler(stream):
+        await read_request(stream)
+        await stream.send_all(ANSWER[:30])
+        while True:
+            await stream.send_all(b"x")
+            await trio.sleep(0.02)
+
+    async with upstream(handler) as service:
+        with check.assertRaises(OutcomeUnknown):
+            await service.call(post(timeout_s=0.5))
+
+
+@on_real_clock
+async def test_a_check_that_fails_before_the_first_byte_sends_nothing():
+    # The connection is made, and the intent turns out to be too old: the upstream reads none.
+    read = []
+    closed = trio.Event()
+
+    async def handler(stream):
+        if await read_request(stream):
+            read.append(1)
+        closed.set()
+
+    def check_send():
+        raise EgretError(ErrorKind.NOT_RUN, "too old", proof=NotRunProof("too old"))
+
+    async with upstream(handler) as service:
+        with check.assertRaises(EgretError):
+            await service.call(post(), check_send)
+        await closed.wait()
+    check.assertEqual(read, [])
