--- a/egretstack/programs/entry.py
+++ b/egretstack/programs/entry.py
@@ -19,6 +19,7 @@
     "runners",
     "dispatching",
     "session_host",
+    "ledger_store",
     "calls",
     "caller_api",
     "operator_port",
