--- a/egretstack/configuration/__init__.py
+++ b/egretstack/configuration/__init__.py
@@ -31,6 +31,7 @@
 from egretstack.configuration._transfer import (
     SnapshotBuilder,
     TransferError,
+    is_sections,
     piece,
     tell,
     told_delta,
@@ -61,6 +62,7 @@
     "TransferError",
     "head_digest",
     "head_of",
+    "is_sections",
     "part_digest",
     "part_name",
     "piece",
--- a/egretstack/configuration/_store.py
+++ b/egretstack/configuration/_store.py
@@ -19,6 +19,7 @@
     part_digest,
 )
 from egretstack.configuration._transfer import is_sections
+from egretstack.errors import UserError
 from egretstack.ids import ChangeId, Revision
 from egretstack.platform import (
     Conflict,
@@ -125,6 +126,25 @@
         revision = None if head is None else head.revision_of(change_id)
         return None if revision is None else Accepted(revision, change_id)
 
+    async def put_back(self, snapshot: Snapshot) -> list[ChangeId]:
+        """Make a store that was restored from an older copy hold a snapshot that is in force.
+
+        Gives the ids of the changes that the store alone held. Raises UserError where the store
+        is not older and not of another history, Conflict, PlatformAway, PlatformOutcomeUnknown.
+        """
+        stored = await self._api.get(ObjectKind.CONFIG_HEAD, HEAD_NAME)
+        spec = _head_spec(snapshot.head)
+        for part, sections in snapshot.sections_by_part.items():
+            await self._write_part(part, sections)
+        if stored is None:
+            await self._api.create(ObjectKind.CONFIG_HEAD, HEAD_NAME, spec)
+            return []
+        head = head_of(stored)
+        if head.id_at(snapshot.head.revision) == snapshot.head.change_id:
+            raise UserError("the store holds this revision or a later one of the same history")
+        await self._api.replace(ObjectKind.CONFIG_HEAD, HEAD_NAME, spec, stored.version)
+        return [one for one in head.recent if one not in snapshot.head.recent]
+
     async def _write_part(self, part: str, sections: Sections) -> None:
         name = f"{part}.{part_digest(sections)}"
         for _ in range(APPLY_ATTEMPTS):
--- a/egretstack/operators/__init__.py
+++ b/egretstack/operators/__init__.py
@@ -7,9 +7,16 @@
     diff_text,
     read_part_file,
     remove_part,
+    sections_diff,
     shown,
 )
 from egretstack.operators._keys import new_account_key, new_session_key
+from egretstack.operators._recovery import (
+    check_not_older,
+    listed_instance,
+    refuse_older_store,
+    snapshot_in_force,
+)
 from egretstack.operators._status import InstanceStatus, drain_instance, fleet_status
 
 __all__ = [
@@ -17,12 +24,17 @@
     "PartFile",
     "apply_file",
     "check_file",
+    "check_not_older",
     "diff_text",
     "drain_instance",
     "fleet_status",
+    "listed_instance",
     "new_account_key",
     "new_session_key",
     "read_part_file",
+    "refuse_older_store",
     "remove_part",
+    "sections_diff",
     "shown",
+    "snapshot_in_force",
 ]
--- /dev/null
+++ b/egretstack/operators/_recovery.py
@@ -0,0 +1,71 @@
+"""Finds out that a store was restored from an older copy, and puts it right."""
+
+import httpx
+
+from egretstack.configuration import (
+    ConfigurationStore,
+    Head,
+    Snapshot,
+    TransferError,
+    is_sections,
+    part_digest,
+)
+from egretstack.errors import UserError
+from egretstack.ids import ChangeId, Revision
+from egretstack.operators._status import OPERATOR_PORT, InstanceStatus, fleet_status
+from egretstack.platform import ENTRY_SERVICE, InstanceList, Member
+
+ASKED_BEFORE_A_CHANGE = 8
+
+
+async def refuse_older_store(
+    client: httpx.AsyncClient, listed: InstanceList, store: ConfigurationStore
+) -> None:
+    """Raise UserError where an instance has a newer revision in force than the store holds.
+
+    A change accepted by such a store would be refused by every instance, while the operator was
+    told that it is accepted.
+    """
+    statuses = await fleet_status(client, listed, ASKED_BEFORE_A_CHANGE)
+    # The store is read after the instances, so a change accepted in between is no false alarm.
+    head = await store.head()
+    check_not_older(statuses, Revision(0) if head is None else head.revision)
+
+
+def check_not_older(statuses: list[InstanceStatus], stored: Revision) -> None:
+    """Raise UserError where a status shows a revision above the one stored."""
+    for status in statuses:
+        if status.revision is not None and status.revision > stored:
+            raise UserError(
+                f"the store holds revision {stored} and {status.instance} has revision"
+                f" {status.revision} in force: the store was restored from an older copy;"
+                f" put it right with: egretctl recover {status.instance}"
+            )
+
+
+async def listed_instance(listed: InstanceList, instance: str) -> Member:
+    """Find an instance by name. Raises UserError, PlatformAway."""
+    for member in await listed.members():
+        if member.service == ENTRY_SERVICE and member.id == instance:
+            return member
+    raise UserError(f"no instance named {instance} is listed")
+
+
+async def snapshot_in_force(client: httpx.AsyncClient, member: Member) -> Snapshot:
+    """Read the configuration that an instance has in force. Raises UserError, httpx.HTTPError."""
+    response = await client.get(member.url(OPERATOR_PORT) + "/configuration")
+    response.raise_for_status()
+    try:
+        return _snapshot(response.json())
+    except (KeyError, ValueError, TypeError, AttributeError, TransferError) as error:
+        raise UserError(f"{member.id} has no configuration to give") from error
+
+
+def _snapshot(body: dict) -> Snapshot:
+    parts = body["parts"]
+    if not all(is_sections(sections) for sections in parts.values()):
+        raise TransferError("a part of another shape")
+    digests = {part: part_digest(sections) for part, sections in parts.items()}
+    recent = tuple(ChangeId(str(one)) for one in body["recent"])
+    head = Head(Revision(int(body["revision"])), ChangeId(body["change_id"]), digests, recent)
+    return Snapshot(head, parts)
--- a/egretstack/operators/_status.py
+++ b/egretstack/operators/_status.py
@@ -1,5 +1,6 @@
 """Asks instances for their status, and one to drain."""
 
+import random
 from dataclasses import dataclass
 
 import httpx
@@ -23,9 +24,16 @@
     draining: bool
 
 
-async def fleet_status(client: httpx.AsyncClient, listed: InstanceList) -> list[InstanceStatus]:
-    """Ask every process of every listed instance. Raises PlatformAway for the list."""
+async def fleet_status(
+    client: httpx.AsyncClient, listed: InstanceList, most: int | None = None
+) -> list[InstanceStatus]:
+    """Ask every process of every listed instance, or of `most` of them drawn at random.
+
+    Raises PlatformAway for the list.
+    """
     members = [one for one in await listed.members() if one.service == ENTRY_SERVICE]
+    if most is not None:
+        members = random.sample(members, min(most, len(members)))
     found: list[InstanceStatus] = []
     limit = trio.CapacityLimiter(ASKED_AT_ONCE)
 
--- a/egretstack/services/operator_port.py
+++ b/egretstack/services/operator_port.py
@@ -39,6 +39,10 @@
         async def status() -> Response:
             return Response(json.dumps(self._status()), content_type="application/json")
 
+        @app.get("/configuration")
+        async def configuration() -> Response:
+            return Response(json.dumps(self._configuration()), content_type="application/json")
+
         @app.post("/drain")
         async def drain() -> Response:
             self.kernel.begin_drain()
@@ -46,6 +50,18 @@
 
         return app
 
+    def _configuration(self) -> dict[str, object]:
+        """Give all that is in force, for an operator who puts a restored store right."""
+        snapshot = self.kernel.get(Configuration).state.snapshot
+        if snapshot is None:
+            return {}
+        return {
+            "revision": snapshot.head.revision,
+            "change_id": snapshot.head.change_id,
+            "recent": list(snapshot.head.recent),
+            "parts": snapshot.sections_by_part,
+        }
+
     def _status(self) -> dict[str, object]:
         return {
             "instance": self.kernel.settings.text("instance", "id"),
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -9,7 +9,9 @@
     ConfigurationStore,
     part_digest,
 )
-from egretstack.ids import ChangeId
+from egretstack.errors import UserError
+from egretstack.ids import ChangeId, InstanceId, Revision
+from egretstack.operators import InstanceStatus, check_not_older
 from egretstack.platform import ObjectKind, PlatformAway, PlatformOutcomeUnknown
 from standins.object_store import InProcessObjectApi, ObjectStore
 from tests.configuration_fixtures import change_of, contract
@@ -132,6 +134,31 @@
         await one.complete(head, None)
 
 
+async def test_a_store_restored_from_a_copy_is_put_right_from_what_is_in_force():
+    # The store was put back to a copy and accepted a change that no instance takes. Putting it
+    # right gives that change up, and names it; a second time there is nothing to do.
+    store = ObjectStore()
+    one = await operator(store)
+    copy = store.snapshot()
+    await one.apply(change_of("bo", 1, "in-force"))
+    in_force = await one.snapshot()
+    store.restore(copy)
+    await one.apply(change_of("ada", 5, "foreign", part_digest(contract("ada", 1))))
+    check.assertEqual(await one.put_back(in_force), ["foreign"])
+    check.assertEqual(await one.head(), in_force.head)
+    with check.assertRaises(UserError):
+        await one.put_back(in_force)
+
+
+def test_a_change_is_refused_while_an_instance_has_a_newer_revision_than_the_store():
+    # After a restore the tool could have a change accepted that every instance then refuses.
+    status = InstanceStatus(InstanceId("a"), "operator", Revision(5), False)
+    silent = InstanceStatus(InstanceId("b"), "operator", None, False)
+    check_not_older([status, silent], Revision(5))
+    with check.assertRaises(UserError):
+        check_not_older([status, silent], Revision(4))
+
+
 async def test_a_head_of_another_shape_is_refused():
     store = ObjectStore()
     store.put(ObjectKind.CONFIG_HEAD, "head", {"revision": "no", "parts": 3}, None)
