--- a/egretstack/programs/ctl.py
+++ b/egretstack/programs/ctl.py
@@ -23,6 +23,7 @@
 )
 from egretstack.programs._ctl_common import Namespace, PlatformUrl, open_platform, run_command
 from egretstack.programs._ctl_parts import add_part_commands
+from egretstack.programs._replay import add_replay_command
 from egretstack.programs._running import ExitCode, exit_with
 from egretstack.settings import Program, read_settings, settings_page
 
@@ -38,6 +39,7 @@
 service = App(name="service", help="Descriptions of upstream services.")
 app.command(contract)
 app.command(service)
+add_replay_command(app)
 
 
 @app.command
--- a/egretstack/services/configuration.py
+++ b/egretstack/services/configuration.py
@@ -7,6 +7,7 @@
 
 import random
 from contextlib import suppress
+from dataclasses import dataclass
 
 import trio
 
@@ -32,11 +33,12 @@
     told_delta,
 )
 from egretstack.events import Event, log
-from egretstack.ids import InstanceId
+from egretstack.ids import InstanceId, Revision
 from egretstack.kernel import Kernel, Service
 from egretstack.peers import Message, Nothing, PeerGone, PeerRefused
 from egretstack.platform import ENTRY_SERVICE, Member, PlatformAway
 from egretstack.services.instances import Instances
+from egretstack.services.membership import Membership
 from egretstack.services.peer_port import PeerPort
 from egretstack.services.platform_access import PlatformAccess
 
@@ -58,6 +60,16 @@
 
 REPEAT_ALARM_S = 60.0
 STEWARD_PORT = "steward"
+ENTRY_PORT = "peer"
+
+
+@dataclass(frozen=True)
+class _Lead:
+    """A process that has a newer revision: its instance, and the name of its port."""
+
+    instance: InstanceId
+    port: str
+    revision: int
 
 
 class Configuration(Service):
@@ -71,7 +83,7 @@
         self.state = ConfigurationState()
         self._rng = random.Random(self.own)
         self._changed = trio.Event()
-        self._news_send, self._news = trio.open_memory_channel[ConfigNews](MAX_PULLS)
+        self._news_send, self._news = trio.open_memory_channel[_Lead](MAX_PULLS)
         self._alarm_at_s: dict[tuple[Event, int, str], float] = {}
         self._reading = trio.Lock()
 
@@ -87,6 +99,8 @@
         port.answer(ConfigNews, self._hear)
         port.answer(SnapshotAsk, self._answer_snapshot)
         self.kernel.get(Instances).on_change(self._share_budget)
+        if self.kernel.has(Membership):
+            self.kernel.get(Membership).on_peer_revision(self._peer_has)
         async with trio.open_nursery() as nursery:
             for _ in range(MAX_PULLS):
                 nursery.start_soon(self._follow_news)
@@ -170,24 +184,24 @@
         return self._rng.sample(others, min(count, len(others)))
 
     async def _follow_news(self) -> None:
-        async for news in self._news:
+        async for lead in self._news:
             for member in self._members():
-                if member.id == news.instance and news.revision > self.state.revision:
-                    await self._pull_peer(member)
+                if member.id == lead.instance and lead.revision > self.state.revision:
+                    await self._pull_peer(member, lead.port)
 
-    async def _pull_peer(self, member: Member) -> bool:
+    async def _pull_peer(self, member: Member, port: str = STEWARD_PORT) -> bool:
         """Ask a peer for what changed; True when it answered."""
         ask = ConfigAsk(self.state.revision, self.state.change_id)
         try:
-            answer = await self._ask(member, ask)
+            answer = await self._ask(member, port, ask)
             if isinstance(answer, ConfigTell):
                 delta = told_delta(answer)
                 offer = self.state.offer_delta(delta)
                 self._note(offer, delta.revision, delta.change_ids[-1])
                 if offer is Offer.GAP and delta.base_revision == self.state.revision:
-                    await self._pull_snapshot(member)
+                    await self._pull_snapshot(member, port)
             elif isinstance(answer, ConfigFar):
-                await self._pull_snapshot(member)
+                await self._pull_snapshot(member, port)
             elif isinstance(answer, ConfigForked):
                 self._note(Offer.FORKED, answer.revision, answer.change_id)
         except (PeerGone, PeerRefused):
@@ -197,10 +211,10 @@
             return False
         return True
 
-    async def _pull_snapshot(self, member: Member) -> None:
+    async def _pull_snapshot(self, member: Member, port: str) -> None:
         for _ in range(SNAPSHOT_TRIES):
             try:
-                snapshot = await self._read_pieces(member)
+                snapshot = await self._read_pieces(member, port)
             except TransferError:
                 continue
             if snapshot is not None:
@@ -208,10 +222,10 @@
             return
         raise TransferError("no whole snapshot")
 
-    async def _read_pieces(self, member: Member) -> Snapshot | None:
+    async def _read_pieces(self, member: Member, port: str) -> Snapshot | None:
         builder = SnapshotBuilder()
         for _ in range(MAX_PIECES):
-            answer = await self._ask(member, SnapshotAsk(builder.after))
+            answer = await self._ask(member, port, SnapshotAsk(builder.after))
             if not isinstance(answer, SnapshotPiece):
                 return None
             snapshot = builder.add(answer)
@@ -219,11 +233,13 @@
                 return snapshot
         raise TransferError("too many pieces")
 
-    async def _ask(self, member: Member, message: Message) -> Message:
-        port = member.ports[STEWARD_PORT]
+    async def _ask(self, member: Member, port: str, message: Message) -> Message:
+        number = member.ports.get(port)
+        if number is None:
+            raise PeerGone(f"no port {port}")
         with trio.move_on_after(PULL_TIMEOUT_S):
             peers = self.kernel.get(PeerPort)
-            return await peers.ask(InstanceId(member.id), member.host, port, message)
+            return await peers.ask(InstanceId(member.id), member.host, number, message)
         raise PeerGone("no answer in time")
 
     async def _answer(self, message: ConfigAsk) -> Message:
@@ -243,16 +259,24 @@
         return Nothing() if snapshot is None else piece(snapshot, message.after)
 
     async def _hear(self, message: ConfigNews) -> Message:
-        if message.revision > self.state.revision:
+        self._follow(_Lead(InstanceId(message.instance), STEWARD_PORT, message.revision))
+        return Nothing()
+
+    def _peer_has(self, instance: InstanceId, revision: Revision) -> None:
+        self._follow(_Lead(instance, ENTRY_PORT, revision))
+
+    def _follow(self, lead: _Lead) -> None:
+        if lead.revision > self.state.revision:
             # With the channel full, enough pulls wait already; each takes the newest there is.
             with suppress(trio.WouldBlock):
-                self._news_send.send_nowait(message)
-        return Nothing()
+                self._news_send.send_nowait(lead)
 
     def _note(self, offer: Offer, revision: int, change_id: str) -> None:
         if offer is Offer.APPLIED:
             log(Event.CONFIG_APPLIED, revision=revision)
             self.kernel.get(PlatformAccess).metrics.revision.set(revision)
+            if self.kernel.has(Membership):
+                self.kernel.get(Membership).set_revision(self.state.revision)
             self._changed.set()
             self._changed = trio.Event()
         elif offer is Offer.BAD:
