Duties: leases with fencing, and orders that bring engines to what is described

Cause: nothing gave engines orders. One duty for each engine service, one lease each; three stewards are candidates, chosen by hash as the watchers are, so lease calls do not grow with the fleet. The lease is judged by each process's own clock: the holder counts from before its write was sent, others from when they last saw the object change. The desired models are those of the service description: routing reads them there too, and two parts could disagree.

Found on the way: a renewal whose answer was lost and that landed late was counted from a later, equal try, so its holder believed in the lease for longer than others did; every write of a holder differs now. Ruled out: counting from times written in the object (clocks of two machines).

Upstreams: EngineClient.models() reads GET /v1/models. engines.silence_s is a setting of both programs now, since stewards talk to engines.

--- a/egretstack/configuration/_fanout.py
+++ b/egretstack/configuration/_fanout.py
@@ -17,10 +17,10 @@
 """Stewards that one steward tells in each tree."""
 
 
-def watchers(members: list[Member], count: int = WATCHERS) -> list[InstanceId]:
-    """Choose the stewards that watch, in different availability zones as far as there are any."""
+def watchers(members: list[Member], count: int = WATCHERS, duty: str = "watch") -> list[InstanceId]:
+    """Choose the stewards for a duty, in different availability zones as far as there are any."""
     live = [one for one in members if one.state is MemberState.LIVE]
-    ranked = sorted(live, key=lambda one: _weight("watch", one.id))
+    ranked = sorted(live, key=lambda one: _weight(duty, one.id))
     first_by_zone: dict[str, Member] = {}
     for member in ranked:
         first_by_zone.setdefault(member.zone, member)
--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -63,6 +63,12 @@
     PEER_REFUSED = (320, Level.WARNING, "A peer connection was refused; check keys and version.")
     RUNNER_JOINED = (330, Level.INFO, "A runner is known and gets work.")
     RUNNER_LEFT = (331, Level.INFO, "A runner gets no new work.")
+    DUTY_TAKEN = (350, Level.INFO, "This steward holds a duty now.")
+    DUTY_LOST = (351, Level.WARNING, "This steward's lease on a duty ended; it gives no orders.")
+    DUTY_UNREADABLE = (352, Level.ERROR, "The object of a lease cannot be read; delete it.")
+    ORDER_SENT = (353, Level.INFO, "An engine was ordered to serve the models described.")
+    ORDER_REFUSED = (354, Level.WARNING, "An engine knows a newer holder; this one stops.")
+    ORDER_FAILED = (355, Level.WARNING, "An engine could not be read or given an order.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
         self.number = number
--- a/egretstack/programs/steward.py
+++ b/egretstack/programs/steward.py
@@ -15,6 +15,7 @@
     "configuration",
     "configuration_watch",
     "configuration_news",
+    "duties",
     "operator_port",
 )
 
--- a/egretstack/settings/_schema.py
+++ b/egretstack/settings/_schema.py
@@ -52,6 +52,13 @@
         "How often the instance list is read.",
         "1",
     ),
+    Key(
+        "engines",
+        "silence_s",
+        Number(0.5, 600, _SECONDS),
+        "Silence on an engine's stream after which the engine is asked over a new connection.",
+        "5",
+    ),
     Key("logs", "form", Choice(LogForm), "Form of log lines.", "json"),
     Key("logs", "level", Choice(Level), "Least level that is written.", "INFO"),
 )
@@ -100,13 +107,6 @@
         "How often each runner's load report is read.",
         "0.5",
     ),
-    Key(
-        "engines",
-        "silence_s",
-        Number(0.5, 600, _SECONDS),
-        "Silence on an engine's stream after which the engine is asked over a new connection.",
-        "5",
-    ),
 )
 
 _SCHEMAS = {
--- a/egretstack/upstreams/_engine.py
+++ b/egretstack/upstreams/_engine.py
@@ -155,6 +155,10 @@
     async def cache_events(self, after: int) -> list[CacheEvent]:
         """Read cache events numbered above `after`; numbers may be missing."""
 
+    @abstractmethod
+    async def models(self) -> tuple[ModelName, ...]:
+        """Read which models the engine serves now. Raises EngineError."""
+
     @abstractmethod
     async def order(self, order: Order) -> None:
         """Give an order. Raises OrderRefused, EngineError."""
--- a/egretstack/upstreams/_http_engine.py
+++ b/egretstack/upstreams/_http_engine.py
@@ -11,7 +11,7 @@
 from httpx_sse import EventSource, SSEError
 from prometheus_client.parser import text_string_to_metric_families
 
-from egretstack.ids import GenerationId
+from egretstack.ids import GenerationId, ModelName
 from egretstack.upstreams._engine import (
     CacheEvent,
     EngineBroken,
@@ -35,6 +35,7 @@
 _HTTP_CONFLICT = 409
 _BUSY = frozenset({429, 503})
 _KIND_BY_NAME = {kind.value: kind for kind in EngineEventKind}
+MAX_MODELS = 1000
 MAX_CACHE_EVENTS = 10_000
 
 
@@ -125,6 +126,15 @@
         except (ValueError, KeyError, TypeError) as error:
             raise EngineBroken("cache events that cannot be read") from error
 
+    async def models(self) -> tuple[ModelName, ...]:
+        """Read which models the engine serves now. Raises EngineError."""
+        response = await self._ask("GET", "/v1/models")
+        try:
+            rows = response.json()["data"][:MAX_MODELS]
+            return tuple(ModelName(str(row["id"])) for row in rows)
+        except (ValueError, KeyError, TypeError) as error:
+            raise EngineBroken("models that cannot be read") from error
+
     async def order(self, order: Order) -> None:
         """Give an order. Raises OrderRefused, EngineError."""
         body = {"id": order.id, "fencing": order.fencing, "models": list(order.models)}
--- a/standins/engine_client.py
+++ b/standins/engine_client.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from egretstack.ids import GenerationId
+from egretstack.ids import GenerationId, ModelName
 from egretstack.upstreams import (
     CacheEvent,
     EngineBroken,
@@ -100,6 +100,11 @@
         await self._reach()
         return self._live.cache_events(after)
 
+    async def models(self) -> tuple[ModelName, ...]:
+        """Read which models the engine serves."""
+        await self._reach()
+        return self._live.models
+
     async def order(self, order: Order) -> None:
         """Give an order."""
         await self._reach()
--- a/standins/engine_http.py
+++ b/standins/engine_http.py
@@ -64,6 +64,10 @@
         rows = [{"number": e.number, "prefix": e.prefix, "stored": e.stored} for e in events]
         return _json({"events": rows})
 
+    @app.get("/v1/models")
+    async def models() -> Response:
+        return _json({"object": "list", "data": [{"id": name} for name in engine.models]})
+
     @app.put("/orders")
     async def order() -> Response:
         body = await request.get_json(force=True)
--- a/standins/world.py
+++ b/standins/world.py
@@ -72,10 +72,17 @@
     nursery: trio.Nursery | None = None
 
     def add_engine(
-        self, name: str, service: str, models: tuple[str, ...], parameters: EngineParameters
+        self,
+        name: str,
+        service: str,
+        models: tuple[str, ...],
+        parameters: EngineParameters,
+        *,
+        checks_fencing: bool = True,
     ) -> EngineStandin:
         """Start an engine and list it."""
-        live = LiveEngine(parameters, tuple(ModelName(model) for model in models))
+        names = tuple(ModelName(model) for model in models)
+        live = LiveEngine(parameters, names, checks_fencing=checks_fencing)
         self.engine_by_id[name] = EngineStandin(live, EngineFaults())
         self.nursery.start_soon(live.run)
         self._list(name, service, f"10.1.0.{len(self.engine_by_id)}", {"http": 8000}, "a")
