A head that stays small, and outcomes of overtaken and lost updates told apart

The versions are in a manifest now, an object that never changes, and the head holds up to 64 newer ones.

Found by the measurement: an operator whose update was overtaken eight times was told 'outcome unknown'; nothing had been accepted. Found while mending it: a conflict may come from one's own update that landed late, so only a read of a moved head without the change settles a lost one. Both have a test, seen failing with the safeguard out.

The state machine of leases did not find a lease without an end; its processes act after each step of time now, and it does.

--- a/egretstack/configuration/__init__.py
+++ b/egretstack/configuration/__init__.py
@@ -26,7 +26,6 @@
     ApplyConflict,
     ApplyUnknown,
     ConfigurationStore,
-    head_of,
 )
 from egretstack.configuration._transfer import (
     SnapshotBuilder,
@@ -61,7 +60,6 @@
     "SnapshotPiece",
     "TransferError",
     "head_digest",
-    "head_of",
     "is_sections",
     "part_digest",
     "part_name",
--- a/egretstack/configuration/_fanout.py
+++ b/egretstack/configuration/_fanout.py
@@ -13,7 +13,7 @@
 WATCHERS = 3
 """Stewards that watch the platform; the number does not grow with the fleet."""
 
-FAN_OUT = 8
+FAN_OUT = 4
 """Stewards that one steward tells in each tree."""
 
 
--- a/egretstack/configuration/_store.py
+++ b/egretstack/configuration/_store.py
@@ -6,16 +6,19 @@
 """
 
 import json
+import random
 from dataclasses import dataclass
 
 import trio
 
+from egretstack.configuration._head_object import NO_MANIFEST, HeadObject
 from egretstack.configuration._model import (
     RECENT_KEPT,
     Change,
     Head,
     Sections,
     Snapshot,
+    head_digest,
     part_digest,
 )
 from egretstack.configuration._transfer import is_sections
@@ -27,10 +30,12 @@
     ObjectKind,
     PlatformAway,
     PlatformOutcomeUnknown,
+    Spec,
     StoredObject,
 )
 
 HEAD_NAME = "head"
+MANIFEST = "manifest"
 APPLY_ATTEMPTS = 8
 RETRY_DELAY_S = 0.2
 MAX_INLINE_CHARACTERS = 8192
@@ -62,20 +67,51 @@
         self.change_id = change_id
 
 
+class _LostWrite:
+    """Whether an update of the head whose answer was lost may still take effect.
+
+    It cannot once a read shows another version and not the change: the update was conditional on
+    the version before. A conflict alone shows nothing, since it may come from the update itself.
+    """
+
+    def __init__(self) -> None:
+        self.is_open = False
+        self._version: str | None = None
+
+    def sent(self, version: str | None) -> None:
+        """Note an update conditional on a version, without an answer."""
+        self.is_open = True
+        self._version = version
+
+    def read(self, version: str | None) -> None:
+        """Note a read that does not show the change."""
+        if version != self._version:
+            self.is_open = False
+
+
+_NO_HEAD = HeadObject(Revision(0), ChangeId(""))
+
+
 class ConfigurationStore:
     """Reads and changes the configuration in the object API."""
 
     def __init__(self, api: ObjectApi) -> None:
         self._api = api
+        self._manifest: tuple[str, dict[str, str]] = (NO_MANIFEST, {})
 
-    async def head(self) -> Head | None:
+    async def head(self, known: Snapshot | None = None) -> Head | None:
         """Read the head. Raises PlatformAway."""
         stored = await self._api.get(ObjectKind.CONFIG_HEAD, HEAD_NAME)
-        return None if stored is None else head_of(stored)
+        return None if stored is None else await self.head_of(stored, known)
+
+    async def head_of(self, stored: StoredObject, known: Snapshot | None = None) -> Head:
+        """Read a head object; the manifest only where `known` is not it. Raises PlatformAway."""
+        found = HeadObject.read(stored.spec)
+        return found.head(await self._versions(found.manifest, known))
 
     async def snapshot(self, known: Snapshot | None = None) -> Snapshot | None:
         """Read the head and every part that `known` does not hold. Raises PlatformAway."""
-        head = await self.head()
+        head = await self.head(known)
         return None if head is None else await self.complete(head, known)
 
     async def complete(self, head: Head, known: Snapshot | None) -> Snapshot:
@@ -106,18 +142,18 @@
         for part, sections in change.sections_by_part.items():
             if sections is not None:
                 await self._write_part(part, sections)
-        sent = False
+        lost = _LostWrite()
         for _ in range(APPLY_ATTEMPTS):
             try:
-                return await self._accept(change)
-            except Conflict:
-                continue
-            except PlatformOutcomeUnknown:
-                sent = True
+                return await self._accept(change, lost)
+            except (Conflict, PlatformOutcomeUnknown):
+                pass
             except PlatformAway:
-                if not sent:
+                if not lost.is_open:
                     raise
-            await trio.sleep(RETRY_DELAY_S)
+            await trio.sleep(RETRY_DELAY_S * random.random())
+        if not lost.is_open:
+            raise PlatformAway("others change the configuration too fast; nothing was accepted")
         raise ApplyUnknown(change.id)
 
     async def settle(self, change_id: ChangeId) -> Accepted | None:
@@ -133,48 +169,88 @@
         is not older and not of another history, Conflict, PlatformAway, PlatformOutcomeUnknown.
         """
         stored = await self._api.get(ObjectKind.CONFIG_HEAD, HEAD_NAME)
-        spec = _head_spec(snapshot.head)
+        versions = snapshot.head.digest_by_part
+        spec = HeadObject(
+            snapshot.head.revision,
+            snapshot.head.change_id,
+            head_digest(versions),
+            recent=snapshot.head.recent,
+        ).spec()
         for part, sections in snapshot.sections_by_part.items():
             await self._write_part(part, sections)
+        await self._write_manifest(versions)
         if stored is None:
             await self._api.create(ObjectKind.CONFIG_HEAD, HEAD_NAME, spec)
             return []
-        head = head_of(stored)
+        head = await self.head_of(stored)
         if head.id_at(snapshot.head.revision) == snapshot.head.change_id:
             raise UserError("the store holds this revision or a later one of the same history")
         await self._api.replace(ObjectKind.CONFIG_HEAD, HEAD_NAME, spec, stored.version)
         return [one for one in head.recent if one not in snapshot.head.recent]
 
+    async def _versions(self, manifest: str, known: Snapshot | None) -> dict[str, str]:
+        if manifest == NO_MANIFEST:
+            return {}
+        if self._manifest[0] != manifest:
+            self._manifest = (manifest, await self._read_manifest(manifest, known))
+        return self._manifest[1]
+
+    async def _read_manifest(self, manifest: str, known: Snapshot | None) -> dict[str, str]:
+        if known is not None and head_digest(known.head.digest_by_part) == manifest:
+            return known.head.digest_by_part
+        stored = await self._api.get(ObjectKind.CONFIG_PART, f"{MANIFEST}.{manifest}")
+        versions = None if stored is None else stored.spec.get("versions")
+        if not isinstance(versions, dict) or head_digest(versions) != manifest:
+            raise PlatformAway(f"manifest {manifest} is missing or cannot be read")
+        return versions
+
+    async def _write_manifest(self, versions: dict[str, str]) -> None:
+        await self._write_object(f"{MANIFEST}.{head_digest(versions)}", {"versions": versions})
+
     async def _write_part(self, part: str, sections: Sections) -> None:
-        name = f"{part}.{part_digest(sections)}"
+        await self._write_object(f"{part}.{part_digest(sections)}", {"sections": sections})
+
+    async def _write_object(self, name: str, spec: Spec) -> None:
+        """Write an object that never changes; one that is there already is the same."""
         for _ in range(APPLY_ATTEMPTS):
             try:
-                await self._api.create(ObjectKind.CONFIG_PART, name, {"sections": sections})
+                await self._api.create(ObjectKind.CONFIG_PART, name, spec)
                 return
             except Conflict:
                 return
             except PlatformOutcomeUnknown:
                 await trio.sleep(RETRY_DELAY_S)
-        raise PlatformAway(f"part {part} could not be written")
+        raise PlatformAway(f"{name} could not be written")
 
-    async def _accept(self, change: Change) -> Accepted:
+    async def _accept(self, change: Change, lost: "_LostWrite") -> Accepted:
         stored = await self._api.get(ObjectKind.CONFIG_HEAD, HEAD_NAME)
-        current = Head(Revision(0), ChangeId("")) if stored is None else head_of(stored)
+        found = _NO_HEAD if stored is None else HeadObject.read(stored.spec)
+        current = found.head(await self._versions(found.manifest, None))
         revision = current.revision_of(change.id)
         if revision is not None:
             # An earlier attempt took effect and its answer was lost. Others may have changed
             # the configuration since: accepting again would undo what they did.
             return Accepted(revision, change.id)
+        version = None if stored is None else stored.version
+        lost.read(version)
         await self._refuse_stale(change, current)
         head = _next_head(current, change)
-        if stored is None:
-            await self._api.create(ObjectKind.CONFIG_HEAD, HEAD_NAME, _head_spec(head))
-        else:
-            await self._api.replace(
-                ObjectKind.CONFIG_HEAD, HEAD_NAME, _head_spec(head), stored.version
-            )
+        following = found.followed_by(head, current.digest_by_part)
+        if following.manifest != found.manifest:
+            await self._write_manifest(current.digest_by_part)
+        try:
+            await self._update(following.spec(), version)
+        except PlatformOutcomeUnknown:
+            lost.sent(version)
+            raise
         return Accepted(head.revision, change.id)
 
+    async def _update(self, spec: Spec, version: str | None) -> None:
+        if version is None:
+            await self._api.create(ObjectKind.CONFIG_HEAD, HEAD_NAME, spec)
+        else:
+            await self._api.replace(ObjectKind.CONFIG_HEAD, HEAD_NAME, spec, version)
+
     async def _refuse_stale(self, change: Change, current: Head) -> None:
         for part, expected in change.expected.items():
             digest = current.digest_by_part.get(part)
@@ -183,20 +259,6 @@
                 raise ApplyConflict(part, theirs)
 
 
-def head_of(stored: StoredObject) -> Head:
-    """Read a head object; raise PlatformAway where it is none."""
-    spec = stored.spec
-    try:
-        revision = int(spec["revision"])
-        change_id = ChangeId(str(spec["change_id"]))
-        digest_by_part = {str(part): str(digest) for part, digest in spec["parts"].items()}
-        recent = tuple(ChangeId(str(one)) for one in spec.get("recent", [change_id]))
-        inline = {part: one for part, one in spec.get("inline", {}).items() if is_sections(one)}
-    except (KeyError, ValueError, TypeError, AttributeError) as error:
-        raise PlatformAway(f"a head that cannot be read: {error!r}") from error
-    return Head(Revision(revision), change_id, digest_by_part, recent[-RECENT_KEPT:], inline)
-
-
 def _next_head(current: Head, change: Change) -> Head:
     digests = dict(current.digest_by_part)
     for part, sections in change.sections_by_part.items():
@@ -209,13 +271,3 @@
     if len(json.dumps(inline)) > MAX_INLINE_CHARACTERS:
         inline = {}
     return Head(Revision(current.revision + 1), change.id, digests, recent, inline)
-
-
-def _head_spec(head: Head) -> dict[str, object]:
-    return {
-        "revision": head.revision,
-        "change_id": head.change_id,
-        "parts": head.digest_by_part,
-        "recent": list(head.recent),
-        "inline": head.inline,
-    }
--- a/egretstack/services/configuration.py
+++ b/egretstack/services/configuration.py
@@ -8,6 +8,7 @@
 import random
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import cached_property
 
 import trio
 
@@ -43,9 +44,6 @@
 from egretstack.services.platform_access import PlatformAccess
 
 PULL_PERIOD_S = 1.0
-PULL_TIMEOUT_S = 1.2
-"""Time for one exchange with a peer: three round trips between far regions, and no more, since
-a frozen peer must not use up the seconds in which a change has to be in force."""
 
 PEERS_ASKED = 2
 PEERS_ASKED_AT_START = 5
@@ -87,6 +85,11 @@
         self._alarm_at_s: dict[tuple[Event, int, str], float] = {}
         self._reading = trio.Lock()
 
+    @cached_property
+    def store(self) -> ConfigurationStore:
+        """Give the configuration as the platform keeps it."""
+        return ConfigurationStore(self.kernel.get(PlatformAccess).object_api)
+
     @property
     def own(self) -> InstanceId:
         """Give the name of this instance."""
@@ -125,7 +128,7 @@
         async with self._reading:
             # Only a read that began after a revision was in force here proves the store older.
             known = self.state.revision
-            head = await self._store().head()
+            head = await self.store.head(self.state.snapshot)
             if head is None:
                 if known > 0:
                     self._alarm(Event.CONFIG_REFUSED_OLDER, 0, "")
@@ -140,7 +143,7 @@
         if judged is not Offer.NEWER:
             self._note(judged, head.revision, head.change_id)
             return judged
-        return self.offer(await self._store().complete(head, self.state.snapshot))
+        return self.offer(await self.store.complete(head, self.state.snapshot))
 
     async def sample_platform(self) -> None:
         """Read the head with a chance that keeps the whole fleet's reads at a fixed rate."""
@@ -237,10 +240,8 @@
         number = member.ports.get(port)
         if number is None:
             raise PeerGone(f"no port {port}")
-        with trio.move_on_after(PULL_TIMEOUT_S):
-            peers = self.kernel.get(PeerPort)
-            return await peers.ask(InstanceId(member.id), member.host, number, message)
-        raise PeerGone("no answer in time")
+        peers = self.kernel.get(PeerPort)
+        return await peers.ask(InstanceId(member.id), member.host, number, message)
 
     async def _answer(self, message: ConfigAsk) -> Message:
         found = self.state.delta_since(message.revision, message.change_id)
@@ -298,6 +299,3 @@
     def _share_budget(self) -> None:
         access = self.kernel.get(PlatformAccess)
         access.object_api.budget.share_among(len(self._members()), trio.current_time())
-
-    def _store(self) -> ConfigurationStore:
-        return ConfigurationStore(self.kernel.get(PlatformAccess).object_api)
--- a/egretstack/services/configuration_watch.py
+++ b/egretstack/services/configuration_watch.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from egretstack.configuration import FanOut, Offer, head_of
+from egretstack.configuration import FanOut, Offer
 from egretstack.events import Event, log
 from egretstack.ids import InstanceId
 from egretstack.kernel import Kernel, Service
@@ -91,7 +91,7 @@
     async def _take(self, kind: WatchKind, stored: StoredObject) -> None:
         configuration = self.kernel.get(Configuration)
         if kind is not WatchKind.DELETED:
-            head = head_of(stored)
+            head = await configuration.store.head_of(stored, configuration.state.snapshot)
             if configuration.state.judge(head) in (Offer.NEWER, Offer.SAME):
                 await configuration.take_head(head)
                 return
--- /dev/null
+++ b/scripts/slopes_configuration.py
@@ -0,0 +1,344 @@
+"""Measures what a change of configuration costs, as JSON lines.
+
+Run: PYTHONPATH=. .venv/bin/python scripts/slopes_configuration.py
+
+- `bytes`: encoded bytes of each way to hand one change on, with 700 contracts.
+- `cpu`: processor microseconds of one change on one instance, and of the steps it is made of.
+- `fan_out`: news sent by the busiest steward and levels of a tree, by fleet and width.
+- `in_force`: seconds of simulated time until a change is in force, bytes and messages between
+  stewards for each change and each steward, and calls to the platform. The objects are those of
+  the product; links between them are functions with a delay each way.
+- `head_update`: retries of the conditional update of the head at several rates of changes.
+"""
+
+import json
+import random
+import sys
+import time
+from dataclasses import replace
+from statistics import median
+
+import trio
+import trio.testing
+
+from egretstack.configuration import (
+    ApplyConflict,
+    Change,
+    ConfigAsk,
+    ConfigNews,
+    ConfigurationState,
+    ConfigurationStore,
+    Delta,
+    FanOut,
+    Head,
+    Snapshot,
+    part_digest,
+    piece,
+    tell,
+    told_delta,
+)
+from egretstack.configuration._head_object import HeadObject
+from egretstack.ids import ChangeId, InstanceId, Revision, ZoneName
+from egretstack.peers import encode
+from egretstack.platform import ENTRY_SERVICE, Member, MemberState
+from standins.object_store import InProcessObjectApi, ObjectStore
+
+CONTRACTS = 700
+CHANGES_A_DAY = 5100
+DAY_S = 86_400
+DELAY_S = 0.04
+"""One way between stewards, as between far regions."""
+
+SEED = 7
+IP_AND_TCP_BYTES = 52
+
+
+def contract(name: str, mark: int) -> dict[str, dict[str, str]]:
+    """Give a contract of about 1 KB."""
+    digests = ",".join(f"{mark + place:064x}" for place in range(14))
+    return {"contract": {"account": name, "key_sha256": digests}}
+
+
+def first_snapshot() -> Snapshot:
+    """Give 700 contracts as revision 1."""
+    names = [f"account-{number}" for number in range(CONTRACTS)]
+    sections = {f"contract.{name}": contract(name, 1) for name in names}
+    digests = {part: part_digest(one) for part, one in sections.items()}
+    ids = tuple(ChangeId(f"{number:016x}") for number in range(256))
+    return Snapshot(Head(Revision(256), ids[-1], digests, ids), sections)
+
+
+def changed(snapshot: Snapshot, number: int) -> Snapshot:
+    """Give the next revision, with one contract changed."""
+    name = f"account-{number % CONTRACTS}"
+    part = f"contract.{name}"
+    sections = snapshot.sections_by_part | {part: contract(name, number + 1000)}
+    digests = snapshot.head.digest_by_part | {part: part_digest(sections[part])}
+    change = ChangeId(f"{number + 10_000:016x}")
+    recent = (*snapshot.head.recent, change)[-256:]
+    head = Head(Revision(snapshot.head.revision + 1), change, digests, recent)
+    return Snapshot(head, sections)
+
+
+def say(what: str, **figures: object) -> None:
+    """Print one JSON line."""
+    print(json.dumps({"what": what} | figures))
+    sys.stdout.flush()
+
+
+def measure_bytes() -> None:
+    """Say the bytes of each way to hand a change on."""
+    first = first_snapshot()
+    state = ConfigurationState()
+    state.offer(first)
+    state.offer(changed(first, 0))
+    delta = len(encode(tell(state.delta_since(first.head.revision, first.head.change_id))))
+    snapshot = sum(len(json.dumps(one)) for one in first.sections_by_part.values())
+    before = HeadObject(first.head.revision, first.head.change_id, "0" * 16)
+    since = dict(list(first.head.digest_by_part.items())[:63])
+    before = replace(before, since=since, inline={"contract.account-1": contract("a", 1)})
+    head = len(json.dumps(replace(before, recent=first.head.recent).spec()))
+    manifest = len(json.dumps(first.head.digest_by_part))
+    per_day = CHANGES_A_DAY / DAY_S
+    say(
+        "bytes",
+        delta=delta,
+        news=len(encode(ConfigNews("instance-417", 5000))),
+        ask=len(encode(ConfigAsk(5000, "0" * 16))),
+        first_piece=len(encode(piece(first, ""))),
+        snapshot=snapshot,
+        largest_head=head,
+        manifest=manifest,
+        delta_bytes_a_second=round(delta * per_day, 1),
+        head_bytes_a_second=round(head * per_day, 1),
+        snapshot_bytes_a_second=round(snapshot * per_day, 1),
+    )
+
+
+def measure_cpu(rounds: int = 200) -> None:
+    """Say the processor time of one change on one instance."""
+    sender, receiver, whole = (ConfigurationState() for _ in range(3))
+    snapshot = first_snapshot()
+    for state in (sender, receiver):
+        state.offer(snapshot)
+    took: dict[str, list[float]] = {"make_delta": [], "apply_delta": [], "read_all_parts": []}
+    for number in range(rounds):
+        base = snapshot.head
+        snapshot = changed(snapshot, number)
+        sender.offer(snapshot)
+        start = time.process_time()
+        delta = sender.delta_since(base.revision, base.change_id)
+        made = time.process_time()
+        receiver.offer_delta(told_delta(tell(delta)))
+        applied = time.process_time()
+        took["make_delta"].append(made - start)
+        took["apply_delta"].append(applied - made)
+    for _ in range(5):
+        whole = ConfigurationState()
+        start = time.process_time()
+        whole.offer(snapshot)
+        took["read_all_parts"].append(time.process_time() - start)
+    micros = {name: round(median(values) * 1e6) for name, values in took.items()}
+    say("cpu", contracts=CONTRACTS, **{f"{name}_us": one for name, one in micros.items()})
+
+
+def members(count: int) -> list[Member]:
+    """Give the stewards of a fleet in ten availability zones."""
+    return [
+        Member(
+            f"i-{number}",
+            ENTRY_SERVICE,
+            ZoneName(f"z{number % 10}"),
+            "10.0.0.1",
+            {"steward": 1},
+            MemberState.LIVE,
+        )
+        for number in range(count)
+    ]
+
+
+def measure_fan_out() -> None:
+    """Say how many news the busiest steward sends, and how deep a tree is."""
+    for count in (20, 80, 420):
+        for width in (2, 4, 8, 16):
+            listed = members(count)
+            start = time.process_time()
+            children = {}
+            for one in listed:
+                fan_out = FanOut(InstanceId(one.id), width)
+                fan_out.update(listed)
+                children[one.id] = [child.id for child in fan_out.children]
+            cpu_us = (time.process_time() - start) / count * 1e6
+            heard, levels = {fan_out.watchers[0]}, 0
+            while len(heard) < count:
+                heard |= {child for one in heard for child in children[one]}
+                levels += 1
+            say(
+                "fan_out",
+                stewards=count,
+                width=width,
+                news_of_the_busiest=max(map(len, children.values())),
+                news_on_average=round(sum(map(len, children.values())) / count, 2),
+                levels=levels,
+                update_us=round(cpu_us),
+            )
+
+
+class Steward:
+    """A steward's state and trees, with links that are functions with a delay."""
+
+    def __init__(self, member: Member, site: "Site", width: int) -> None:
+        self.id = InstanceId(member.id)
+        self.state = ConfigurationState()
+        self.fan_out = FanOut(self.id, width)
+        self.sent_bytes = 0
+        self.messages = 0
+        self._site = site
+
+    def send(self, message: object) -> None:
+        """Count a message."""
+        self.messages += 1
+        self.sent_bytes += len(encode(message)) + IP_AND_TCP_BYTES
+
+    async def take(self, snapshot: Snapshot) -> None:
+        """Take a snapshot from the platform's report."""
+        self.state.offer(snapshot)
+        self.tell_children()
+
+    def tell_children(self) -> None:
+        """Send news to the children."""
+        for child in self.fan_out.children:
+            news = ConfigNews(self.id, self.state.revision)
+            self.send(news)
+            self._site.nursery.start_soon(self._site.by_id[child.id].hear, self, news)
+
+    async def hear(self, sender: "Steward", news: ConfigNews) -> None:
+        """Ask the sender of news for what changed, if it is new here."""
+        await trio.sleep(DELAY_S)
+        if news.revision <= self.state.revision:
+            return
+        ask = ConfigAsk(self.state.revision, self.state.change_id)
+        self.send(ask)
+        await trio.sleep(DELAY_S)
+        found = sender.state.delta_since(ask.revision, ask.change_id)
+        if not isinstance(found, Delta):
+            return
+        sender.send(tell(found))
+        await trio.sleep(DELAY_S)
+        before = self.state.revision
+        self.state.offer_delta(found)
+        if self.state.revision > before:
+            self.tell_children()
+
+
+class Site:
+    """Stewards as objects on a mock clock."""
+
+    def __init__(self, count: int, width: int, nursery: trio.Nursery) -> None:
+        listed = members(count)
+        self.nursery = nursery
+        self.by_id = {one.id: Steward(one, self, width) for one in listed}
+        for one in self.by_id.values():
+            one.fan_out.update(listed)
+
+
+async def measure_in_force(count: int, width: int, changes: int = 5) -> None:
+    """Say how long a change takes to be in force, and what it costs each steward."""
+    async with trio.open_nursery() as nursery:
+        site = Site(count, width, nursery)
+        snapshot = first_snapshot()
+        for one in site.by_id.values():
+            one.state.offer(snapshot)
+        roots = next(iter(site.by_id.values())).fan_out.watchers
+        took = []
+        for number in range(changes):
+            snapshot = changed(snapshot, number)
+            start_s = trio.current_time()
+            for root in roots:
+                nursery.start_soon(site.by_id[root].take, snapshot)
+            while any(one.state.revision < snapshot.head.revision for one in site.by_id.values()):
+                await trio.sleep(0.01)
+            took.append(trio.current_time() - start_s)
+            await trio.sleep(2)
+        nursery.cancel_scope.cancel()
+    stewards = site.by_id.values()
+    rate = CHANGES_A_DAY / DAY_S
+    say(
+        "in_force",
+        stewards=count,
+        width=width,
+        one_way_ms=DELAY_S * 1000,
+        seconds=round(max(took), 2),
+        bytes_a_change=round(sum(one.sent_bytes for one in stewards) / count / changes),
+        bytes_a_change_of_the_busiest=round(max(one.sent_bytes for one in stewards) / changes),
+        messages_a_change=round(sum(one.messages for one in stewards) / count / changes, 1),
+        bytes_a_second_of_the_busiest=round(
+            max(one.sent_bytes for one in stewards) / changes * rate, 1
+        ),
+    )
+
+
+async def measure_head_update(per_day: int, latency_s: float, changes: int = 200) -> None:
+    """Say how often the update of the head conflicts when changes come at random times."""
+    store = ObjectStore()
+    store.faults.delay_s = latency_s
+    operators = ConfigurationStore(InProcessObjectApi(store))
+    rng = random.Random(SEED)
+    took: list[float] = []
+    refused = 0
+
+    async def accept(number: int) -> None:
+        nonlocal refused
+        name = f"account-{rng.randrange(CONTRACTS)}"
+        part = f"contract.{name}"
+        head = await operators.head()
+        expected = None if head is None else head.digest_by_part.get(part)
+        change = Change(ChangeId(str(number)), {part: contract(name, number)}, {part: expected})
+        start_s = trio.current_time()
+        try:
+            await operators.apply(change)
+            took.append(trio.current_time() - start_s)
+        except ApplyConflict:
+            refused += 1
+
+    async with trio.open_nursery() as nursery:
+        for number in range(changes):
+            nursery.start_soon(accept, number)
+            await trio.sleep(rng.expovariate(per_day / DAY_S))
+    updates = sum(
+        n
+        for (verb, kind), n in store.calls.items()
+        if kind.value == "configheads" and verb in ("replace", "create")
+    )
+    say(
+        "head_update",
+        changes_a_day=per_day,
+        latency_ms=latency_s * 1000,
+        accepted=len(took),
+        refused=refused,
+        retries_a_change=round((updates - len(took)) / max(1, len(took)), 4),
+        slowest_s=round(max(took), 3),
+    )
+
+
+def main() -> None:
+    """Measure all."""
+    measure_bytes()
+    measure_cpu()
+    measure_fan_out()
+    for count in (5, 20, 80, 320):
+        for width in (4, 8):
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            trio.run(measure_in_force, count, width, clock=clock)
+    for per_day in (CHANGES_A_DAY, 10 * CHANGES_A_DAY, 100 * CHANGES_A_DAY):
+        for latency_s in (0.005, 0.1):
+            trio.run(
+                measure_head_update,
+                per_day,
+                latency_s,
+                clock=trio.testing.MockClock(autojump_threshold=0),
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -1,5 +1,7 @@
 """Each accepted change is in force on every instance within five seconds, whatever fails."""
 
+from unittest.mock import patch
+
 import trio
 
 from egretstack.configuration import watchers
@@ -54,6 +56,15 @@
         await wait_in_force(left, await accept(world, 1))
 
 
+async def test_a_watcher_that_is_killed_is_backed_by_others_without_any_other_read():
+    async with site(STEWARDS) as (world, processes):
+        with patch("egretstack.services.configuration.FLEET_READS_PER_S", 0.0):
+            chosen, _ = watching(world, processes)
+            chosen[0].kill()
+            left = [one for one in processes if one is not chosen[0]]
+            await wait_in_force(left, await accept(world, 1))
+
+
 async def test_every_watcher_killed_at_once_holds_no_change_up():
     # All stewards that watch are killed, and the instance list lags. Nobody is told of the
     # change; the reads that others make now and then find it, and they tell the rest.
@@ -205,7 +216,7 @@
         await wait_in_force(processes, await accept(world, 1))
         await trio.sleep(3)
         sent = [one.sent - old for one, old in zip(news, before, strict=True)]
-        check.assertLessEqual(max(sent), 3 * 8 + 1)
+        check.assertLessEqual(max(sent), 3 * 4 + 1)
         check.assertLessEqual(world.store.calls["get", ObjectKind.CONFIG_PART], 3 * STEWARDS)
 
 
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -151,6 +151,14 @@
     check.assertEqual(whole.sections_by_part, snapshot.sections_by_part)
 
 
+def test_a_snapshot_that_lacks_a_part_is_refused():
+    snapshot = snapshot_of(1, {"ada": 1, "bo": 2})
+    message = piece(snapshot, "")
+    del message.sections_by_part["contract.bo"]
+    with check.assertRaises(TransferError):
+        SnapshotBuilder().add(message)
+
+
 def test_pieces_of_two_revisions_never_make_one_snapshot():
     first, second = big_snapshot(), snapshot_of(2, {"zz": 1})
     builder = SnapshotBuilder()
@@ -267,8 +275,8 @@
         fan_out = FanOut(InstanceId(one.id))
         fan_out.update(listed)
         children[one.id] = [child.id for child in fan_out.children]
-    check.assertLessEqual(max(map(len, children.values())), 24)
+    check.assertLessEqual(max(map(len, children.values())), 12)
     heard = {watchers(listed)[0]}
-    for _ in range(4):
+    for _ in range(5):
         heard |= {child for one in heard for child in children[one]}
     check.assertEqual(len(heard), 420)
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -12,7 +12,7 @@
 from egretstack.errors import UserError
 from egretstack.ids import ChangeId, InstanceId, Revision
 from egretstack.operators import InstanceStatus, check_not_older
-from egretstack.platform import ObjectKind, PlatformAway, PlatformOutcomeUnknown
+from egretstack.platform import Conflict, ObjectKind, PlatformAway, PlatformOutcomeUnknown
 from standins.object_store import InProcessObjectApi, ObjectStore
 from tests.configuration_fixtures import change_of, contract
 from tests.support import check, tests_of
@@ -37,6 +37,12 @@
         return stored
 
 
+def forced(name, mark, change_id):
+    """Give a change of one contract, whatever stands there."""
+    change = change_of(name, mark, change_id)
+    return Change(change.id, change.sections_by_part, {})
+
+
 async def operator(store):
     """Give an operator whose first change is accepted."""
     one = ConfigurationStore(InProcessObjectApi(store))
@@ -104,6 +110,31 @@
     check.assertEqual((await one.settle(ChangeId("mine"))).revision, 2)
 
 
+async def test_a_conflict_with_ones_own_lost_update_leaves_the_outcome_unknown():
+    # The update of the head is under way when its answer is given up. A read does not show it
+    # yet; then it lands, and the second update conflicts with it. The platform goes away before
+    # another read. "Nothing was changed" would be wrong: the change is accepted.
+    store = ObjectStore()
+    one = await operator(store)
+
+    class Late(InProcessObjectApi):
+        first = None
+
+        async def replace(self, kind, name, spec, version):
+            """Lose the first update on its way, and let it land before the second."""
+            if self.first is None:
+                self.first = (kind, name, spec, version)
+                raise PlatformOutcomeUnknown("under way")
+            await super().replace(*self.first)
+            store.faults.down = True
+            raise Conflict("moved on")
+
+    with check.assertRaises(ApplyUnknown):
+        await ConfigurationStore(Late(store)).apply(change_of("bo", 1, "mine"))
+    store.faults.down = False
+    check.assertEqual((await one.settle(ChangeId("mine"))).revision, 2)
+
+
 async def test_a_change_that_never_left_is_said_not_accepted():
     store = ObjectStore()
     one = await operator(store)
@@ -159,6 +190,38 @@
         check_not_older([status, silent], Revision(4))
 
 
+async def test_the_head_stays_small_and_old_versions_are_in_a_manifest():
+    store = ObjectStore()
+    one = ConfigurationStore(InProcessObjectApi(store))
+    for number in range(150):
+        await one.apply(forced(f"n{number % 70}", number, f"change-{number}"))
+    await one.apply(forced("n3", None, "gone"))
+    spec = store.by_place[ObjectKind.CONFIG_HEAD, "head"].spec
+    check.assertLessEqual(len(spec["since"]), 64)
+    fresh = await ConfigurationStore(InProcessObjectApi(store)).snapshot()
+    expected = {f"contract.n{n}": contract(f"n{n}", n + 70) for n in range(70)}
+    expected |= {f"contract.n{n}": contract(f"n{n}", n + 140) for n in range(10)}
+    del expected["contract.n3"]
+    check.assertEqual(fresh.sections_by_part, expected)
+
+
+async def test_changes_that_others_overtake_each_time_are_said_not_accepted():
+    # Each time between this operator's read of the head and its update, another change is
+    # accepted. Nothing of it took effect and nothing is on its way: "unknown" would be wrong.
+    store = ObjectStore()
+    one = await operator(store)
+
+    class Overtaken(InProcessObjectApi):
+        async def replace(self, kind, name, spec, version):
+            """Let another change in first."""
+            await one.apply(forced("bo", store.version, f"other-{store.version}"))
+            return await super().replace(kind, name, spec, version)
+
+    with check.assertRaises(PlatformAway):
+        await ConfigurationStore(Overtaken(store)).apply(change_of("cy", 1, "mine"))
+    check.assertIsNone(await one.settle(ChangeId("mine")))
+
+
 async def test_a_head_of_another_shape_is_refused():
     store = ObjectStore()
     store.put(ObjectKind.CONFIG_HEAD, "head", {"revision": "no", "parts": 3}, None)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -207,12 +207,17 @@
     def _local(self, place):
         return 1000.0 * place + self.now_s * self.rates[place]
 
-    @rule(seconds=st.sampled_from((0.1, 1.0, 4.0, 8.0, 17.0)))
-    def pass_time(self, seconds):
+    @rule(seconds=st.floats(0.1, 18.0), paused=st.sampled_from((None, 0, 1, 2)))
+    def pass_time(self, seconds, paused):
+        """Let time pass; every process but a paused one acts after it."""
         self.now_s += seconds
+        for place in range(3):
+            if place != paused:
+                self.step(place)
 
     @rule(place=st.integers(0, 2))
     def step(self, place):
+        """Let one process look and write."""
         lease = self.leases[place]
         if step(lease, self.stored, self._local(place)):
             self.numbers.append((lease.fencing, place))
