Slopes: the runner, and what an account, a runner, a token and an idle fleet cost

Ruled out: one script for all, since each part is measured by who builds it. scripts/slopes.py runs every slopes_*.py and keeps the lines.

--- /dev/null
+++ b/scripts/_capacity_lines.py
@@ -0,0 +1,267 @@
+"""The lines of the capacity page, role by role, from the kept slopes."""
+
+from collections.abc import Callable
+
+from scripts._sheet import Line, Resource, Slopes, amount
+from scripts._target import DAY_S, TARGET
+
+PROCESSES = 2
+"""Processes of an instance: its entry and its steward."""
+LIST_READS = PROCESSES
+"""Reads of the instance list an instance makes each second."""
+REPORTS_A_RUNNER = 2
+"""Load reports an entry reads from each runner in a second."""
+CORE_US = 1_000_000
+
+_LIST = "each process reads the whole list every second"
+_REPORTS = "each entry reads every runner twice a second"
+_CHANGED = "watchers at the head, then the changed parts from peer to peer"
+
+
+def entry(slopes: Slopes) -> list[Line]:
+    """Give what passing sessions on costs one entry process."""
+    return [
+        Line(
+            "tokens",
+            Resource.CORE,
+            ("path.entry_token_cpu",),
+            f"{TARGET.node_tokens:,.0f} tokens/s",
+            TARGET.node_tokens * slopes.each("path.entry_token_cpu"),
+            "one write for each token",
+        ),
+        Line(
+            "requests",
+            Resource.CORE,
+            ("path.entry_request_cpu",),
+            f"{TARGET.node_requests:.1f} requests/s",
+            TARGET.node_requests * slopes.each("path.entry_request_cpu"),
+            "a new connection each way for each request",
+        ),
+        Line(
+            "choice of a runner",
+            Resource.CORE,
+            ("runners.policy_request_cpu",),
+            f"{TARGET.node_requests:.1f} requests/s x {TARGET.runners:,} runners",
+            TARGET.node_requests * slopes.at("runners.policy_request_cpu", TARGET.runners),
+            "policy",
+        ),
+        Line(
+            "open sessions",
+            Resource.DATA_MEMORY,
+            ("path.entry_session_memory",),
+            f"{TARGET.open_sessions:.0f} sessions",
+            TARGET.open_sessions * slopes.each("path.entry_session_memory"),
+            "connections, and the last events kept for a caller who comes back",
+        ),
+    ]
+
+
+def every_node(slopes: Slopes) -> list[Line]:
+    """Give what control costs each instance, with its entry and its steward."""
+    return [
+        *_list_lines(slopes),
+        *_report_lines(slopes),
+        *_configuration_lines(slopes),
+        *_standing_lines(slopes),
+    ]
+
+
+def _list_lines(slopes: Slopes) -> list[Line]:
+    how = f"{LIST_READS} x {TARGET.members:,} members"
+    answer = slopes.at("runners.instance_list_answer", TARGET.members)
+    read = slopes.at("runners.instance_list_read_cpu", TARGET.members)
+    return [
+        Line(
+            "instance list",
+            Resource.TRAFFIC,
+            ("runners.instance_list_answer",),
+            how,
+            LIST_READS * answer,
+            _LIST,
+        ),
+        Line(
+            "instance list",
+            Resource.CPU,
+            ("runners.instance_list_read_cpu",),
+            how,
+            LIST_READS * read,
+            _LIST,
+        ),
+    ]
+
+
+def _report_lines(slopes: Slopes) -> list[Line]:
+    reports = REPORTS_A_RUNNER * TARGET.runners
+    how = f"{REPORTS_A_RUNNER} x {TARGET.runners:,} runners"
+    return [
+        Line(
+            "load reports",
+            Resource.TRAFFIC,
+            ("runners.load_report_wire",),
+            how,
+            slopes.each("runners.load_report_wire") * reports,
+            _REPORTS,
+        ),
+        Line(
+            "load reports",
+            Resource.CPU,
+            ("path.entry_idle_cpu",),
+            f"{TARGET.runners:,} runners",
+            slopes.each("path.entry_idle_cpu") * TARGET.runners,
+            _REPORTS,
+        ),
+        Line(
+            "runners as the policy holds them",
+            Resource.MEMORY,
+            ("runners.policy_memory",),
+            f"{TARGET.runners:,} runners",
+            slopes.at("runners.policy_memory", TARGET.runners),
+            "one record for each runner",
+        ),
+    ]
+
+
+def _configuration_lines(slopes: Slopes) -> list[Line]:
+    rate = PROCESSES * TARGET.changes
+    how = f"{TARGET.changes_a_day:,} changes a day x {PROCESSES} processes"
+    starts = (TARGET.failed_a_day + TARGET.replaced_a_day) / DAY_S
+    snapshot = slopes.at("accounts.configuration_snapshot_wire", TARGET.parts)
+    return [
+        Line(
+            "changes",
+            Resource.TRAFFIC,
+            ("accounts.configuration_change_wire",),
+            how,
+            rate * slopes.at("accounts.configuration_change_wire", TARGET.parts),
+            _CHANGED,
+        ),
+        Line(
+            "changes",
+            Resource.CPU,
+            ("accounts.configuration_change_cpu",),
+            f"{how} x {TARGET.parts} parts",
+            rate * slopes.at("accounts.configuration_change_cpu", TARGET.parts),
+            _CHANGED,
+        ),
+        Line(
+            "whole configuration for starting instances",
+            Resource.TRAFFIC,
+            ("accounts.configuration_snapshot_wire",),
+            f"{TARGET.failed_a_day + TARGET.replaced_a_day} starts a day x {TARGET.parts} parts, "
+            "were one peer to give all of it",
+            PROCESSES * starts * snapshot,
+            "pieces from a peer",
+        ),
+        Line(
+            "configuration in force",
+            Resource.MEMORY,
+            ("accounts.configuration_memory",),
+            f"{PROCESSES} processes x {TARGET.parts} parts",
+            PROCESSES * slopes.at("accounts.configuration_memory", TARGET.parts),
+            "each process holds all of it",
+        ),
+        Line(
+            "metrics by account",
+            Resource.MEMORY,
+            ("accounts.metrics_memory",),
+            f"{TARGET.accounts} accounts",
+            slopes.at("accounts.metrics_memory", TARGET.accounts),
+            "a set of series for each account that an entry serves",
+        ),
+    ]
+
+
+def _standing_lines(slopes: Slopes) -> list[Line]:
+    nodes = f"{TARGET.nodes} instances"
+    return [
+        Line(
+            "links between instances",
+            Resource.TRAFFIC,
+            ("nodes.idle_bytes",),
+            nodes,
+            slopes.at("nodes.idle_bytes", TARGET.nodes),
+            "heartbeats, and asking peers for a newer revision",
+        ),
+        Line(
+            "all that runs by itself, without sockets",
+            Resource.CPU,
+            ("nodes.idle_cpu",),
+            nodes,
+            slopes.at("nodes.idle_cpu", TARGET.nodes),
+            "timers of entry and steward",
+        ),
+        Line(
+            "the two processes",
+            Resource.MEMORY,
+            ("path.entry_idle_memory",),
+            f"{PROCESSES} processes, the steward taken to be as large as the entry",
+            PROCESSES * slopes.each("path.entry_idle_memory"),
+            "interpreter and libraries",
+        ),
+        Line(
+            "links and what else grows with the fleet",
+            Resource.MEMORY,
+            ("nodes.idle_memory",),
+            nodes,
+            slopes.each("nodes.idle_memory") * TARGET.nodes,
+            "a buffer at each end of each link",
+        ),
+    ]
+
+
+def object_api(slopes: Slopes) -> list[Line]:
+    """Give what the whole fleet asks of the object API."""
+    return [
+        Line(
+            "configuration, at rest",
+            Resource.READS,
+            ("nodes.idle_object_api_calls",),
+            f"{TARGET.nodes} instances",
+            slopes.at("nodes.idle_object_api_calls", TARGET.nodes),
+            "a few watchers; the others read the head now and then at a rate the fleet shares",
+        ),
+        Line(
+            "waiting watches",
+            Resource.READS,
+            ("nodes.idle_waiting_watches",),
+            f"{TARGET.nodes} instances, each watch as one call a second",
+            slopes.at("nodes.idle_waiting_watches", TARGET.nodes),
+            "a few watchers",
+        ),
+        Line(
+            "configuration, changes",
+            Resource.READS,
+            ("nodes.change_object_api_calls",),
+            f"{TARGET.changes_a_day:,} changes a day",
+            TARGET.changes * slopes.at("nodes.change_object_api_calls", TARGET.nodes),
+            "the changed part comes with the head",
+        ),
+    ]
+
+
+def sentences(slopes: Slopes) -> dict[str, str]:
+    """Give the figures that the page's prose names."""
+    token_us = slopes.each("path.entry_token_cpu")
+    sessions = TARGET.open_sessions * TARGET.nodes
+    return {
+        "node_tokens": f"{TARGET.node_tokens:,.0f}",
+        "token_us": f"{token_us:.0f}",
+        "tokens_a_core": f"{CORE_US / token_us:,.0f}",
+        "entry_processes": f"{TARGET.node_tokens * token_us / CORE_US:.1f}",
+        "sessions": f"{sessions:,.0f}",
+        "node_sessions": f"{TARGET.open_sessions:.0f}",
+        "zone_sessions": f"{sessions / TARGET.zones:,.0f}",
+        "zone_sessions_a_node": f"{sessions / TARGET.zones / (TARGET.nodes * 0.9):.0f}",
+        "zone_nodes": f"{TARGET.nodes // TARGET.zones}",
+        "snapshot": amount(
+            slopes.at("accounts.configuration_snapshot_wire", TARGET.parts), "bytes"
+        ),
+        "report_us": f"{slopes.each('path.entry_idle_cpu') / REPORTS_A_RUNNER:,.0f}",
+    }
+
+
+TABLES: dict[str, Callable[[Slopes], list[Line]]] = {
+    "entry": entry,
+    "every_node": every_node,
+    "object_api": object_api,
+}
--- /dev/null
+++ b/scripts/_sheet.py
@@ -0,0 +1,144 @@
+"""Lines of the capacity page: a measured slope carried to the target and held against a bound."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+
+from scripts._slope import Slope
+from scripts._target import BOUNDS, KILOBYTE, MEGABYTE
+
+PREFIX = "slopes_"
+SLOPES_FILE = Path(__file__).parent.parent / "docs" / "capacity-slopes.jsonl"
+
+
+class Resource(Enum):
+    """What is spent, its unit, and its bound."""
+
+    CPU = ("processor time", "us/s", BOUNDS.cpu_us)
+    MEMORY = ("memory", "bytes", BOUNDS.memory_bytes)
+    TRAFFIC = ("traffic", "bytes/s", BOUNDS.sent_bytes)
+    READS = ("object API reads", "calls/s", BOUNDS.reads)
+    WRITES = ("object API writes", "calls/s", BOUNDS.writes)
+    CORE = ("processor time of the entry", "us/s", 1_000_000)
+    DATA_MEMORY = ("memory of the entry", "bytes", None)
+
+    def __init__(self, label: str, unit: str, bound: float | None) -> None:
+        self.label = label
+        self.unit = unit
+        self.bound = bound
+
+
+@dataclass(frozen=True)
+class Line:
+    """One cost of one role. `sum_of` says in words how the value follows from the slopes."""
+
+    what: str
+    resource: Resource
+    slopes: tuple[str, ...]
+    sum_of: str
+    value: float
+    carried_by: str
+
+    @property
+    def fits(self) -> bool:
+        """Tell whether this line alone stays within the bound."""
+        return within(self.value, self.resource.bound)
+
+
+class Slopes:
+    """The kept slopes by name, such as `accounts.metrics_memory` of `slopes_accounts.py`."""
+
+    def __init__(self, path: Path = SLOPES_FILE) -> None:
+        self.slope_by_name: dict[str, Slope] = {}
+        for text in path.read_text().splitlines():
+            row = json.loads(text)
+            script = row.pop("script")
+            if row.keys() != Slope.__dataclass_fields__.keys():
+                continue
+            slope = Slope(**row)
+            self.slope_by_name[f"{script.removeprefix(PREFIX)}.{slope.name}"] = slope
+
+    def at(self, name: str, size: float) -> float:
+        """Give the value at a size by the fitted line.
+
+        Where the line falls, which only scatter makes it do, it gives the largest value measured.
+        """
+        slope = self.slope_by_name[name]
+        if slope.each <= 0:
+            return max(slope.values)
+        return max(0.0, slope.base + slope.each * size)
+
+    def each(self, name: str) -> float:
+        """Give what one more costs."""
+        return self.slope_by_name[name].each
+
+
+def amount(value: float, unit: str) -> str:
+    """Write a value so that a person can read it."""
+    head, _, tail = unit.partition("/")
+    rate = "/" + tail if tail else ""
+    if head == "bytes" and value >= MEGABYTE:
+        return f"{value / MEGABYTE:,.3g} MB{rate}"
+    if head == "bytes" and value >= KILOBYTE:
+        return f"{value / KILOBYTE:,.3g} KB{rate}"
+    if value >= KILOBYTE:
+        return f"{value:,.0f} {unit}"
+    return f"{value:.3g} {unit}"
+
+
+def fitted(slope: Slope) -> str:
+    """Write a slope as a line with its unit."""
+    if len(slope.sizes) == 1:
+        return f"{slope.each:,.4g} {slope.unit} a {slope.per}"
+    if slope.each <= 0:
+        return f"at most {max(slope.values):,.4g} {slope.unit}, whatever the size"
+    return f"{slope.base:,.4g} {slope.unit}, and {slope.each:,.4g} for each {slope.per}"
+
+
+def table(lines: Iterable[Line], slopes: Slopes) -> str:
+    """Write lines as a table, with the sum of each resource below."""
+    rows = [
+        "| cost | carried by | measured | sum at the target | bound | |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    total: dict[Resource, float] = {}
+    for line in lines:
+        rows.append(_row(line, slopes))
+        total[line.resource] = total.get(line.resource, 0.0) + line.value
+    for resource, value in total.items():
+        rows.append(_total_row(resource, value))
+    return "\n".join(rows)
+
+
+def within(value: float, bound: float | None) -> bool:
+    """Tell whether a value stays within a bound, where there is one."""
+    return bound is None or value <= bound
+
+
+def verdict(value: float, bound: float | None) -> str:
+    """Say whether a value stays within a bound."""
+    if bound is None:
+        return ""
+    return "fits" if value <= bound else "**does not fit**"
+
+
+def _row(line: Line, slopes: Slopes) -> str:
+    measured = "; ".join(f"`{name}`: {fitted(slopes.slope_by_name[name])}" for name in line.slopes)
+    resource = line.resource
+    total = f"{line.sum_of}: {amount(line.value, resource.unit)}"
+    found = verdict(line.value, resource.bound)
+    return (
+        f"| {line.what} | {line.carried_by} | {measured} | {total} | {_bound(resource)} | {found} |"
+    )
+
+
+def _total_row(resource: Resource, value: float) -> str:
+    total = f"**{amount(value, resource.unit)}**"
+    found = verdict(value, resource.bound)
+    return f"| all of it: {resource.label} | | | {total} | {_bound(resource)} | {found} |"
+
+
+def _bound(resource: Resource) -> str:
+    return "none given" if resource.bound is None else amount(resource.bound, resource.unit)
--- /dev/null
+++ b/scripts/_slope.py
@@ -0,0 +1,88 @@
+"""A measured slope: values at several sizes, fitted by least squares and printed as a JSON line."""
+
+import gc
+import json
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+
+OBJECT_SIZES = (5, 20, 80, 320)
+REPEATS = 5
+MICROSECONDS = 1_000_000
+
+
+@dataclass(frozen=True)
+class Slope:
+    """`value = base + each * size`, with the points it was fitted to.
+
+    `per` names what the size counts. `worst` is the largest distance of a point from the line,
+    as a share of the largest value: near 0 for a straight line, and a warning not to carry the
+    line to the target where it is large.
+    """
+
+    name: str
+    unit: str
+    per: str
+    sizes: tuple[float, ...]
+    values: tuple[float, ...]
+    base: float
+    each: float
+    worst: float
+
+
+def fit(name: str, unit: str, per: str, value_by_size: dict[float, float]) -> Slope:
+    """Fit a line by least squares; a single point gives a base of 0."""
+    sizes = tuple(value_by_size)
+    values = tuple(value_by_size.values())
+    mean_size = sum(sizes) / len(sizes)
+    mean_value = sum(values) / len(values)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    if spread:
+        together = sum(
+            (size - mean_size) * (value - mean_value)
+            for size, value in zip(sizes, values, strict=True)
+        )
+        each = together / spread
+        base = mean_value - each * mean_size
+    else:
+        each, base = values[0] / sizes[0], 0.0
+    off = [abs(base + each * s - v) for s, v in zip(sizes, values, strict=True)]
+    top = max(abs(value) for value in values)
+    worst = max(off) / top if top else 0.0
+    return Slope(name, unit, per, sizes, _rounded(values), *_rounded((base, each, worst)))
+
+
+def show(slope: Slope) -> None:
+    """Print a slope as one JSON line."""
+    print(json.dumps(asdict(slope)), flush=True)
+
+
+def held_bytes(make: Callable[[], object]) -> int:
+    """Give the memory that what `make` returns holds on to, in bytes."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        made = make()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    del made
+    return after - before
+
+
+def cpu_us(work: Callable[[], object], rounds: int = 1) -> float:
+    """Give the processor time of one round of `work` in microseconds: the best of several."""
+    best = float("inf")
+    for _ in range(REPEATS):
+        started_s = time.process_time()
+        for _ in range(rounds):
+            work()
+        best = min(best, time.process_time() - started_s)
+    return best / rounds * MICROSECONDS
+
+
+def _rounded(values: tuple[float, ...]) -> tuple[float, ...]:
+    return tuple(float(f"{value:.4g}") for value in values)
--- /dev/null
+++ b/scripts/capacity.py
@@ -0,0 +1,37 @@
+"""Makes `docs/CAPACITY.md` from its text and the kept slopes.
+
+In the text, `{{table NAME}}` stands for a table and `{{NAME}}` for a figure, both worked out by
+`scripts/_capacity_lines.py`, so that no figure on the page can differ from the run it quotes.
+"""
+
+import re
+from pathlib import Path
+
+from scripts._capacity_lines import TABLES, sentences
+from scripts._sheet import Slopes, table
+
+ROOT = Path(__file__).parent.parent
+TEXT = Path(__file__).with_name("capacity.md")
+PAGE = ROOT / "docs" / "CAPACITY.md"
+_PLACE = re.compile(r"\{\{(table )?([a-z_]+)\}\}")
+
+
+def capacity_page(slopes: Slopes) -> str:
+    """Give the text of the page; a place that names nothing known is a KeyError."""
+    figures = sentences(slopes)
+
+    def fill(match: re.Match) -> str:
+        if match.group(1):
+            return table(TABLES[match.group(2)](slopes), slopes)
+        return figures[match.group(2)]
+
+    return _PLACE.sub(fill, TEXT.read_text())
+
+
+def main() -> None:
+    """Write the page."""
+    PAGE.write_text(capacity_page(Slopes()))
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -38,6 +38,14 @@
 
 field() { "$BIN/python" -c 'import json, sys; print(json.load(sys.stdin)[sys.argv[1]])' "$1"; }
 
+save_metrics() { # save_metrics WHEN: of every entry that answers
+    local name number=11
+    for name in a b c; do
+        curl -fs "http://$NET.0.$number:9100/metrics" -o "$WORK/entry-$name-$1.prom" || true
+        number=$((number + 1))
+    done
+}
+
 say() { printf '\n== %s\n' "$1"; }
 
 say "stand-ins"
@@ -99,6 +107,8 @@
 curl -sN --fail-with-body -H "$HJOLAFERDIR" --data-binary @samples/prompts/itinerary.json \
     http://$NET.0.12:8080/v1/responses | "$BIN/python" scripts/show_stream.py
 
+save_metrics before
+
 say "a seat hold, sent twice with one Idempotency-Key: it runs once"
 for address in $NET.0.11 $NET.0.13; do
     curl -fs -X POST -H "$HJOLAFERDIR" -H "Idempotency-Key: hold-77" --data '{"seats": 2}' \
@@ -121,12 +131,13 @@
 print(answer["status"], answer.get("usage") or answer)'
 
 say "metrics of entry-a"
-for name in a c; do
-    curl -fs "http://$NET.0.1$([ "$name" = a ] && echo 1 || echo 3):9100/metrics" >"$WORK/entry-$name.prom"
-done
-grep -E '^egret_(sessions|tokens|config|calls)' "$WORK/entry-a.prom"
-say "report"
-"$BIN/egret-report" "$WORK/entry-a.prom" "$WORK/entry-c.prom"
+save_metrics after
+grep -E '^egret_(sessions|tokens|config|calls)' "$WORK/entry-a-after.prom"
+say "burn of the service levels"
+"$BIN/egret-report" sessions "$WORK"/entry-*-after.prom
+"$BIN/egret-report" "$WORK"/entry-*.prom
+"$BIN/egret-report" "$WORK"/entry-*.prom --form html --out "$WORK/burn.html"
+if [ -n "${DEMO_KEEP:-}" ]; then cp "$WORK"/entry-*.prom "$WORK/burn.html" "$DEMO_KEEP"; fi
 
 say "graceful shutdown"
 "$BIN/egretctl" drain entry-a --platform "$PLATFORM"
--- /dev/null
+++ b/scripts/slopes.py
@@ -0,0 +1,78 @@
+"""Runs every `scripts/slopes_*.py` and keeps what they print in `docs/capacity-slopes.jsonl`.
+
+Each script prints JSON lines; this one adds the script's name to each. With names as arguments,
+such as `ledger path`, runs only those and keeps the other scripts' lines as they are. One runs
+after the other, so that none shares the processor with the next.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import threading
+from pathlib import Path
+
+SCRIPTS = Path(__file__).parent
+ROOT = SCRIPTS.parent
+KEPT = ROOT / "docs" / "capacity-slopes.jsonl"
+PREFIX = "slopes_"
+LIMIT_S = 300.0
+
+
+def main() -> int:
+    """Run and give the exit code: 1 if any script failed."""
+    wanted = sys.argv[1:] or _known()
+    rows_by_script = _kept_rows()
+    failed = []
+    for name in wanted:
+        rows, whole = _run(name)
+        if not whole:
+            failed.append(name)
+        if rows:
+            rows_by_script[PREFIX + name] = rows
+    known = {PREFIX + name for name in _known()}
+    lines = [
+        json.dumps(row)
+        for script, rows in sorted(rows_by_script.items())
+        if script in known
+        for row in rows
+    ]
+    KEPT.write_text("\n".join(lines) + "\n")
+    if failed:
+        print(f"failed or cut short: {', '.join(failed)}", file=sys.stderr)
+    return 1 if failed else 0
+
+
+def _known() -> list[str]:
+    return sorted(path.stem.removeprefix(PREFIX) for path in SCRIPTS.glob(f"{PREFIX}*.py"))
+
+
+def _kept_rows() -> dict[str, list[dict]]:
+    rows_by_script: dict[str, list[dict]] = {}
+    if KEPT.exists():
+        for line in KEPT.read_text().splitlines():
+            row = json.loads(line)
+            rows_by_script.setdefault(row["script"], []).append(row)
+    return rows_by_script
+
+
+def _run(name: str) -> tuple[list[dict], bool]:
+    """Run one script and show its lines as they come; also tell whether it ended well."""
+    environment = os.environ | {"PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
+    command = [sys.executable, str(SCRIPTS / f"{PREFIX}{name}.py")]
+    rows = []
+    with subprocess.Popen(
+        command, cwd=ROOT, env=environment, stdout=subprocess.PIPE, text=True
+    ) as process:
+        stopper = threading.Timer(LIMIT_S, process.kill)
+        stopper.start()
+        for line in process.stdout:
+            if line.startswith("{"):
+                rows.append({"script": PREFIX + name} | json.loads(line))
+                print(line, end="", flush=True)
+        stopper.cancel()
+    return rows, process.returncode == 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/slopes_accounts.py
@@ -0,0 +1,139 @@
+"""Measures what one more account costs: configuration held, told and changed, and metrics."""
+
+from collections.abc import Iterator
+from functools import partial
+
+from egretstack.configuration import (
+    ConfigurationState,
+    Delta,
+    Head,
+    Offer,
+    Snapshot,
+    head_digest,
+    part_digest,
+    piece,
+    tell,
+)
+from egretstack.ids import ChangeId, Revision
+from egretstack.metrics import Metrics
+from egretstack.peers import encode
+from scripts._slope import OBJECT_SIZES, REPEATS, cpu_us, fit, held_bytes, show
+
+ROUNDS = 10
+DELTAS = ROUNDS * REPEATS
+
+
+def snapshot(accounts: int, revision: int = 1) -> Snapshot:
+    """Make a configuration of that many contracts, of a usual length each."""
+    sections_by_part = {
+        f"contract.account-{number}": {
+            "contract": {
+                "account": f"account-{number}",
+                "key_sha256": f"{number:064x}",
+                "value": "150",
+                "services": "egret-llm,bokun-app",
+            },
+            "limits": {"requests_per_s": "50", "burst": "100", "concurrency": "300"},
+            "weights": {"stall": "0.2", "preemptions": "0.1", "tail": "0.7"},
+        }
+        for number in range(accounts)
+    }
+    digests = {part: part_digest(sections) for part, sections in sections_by_part.items()}
+    head = Head(Revision(revision), ChangeId("0123456789abcdef"), digests)
+    return Snapshot(head, sections_by_part)
+
+
+def configured(accounts: int) -> ConfigurationState:
+    """Put such a configuration in force."""
+    state = ConfigurationState()
+    state.offer(snapshot(accounts))
+    return state
+
+
+def apply(whole: Snapshot) -> None:
+    """Put a configuration in force on a process that has none."""
+    ConfigurationState().offer(whole)
+
+
+def snapshot_bytes(accounts: int) -> int:
+    """Give the length of all pieces in which a starting instance takes the configuration."""
+    whole = snapshot(accounts)
+    total = 0
+    after = ""
+    while True:
+        told = piece(whole, after)
+        total += len(encode(told))
+        if not told.more:
+            return total
+        after = max(told.sections_by_part)
+
+
+def change_of_one(accounts: int) -> Delta:
+    """Make the change of one contract in a configuration of that many."""
+    whole = snapshot(accounts)
+    part = "contract.account-0"
+    sections = whole.sections_by_part[part] | {"limits": {"burst": "200"}}
+    digests = whole.head.digest_by_part | {part: part_digest(sections)}
+    return Delta(
+        whole.head.revision,
+        whole.head.change_id,
+        (ChangeId("fedcba9876543210"),),
+        head_digest(digests),
+        {part: sections},
+    )
+
+
+def apply_delta(state: ConfigurationState, deltas: Iterator[Delta]) -> None:
+    """Put the next of several deltas in force."""
+    if state.offer_delta(next(deltas)) is not Offer.APPLIED:
+        raise RuntimeError("the delta was not applied")
+
+
+def deltas_of(accounts: int, count: int) -> Iterator[Delta]:
+    """Make deltas that follow each other."""
+    base = snapshot(accounts).head
+    digests = dict(base.digest_by_part)
+    part = "contract.account-0"
+    revision, change = base.revision, base.change_id
+    for number in range(count):
+        sections = snapshot(1).sections_by_part[part] | {"limits": {"burst": str(200 + number)}}
+        digests[part] = part_digest(sections)
+        following = ChangeId(f"{number:016x}")
+        yield Delta(revision, change, (following,), head_digest(digests), {part: sections})
+        revision, change = Revision(revision + 1), following
+
+
+def measured_accounts(accounts: int) -> Metrics:
+    """Make the metrics of an entry that served that many accounts."""
+    metrics = Metrics()
+    for number in range(accounts):
+        account = f"account-{number}"
+        metrics.sessions.labels(account, "finished").inc()
+        metrics.tokens.labels(account).inc()
+        metrics.first_token.labels(account).observe(0.1)
+        metrics.gap.labels(account).observe(0.01)
+    return metrics
+
+
+def show_accounts() -> None:
+    """Measure accounts."""
+    sizes = OBJECT_SIZES
+    held = {size: held_bytes(lambda size=size: configured(size)) for size in sizes}
+    show(fit("configuration_memory", "bytes", "account", held))
+    wire = {size: snapshot_bytes(size) for size in sizes}
+    show(fit("configuration_snapshot_wire", "bytes", "account", wire))
+    changed = {size: len(encode(tell(change_of_one(size)))) for size in sizes}
+    show(fit("configuration_change_wire", "bytes", "account", changed))
+    started = {size: cpu_us(partial(apply, snapshot(size))) for size in sizes}
+    show(fit("configuration_start_cpu", "us", "account", started))
+    applied = {
+        size: cpu_us(partial(apply_delta, configured(size), deltas_of(size, DELTAS)), ROUNDS)
+        for size in sizes
+    }
+    show(fit("configuration_change_cpu", "us", "account", applied))
+    metrics = {size: held_bytes(lambda size=size: measured_accounts(size)) for size in sizes}
+    show(fit("metrics_memory", "bytes", "account", metrics))
+
+
+if __name__ == "__main__":
+    show_accounts()
--- /dev/null
+++ b/scripts/slopes_nodes.py
@@ -0,0 +1,167 @@
+"""Measures what a fleet of idle instances costs as it grows: whole programs in one process.
+
+Each instance is a real entry and a real steward on a mock clock, linked by a network that counts
+bytes. The fleet has one account and one engine, so what is counted is control alone.
+"""
+
+import time
+import tracemalloc
+from collections import Counter
+from dataclasses import dataclass
+
+import trio
+import trio.testing
+
+from egretstack.settings import Program
+from scripts._slope import MICROSECONDS, fit, show
+from standins.network import Network
+from standins.world import open_world
+
+FLEET_SIZES = (5, 20, 80)
+MEMORY_SIZES = (5, 10, 20)
+SETTLE_S = 60.0
+MEASURED_S = 60.0
+CHANGES = 10
+CONTRACT = {"contract": {"account": "acme", "key_sha256": "f" * 64}}
+ENGINES = {"service": {"name": "llm", "kind": "engine"}, "engine": {"models": "story"}}
+
+
+class CountingNetwork(Network):
+    """A network that counts the bytes each host sends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.bytes_by_host: Counter = Counter()
+        self.links_by_host: Counter = Counter()
+
+    async def connect(self, source: str, host: str, port: int) -> trio.abc.Stream:
+        """Open a stream whose bytes are counted both ways, unless it stays on one instance."""
+        stream = await super().connect(source, host, port)
+        if source == host:
+            return stream
+        self.links_by_host.update((source, host))
+        return _CountedStream(stream, self, source, host)
+
+
+class _CountedStream(trio.abc.Stream):
+    def __init__(self, inner: trio.abc.Stream, network: CountingNetwork, source: str, target: str):
+        self._inner = inner
+        self._network = network
+        self._source = source
+        self._target = target
+        self._closed = False
+
+    async def send_all(self, data: bytes) -> None:
+        self._network.bytes_by_host[self._source] += len(data)
+        await self._inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await self._inner.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        data = await self._inner.receive_some(max_bytes)
+        self._network.bytes_by_host[self._target] += len(data)
+        return data
+
+    async def aclose(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._network.links_by_host.subtract((self._source, self._target))
+        await self._inner.aclose()
+
+
+@dataclass(frozen=True)
+class Idle:
+    """What a fleet cost while nothing was asked of it, and what one change cost.
+
+    Bytes and processor time are for one instance and second, calls for the whole fleet and
+    second; a change's bytes are for one instance and change.
+    """
+
+    sent_bytes: float
+    most_sent_bytes: float
+    cpu_us: float
+    calls: float
+    waiting_watches: int
+    links: float
+    memory_bytes: float
+    change_bytes: float
+    change_calls: float
+
+
+async def measure(instances: int) -> Idle:
+    """Run a fleet of that many instances for a while."""
+    async with open_world() as world:
+        network = CountingNetwork()
+        world.network = network
+        await world.configure(contract__acme=CONTRACT, service__llm=ENGINES)
+        before, _ = tracemalloc.get_traced_memory()
+        for number in range(instances):
+            for program in (Program.STEWARD, Program.ENTRY):
+                await world.start(f"entry-{number}", program, zone=f"zone-{number % 10}")
+        await trio.sleep(SETTLE_S)
+        after, _ = tracemalloc.get_traced_memory()
+        calm = await _window(world, network, instances)
+        changed = await _window(world, network, instances, CHANGES)
+        change_bytes = (changed[0] - calm[0]) * MEASURED_S / CHANGES
+        change_calls = (changed[3] - calm[3]) * MEASURED_S / CHANGES
+        watches = world.store.waiting_watches
+        memory = (after - before) / instances
+        links = max(network.links_by_host.values(), default=0)
+        return Idle(*calm, watches, links, memory, change_bytes, change_calls)
+
+
+async def _window(world, network, instances, changes=0) -> tuple[float, float, float, float]:
+    network.bytes_by_host.clear()
+    calls = world.store.calls.total()
+    started_s = time.process_time()
+    for number in range(changes):
+        limits = {"limits": {"burst": str(100 + number)}}
+        await world.configure(contract__acme=CONTRACT | limits)
+        await trio.sleep(MEASURED_S / changes)
+    if not changes:
+        await trio.sleep(MEASURED_S)
+    used_s = time.process_time() - started_s
+    share = instances * MEASURED_S
+    sent = network.bytes_by_host
+    most = max(sent.values(), default=0) / MEASURED_S
+    cpu_us = used_s * MICROSECONDS / share
+    called = (world.store.calls.total() - calls) / MEASURED_S
+    return sum(sent.values()) / share, most, cpu_us, called
+
+
+def run(instances: int, *, memory: bool) -> Idle:
+    """Measure one fleet; memory is traced only when asked for, since tracing costs time."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    if memory:
+        tracemalloc.start()
+    try:
+        return trio.run(measure, instances, clock=clock)
+    finally:
+        tracemalloc.stop()
+
+
+def main() -> None:
+    """Measure fleets of every size."""
+    timed = {size: run(size, memory=False) for size in FLEET_SIZES}
+    for field, name, unit in (
+        ("sent_bytes", "idle_bytes", "bytes/s an instance"),
+        ("most_sent_bytes", "idle_bytes_busiest", "bytes/s an instance"),
+        ("cpu_us", "idle_cpu", "us/s an instance"),
+        ("calls", "idle_object_api_calls", "calls/s"),
+        ("waiting_watches", "idle_waiting_watches", "watches"),
+        ("links", "links_busiest", "links an instance"),
+        ("change_bytes", "change_bytes", "bytes an instance and change"),
+        ("change_calls", "change_object_api_calls", "calls a change"),
+    ):
+        values = {size: getattr(idle, field) for size, idle in timed.items()}
+        show(fit(name, unit, "instance", values))
+    held = {size: run(size, memory=True).memory_bytes for size in MEMORY_SIZES}
+    show(fit("idle_memory", "bytes an instance", "instance", held))
+
+
+if __name__ == "__main__":
+    from loguru import logger
+
+    logger.remove()
+    main()
--- /dev/null
+++ b/scripts/slopes_runners.py
@@ -0,0 +1,150 @@
+"""Measures what one more runner or instance costs: the list, load reports and the policy."""
+
+import json
+import random
+
+import httpx
+import trio
+
+from egretstack.ids import AccountId, ModelName, RunnerId, ServiceName, WorkId, ZoneName
+from egretstack.platform import HttpInstanceList
+from egretstack.policy import (
+    DEFAULT_POLICY,
+    Arrived,
+    Ended,
+    EndReason,
+    Policy,
+    RunnerInfo,
+    RunnerReported,
+    RunnerSeen,
+    Work,
+    make_policy,
+)
+from egretstack.upstreams import HttpEngine
+from scripts._slope import OBJECT_SIZES, cpu_us, fit, held_bytes, show
+
+MODELS = 27
+
+
+def endpoint_list(members: int) -> bytes:
+    """Make the platform's answer that lists that many runners."""
+    endpoints = [
+        {
+            "addresses": [f"10.1.{number // 250}.{number % 250}"],
+            "zone": "leon-a",
+            "targetRef": {"name": f"engine-{number}"},
+            "conditions": {},
+        }
+        for number in range(members)
+    ]
+    metadata = {"name": "llm", "labels": {"kubernetes.io/service-name": "llm"}}
+    ports = [{"name": "http", "port": 8000}]
+    item = {"metadata": metadata, "ports": ports, "endpoints": endpoints}
+    return json.dumps({"kind": "EndpointSliceList", "items": [item]}).encode()
+
+
+def read_list(body: bytes) -> None:
+    """Read a listed answer through the real client, without a socket."""
+
+    async def read() -> None:
+        transport = httpx.MockTransport(lambda request: httpx.Response(200, content=body))
+        async with httpx.AsyncClient(transport=transport) as client:
+            listed = HttpInstanceList(client, "http://platform", "egretstack")
+            for _ in range(READS):
+                await listed.members()
+
+    trio.run(read)
+
+
+READS = 10
+
+
+def policy_with(runners: int) -> Policy:
+    """Make the policy in use with that many runners, spread over the models."""
+    policy = make_policy(DEFAULT_POLICY, random.Random(1))
+    for number in range(runners):
+        runner_id = RunnerId(f"engine-{number}")
+        models = (ModelName(f"model-{number % MODELS}"),)
+        info = RunnerInfo(
+            runner_id, ServiceName("llm"), ZoneName("leon-a"), models, 60_000_000, 4096
+        )
+        policy.handle(0.0, RunnerSeen(info))
+        policy.handle(0.0, RunnerReported(runner_id, 0.0, 1, 0, 100, 60_000_000, 0))
+    return policy
+
+
+def serve_requests(policy: Policy) -> None:
+    """Let the policy place and end a number of requests."""
+    for number in range(REQUESTS):
+        work = Work(
+            id=WorkId(f"work-{number}"),
+            account=AccountId(f"account-{number % 10}"),
+            service=ServiceName("llm"),
+            model=ModelName("model-0"),
+            prompt_tokens=300,
+            max_output_tokens=2000,
+            prefix="",
+            value=100,
+            deadline_s=10.0,
+            streamed=True,
+        )
+        policy.handle(0.0, Arrived(work))
+        policy.handle(0.0, Ended(work.id, 500, EndReason.FINISHED))
+
+
+REQUESTS = 50
+
+
+def show_members() -> None:
+    """Measure instances and runners."""
+    bodies = {size: endpoint_list(size) for size in OBJECT_SIZES}
+    wire = {size: len(body) for size, body in bodies.items()}
+    show(fit("instance_list_answer", "bytes", "member", wire))
+    read = {
+        size: cpu_us(lambda body=body: read_list(body)) / READS for size, body in bodies.items()
+    }
+    show(fit("instance_list_read_cpu", "us", "member", read))
+    held = {size: held_bytes(lambda size=size: policy_with(size)) for size in OBJECT_SIZES}
+    show(fit("policy_memory", "bytes", "runner", held))
+    placed = {}
+    for size in OBJECT_SIZES:
+        policy = policy_with(size)
+        placed[size] = cpu_us(lambda policy=policy: serve_requests(policy)) / REQUESTS
+    show(fit("policy_request_cpu", "us", "runner", placed))
+
+
+def read_reports(count: int) -> None:
+    """Read load reports of engines through the real client, without a socket."""
+
+    async def read() -> None:
+        transport = httpx.MockTransport(lambda request: httpx.Response(200, text=LOAD_REPORT))
+        async with httpx.AsyncClient(transport=transport) as client:
+            for number in range(count):
+                await HttpEngine(client, client, f"http://engine-{number}", 5.0).load()
+
+    trio.run(read)
+
+
+LOAD_REPORT = """vllm:num_requests_running 12.0
+vllm:num_requests_waiting 3.0
+vllm:kv_cache_usage_perc 0.4375
+vllm:num_preemptions_total 7.0
+egret_engine_kv_capacity_tokens 60000
+egret_engine_report_age_seconds 0.25
+"""
+REPORT_HEAD_BYTES = 300
+"""Request line and headers of a report's request and answer, as httpx and hypercorn send them."""
+
+
+def show_reports() -> None:
+    """Measure load reports of engines."""
+    sizes = (5, 20, 80)
+    read = {size: cpu_us(lambda size=size: read_reports(size)) for size in sizes}
+    show(fit("load_report_read_cpu", "us", "report", read))
+    wire = {size: size * (len(LOAD_REPORT) + REPORT_HEAD_BYTES) for size in sizes}
+    show(fit("load_report_wire", "bytes", "report", wire))
+
+
+if __name__ == "__main__":
+    show_members()
+    show_reports()
--- /dev/null
+++ b/scripts/slopes_tokens.py
@@ -0,0 +1,77 @@
+"""Measures what one more token or session costs as objects, without sockets."""
+
+from functools import partial
+
+import trio
+
+from egretstack.callers._answers import encode_batch
+from egretstack.delivery import Cursor, SessionRef, TokenBox
+from egretstack.ids import (
+    AccountId,
+    GenerationId,
+    InstanceId,
+    ModelName,
+    RunnerId,
+    ServiceName,
+    SessionId,
+    WorkId,
+)
+from egretstack.sessions import Session, SessionRequest
+from egretstack.upstreams import EngineEvent, EngineEventKind, GenerationRequest
+from scripts._slope import cpu_us, fit, held_bytes, show
+
+TOKEN_SIZES = (64, 128, 256)
+BATCH_SIZES = (1, 4, 16, 64)
+
+
+def events(tokens: int) -> list[EngineEvent]:
+    """Make the token events of one generation."""
+    generation = GenerationId("gen0123456789abcdef")
+    return [
+        EngineEvent(generation, number + 1, EngineEventKind.TOKEN, f"word{number} ")
+        for number in range(tokens)
+    ]
+
+
+def session_with(tokens: int) -> Session:
+    """Make a session that keeps that many events."""
+    generation = GenerationRequest(ModelName("model-0"), "prompt", 2000, 100)
+    request = SessionRequest(AccountId("acme"), ServiceName("llm"), generation, True)
+    session = Session(WorkId("work-1"), request, Cursor(GenerationId("gen"), 0))
+
+    async def add() -> None:
+        for event in events(tokens):
+            await session.add(event)
+
+    trio.run(add)
+    return session
+
+
+def show_tokens() -> None:
+    """Measure tokens."""
+    held = {size: held_bytes(lambda size=size: session_with(size)) for size in TOKEN_SIZES}
+    show(fit("session_kept_events", "bytes", "token", held))
+    session = SessionId("resp_" + "x" * 200)
+    encoded = {
+        size: cpu_us(partial(encode_batch, events(size), session, ModelName("m")), 50)
+        for size in BATCH_SIZES
+    }
+    show(fit("event_encode_cpu", "us", "token", encoded))
+    sent = {size: len(encode_batch(events(size), session, ModelName("m"))) for size in BATCH_SIZES}
+    show(fit("event_wire", "bytes", "token", sent))
+    box = TokenBox([TokenBox.new_key()])
+    ref = SessionRef(
+        AccountId("acme"),
+        InstanceId("entry-1"),
+        ServiceName("llm"),
+        RunnerId("engine-1"),
+        GenerationId("gen0123456789abcdef"),
+    )
+    sealed = {
+        size: cpu_us(lambda size=size: [box.seal(ref) for _ in range(size)]) for size in BATCH_SIZES
+    }
+    show(fit("session_id_seal_cpu", "us", "session", sealed))
+
+
+if __name__ == "__main__":
+    show_tokens()
