--- a/egretstack/ledger/_writer.py
+++ b/egretstack/ledger/_writer.py
@@ -13,13 +13,11 @@
 
 from egretstack.ledger._entry import CallState
 from egretstack.ledger._row import KeyId, Row
+from egretstack.ledger._segments import SegmentBook
 from egretstack.ledger._shard import (
     MAX_HEAD_BYTES,
     ROLL_BYTES,
-    Segment,
-    SegmentIndex,
     Shard,
-    largest_bucket,
 )
 from egretstack.ledger._steps import (
     DropSegment,
@@ -42,18 +40,11 @@
     """The state of one shard as one process knows it."""
 
     def __init__(self, roll_bytes: int = ROLL_BYTES) -> None:
-        self._roll_bytes = roll_bytes
         self._pending: list[Operation] = []
         self._batch: list[Operation] = []
         self._shard: Shard | None = None
         self._version: str | None = None
-        self._index_by_segment: dict[str, SegmentIndex] = {}
-        self._loaded: tuple[str, dict[KeyId, Row]] = ("", {})
-        self._missing: set[str] = set()
-        self._made: Segment | None = None
-        self._moved: dict[KeyId, Row] = {}
-        self._unlisted: str | None = None
-        self._base: str | None = None
+        self._segments = SegmentBook(roll_bytes)
         self._draft = Shard()
         self._full = False
         self._shared = False
@@ -80,8 +71,8 @@
 
     def step(self, epoch_s: float) -> Step | None:
         """Give the next call to make, or None when nothing waits."""
-        if self._unlisted is not None:
-            return DropSegment(self._unlisted)
+        if self._segments.unlisted is not None:
+            return DropSegment(self._segments.unlisted)
         if not self._pending:
             if self._shared:
                 # Others write this shard too: a write on an old view would only conflict, and a
@@ -90,7 +81,7 @@
             return None
         if self._shard is None:
             return ReadHead()
-        unread = self._unread_segment(epoch_s) if self._searches() else None
+        unread = self._segments.unread(self._shard, epoch_s) if self._searches() else None
         if unread is not None:
             return ReadSegment(unread)
         return self._plan(epoch_s)
@@ -99,38 +90,32 @@
         """Take in the head as just read."""
         self._shared = version != self._version
         self._shard, self._version = shard, version
-        names = {segment.name for segment in shard.segments}
-        self._index_by_segment = {
-            name: index for name, index in self._index_by_segment.items() if name in names
-        }
-        self._missing &= names
+        self._segments.head_read(shard, version)
         for operation in self._pending:
             operation.fresh = True
-        self._check_made(names)
 
     def segment_read(self, name: str, row_by_key: dict[KeyId, Row] | None) -> None:
         """Take in a segment; None if there is none of that name."""
-        if row_by_key is None:
-            self._segment_missing(name)
+        if row_by_key is not None:
+            self._segments.read(name, row_by_key)
             return
-        self._index_by_segment[name] = SegmentIndex(list(row_by_key))
-        self._loaded = (name, row_by_key)
+        # The head may list it no more; where it does, nothing can begin here safely.
+        if self._segments.missing(name):
+            self.failed(False)
+        self._shard = None
 
     def segment_made(self, name: str, made: MakeSegment) -> None:
         """Take in that the segment exists; the next write of the head lists it."""
-        self._made = Segment(name, made.until_s)
-        self._moved = made.row_by_key
-        self._base = self._version
-        self._index_by_segment[name] = SegmentIndex(list(made.row_by_key))
+        self._segments.make(name, made, self._version)
 
     def segment_dropped(self) -> None:
         """Take in that an unlisted segment was deleted, or that this was tried."""
-        self._unlisted = None
+        self._segments.unlisted = None
 
     def written(self, version: str) -> None:
         """Take in that the write took effect."""
         self._shard, self._version = self._draft, version
-        self._made, self._moved = None, {}
+        self._segments.clear_made()
         for operation in self._batch:
             operation.outcome = operation.outcome or Outcome.WRITTEN
         self._batch = []
@@ -163,13 +148,6 @@
         retracts = operation.wanted is Wanted.RETRACT and operation.forwarded
         return operation.wanted is Wanted.BEGIN or retracts
 
-    def _segment_missing(self, name: str) -> None:
-        """Read the head again, which may list it no more; else nothing can begin here."""
-        if name in self._missing:
-            self.failed(False)
-        self._missing.add(name)
-        self._shard = None
-
     def _requeue(self) -> None:
         waiting = [operation for operation in self._batch if operation.outcome is None]
         self._pending = waiting + self._pending
@@ -203,26 +181,9 @@
         )
         self._pending.append(operation.retraction)
 
-    def _check_made(self, names: set[str]) -> None:
-        if self._made is None:
-            return
-        if self._made.name not in names and self._version == self._base:
-            return
-        if self._made.name not in names:
-            # The head moved on without it, so the write that listed it can never land.
-            self._unlisted = self._made.name
-        self._made, self._moved = None, {}
-
-    def _unread_segment(self, epoch_s: float) -> str | None:
-        for segment in self._shard.segments:
-            known = segment.name in self._index_by_segment
-            if not known and segment.until_s > epoch_s:
-                return segment.name
-        return None
-
     def _plan(self, epoch_s: float) -> Step | None:
         rows = {key: row for key, row in self._shard.row_by_key.items() if kept(row, epoch_s)}
-        rolled = self._roll(rows)
+        rolled = self._segments.roll(rows)
         if rolled is not None:
             return rolled
         changed: list[Operation] = []
@@ -236,24 +197,11 @@
         self._batch = changed
         self._pending = [one for one in self._pending if one not in changed]
         segments = self._shard.segments
-        if self._made is not None:
-            segments = (*segments, self._made)
+        if self._segments.made is not None:
+            segments = (*segments, self._segments.made)
         self._draft = Shard(rows, segments, self._shard.turn + 1)
         return WriteHead(self._draft.spec(), self._version)
 
-    def _roll(self, rows: dict[KeyId, Row]) -> MakeSegment | None:
-        if self._made is not None:
-            for key, row in self._moved.items():
-                if rows.get(key) == row:
-                    del rows[key]
-            return None
-        if sum(row.size for row in rows.values()) <= self._roll_bytes:
-            return None
-        moved = largest_bucket(rows)
-        if not moved:
-            return None
-        return MakeSegment(moved, max(row.until_s for row in moved.values()))
-
     def _apply(
         self,
         operation: Operation,
@@ -264,16 +212,18 @@
         """Apply one operation to the draft; give a call to make first, if one is needed."""
         if any(one.key == operation.key for one in changed):
             return None
-        found = rows.get(operation.key) or self._moved.get(operation.key)
+        found = rows.get(operation.key) or self._moved_row(operation.key)
         if found is None and self._needs_segments(operation):
             segment = self._segment_of(operation, epoch_s)
-            if segment is not None and segment != self._loaded[0]:
+            if segment is not None and segment != self._segments.loaded:
                 return ReadSegment(segment)
-            found = self._loaded[1][operation.key] if segment else None
+            found = self._segments.row_by_key[operation.key] if segment else None
         if operation.wanted is not Wanted.BEGIN:
             return self._apply_end(operation, found, rows, changed)
         if found is not None and found.attempt == operation.row.attempt:
-            return self._settle(operation, Outcome.WRITTEN)
+            # Written by an update whose answer was lost, or by the home that was asked to.
+            operation.row = found
+            return self._settle(operation, Outcome.WRITTEN if found.open else Outcome.REFUSED)
         if found is not None and not _free(found, operation):
             operation.found = found
             return self._settle(operation, Outcome.FOUND) if operation.fresh else self._reread()
@@ -327,19 +277,11 @@
         self._pending.remove(operation)
 
     def _segment_of(self, operation: Operation, epoch_s: float) -> str | None:
-        """Give the newest segment that holds the key, or that must be read to know."""
-        for segment in reversed(self._shard.segments):
-            if segment.until_s <= epoch_s or segment.name in operation.cleared:
-                continue
-            if not self._index_by_segment[segment.name].may_hold(operation.key):
-                continue
-            if segment.name != self._loaded[0]:
-                return segment.name
-            row = self._loaded[1].get(operation.key)
-            if row is not None and row.until_s > epoch_s:
-                return segment.name
-            operation.cleared.add(segment.name)
-        return None
+        return self._segments.holder(operation, self._shard, epoch_s)
+
+    def _moved_row(self, key: KeyId) -> Row | None:
+        """Give a row that this very write moves into a segment which the head does not list yet."""
+        return self._segments.moved.get(key)
 
 
 def kept(row: Row, epoch_s: float) -> bool:
--- a/egretstack/services/ledger_store.py
+++ b/egretstack/services/ledger_store.py
@@ -217,7 +217,7 @@
         return AttemptTell(self._book.stage(message.boot, AttemptId(message.attempt)).value)
 
     def _new_row(self, ask: IntentRequest) -> Row:
-        now_s = self.kernel.epoch.now()
+        now_s = round(self.kernel.epoch.now(), 3)
         return Row(
             AttemptId(secrets.token_hex(12)),
             self._owner,
--- /dev/null
+++ b/tests/ledger_site.py
@@ -0,0 +1,96 @@
+"""A site with entries and one plain service, for tests of calls that may not be repeated."""
+
+from contextlib import asynccontextmanager, suppress
+
+import trio
+
+from egretstack.errors import ErrorKind
+from egretstack.ids import AccountId, IdempotencyKey, ServiceName
+from egretstack.ledger import Shard, key_id
+from egretstack.platform import ObjectKind
+from egretstack.replay import EngineParameters
+from egretstack.services.caller_api import CallerApi
+from egretstack.services.configuration import Configuration
+from egretstack.services.ledger_store import LedgerStore
+from egretstack.settings import Program
+from egretstack.upstreams import CallRequest
+from standins.plain_service import Book, ProcessKilled
+from standins.world import open_world
+from tests.ledger_support import LateObjectApi, outcome_of
+
+KEY_ID = key_id(AccountId("acme"), ServiceName("holds"), IdempotencyKey("k"))
+CONTRACT = {"contract": {"account": "acme", "key_sha256": "f" * 64}}
+OTHER = {"contract": {"account": "other", "key_sha256": "e" * 64}}
+LLM = {"service": {"name": "llm", "kind": "engine"}, "engine": {"models": "story"}}
+
+
+@asynccontextmanager
+async def site(entries=2, fencing="ignored", lookup=""):
+    """Give a world with entries and one plain service, its runner and its book."""
+    service = {
+        "service": {"name": "holds", "kind": "plain", "fencing": fencing},
+        "calls": {"lookup": lookup},
+    }
+    async with open_world() as world:
+        await world.configure(
+            contract__acme=CONTRACT, contract__other=OTHER, service__holds=service, service__llm=LLM
+        )
+        world.add_engine("engine-0", "llm", ("story",), EngineParameters())
+        book = Book(offers_lookup=bool(lookup), checks_fencing=fencing == "checked")
+        runner = world.add_plain("holds-0", "holds", book)
+        started = []
+        for number in range(entries):
+            process = await world.start(f"entry-{number}", Program.ENTRY)
+            started.append(process)
+        await trio.sleep(2)
+        yield world, started, runner
+
+
+def post(key="k", body=b"{}", timeout_s=5.0):
+    headers = () if key is None else (("Idempotency-Key", key),)
+    return CallRequest("POST", "/h", "", headers, body, timeout_s)
+
+
+async def call(process, request=None, account="acme"):
+    """Make a call; give the status, or the kind of the refusal."""
+    contract = process.kernel.get(Configuration).state.contract_by_account[account]
+    api = process.kernel.get(CallerApi)
+    found = await outcome_of(api.call, contract, ServiceName("holds"), request or post())
+    return found if isinstance(found, ErrorKind) else found.status
+
+
+def make_late(process):
+    """Give the process an object API whose writes can be held back."""
+    api = LateObjectApi(process.access.object_api.store)
+    process.access.object_api = api
+    process.kernel.get(LedgerStore)._store._api = api
+    return api
+
+
+def open_rows(world):
+    """Give every intent that the store holds."""
+    heads = [one for one in world.store.of_kind(ObjectKind.LEDGER) if "turn" in one.spec]
+    rows = [row for head in heads for row in Shard.from_stored(head).row_by_key.values()]
+    return [row for row in rows if row.open]
+
+
+async def freeze_before_first_byte(world, process, runner, request=None):
+    """Start a call and stop it between the sender's last check and its first byte."""
+    runner.sending = trio.Event()
+    answers = []
+
+    async def caller():
+        with suppress(ProcessKilled):
+            answers.append(await call(process, request))
+
+    world.nursery.start_soon(caller)
+    await trio.sleep(0.5)
+    held, runner.sending = runner.sending, None
+    return held, answers
+
+
+async def cut_soon(api):
+    """Cut the store off once a write is on its way."""
+    while not api.late:
+        await trio.sleep(0.001)
+    api.cut = True
--- a/tests/test_ledger_safeguards.py
+++ b/tests/test_ledger_safeguards.py
@@ -42,18 +42,8 @@
 class WithoutMovedRows(ShardWriter):
     """Forgets, in the write that moves rows into a segment, that they exist."""
 
-    def _plan(self, epoch_s):
-        self._moved = dict(self._moved)
-        moved, self._moved = self._moved, _Unseen(self._moved)
-        step = super()._plan(epoch_s)
-        if isinstance(self._moved, _Unseen):
-            self._moved = moved
-        return step
-
-
-class _Unseen(dict):
-    def get(self, key, default=None):
-        return default
+    def _moved_row(self, key):
+        return None
 
 
 class WithoutCondition(ShardWriter):
