--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -103,10 +103,14 @@
             raise Unsent(NotRunProof("connection refused"))
         if check is not None:
             check()
-        if self.sending is not None:
-            await self.sending.wait()
         headers = {name.lower(): value for name, value in request.headers}
-        answer = await self.book.handle(request.method, request.path, headers)
+        if self.sending is None:
+            answer = await self.book.handle(request.method, request.path, headers)
+        else:
+            # A frozen process keeps no time: when it thaws its bytes leave before its timers run.
+            with trio.CancelScope(shield=True):
+                await self.sending.wait()
+                answer = await self.book.handle(request.method, request.path, headers)
         if self.book.lose_answers:
             self.book.lose_answers -= 1
             raise OutcomeUnknown("answer lost")
--- a/tests/ledger_site.py
+++ b/tests/ledger_site.py
@@ -43,7 +43,12 @@
             process = await world.start(f"entry-{number}", Program.ENTRY)
             started.append(process)
         await trio.sleep(2)
-        yield world, started, runner
+        runner.held = []
+        try:
+            yield world, started, runner
+        finally:
+            for held in runner.held:
+                held.set()
 
 
 def post(key="k", body=b"{}", timeout_s=5.0):
@@ -86,6 +91,7 @@
     world.nursery.start_soon(caller)
     await trio.sleep(0.5)
     held, runner.sending = runner.sending, None
+    runner.held.append(held)
     return held, answers
 
 
--- a/tests/test_ledger_faults.py
+++ b/tests/test_ledger_faults.py
@@ -139,7 +139,7 @@
     early, late, _, runs = await silent_sender("ignored", "")
     check.assertIs(early, ErrorKind.IN_PROGRESS)
     check.assertIs(late, ErrorKind.OUTCOME_UNKNOWN)
-    check.assertLessEqual(runs, 1)
+    check.assertEqual(runs, 1)
 
 
 async def test_a_look_up_alone_takes_nothing_over():
@@ -148,7 +148,7 @@
     early, late, _, runs = await silent_sender("ignored", "/outcomes")
     check.assertIs(early, ErrorKind.IN_PROGRESS)
     check.assertIs(late, ErrorKind.OUTCOME_UNKNOWN)
-    check.assertLessEqual(runs, 1)
+    check.assertEqual(runs, 1)
 
 
 async def test_fencing_without_a_look_up_takes_nothing_over():
@@ -157,7 +157,7 @@
     early, late, _, runs = await silent_sender("checked", "")
     check.assertIs(early, ErrorKind.IN_PROGRESS)
     check.assertIs(late, ErrorKind.OUTCOME_UNKNOWN)
-    check.assertLessEqual(runs, 1)
+    check.assertEqual(runs, 1)
 
 
 async def test_a_fenced_look_up_lets_a_repeat_take_the_key_over():
