--- a/egretstack/services/calls.py
+++ b/egretstack/services/calls.py
@@ -50,6 +50,7 @@
         spec = self._spec(contract, service)
         request = _for_account(request, contract.account)
         accounts = self.kernel.get(Accounts)
+        await accounts.ready(contract)
         accounts.open(contract)
         self._open += 1
         try:
--- a/standins/engine_client.py
+++ b/standins/engine_client.py
@@ -5,12 +5,13 @@
 
 import trio
 
-from egretstack.ids import GenerationId
+from egretstack.ids import GenerationId, ModelName
 from egretstack.upstreams import (
     CacheEvent,
     EngineBroken,
     EngineClient,
     EngineEvent,
+    EngineNoAnswer,
     EngineRefused,
     EngineSilent,
     EngineUnreachable,
@@ -99,6 +100,11 @@
         await self._reach()
         return self._live.cache_events(after)
 
+    async def models(self) -> tuple[ModelName, ...]:
+        """Read which models the engine serves."""
+        await self._reach()
+        return self._live.models
+
     async def order(self, order: Order) -> None:
         """Give an order."""
         await self._reach()
@@ -115,7 +121,7 @@
             raise EngineUnreachable("connection refused")
         if self._faults.stalled:
             await trio.sleep(CONNECT_TIMEOUT_S)
-            raise EngineUnreachable("connection timed out")
+            raise EngineNoAnswer("connection timed out")
 
     async def _events(self, generation: Generation, after: int) -> AsyncIterator[EngineEvent]:
         opened_s = trio.current_time()
--- a/standins/engine_http.py
+++ b/standins/engine_http.py
@@ -64,6 +64,10 @@
         rows = [{"number": e.number, "prefix": e.prefix, "stored": e.stored} for e in events]
         return _json({"events": rows})
 
+    @app.get("/v1/models")
+    async def models() -> Response:
+        return _json({"object": "list", "data": [{"id": name} for name in engine.models]})
+
     @app.put("/orders")
     async def order() -> Response:
         body = await request.get_json(force=True)
@@ -93,6 +97,7 @@
         "vllm:num_preemptions_total": report.preemptions,
         "egret_engine_kv_capacity_tokens": report.kv_capacity_tokens,
         "egret_engine_report_age_seconds": report.age_s,
+        "egret_engine_leaving": int(report.leaving),
     }
     return "".join(f"{name} {value}\n" for name, value in rows.items())
 
--- a/standins/world.py
+++ b/standins/world.py
@@ -72,10 +72,17 @@
     nursery: trio.Nursery | None = None
 
     def add_engine(
-        self, name: str, service: str, models: tuple[str, ...], parameters: EngineParameters
+        self,
+        name: str,
+        service: str,
+        models: tuple[str, ...],
+        parameters: EngineParameters,
+        *,
+        checks_fencing: bool = True,
     ) -> EngineStandin:
         """Start an engine and list it."""
-        live = LiveEngine(parameters, tuple(ModelName(model) for model in models))
+        names = tuple(ModelName(model) for model in models)
+        live = LiveEngine(parameters, names, checks_fencing=checks_fencing)
         self.engine_by_id[name] = EngineStandin(live, EngineFaults())
         self.nursery.start_soon(live.run)
         self._list(name, service, f"10.1.0.{len(self.engine_by_id)}", {"http": 8000}, "a")
@@ -159,7 +166,8 @@
         self._host = host
         self.dead = False
         self.app_by_address: dict[str, AsgiApp] = {}
-        self.object_api = InProcessObjectApi(world.store)
+        self.store_client = InProcessObjectApi(world.store)
+        self.object_api = self.budgeted(self.store_client)
         self.instance_list = world.listed
 
     def engine(self, member: Member) -> EngineClient:
@@ -191,6 +199,8 @@
         app: AsgiApp,
         address: str,
         stop: trio.Event,
+        send_timeout_s: float = 0.0,
+        *,
         task_status: trio.TaskStatus[object],
     ) -> None:
         """Keep the application for a test to call; no socket is opened."""
