--- a/egretstack/services/session_host.py
+++ b/egretstack/services/session_host.py
@@ -120,8 +120,8 @@
         session = Session(work.id, request, Cursor(ref.generation, after))
         session.id = SessionId(session_id)
         session.runner = ref.runner
-        SessionLevels(session, contract, self._service_levels(), opened_s)
         self._count_in(contract, work.id)
+        SessionLevels(session, contract, self._service_levels(), opened_s)
         self._start(session, work, Placement(work, ref.runner, engine, work.value))
         self._nursery.start_soon(self._take_over, ref, session)
         return session
