--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint measure clean
+.PHONY: demo test lint measure slopes clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -23,5 +23,10 @@
 measure: $(STAMP)
 	$(VENV)/bin/python scripts/measure_path.py
 
+# Some ten minutes; make slopes ONLY="path nodes" runs those alone and keeps the other figures.
+slopes: $(STAMP)
+	$(VENV)/bin/python scripts/slopes.py $(ONLY)
+	PYTHONPATH=. $(VENV)/bin/python scripts/capacity.py
+
 clean:
 	rm -rf $(VENV)
--- a/scripts/_capacity_lines.py
+++ b/scripts/_capacity_lines.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from scripts._sheet import Line, Resource, Slopes, amount
-from scripts._target import DAY_S, TARGET
+from scripts._target import BOUNDS, DAY_S, TARGET
 
 PROCESSES = 2
 """Processes of an instance: its entry and its steward."""
@@ -12,6 +12,10 @@
 REPORTS_A_RUNNER = 2
 """Load reports an entry reads from each runner in a second."""
 CORE_US = 1_000_000
+ACTIVE_ACCOUNTS = 10
+"""Accounts an entry serves at once, were each account's callers spread over six entries."""
+LEDGER_CALLS = 800
+"""Calls a second that may not be repeated, the most that was run; the users give no figure."""
 
 _LIST = "each process reads the whole list every second"
 _REPORTS = "each entry reads every runner twice a second"
@@ -209,6 +213,78 @@
     ]
 
 
+def homes(slopes: Slopes) -> list[Line]:
+    """Give what lending limits costs an instance, as entry and as home."""
+    lent = "limits lent by an account's home instance, renewed by the entries that use them"
+    active = f"{ACTIVE_ACCOUNTS} active accounts on each entry"
+    return [
+        Line(what, resource, (name,), active, slopes.at(name, ACTIVE_ACCOUNTS), lent)
+        for what, resource, name in (
+            ("asking and granting", Resource.TRAFFIC, "limits.traffic"),
+            ("asking and granting", Resource.CPU, "limits.cpu"),
+            ("what is lent and held", Resource.MEMORY, "limits.memory"),
+        )
+    ]
+
+
+def relays(slopes: Slopes) -> list[Line]:
+    """Give what the busiest steward sends while changes pass."""
+    return [
+        Line(
+            "news and changed parts",
+            Resource.TRAFFIC,
+            ("configuration.busiest",),
+            f"{TARGET.nodes} instances, {TARGET.changes_a_day:,} changes a day",
+            slopes.at("configuration.busiest", TARGET.nodes),
+            "a tree of stewards, four below each; the busiest of them",
+        )
+    ]
+
+
+def ledger(slopes: Slopes) -> list[Line]:
+    """Give what calls that may not be repeated cost the object API."""
+    how = f"{LEDGER_CALLS} such calls a second, over 40 entries"
+    carried = "shards with group commit, each written by its home instance alone"
+    return [
+        Line(
+            "intents and outcomes",
+            Resource.WRITES,
+            ("ledger.writes",),
+            how,
+            slopes.at("ledger.writes", LEDGER_CALLS),
+            carried,
+        ),
+        Line(
+            "reading shards",
+            Resource.READS,
+            ("ledger.reads",),
+            how,
+            slopes.at("ledger.reads", LEDGER_CALLS),
+            carried,
+        ),
+    ]
+
+
+def read_parts(slopes: Slopes) -> None:
+    """Fit the runs of parts that print runs."""
+    for value, name, unit in (
+        ("bytes_per_s", "limits.traffic", "bytes/s"),
+        ("cpu_us_per_s", "limits.cpu", "us/s"),
+        ("memory_bytes", "limits.memory", "bytes"),
+    ):
+        size = ("active account", "active_accounts_per_node")
+        slopes.fit_rows(name, unit, size, value, kind="cost", nodes=80)
+    tree = {"what": "in_force", "width": 4}
+    busiest = "bytes_a_second_of_the_busiest"
+    instance = ("instance", "stewards")
+    slopes.fit_rows("configuration.busiest", "bytes/s", instance, busiest, **tree)
+    slopes.fit_rows("configuration.seconds", "s", instance, "seconds", **tree)
+    shards = {"way": "homed", "entries": 40, "shards": 8, "pace_ms": 50}
+    offered = ("call a second", "offered_per_s")
+    slopes.fit_rows("ledger.writes", "calls/s", offered, "writes_per_s", **shards)
+    slopes.fit_rows("ledger.reads", "calls/s", offered, "reads_per_s", **shards)
+
+
 def object_api(slopes: Slopes) -> list[Line]:
     """Give what the whole fleet asks of the object API."""
     return [
@@ -241,9 +317,18 @@
 
 def sentences(slopes: Slopes) -> dict[str, str]:
     """Give the figures that the page's prose names."""
+    writes = slopes.slope_by_name["ledger.writes"]
     token_us = slopes.each("path.entry_token_cpu")
+    report_us = slopes.each("path.entry_idle_cpu") / REPORTS_A_RUNNER
     sessions = TARGET.open_sessions * TARGET.nodes
     return {
+        "in_force": f"{max(slopes.slope_by_name['configuration.seconds'].values):.2f}",
+        "ledger_calls": f"{max(writes.sizes):.0f}",
+        "ledger_share": f"{TARGET.requests / max(writes.sizes):.1f}",
+        "links": f"{slopes.at('nodes.links_busiest', TARGET.nodes):.0f}",
+        "link_memory": amount(slopes.each("nodes.idle_memory"), "bytes"),
+        "link_end": amount(slopes.each("runners.link_memory"), "bytes"),
+        "reports_a_core_share": f"{BOUNDS.cpu_us / report_us:.1f}",
         "node_tokens": f"{TARGET.node_tokens:,.0f}",
         "token_us": f"{token_us:.0f}",
         "tokens_a_core": f"{CORE_US / token_us:,.0f}",
@@ -256,12 +341,15 @@
         "snapshot": amount(
             slopes.at("accounts.configuration_snapshot_wire", TARGET.parts), "bytes"
         ),
-        "report_us": f"{slopes.each('path.entry_idle_cpu') / REPORTS_A_RUNNER:,.0f}",
+        "report_us": f"{report_us:,.0f}",
     }
 
 
 TABLES: dict[str, Callable[[Slopes], list[Line]]] = {
     "entry": entry,
     "every_node": every_node,
+    "homes": homes,
+    "relays": relays,
+    "ledger": ledger,
     "object_api": object_api,
 }
--- a/scripts/_sheet.py
+++ b/scripts/_sheet.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from pathlib import Path
 
-from scripts._slope import Slope
+from scripts._slope import Slope, fit
 from scripts._target import BOUNDS, KILOBYTE, MEGABYTE
 
 PREFIX = "slopes_"
@@ -52,13 +52,34 @@
 
     def __init__(self, path: Path = SLOPES_FILE) -> None:
         self.slope_by_name: dict[str, Slope] = {}
+        self._rows_by_part: dict[str, list[dict]] = {}
         for text in path.read_text().splitlines():
             row = json.loads(text)
             script = row.pop("script")
-            if row.keys() != Slope.__dataclass_fields__.keys():
-                continue
-            slope = Slope(**row)
-            self.slope_by_name[f"{script.removeprefix(PREFIX)}.{slope.name}"] = slope
+            part = script.removeprefix(PREFIX)
+            self._rows_by_part.setdefault(part, []).append(row)
+            if row.keys() == Slope.__dataclass_fields__.keys():
+                slope = Slope(**row)
+                self.slope_by_name[f"{part}.{slope.name}"] = slope
+
+    def fit_rows(
+        self, name: str, unit: str, size: tuple[str, str], value: str, **only: object
+    ) -> None:
+        """Fit the rows of a part that prints its runs and not slopes, such as `limits.traffic`.
+
+        `size` is what a run's size counts and the field that holds it, `value` the field that
+        was measured; `only` picks runs by other fields.
+        """
+        part, _, short = name.partition(".")
+        per, size_field = size
+        rows = [
+            row
+            for row in self._rows_by_part.get(part, [])
+            if value in row and size_field in row and only.items() <= row.items()
+        ]
+        value_by_size = {row[size_field]: row[value] for row in rows}
+        if value_by_size:
+            self.slope_by_name[name] = fit(short, unit, per, value_by_size)
 
     def at(self, name: str, size: float) -> float:
         """Give the value at a size by the fitted line.
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -7,7 +7,7 @@
 import re
 from pathlib import Path
 
-from scripts._capacity_lines import TABLES, sentences
+from scripts._capacity_lines import TABLES, read_parts, sentences
 from scripts._sheet import Slopes, table
 
 ROOT = Path(__file__).parent.parent
@@ -18,6 +18,7 @@
 
 def capacity_page(slopes: Slopes) -> str:
     """Give the text of the page; a place that names nothing known is a KeyError."""
+    read_parts(slopes)
     figures = sentences(slopes)
 
     def fill(match: re.Match) -> str:
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -22,14 +22,15 @@
 def main() -> int:
     """Run and give the exit code: 1 if any script failed."""
     wanted = sys.argv[1:] or _known()
-    rows_by_script = _kept_rows()
+    fresh: dict[str, list[dict]] = {}
     failed = []
     for name in wanted:
         rows, whole = _run(name)
         if not whole:
             failed.append(name)
         if rows:
-            rows_by_script[PREFIX + name] = rows
+            fresh[PREFIX + name] = rows
+    rows_by_script = _kept_rows() | fresh
     known = {PREFIX + name for name in _known()}
     lines = [
         json.dumps(row)
--- a/scripts/slopes_runners.py
+++ b/scripts/slopes_runners.py
@@ -7,6 +7,7 @@
 import trio
 
 from egretstack.ids import AccountId, ModelName, RunnerId, ServiceName, WorkId, ZoneName
+from egretstack.peers import PeerLink
 from egretstack.platform import HttpInstanceList
 from egretstack.policy import (
     DEFAULT_POLICY,
@@ -145,6 +146,33 @@
     show(fit("load_report_wire", "bytes", "report", wire))
 
 
+class NoStream(trio.abc.Stream):
+    """The stream of a link that nothing is sent over."""
+
+    async def send_all(self, data: bytes) -> None:
+        """Do nothing."""
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Do nothing."""
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Say that the peer closed."""
+        return b""
+
+    async def aclose(self) -> None:
+        """Do nothing."""
+
+
+def show_links() -> None:
+    """Measure what one end of a link holds."""
+    held = {
+        size: held_bytes(lambda size=size: [PeerLink(NoStream()) for _ in range(size)])
+        for size in OBJECT_SIZES
+    }
+    show(fit("link_memory", "bytes", "link end", held))
+
+
 if __name__ == "__main__":
     show_members()
     show_reports()
+    show_links()
