--- a/standins/world.py
+++ b/standins/world.py
@@ -153,7 +153,7 @@
     def kill(self) -> None:
         """End the process at once; nothing that it would do while stopping reaches outside."""
         self.access.dead = True
-        self.access.object_api.cut = True
+        self.access.store_client.cut = True
         self.scope.cancel()
 
 
--- a/tests/ledger_site.py
+++ b/tests/ledger_site.py
@@ -66,9 +66,10 @@
 
 def make_late(process):
     """Give the process an object API whose writes can be held back."""
-    api = LateObjectApi(process.access.object_api.store)
-    process.access.object_api = api
-    process.kernel.get(LedgerStore)._store._api = api
+    api = LateObjectApi(process.access.store_client.store)
+    process.access.store_client = api
+    process.access.object_api = process.access.budgeted(api)
+    process.kernel.get(LedgerStore)._store._api = process.access.object_api
     return api
 
 
