Ledger: an intent that never gets through is refused in time

Seen failing with the bound taken out of ShardWriter.give_up on a scratch copy: 13 passed, 1 failed. A first form of the test asked for REFUSED; an update under way at the bound makes it ABANDONED, which is refused as "not run" just the same, so the test takes both.

--- a/tests/test_ledger_shards.py
+++ b/tests/test_ledger_shards.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from egretstack.clock import EpochClock
 from egretstack.ids import InstanceId
 from egretstack.ledger import (
     BadAsk,
@@ -13,6 +14,7 @@
     Outcome,
     Row,
     Shard,
+    ShardStore,
     ShardWriter,
     ask_of,
     home_of,
@@ -21,7 +23,7 @@
     shard_number,
 )
 from egretstack.ledger._shard import MAX_HEAD_BYTES, MAX_SEGMENTS, Segment
-from egretstack.platform import ObjectKind
+from egretstack.platform import Conflict, ObjectKind
 from egretstack.upstreams import CallResponse
 from standins.object_store import InProcessObjectApi, ObjectStore
 from tests.ledger_support import HEAD, SlowStore, begin, finish, key, row
@@ -189,6 +191,28 @@
             operation_of(bad[0], bad[1], 0.0)
 
 
+class AlwaysTooLate(InProcessObjectApi):
+    """Every conditional write finds that another came first."""
+
+    async def create(self, kind, name, spec):
+        await trio.sleep(0.005)
+        raise Conflict(name)
+
+
+async def test_an_intent_that_never_gets_through_is_refused_in_time():
+    # Other entries win every race for the head. The call is refused at its bound, as not run.
+    async with trio.open_nursery() as nursery:
+        store = ShardStore(AlwaysTooLate(ObjectStore()), EpochClock.start(), nursery, shards=1)
+        operation = begin("k", "a", give_up_s=trio.current_time() + 2.5)
+        store.submit(0, operation)
+        ended = await store.wait(0, operation)
+        check.assertIn(ended, (Outcome.REFUSED, Outcome.ABANDONED))
+        check.assertAlmostEqual(trio.current_time(), operation.give_up_s)
+        await trio.sleep(1)
+        check.assertTrue(store.idle)
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_store_that_is_idle_costs_nothing():
     store = ObjectStore()
     writer = ShardWriter()
