--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -43,6 +43,23 @@
         "came of it.",
     )
     CALL_UNKNOWN = (220, Level.ERROR, "A call that may not be repeated has no known outcome.")
+    INTENT_ABANDONED = (
+        221,
+        Level.WARNING,
+        "The store gave no answer to an intent in time; the call was refused and is never sent.",
+    )
+    INTENT_TOO_OLD = (
+        222,
+        Level.WARNING,
+        "This process stood still after it wrote an intent; the call was not sent.",
+    )
+    CALL_TAKEN_OVER = (
+        223,
+        Level.WARNING,
+        "A repeat took a key over from an attempt that was given up, or that is fenced off.",
+    )
+    CALL_LOOKED_UP = (224, Level.INFO, "A service was asked whether a call ran.")
+    LEDGER_PRUNED = (225, Level.INFO, "Old segments of the ledger were dropped.")
     LIMITS_HOME_AWAY = (
         230,
         Level.WARNING,
@@ -71,8 +88,32 @@
     PLATFORM_BREAKER_CLOSED = (313, Level.INFO, "The platform answered a probe; calls go out.")
     PLATFORM_WATCH_SILENT = (314, Level.WARNING, "A watch sent no bookmark; it is opened anew.")
     PEER_REFUSED = (320, Level.WARNING, "A peer connection was refused; check keys and version.")
+    INSTANCE_LIVE = (321, Level.INFO, "An instance takes work.")
+    INSTANCE_LEAVING = (322, Level.INFO, "An instance leaves; callers are sent elsewhere.")
+    INSTANCE_SUSPECT = (
+        323,
+        Level.WARNING,
+        "An instance does not answer heartbeats; it is used for some seconds more.",
+    )
+    INSTANCE_GONE = (
+        324,
+        Level.WARNING,
+        "An instance stopped, or did not answer a suspicion; no caller is sent there.",
+    )
     RUNNER_JOINED = (330, Level.INFO, "A runner is known and gets work.")
     RUNNER_LEFT = (331, Level.INFO, "A runner gets no new work.")
+    DUTY_TAKEN = (350, Level.INFO, "This steward holds a duty now.")
+    DUTY_LOST = (351, Level.WARNING, "This steward's lease on a duty ended; it gives no orders.")
+    DUTY_UNREADABLE = (352, Level.ERROR, "The object of a lease cannot be read; delete it.")
+    ORDER_SENT = (353, Level.INFO, "An engine was ordered to serve the models described.")
+    ORDER_REFUSED = (354, Level.WARNING, "An engine knows a newer holder; this one stops.")
+    ORDER_FAILED = (355, Level.WARNING, "An engine could not be read or given an order.")
+    RUNNER_SILENT = (
+        332,
+        Level.WARNING,
+        "A runner's load report cannot be read; it gets no new work from this instance.",
+    )
+    RUNNER_NOTICED = (333, Level.INFO, "A runner said, or was ordered, to leave or to return.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
         self.number = number
--- a/egretstack/services/configuration.py
+++ b/egretstack/services/configuration.py
@@ -7,6 +7,8 @@
 
 import random
 from contextlib import suppress
+from dataclasses import dataclass
+from functools import cached_property
 
 import trio
 
@@ -32,18 +34,16 @@
     told_delta,
 )
 from egretstack.events import Event, log
-from egretstack.ids import InstanceId
+from egretstack.ids import InstanceId, Revision
 from egretstack.kernel import Kernel, Service
 from egretstack.peers import Message, Nothing, PeerGone, PeerRefused
 from egretstack.platform import ENTRY_SERVICE, Member, PlatformAway
 from egretstack.services.instances import Instances
+from egretstack.services.membership import Membership
 from egretstack.services.peer_port import PeerPort
 from egretstack.services.platform_access import PlatformAccess
 
 PULL_PERIOD_S = 1.0
-PULL_TIMEOUT_S = 1.2
-"""Time for one exchange with a peer: three round trips between far regions, and no more, since
-a frozen peer must not use up the seconds in which a change has to be in force."""
 
 PEERS_ASKED = 2
 PEERS_ASKED_AT_START = 5
@@ -58,6 +58,16 @@
 
 REPEAT_ALARM_S = 60.0
 STEWARD_PORT = "steward"
+ENTRY_PORT = "peer"
+
+
+@dataclass(frozen=True)
+class _Lead:
+    """A process that has a newer revision: its instance, and the name of its port."""
+
+    instance: InstanceId
+    port: str
+    revision: int
 
 
 class Configuration(Service):
@@ -71,10 +81,15 @@
         self.state = ConfigurationState()
         self._rng = random.Random(self.own)
         self._changed = trio.Event()
-        self._news_send, self._news = trio.open_memory_channel[ConfigNews](MAX_PULLS)
+        self._news_send, self._news = trio.open_memory_channel[_Lead](MAX_PULLS)
         self._alarm_at_s: dict[tuple[Event, int, str], float] = {}
         self._reading = trio.Lock()
 
+    @cached_property
+    def store(self) -> ConfigurationStore:
+        """Give the configuration as the platform keeps it."""
+        return ConfigurationStore(self.kernel.get(PlatformAccess).object_api)
+
     @property
     def own(self) -> InstanceId:
         """Give the name of this instance."""
@@ -87,6 +102,8 @@
         port.answer(ConfigNews, self._hear)
         port.answer(SnapshotAsk, self._answer_snapshot)
         self.kernel.get(Instances).on_change(self._share_budget)
+        if self.kernel.has(Membership):
+            self.kernel.get(Membership).on_peer_revision(self._peer_has)
         async with trio.open_nursery() as nursery:
             for _ in range(MAX_PULLS):
                 nursery.start_soon(self._follow_news)
@@ -111,7 +128,7 @@
         async with self._reading:
             # Only a read that began after a revision was in force here proves the store older.
             known = self.state.revision
-            head = await self._store().head()
+            head = await self.store.head(self.state.snapshot)
             if head is None:
                 if known > 0:
                     self._alarm(Event.CONFIG_REFUSED_OLDER, 0, "")
@@ -126,7 +143,7 @@
         if judged is not Offer.NEWER:
             self._note(judged, head.revision, head.change_id)
             return judged
-        return self.offer(await self._store().complete(head, self.state.snapshot))
+        return self.offer(await self.store.complete(head, self.state.snapshot))
 
     async def sample_platform(self) -> None:
         """Read the head with a chance that keeps the whole fleet's reads at a fixed rate."""
@@ -170,24 +187,24 @@
         return self._rng.sample(others, min(count, len(others)))
 
     async def _follow_news(self) -> None:
-        async for news in self._news:
+        async for lead in self._news:
             for member in self._members():
-                if member.id == news.instance and news.revision > self.state.revision:
-                    await self._pull_peer(member)
+                if member.id == lead.instance and lead.revision > self.state.revision:
+                    await self._pull_peer(member, lead.port)
 
-    async def _pull_peer(self, member: Member) -> bool:
+    async def _pull_peer(self, member: Member, port: str = STEWARD_PORT) -> bool:
         """Ask a peer for what changed; True when it answered."""
         ask = ConfigAsk(self.state.revision, self.state.change_id)
         try:
-            answer = await self._ask(member, ask)
+            answer = await self._ask(member, port, ask)
             if isinstance(answer, ConfigTell):
                 delta = told_delta(answer)
                 offer = self.state.offer_delta(delta)
                 self._note(offer, delta.revision, delta.change_ids[-1])
                 if offer is Offer.GAP and delta.base_revision == self.state.revision:
-                    await self._pull_snapshot(member)
+                    await self._pull_snapshot(member, port)
             elif isinstance(answer, ConfigFar):
-                await self._pull_snapshot(member)
+                await self._pull_snapshot(member, port)
             elif isinstance(answer, ConfigForked):
                 self._note(Offer.FORKED, answer.revision, answer.change_id)
         except (PeerGone, PeerRefused):
@@ -197,10 +214,10 @@
             return False
         return True
 
-    async def _pull_snapshot(self, member: Member) -> None:
+    async def _pull_snapshot(self, member: Member, port: str) -> None:
         for _ in range(SNAPSHOT_TRIES):
             try:
-                snapshot = await self._read_pieces(member)
+                snapshot = await self._read_pieces(member, port)
             except TransferError:
                 continue
             if snapshot is not None:
@@ -208,10 +225,10 @@
             return
         raise TransferError("no whole snapshot")
 
-    async def _read_pieces(self, member: Member) -> Snapshot | None:
+    async def _read_pieces(self, member: Member, port: str) -> Snapshot | None:
         builder = SnapshotBuilder()
         for _ in range(MAX_PIECES):
-            answer = await self._ask(member, SnapshotAsk(builder.after))
+            answer = await self._ask(member, port, SnapshotAsk(builder.after))
             if not isinstance(answer, SnapshotPiece):
                 return None
             snapshot = builder.add(answer)
@@ -219,12 +236,12 @@
                 return snapshot
         raise TransferError("too many pieces")
 
-    async def _ask(self, member: Member, message: Message) -> Message:
-        port = member.ports[STEWARD_PORT]
-        with trio.move_on_after(PULL_TIMEOUT_S):
-            peers = self.kernel.get(PeerPort)
-            return await peers.ask(InstanceId(member.id), member.host, port, message)
-        raise PeerGone("no answer in time")
+    async def _ask(self, member: Member, port: str, message: Message) -> Message:
+        number = member.ports.get(port)
+        if number is None:
+            raise PeerGone(f"no port {port}")
+        peers = self.kernel.get(PeerPort)
+        return await peers.ask(InstanceId(member.id), member.host, number, message)
 
     async def _answer(self, message: ConfigAsk) -> Message:
         found = self.state.delta_since(message.revision, message.change_id)
@@ -243,16 +260,24 @@
         return Nothing() if snapshot is None else piece(snapshot, message.after)
 
     async def _hear(self, message: ConfigNews) -> Message:
-        if message.revision > self.state.revision:
+        self._follow(_Lead(InstanceId(message.instance), STEWARD_PORT, message.revision))
+        return Nothing()
+
+    def _peer_has(self, instance: InstanceId, revision: Revision) -> None:
+        self._follow(_Lead(instance, ENTRY_PORT, revision))
+
+    def _follow(self, lead: _Lead) -> None:
+        if lead.revision > self.state.revision:
             # With the channel full, enough pulls wait already; each takes the newest there is.
             with suppress(trio.WouldBlock):
-                self._news_send.send_nowait(message)
-        return Nothing()
+                self._news_send.send_nowait(lead)
 
     def _note(self, offer: Offer, revision: int, change_id: str) -> None:
         if offer is Offer.APPLIED:
             log(Event.CONFIG_APPLIED, revision=revision)
             self.kernel.get(PlatformAccess).metrics.revision.set(revision)
+            if self.kernel.has(Membership):
+                self.kernel.get(Membership).set_revision(self.state.revision)
             self._changed.set()
             self._changed = trio.Event()
         elif offer is Offer.BAD:
@@ -274,6 +299,3 @@
     def _share_budget(self) -> None:
         access = self.kernel.get(PlatformAccess)
         access.object_api.budget.share_among(len(self._members()), trio.current_time())
-
-    def _store(self) -> ConfigurationStore:
-        return ConfigurationStore(self.kernel.get(PlatformAccess).object_api)
--- a/standins/world.py
+++ b/standins/world.py
@@ -25,7 +25,7 @@
 from standins.live_engine import LiveEngine
 from standins.network import Network
 from standins.object_store import InProcessObjectApi, ObjectStore
-from standins.plain_service import Book, InProcessPlainService
+from standins.plain_service import Book, ClientOfProcess, InProcessPlainService
 
 PORTS = {
     "caller": 8080,
@@ -72,10 +72,17 @@
     nursery: trio.Nursery | None = None
 
     def add_engine(
-        self, name: str, service: str, models: tuple[str, ...], parameters: EngineParameters
+        self,
+        name: str,
+        service: str,
+        models: tuple[str, ...],
+        parameters: EngineParameters,
+        *,
+        checks_fencing: bool = True,
     ) -> EngineStandin:
         """Start an engine and list it."""
-        live = LiveEngine(parameters, tuple(ModelName(model) for model in models))
+        names = tuple(ModelName(model) for model in models)
+        live = LiveEngine(parameters, names, checks_fencing=checks_fencing)
         self.engine_by_id[name] = EngineStandin(live, EngineFaults())
         self.nursery.start_soon(live.run)
         self._list(name, service, f"10.1.0.{len(self.engine_by_id)}", {"http": 8000}, "a")
@@ -146,6 +153,7 @@
     def kill(self) -> None:
         """End the process at once; nothing that it would do while stopping reaches outside."""
         self.access.dead = True
+        self.access.object_api.cut = True
         self.scope.cancel()
 
 
@@ -170,7 +178,7 @@
 
     def plain(self, member: Member) -> PlainService:
         """Make the client of a plain service's runner."""
-        return self._world.plain_by_id[member.id]
+        return ClientOfProcess(self._world.plain_by_id[member.id], lambda: self.dead)
 
     async def open_stream(self, host: str, port: int) -> trio.abc.Stream:
         """Connect to a peer."""
