--- a/egretstack/limits/_homes.py
+++ b/egretstack/limits/_homes.py
@@ -1,12 +1,12 @@
 """Which instance is the home of an account, since when, and each entry's conservative share."""
 
-import hashlib
 from collections import deque
 from collections.abc import Mapping
 from math import ceil
 
 from egretstack.ids import AccountId, InstanceId, ZoneName
 from egretstack.limits._share import NOTHING, Share
+from egretstack.membership import rendezvous
 
 VIEWS_KEPT = 16
 MAX_CACHED = 4096
@@ -21,8 +21,8 @@
 
 
 def rank(account: AccountId, instance: InstanceId) -> bytes:
-    """Give the rendezvous rank of an instance for an account; the least comes first."""
-    return hashlib.sha256(f"{account}/{instance}".encode()).digest()
+    """Give the rank by which callers are told which entries to use; the least comes first."""
+    return rendezvous(account, instance)
 
 
 class Homes:
--- a/egretstack/services/limits.py
+++ b/egretstack/services/limits.py
@@ -19,9 +19,9 @@
     LimitsAsk,
 )
 from egretstack.peers import Message, MessageError, Nothing, PeerGone, PeerRefused
-from egretstack.platform import ENTRY_SERVICE, Member, MemberState
+from egretstack.platform import Member
 from egretstack.services.configuration import Configuration
-from egretstack.services.instances import Instances
+from egretstack.services.membership import Membership
 from egretstack.services.peer_port import PeerPort
 
 PEER_PORT = "peer"
@@ -32,7 +32,7 @@
     """Counts requests in and out within the limits of their accounts' contracts."""
 
     name = "limits"
-    requires = ("configuration", "instances", "peer_port")
+    requires = ("configuration", "membership", "peer_port")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -49,7 +49,7 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Answer entries, and send the asks that are due."""
         self.kernel.get(PeerPort).answer(LimitsAsk, self._answer)
-        self.kernel.get(Instances).on_change(self._see)
+        self.kernel.get(Membership).on_change(self._see)
         self._see()
         async with trio.open_nursery() as nursery:
             task_status.started()
@@ -140,5 +140,5 @@
 
     def _live(self) -> dict[InstanceId, Member]:
         """Give the live entries: the one place that asks who may be a home."""
-        members = self.kernel.get(Instances).members(ENTRY_SERVICE, MemberState.LIVE)
+        members = self.kernel.get(Membership).live_members()
         return {InstanceId(member.id): member for member in members}
--- a/tests/test_limits_world.py
+++ b/tests/test_limits_world.py
@@ -47,6 +47,11 @@
     )
 
 
+def home_of(process):
+    """Give the home of acme as a process sees it."""
+    return process.kernel.get(Limits)._homes.home("acme")
+
+
 def open_at(process):
     """Tell how many requests are open at a process."""
     return process.kernel.get(Limits).entry.open_count("acme")
@@ -91,6 +96,9 @@
         await admit(others[0], 40, gap_s=0.11)
         home.kill()
         del world.listed.by_id[home.name]
+        with trio.fail_after(60):
+            while any(home_of(one) == home.name for one in others):
+                await trio.sleep(0.5)
         await trio.sleep(WARM_UP_S + LIFE_S)
         await admit(others[1], 40, gap_s=0.11)
         check.assertEqual(open_at(others[0]) + open_at(others[1]), SLOTS)
