--- a/tests/test_limits_faults.py
+++ b/tests/test_limits_faults.py
@@ -121,6 +121,20 @@
     check.assertIs(entry.mode(fleet.now + LIFE_S, "acme"), Mode.COLD)
 
 
+def test_a_new_home_is_told_at_once_what_is_open():
+    # Streams are open whose slice is renewed only every 9 s, and their home leaves the list. The
+    # new home lends after 6 s; told at the next renewal, it would lend their slots before that.
+    fleet, home, others = fleet_and_home()
+    for _ in range(20):
+        fleet.request(others[0], hold_s=LONG_S)
+    fleet.run(4)
+    check.assertEqual(others[0].entry.due(fleet.now), [])
+    fleet.tell(others[0], [node.name for node in others])
+    (ask,) = others[0].entry.due(fleet.now)
+    check.assertEqual(ask.home, fleet.home_of("acme", others[0]).name)
+    check.assertEqual(ask.asked_by_account["acme"].open, 20)
+
+
 def test_tokens_for_waiting_requests_lapse_soon():
     # The requests that waited have left before the answer came. The home fills its bucket again
     # 0.25 s after the ask, so the tokens must not be used after that.
@@ -220,7 +234,7 @@
     home = OneHome()
     check.assertEqual(home.ask("entry-b", 1, waiting=40, want=40).share.slots, 40)
     home.ask("entry-c", 2, waiting=SLOTS, want=SLOTS)
-    check.assertLess(home.ask("entry-b", 2, keep=40, want=40).share.slots, 40)
+    check.assertLess(home.ask("entry-b", 2, waiting=40, keep=40, want=40).share.slots, 40)
     check.assertEqual(home.ask("entry-c", 3, waiting=SLOTS, want=SLOTS).share.slots, SLOTS - 40)
 
 
