--- a/egretstack/configuration/__init__.py
+++ b/egretstack/configuration/__init__.py
@@ -26,11 +26,11 @@
     ApplyConflict,
     ApplyUnknown,
     ConfigurationStore,
-    head_of,
 )
 from egretstack.configuration._transfer import (
     SnapshotBuilder,
     TransferError,
+    is_sections,
     piece,
     tell,
     told_delta,
@@ -60,7 +60,7 @@
     "SnapshotPiece",
     "TransferError",
     "head_digest",
-    "head_of",
+    "is_sections",
     "part_digest",
     "part_name",
     "piece",
--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -43,6 +43,23 @@
         "came of it.",
     )
     CALL_UNKNOWN = (220, Level.ERROR, "A call that may not be repeated has no known outcome.")
+    INTENT_ABANDONED = (
+        221,
+        Level.WARNING,
+        "The store gave no answer to an intent in time; the call was refused and is never sent.",
+    )
+    INTENT_TOO_OLD = (
+        222,
+        Level.WARNING,
+        "This process stood still after it wrote an intent; the call was not sent.",
+    )
+    CALL_TAKEN_OVER = (
+        223,
+        Level.WARNING,
+        "A repeat took a key over from an attempt that was given up, or that is fenced off.",
+    )
+    CALL_LOOKED_UP = (224, Level.INFO, "A service was asked whether a call ran.")
+    LEDGER_PRUNED = (225, Level.INFO, "Old segments of the ledger were dropped.")
     LIMITS_HOME_AWAY = (
         230,
         Level.WARNING,
@@ -85,6 +102,12 @@
     )
     RUNNER_JOINED = (330, Level.INFO, "A runner is known and gets work.")
     RUNNER_LEFT = (331, Level.INFO, "A runner gets no new work.")
+    DUTY_TAKEN = (350, Level.INFO, "This steward holds a duty now.")
+    DUTY_LOST = (351, Level.WARNING, "This steward's lease on a duty ended; it gives no orders.")
+    DUTY_UNREADABLE = (352, Level.ERROR, "The object of a lease cannot be read; delete it.")
+    ORDER_SENT = (353, Level.INFO, "An engine was ordered to serve the models described.")
+    ORDER_REFUSED = (354, Level.WARNING, "An engine knows a newer holder; this one stops.")
+    ORDER_FAILED = (355, Level.WARNING, "An engine could not be read or given an order.")
     RUNNER_SILENT = (
         332,
         Level.WARNING,
--- a/egretstack/services/operator_port.py
+++ b/egretstack/services/operator_port.py
@@ -41,6 +41,10 @@
         async def status() -> Response:
             return Response(json.dumps(self._status()), content_type="application/json")
 
+        @app.get("/configuration")
+        async def configuration() -> Response:
+            return Response(json.dumps(self._configuration()), content_type="application/json")
+
         @app.post("/runners/<runner>/leave")
         async def leave(runner: str) -> Response:
             return self._notice(runner, True)
@@ -56,6 +60,18 @@
 
         return app
 
+    def _configuration(self) -> dict[str, object]:
+        """Give all that is in force, for an operator who puts a restored store right."""
+        snapshot = self.kernel.get(Configuration).state.snapshot
+        if snapshot is None:
+            return {}
+        return {
+            "revision": snapshot.head.revision,
+            "change_id": snapshot.head.change_id,
+            "recent": list(snapshot.head.recent),
+            "parts": snapshot.sections_by_part,
+        }
+
     def _notice(self, runner: str, leaving: bool) -> Response:
         """Let every instance know of an operator's order about a runner."""
         if not is_name(runner) or not self.kernel.has(Membership):
