--- a/egretstack/sessions/_refusing.py
+++ b/egretstack/sessions/_refusing.py
@@ -9,8 +9,8 @@
     """Say that the session was cancelled, and how much of it was delivered."""
     return EgretError(
         ErrorKind.GENERATION_CANCELLED,
-        f"cancelled after {session.delivered} tokens",
-        delivered=session.delivered,
+        f"cancelled after {session.deliverable} tokens",
+        delivered=session.deliverable,
     )
 
 
@@ -18,8 +18,8 @@
     """Say that the generation was lost, and how much of it was delivered."""
     return EgretError(
         ErrorKind.GENERATION_LOST,
-        f"the engine lost the generation after {session.delivered} tokens",
-        delivered=session.delivered,
+        f"the engine lost the generation after {session.deliverable} tokens",
+        delivered=session.deliverable,
     )
 
 
--- a/egretstack/sessions/_session.py
+++ b/egretstack/sessions/_session.py
@@ -65,6 +65,15 @@
         """Give the number of output tokens that the caller may have seen."""
         return max(0, self.taken)
 
+    @property
+    def deliverable(self) -> int:
+        """Give the number of output tokens that the caller has once it has read to the end.
+
+        An outcome is read after the events that wait before it. Were the count in it the one
+        of the moment it was set, the caller would be told of fewer tokens than it got.
+        """
+        return max(0, self.tokens) if self.request.streamed else 0
+
     async def add(self, event: EngineEvent) -> None:
         """Add the next event; wait while too many are unread. Raises ReaderStalled."""
         self._events.append(event)
--- a/tests/test_pump.py
+++ b/tests/test_pump.py
@@ -5,6 +5,7 @@
 from egretstack.delivery import RecoveryBudget
 from egretstack.errors import EgretError, ErrorKind, RunState
 from egretstack.sessions import FinishedAnswer
+from egretstack.sessions._session import MAX_UNREAD_EVENTS
 from egretstack.upstreams import (
     EngineEventKind,
     EngineNoAnswer,
@@ -286,7 +287,7 @@
         began_s = trio.current_time()
         await run.session.wait_for_end()
         check.assertEqual(trio.current_time(), began_s)
-    check_ended(run, ErrorKind.GENERATION_CANCELLED, 0)
+    check_ended(run, ErrorKind.GENERATION_CANCELLED, 4)
 
 
 async def test_a_released_session_is_not_cancelled_at_its_engine():
@@ -352,5 +353,20 @@
         await run.session.wait_for_end()
         check.assertEqual(trio.current_time() - began_s, 30)
         await trio.testing.wait_all_tasks_blocked()
-    check_ended(run, ErrorKind.GENERATION_CANCELLED, 0)
+    check.assertIs(run.session.outcome.kind, ErrorKind.GENERATION_CANCELLED)
+    check.assertEqual(run.session.tokens, MAX_UNREAD_EVENTS)
     check.assertEqual(engine.cancelled, [ONE])
+
+
+async def test_a_lost_generation_counts_the_tokens_that_wait_for_a_slow_reader():
+    # The engine dies while three tokens wait for the caller to read on. The caller gets them
+    # before the end event, so the count in that event has to include them.
+    engine = ScriptedEngine([[created(), *tokens(1, 7), BROKEN]], then=REFUSED)
+    async with opened_run(engine) as run:
+        reader = run.session.supersede()
+        async for batch in run.session.batches(reader, -1, 1000):
+            run.seen.extend(batch)
+            break
+        await run.session.wait_for_end()
+        await run.read()
+    check_ended(run, ErrorKind.GENERATION_LOST, 7)
