--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -27,10 +27,10 @@
 
 
 @asynccontextmanager
-async def small_site(entries=2, engines=2, step_s=0.02):
+async def small_site(entries=2, engines=2, step_s=0.02, contract=CONTRACT):
     """Give a world with a few entries, engines and a plain service, configured and up."""
     async with open_world() as world:
-        await world.configure(contract__acme=CONTRACT, service__llm=ENGINES, service__holds=HOLDS)
+        await world.configure(contract__acme=contract, service__llm=ENGINES, service__holds=HOLDS)
         for number in range(engines):
             world.add_engine(
                 f"engine-{number}", "llm", ("story",), EngineParameters(step_base_s=step_s)
