--- a/tests/scripted_engine.py
+++ b/tests/scripted_engine.py
@@ -38,6 +38,8 @@
 BROKEN = EngineBroken("reset")
 MAX_OUTPUT = 100
 START_DEADLINE_S = 10.0
+LIMIT_S = 600.0
+"""On the mock clock; every recovery ends before."""
 
 
 def event(sequence: int, kind: EngineEventKind, generation: GenerationId = ONE) -> EngineEvent:
@@ -213,9 +215,14 @@
 
 async def read_out(*engines: EngineClient, **options: object) -> Run:
     """Run a session to its end and read it; give what was seen."""
-    async with opened_run(*engines, **options) as run:
-        if run.session.request.streamed:
-            await run.read()
-        await run.session.wait_for_end()
-        await trio.testing.wait_all_tasks_blocked()
+    with trio.fail_after(LIMIT_S):
+        async with opened_run(*engines, **options) as run:
+            await _read_to_end(run)
     return run
+
+
+async def _read_to_end(run: Run) -> None:
+    if run.session.request.streamed:
+        await run.read()
+    await run.session.wait_for_end()
+    await trio.testing.wait_all_tasks_blocked()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -24,6 +24,7 @@
 TOKENS = 400
 STEP_S = 0.2
 """At this time for a token, the answer outlives two resume windows of 30 s."""
+LIMIT_S = 600.0
 PLACE = (RunnerId("r"), GenerationId("g"))
 
 
@@ -89,12 +90,13 @@
 async def long_stream(entries=3, tokens=TOKENS, step_s=STEP_S):
     """Give a site, and the connection of a caller that has read for a second."""
     fixture = small_site(entries=entries, step_s=step_s)
-    async with fixture as (world, started), trio.open_nursery() as nursery:
-        site = Site(world, started, nursery)
-        connection = await site.open(tokens)
-        await trio.sleep(2)
-        yield site, connection
-        nursery.cancel_scope.cancel()
+    with trio.fail_after(LIMIT_S):
+        async with fixture as (world, started), trio.open_nursery() as nursery:
+            site = Site(world, started, nursery)
+            connection = await site.open(tokens)
+            await trio.sleep(2)
+            yield site, connection
+            nursery.cancel_scope.cancel()
 
 
 def check_once(*connections):
