--- a/egretstack/services/configuration_news.py
+++ b/egretstack/services/configuration_news.py
@@ -7,13 +7,11 @@
 from egretstack.kernel import Kernel, Service
 from egretstack.peers import PeerGone, PeerRefused
 from egretstack.platform import ENTRY_SERVICE, Member
-from egretstack.services.configuration import STEWARD_PORT, Configuration
+from egretstack.services.configuration import ENTRY_PORT, STEWARD_PORT, Configuration
 from egretstack.services.configuration_watch import ConfigurationWatch
 from egretstack.services.instances import Instances
 from egretstack.services.peer_port import PeerPort
 
-ENTRY_PORT = "peer"
-
 
 class ConfigurationNews(Service):
     """Sends news; the receiver asks for what changed only if it has not got it yet."""
--- a/tests/process/site.py
+++ b/tests/process/site.py
@@ -93,6 +93,7 @@
     engines: int = 1
     plain: int = 0
     step_s: float = 0.05
+    call_delay_s: float = 0.0
     relays: bool = False
     silence_s: float = 2.0
     resume_window_s: float = 30.0
@@ -121,8 +122,10 @@
         first = {"entry": 11, "steward": 11, "engine": 50, "relay": 100, "plain": 150}[kind]
         return f"{self.net}.{first + int(number)}"
 
-    def url(self, name: str = "entry-0") -> str:
-        """Give the base URL of an entry, an engine or a plain service."""
+    def url(self, name: str | int = "entry-0") -> str:
+        """Give the base URL of an entry (also by its number), an engine or a plain service."""
+        if isinstance(name, int):
+            name = f"entry-{name}"
         port = 8080 if name.startswith("entry") else 8000
         return f"http://{self.host(name)}:{port}"
 
@@ -169,6 +172,13 @@
         """Read what a process has written so far."""
         return (self.folder / f"{name}.log").read_text()
 
+    async def exit_code(self, name: str) -> int:
+        """Wait for the end of a process."""
+        process = self.process_by_name[name]
+        while process.poll() is None:
+            await trio.sleep(0.05)
+        return process.returncode
+
     async def apply(self, kind: str, name: str, text: str) -> None:
         """Accept a contract or a service description with egretctl."""
         path = self.folder / f"{name}.ini"
@@ -251,6 +261,11 @@
 REPOSITORY = Path(__file__).parent.parent.parent
 
 
+def open_site(entries: int, step_s: float = 0.02, call_delay_s: float = 0.0):
+    """Give a site with one engine and one plain service."""
+    return process_site(entries=entries, plain=1, step_s=step_s, call_delay_s=call_delay_s)
+
+
 @asynccontextmanager
 async def process_site(**options: object) -> AsyncIterator[ProcessSite]:
     """Run a site for the length of the block; the options are those of `SiteOptions`."""
@@ -280,8 +295,11 @@
         address = f"{site.host(name)}:8000"
         arguments = ("engine", address, MODEL, "--step-s", str(options.step_s))
         await site.start(name, sys.executable, "-m", "standins", *arguments)
+    delay = ("--delay-s", str(options.call_delay_s))
     for name in plain:
-        await site.start(name, sys.executable, "-m", "standins", "plain", f"{site.host(name)}:8000")
+        await site.start(
+            name, sys.executable, "-m", "standins", "plain", f"{site.host(name)}:8000", *delay
+        )
     await site.wait_for(f"{site.platform}/calls")
     for name in engines:
         await site.wait_for(f"{site.url(name)}/metrics")
@@ -318,6 +336,7 @@
     for account in (ACCOUNT, OTHER_ACCOUNT):
         key, digest = new_account_key()
         site.key_by_account[account] = key
+        site.client.headers.update(site.headers())
         await site.apply("contract", account, _CONTRACT.format(account=account, digest=digest))
 
 
