--- a/tests/process/__init__.py
+++ b/tests/process/__init__.py
@@ -1,1 +1,1 @@
-"""Tests with real processes on loopback; ended only by the ids that the tests started."""
+"""Tests with real processes on loopback; each ends only what it started, by id."""
