--- a/egretstack/lengths/_curve.py
+++ b/egretstack/lengths/_curve.py
@@ -1,14 +1,12 @@
 """A survival curve of output length."""
 
-from bisect import bisect_right
-from math import exp, log
+from math import exp, log, log2
 
-from egretstack.lengths._buckets import BUCKETS, EDGES
+from egretstack.lengths._buckets import BUCKETS, EDGES, bucket_of
 
 _LEAST_SHARE = 1e-6
-_LOG_EDGES = tuple(log(edge) for edge in EDGES)
-_TAIL_STEP = 0.35
-"""Width of the last bucket in log tokens, for lengths beyond the last edge."""
+_FINE = 4
+"""Below this length a token is a bucket; above it a doubling is two."""
 
 
 class Curve:
@@ -17,25 +15,26 @@
     Between edges the logarithm of the share falls evenly with the logarithm of the length.
     """
 
-    __slots__ = ("_log_share", "mean_tokens")
+    __slots__ = ("_left", "_log_share", "mean_tokens")
 
     def __init__(self, hazards: list[float]) -> None:
         logs = [0.0]
         for hazard in hazards:
             logs.append(logs[-1] + log(max(_LEAST_SHARE, 1.0 - hazard)))
         self._log_share = logs
-        self.mean_tokens = self._mean()
+        self._left = _tokens_left(logs)
+        self.mean_tokens = max(1.0, self._left[0])
+        """Mean length, tokens."""
 
     def log_share(self, tokens: float) -> float:
         """Give the logarithm of the share that reaches `tokens`."""
         if tokens <= 1:
             return 0.0
-        bucket = bisect_right(EDGES, tokens) - 1
-        low = _LOG_EDGES[bucket]
-        width = _LOG_EDGES[bucket + 1] - low if bucket + 1 < BUCKETS else _TAIL_STEP
-        part = (log(tokens) - low) / width
+        place = tokens - 1 if tokens < _FINE else 2 * log2(tokens) - 1
+        bucket = min(int(place), BUCKETS - 1)
         logs = self._log_share
-        return logs[bucket] + part * (logs[bucket + 1] - logs[bucket])
+        low = logs[bucket]
+        return low + (place - bucket) * (logs[bucket + 1] - low)
 
     def share_left(self, generated: float, ahead: float) -> float:
         """Give the share that generates `ahead` more tokens, of those that have `generated`."""
@@ -47,25 +46,28 @@
         logs = self._log_share
         for bucket in range(BUCKETS):
             if logs[bucket + 1] <= wanted:
-                low = _LOG_EDGES[bucket]
-                width = _LOG_EDGES[bucket + 1] - low if bucket + 1 < BUCKETS else _TAIL_STEP
-                fall = logs[bucket + 1] - logs[bucket]
-                part = (wanted - logs[bucket]) / fall if fall else 0.0
-                return max(generated, exp(low + part * width))
+                fall = logs[bucket] - logs[bucket + 1]
+                place = bucket + ((logs[bucket] - wanted) / fall if fall else 0.0)
+                tokens = place + 1 if place < _FINE - 1 else 2 ** ((place + 1) / 2)
+                return max(generated, tokens)
         return float(EDGES[-1])
 
     def excess_share(self, ahead: float) -> float:
         """Give the share of sequences met at any moment that generate `ahead` more tokens."""
-        total = 0.0
-        for bucket in range(BUCKETS - 1):
-            high = EDGES[bucket + 1]
-            if high > ahead:
-                low = max(EDGES[bucket], ahead)
-                total += (high - low) * exp(self._log_share[bucket])
-        return min(1.0, total / self.mean_tokens)
+        if ahead >= EDGES[-1]:
+            return 0.0
+        bucket = bucket_of(max(1, int(ahead)))
+        low = EDGES[bucket]
+        left = self._left
+        part = max(0.0, ahead - low) / (EDGES[bucket + 1] - low)
+        return min(1.0, (left[bucket] + part * (left[bucket + 1] - left[bucket])) / left[0])
+
 
-    def _mean(self) -> float:
-        total = 0.0
-        for bucket in range(BUCKETS - 1):
-            total += (EDGES[bucket + 1] - EDGES[bucket]) * exp(self._log_share[bucket])
-        return max(1.0, total)
+def _tokens_left(logs: list[float]) -> list[float]:
+    """Give, by bucket, the mean tokens that are generated from its edge on."""
+    left = [0.0] * BUCKETS
+    for bucket in reversed(range(BUCKETS - 1)):
+        width = EDGES[bucket + 1] - EDGES[bucket]
+        reached = (exp(logs[bucket]) + exp(logs[bucket + 1])) / 2
+        left[bucket] = left[bucket + 1] + width * reached
+    return left
--- a/egretstack/policy/_book.py
+++ b/egretstack/policy/_book.py
@@ -8,6 +8,7 @@
 FIRST_RATE = 30.0
 """Output tokens a second of one sequence, taken until a runner's own rate is seen."""
 _RATE_WEIGHT = 0.1
+MAX_GONE = 256
 
 
 @dataclass(slots=True)
@@ -36,6 +37,8 @@
 
     info: RunnerInfo
     sent: dict[WorkId, Sent] = field(default_factory=dict)
+    gone: list[tuple[float, Sent]] = field(default_factory=list)
+    """Work that left, with the time, as long as a report may still count it."""
     report: RunnerReported | None = None
     rate: float = FIRST_RATE
     """Output tokens a second of one sequence."""
@@ -59,16 +62,25 @@
         sent.at_s = now_s
         sent.leaving = False
 
-    def others(self, now_s: float) -> tuple[float, float]:
-        """Give the number of others' sequences and the memory they hold, as last reported."""
+    def reported(self, report: RunnerReported) -> None:
+        """Take a report in."""
+        self.report = report
+        self.gone = [(left_s, sent) for left_s, sent in self.gone if left_s > report.taken_s]
+
+    def others(self) -> tuple[float, float]:
+        """Give the number of others' sequences and the memory they hold, as last reported.
+
+        Own work that left after the report was taken is in the report still; counted as
+        another's it would block the very room that it gave back.
+        """
         report = self.report
         if report is None:
             return 0.0, 0.0
-        own = [one for one in self.sent.values() if one.sent_s <= report.taken_s]
+        taken_s = report.taken_s
+        own = [one for one in self.sent.values() if one.sent_s <= taken_s]
+        own += [one for _, one in self.gone if one.sent_s <= taken_s]
         held = sum(
-            one.work.prompt_tokens + one.generated(report.taken_s, self.rate)
-            for one in own
-            if one.tokens
+            one.work.prompt_tokens + one.generated(taken_s, self.rate) for one in own if one.tokens
         )
         count = max(0, report.running + report.waiting - len(own))
         return float(count), max(0.0, report.kv_used_tokens - held) if count else 0.0
@@ -109,13 +121,15 @@
         runner_id = self._runner_by_work.get(work_id)
         return None if runner_id is None else self.by_id[runner_id]
 
-    def remove(self, work_id: WorkId) -> Sent | None:
+    def remove(self, now_s: float, work_id: WorkId) -> Sent | None:
         """Take work off its runner; give what was known of it."""
         book = self.runner_of(work_id)
         if book is None:
             return None
         del self._runner_by_work[work_id]
         sent = book.sent.pop(work_id)
+        book.gone.append((now_s, sent))
+        del book.gone[:-MAX_GONE]
         self._forget_if_empty(book)
         return sent
 
--- a/egretstack/policy/_default.py
+++ b/egretstack/policy/_default.py
@@ -2,7 +2,6 @@
 
 import random
 from dataclasses import replace
-from functools import singledispatchmethod
 
 from egretstack.errors import ErrorKind
 from egretstack.ids import ModelName, ServiceName, WorkId
@@ -38,7 +37,7 @@
 """Added to a stream's priority: above every contract value."""
 RERUN_ALLOWED_S = 5.0
 """Time that work has to start again after it lost its runner."""
-LOOKED_AT = 6
+LOOKED_AT = 30
 """Waiting works of a group that are tried for room before the rest have to wait."""
 RECONSIDER_S = 0.5
 
@@ -70,21 +69,29 @@
         )
         self._waits_by_group: dict[Group, WaitForecast] = {}
         self._reconsidered_s = 0.0
+        self._take_by_kind = {
+            Arrived: self._arrived,
+            Progressed: self._progressed,
+            Ended: self._ended,
+            Evicted: self._evicted,
+            RunnerSeen: self._runner_seen,
+            RunnerLeft: self._runner_left,
+            RunnerReported: self._runner_reported,
+            CacheChanged: self._cache_changed,
+            InstancesSeen: self._instances_seen,
+            Started: self._started,
+            Tick: self._tick,
+        }
 
     def handle(self, now_s: float, event: PolicyEvent) -> list[Action]:
         """Take note of an event and answer with actions, in the order to carry them out."""
-        return self._take(event, now_s)
+        return self._take_by_kind[type(event)](event, now_s)
 
     def next_wake_s(self) -> float | None:
         """Give the time at which to send a Tick, or None."""
         return min((work.deadline_s for work in self._queue.works()), default=None)
 
-    @singledispatchmethod
-    def _take(self, event: PolicyEvent, now_s: float) -> list[Action]:
-        raise TypeError(f"unknown event {event!r}")
-
-    @_take.register
-    def _(self, event: Arrived, now_s: float) -> list[Action]:
+    def _arrived(self, event: Arrived, now_s: float) -> list[Action]:
         work = event.work
         if work.excluded:
             # Work that lost its runner was accepted: its first start met the deadline.
@@ -92,15 +99,13 @@
             work = replace(work, deadline_s=allowed_s)
         if not self._book.candidates(work):
             return [Refuse(work.id, ErrorKind.NO_RUNNER, MIN_RETRY_S)]
-        self._waits(work).arrived(now_s, work.value)
         actions = self._make_place(now_s, work)
         if actions and actions[0].work_id == work.id:
             return actions
         self._queue.add(now_s, work)
         return actions + self._dispatch_ready(now_s) + self._refuse_late(now_s, work)
 
-    @_take.register
-    def _(self, event: Progressed, now_s: float) -> list[Action]:
+    def _progressed(self, event: Progressed, now_s: float) -> list[Action]:
         book = self._book.runner_of(event.work_id)
         if book is None:
             return []
@@ -109,74 +114,65 @@
         book.progressed(now_s, sent, event.tokens, event.delivered)
         return []
 
-    @_take.register
-    def _(self, event: Ended, now_s: float) -> list[Action]:
-        self._queue.remove(event.work_id)
-        sent = self._remove(event.work_id)
+    def _ended(self, event: Ended, now_s: float) -> list[Action]:
+        self._queue.remove(event.work_id, now_s)
+        sent = self._remove(now_s, event.work_id)
         if sent is not None and event.reason is EndReason.FINISHED and event.tokens:
             key = self._fitter.key(sent.work)
             self._fitter.lengths.finished(key, sent.tokens, event.tokens)
         return self._dispatch_ready(now_s)
 
-    @_take.register
-    def _(self, event: Evicted, now_s: float) -> list[Action]:
-        sent = self._remove(event.work_id)
+    def _evicted(self, event: Evicted, now_s: float) -> list[Action]:
+        sent = self._remove(now_s, event.work_id)
         if sent is None:
             return []
         work = replace(sent.work, deadline_s=max(sent.work.deadline_s, now_s + RERUN_ALLOWED_S))
         self._queue.add(now_s, work)
         return self._dispatch_ready(now_s)
 
-    @_take.register
-    def _(self, event: RunnerSeen, now_s: float) -> list[Action]:
+    def _runner_seen(self, event: RunnerSeen, now_s: float) -> list[Action]:
         self._book.seen(event.runner)
         return self._dispatch_ready(now_s)
 
-    @_take.register
-    def _(self, event: RunnerLeft, now_s: float) -> list[Action]:
+    def _runner_left(self, event: RunnerLeft, now_s: float) -> list[Action]:
         self._book.left(event.runner_id)
         self._fitter.reported(event.runner_id)
         self._router.affinity.forget_runner(event.runner_id)
-        return self._refuse_stranded()
+        return self._refuse_stranded(now_s)
 
-    @_take.register
-    def _(self, event: RunnerReported, now_s: float) -> list[Action]:
+    def _runner_reported(self, event: RunnerReported, now_s: float) -> list[Action]:
         book = self._book.by_id.get(event.runner_id)
         if book is None or not book.usable:
             return []
-        book.report = event
+        book.reported(event)
         self._fitter.reported(event.runner_id)
         actions = self._relieve(now_s, book)
         return actions + self._dispatch_ready(now_s) + self._reconsider(now_s)
 
-    @_take.register
-    def _(self, event: CacheChanged, now_s: float) -> list[Action]:
+    def _cache_changed(self, event: CacheChanged, now_s: float) -> list[Action]:
         if event.stored:
             self._router.affinity.stored(event.prefix, event.runner_id)
         else:
             self._router.affinity.dropped(event.prefix, event.runner_id)
         return []
 
-    @_take.register
-    def _(self, event: InstancesSeen, now_s: float) -> list[Action]:
+    def _instances_seen(self, event: InstancesSeen, now_s: float) -> list[Action]:
         self._fitter.instances = max(1, event.count)
         return []
 
-    @_take.register
-    def _(self, event: Started, now_s: float) -> list[Action]:
+    def _started(self, event: Started, now_s: float) -> list[Action]:
         return []
 
-    @_take.register
-    def _(self, event: Tick, now_s: float) -> list[Action]:
+    def _tick(self, event: Tick, now_s: float) -> list[Action]:
         actions = self._dispatch_ready(now_s)
         return actions + self._reconsider(now_s, force=True)
 
-    def _remove(self, work_id: WorkId) -> Sent | None:
+    def _remove(self, now_s: float, work_id: WorkId) -> Sent | None:
         book = self._book.runner_of(work_id)
         if book is None:
             return None
-        self._fitter.changed(book.info.id)
-        return self._book.remove(work_id)
+        self._fitter.left(book.info.id)
+        return self._book.remove(now_s, work_id)
 
     def _waits(self, work: Work) -> WaitForecast:
         group = (work.service, work.model)
@@ -188,8 +184,7 @@
             return []
         last = self._queue.ordered(now_s)[-1]
         loser = last if last.value < work.value else work
-        self._queue.remove(loser.id)
-        return [self._refusal(now_s, loser, ErrorKind.ENGINES_FULL)]
+        return [self._refuse(now_s, loser, ErrorKind.ENGINES_FULL, len(self._queue))]
 
     def _dispatch_ready(self, now_s: float) -> list[Action]:
         if not len(self._queue):
@@ -217,12 +212,12 @@
         if not fits:
             return None
         book = self._router.choose(work, fits).book
-        self._queue.remove(work.id)
+        waited_s = self._queue.remove(work.id, now_s)
         self._queue.use.add(now_s, work.account, demand.mean[0] + demand.mean[1])
         self._fitter.sent(book, demand)
         self._router.sent(work, book.info.id)
         self._book.send(now_s, work, book.info.id)
-        self._waits(work).sent(now_s)
+        self._waits(work).sent(now_s, work.value, waited_s)
         return Dispatch(work.id, book.info.id, self._priority(work))
 
     def _priority(self, work: Work) -> int:
@@ -264,39 +259,40 @@
             group = (work.service, work.model)
             ahead = ahead_by_group.get(group, 0)
             ahead_by_group[group] = ahead + 1
-            if only is not None and work is not only:
-                continue
-            if self._forecast_s(now_s, work, ahead) > work.deadline_s - now_s:
-                self._queue.remove(work.id)
+            if (only is None or work is only) and self._is_late(now_s, work, ahead):
                 ahead_by_group[group] = ahead
-                actions.append(self._refusal(now_s, work, ErrorKind.DEADLINE_TOO_SHORT, ahead))
+                actions.append(self._refuse(now_s, work, ErrorKind.DEADLINE_TOO_SHORT, ahead))
         return actions
 
-    def _forecast_s(self, now_s: float, work: Work, ahead: int) -> float:
+    def _is_late(self, now_s: float, work: Work, ahead: int) -> bool:
         if work.deadline_s <= now_s:
-            return 1.0
+            return True
         if Part.DEADLINE_FORECAST in self._left_out or work.excluded:
-            return 0.0
-        return self._waits(work).wait_s(now_s, ahead, work.value)
+            return False
+        allowed_s = work.deadline_s - now_s + self._queue.waited_s(work.id, now_s)
+        return self._waits(work).wait_s(now_s, ahead, work.value) >= allowed_s
 
-    def _refusal(self, now_s: float, work: Work, kind: ErrorKind, ahead: int = 0) -> Refuse:
+    def _refuse(self, now_s: float, work: Work, kind: ErrorKind, ahead: int) -> Refuse:
+        waited_s = self._queue.remove(work.id, now_s)
         waits = self._waits(work)
+        if work.deadline_s <= now_s:
+            waits.missed(now_s, work.value, waited_s)
+        allowed_s = work.deadline_s - now_s + waited_s
         wait_s = waits.wait_s(now_s, ahead, work.value)
-        return Refuse(work.id, kind, waits.retry_after_s(now_s, wait_s, work.deadline_s - now_s))
+        return Refuse(work.id, kind, waits.retry_after_s(wait_s, allowed_s))
 
-    def _refuse_stranded(self) -> list[Action]:
+    def _refuse_stranded(self, now_s: float) -> list[Action]:
         """Refuse what no runner serves any more; it would wait in vain."""
         stranded = [work for work in self._queue.works() if not self._book.candidates(work)]
         for work in stranded:
-            self._queue.remove(work.id)
+            self._queue.remove(work.id, now_s)
         return [Refuse(work.id, ErrorKind.NO_RUNNER, MIN_RETRY_S) for work in stranded]
 
     def _relieve(self, now_s: float, book: RunnerBook) -> list[Action]:
         """Take undelivered work off a runner that is about to fill, if it fits elsewhere."""
         if Part.RELIEF in self._left_out:
             return []
-        over = self._fitter.near_overflow(now_s, book)
-        if over <= 0:
+        if not self._fitter.near_overflow(now_s, book):
             return []
         # What nobody has seen anything of can start again unnoticed. A stream that is read
         # cannot: its reader would see it stop for good.
--- a/egretstack/policy/_fitting.py
+++ b/egretstack/policy/_fitting.py
@@ -8,6 +8,7 @@
 from egretstack.lengths import LengthKey, LengthModel
 from egretstack.policy._book import RunnerBook
 from egretstack.policy._forecast import (
+    AHEAD_TOKENS,
     QUANTILE_DEVIATIONS,
     Demand,
     add_others,
@@ -66,11 +67,12 @@
         """Forget the forecast that an earlier report gave."""
         self._kept_by_id.pop(runner_id, None)
 
-    def changed(self, runner_id: RunnerId) -> None:
-        """Note that work left the runner or moved on it."""
+    def left(self, runner_id: RunnerId) -> None:
+        """Note that own work left the runner: its room is this instance's to fill."""
         kept = self._kept_by_id.get(runner_id)
         if kept is not None:
             kept.stale = True
+            kept.sends -= 1
 
     def sent(self, book: RunnerBook, demand: Demand) -> None:
         """Note that work was sent to a runner."""
@@ -86,7 +88,7 @@
         """Tell whether work fits on a runner now."""
         if work.prompt_tokens >= book.capacity:
             return None
-        count, _ = book.others(now_s)
+        count, _ = book.others()
         running = len(book.sent) + count
         if running >= book.info.max_batch:
             return None
@@ -98,10 +100,13 @@
             return None
         return Fit(book, filled)
 
-    def near_overflow(self, now_s: float, book: RunnerBook) -> float:
-        """Give the tokens by which memory is forecast to overflow within the next points."""
-        demand = self._forecast(now_s, book).demand
-        return max(demand.mean[:2]) - book.capacity
+    def near_overflow(self, now_s: float, book: RunnerBook) -> bool:
+        """Tell whether memory is forecast to overflow within the next points of the horizon."""
+        report = book.report
+        grown = (now_s - report.taken_s) * book.rate + AHEAD_TOKENS[1]
+        if report.kv_used_tokens + report.running * grown <= book.capacity:
+            return False
+        return max(self._forecast(now_s, book).demand.mean[:2]) > book.capacity
 
     def _own_share(self, kept: _Kept, demand: Demand) -> bool:
         # Every instance sees the same room in the same late report. If each took it all, the
--- a/egretstack/policy/_forecast.py
+++ b/egretstack/policy/_forecast.py
@@ -1,7 +1,7 @@
 """Forecasts the memory of a runner: the chosen quantile of its peak over a horizon."""
 
 from dataclasses import dataclass, field
-from math import sqrt
+from math import exp, sqrt
 
 from egretstack.lengths import Curve
 from egretstack.policy._book import RunnerBook, Sent
@@ -28,27 +28,29 @@
 
     def peak(self, deviations: float) -> float:
         """Give the quantile of memory at its worst point, tokens."""
-        return max(
-            mean + deviations * sqrt(variance)
-            for mean, variance in zip(self.mean, self.variance, strict=True)
-        )
+        return self.peak_with(_NOTHING, deviations)
 
     def peak_with(self, more: "Demand", deviations: float) -> float:
         """Give the quantile at the worst point with another demand on top."""
-        return max(
-            mean + plus + deviations * sqrt(variance + spread)
-            for mean, variance, plus, spread in zip(
-                self.mean, self.variance, more.mean, more.variance, strict=True
-            )
-        )
+        worst = 0.0
+        rows = zip(self.mean, self.variance, more.mean, more.variance, strict=True)
+        for mean, variance, plus, spread in rows:
+            peak = mean + plus + deviations * sqrt(variance + spread)
+            if peak > worst:
+                worst = peak
+        return worst
+
+
+_NOTHING = Demand()
 
 
 def add_sequence(demand: Demand, curve: Curve, held: float, generated: float, most: int) -> None:
     """Add one sequence that holds `held` tokens, `generated` of them output."""
+    before = curve.log_share(generated)
     for point, ahead in enumerate(AHEAD_TOKENS):
         if generated + ahead > most:
             return
-        demand.add(curve.share_left(generated, ahead), held + ahead, point)
+        demand.add(exp(curve.log_share(generated + ahead) - before), held + ahead, point)
 
 
 def demand_of(work: Work, curve: Curve) -> Demand:
@@ -72,7 +74,7 @@
 
     How many they sent since follows from how many they have there: as many come as leave.
     """
-    count, kv_tokens = book.others(now_s)
+    count, kv_tokens = book.others()
     if not count:
         return
     grown = max(0.0, now_s - book.report.taken_s) * book.rate
--- a/egretstack/policy/_wait_queue.py
+++ b/egretstack/policy/_wait_queue.py
@@ -56,10 +56,16 @@
         """Put work in."""
         self._since_by_id[work.id] = (work, now_s)
 
-    def remove(self, work_id: WorkId) -> Work | None:
-        """Take work out."""
-        found = self._since_by_id.pop(work_id, None)
-        return None if found is None else found[0]
+    def remove(self, work_id: WorkId, now_s: float) -> float:
+        """Take work out, if it is there; give how long it waited."""
+        waited_s = self.waited_s(work_id, now_s)
+        self._since_by_id.pop(work_id, None)
+        return waited_s
+
+    def waited_s(self, work_id: WorkId, now_s: float) -> float:
+        """Give how long work has waited; none for work that is not here."""
+        found = self._since_by_id.get(work_id)
+        return 0.0 if found is None else now_s - found[1]
 
     def works(self) -> Iterable[Work]:
         """Give all that waits, in no order."""
