--- a/egretstack/lengths/_key.py
+++ b/egretstack/lengths/_key.py
@@ -12,6 +12,7 @@
     model: ModelName
     account: AccountId = AccountId("")
     prefix: str = ""
+    """A digest of the prompt's shared beginning: the text itself is the caller's."""
 
     def levels(self) -> "list[LengthKey]":
         """Give the keys from the widest to this one."""
--- a/egretstack/lengths/_model.py
+++ b/egretstack/lengths/_model.py
@@ -14,10 +14,11 @@
 MAX_SOURCES = 16
 PARENT_SESSIONS = 8.0
 """Sessions that the estimate one level up counts for."""
-PRIOR_HAZARD = 0.1
+PRIOR_HAZARD = 0.2
 """Share that ends in each bucket, before anything is known: few tokens to tens of thousands."""
 REBUILD_SHARE = 32
-"""A curve is rebuilt when it has grown by this part of its sessions, and by one at least."""
+"""A curve is rebuilt when its observations have grown by this part, and by MIN_NEWS."""
+MIN_NEWS = 8
 
 
 @dataclass(slots=True)
@@ -56,7 +57,7 @@
     def curve(self, key: LengthKey) -> Curve:
         """Give the present curve of a key."""
         entry = self._entry(key)
-        due = max(1, entry.observations // REBUILD_SHARE)
+        due = max(MIN_NEWS, entry.observations // REBUILD_SHARE)
         if entry.curve is None or entry.news >= due:
             entry.curve = Curve(self._hazards(key))
             entry.news = 0
--- a/egretstack/lengths/_summary.py
+++ b/egretstack/lengths/_summary.py
@@ -25,12 +25,8 @@
 
 
 def pack_summary(summary: LengthSummary) -> bytes:
-    """Give the keys with the most sessions, without prefixes, in at most MAX_SUMMARY_BYTES.
-
-    Prompt prefixes are callers' text and stay on the instance.
-    """
-    shared = [(key, counts) for key, counts in summary.by_key.items() if not key.prefix]
-    shared.sort(key=lambda pair: -pair[1].came[0])
+    """Give the keys with the most sessions, in at most MAX_SUMMARY_BYTES."""
+    shared = sorted(summary.by_key.items(), key=lambda pair: -pair[1].came[0])
     rows = [_row(key, counts) for key, counts in shared[:MAX_SUMMARY_KEYS]]
     packed = msgpack.packb(rows)
     while len(packed) > MAX_SUMMARY_BYTES:
@@ -48,9 +44,12 @@
         return LengthSummary(
             {
                 LengthKey(
-                    ServiceName(_text(service)), ModelName(_text(model)), AccountId(_text(account))
+                    ServiceName(_text(service)),
+                    ModelName(_text(model)),
+                    AccountId(_text(account)),
+                    _text(prefix),
                 ): _hazards(came, ended)
-                for service, model, account, came, ended in rows
+                for service, model, account, prefix, came, ended in rows
             }
         )
     except (TypeError, msgpack.UnpackException) as error:
@@ -60,7 +59,7 @@
 def _row(key: LengthKey, counts: Hazards) -> list[object]:
     came = [round(count) for count in counts.came]
     ended = [round(count) for count in counts.ended]
-    return [key.service, key.model, key.account, came, ended]
+    return [key.service, key.model, key.account, key.prefix, came, ended]
 
 
 def _text(value: object) -> str:
--- a/egretstack/policy/_base.py
+++ b/egretstack/policy/_base.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+from egretstack.lengths import LengthSummary
 from egretstack.policy._messages import Action, PolicyEvent
 
 
@@ -22,3 +23,10 @@
     @abstractmethod
     def next_wake_s(self) -> float | None:
         """Give the time at which to send a Tick, or None."""
+
+    def summary(self) -> LengthSummary:
+        """Give what other instances may learn from this one; a policy that learns nothing: none.
+
+        The others are told of it in a LengthsLearned.
+        """
+        return LengthSummary()
--- a/egretstack/policy/_book.py
+++ b/egretstack/policy/_book.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from egretstack.ids import RunnerId, WorkId
+from egretstack.lengths import LengthKey
 from egretstack.policy._messages import RunnerInfo, RunnerReported, Work
 
 FIRST_RATE = 30.0
@@ -16,6 +17,7 @@
     """Work that this instance sent to a runner."""
 
     work: Work
+    key: LengthKey
     sent_s: float
     tokens: int = 0
     at_s: float = 0.0
@@ -111,9 +113,9 @@
         book.report = None
         self._forget_if_empty(book)
 
-    def send(self, now_s: float, work: Work, runner_id: RunnerId) -> None:
+    def send(self, now_s: float, work: Work, runner_id: RunnerId, key: LengthKey) -> None:
         """Note work that goes to a runner."""
-        self.by_id[runner_id].sent[work.id] = Sent(work, now_s, at_s=now_s)
+        self.by_id[runner_id].sent[work.id] = Sent(work, key, now_s, at_s=now_s)
         self._runner_by_work[work.id] = runner_id
 
     def runner_of(self, work_id: WorkId) -> RunnerBook | None:
--- a/egretstack/policy/_default.py
+++ b/egretstack/policy/_default.py
@@ -5,6 +5,7 @@
 
 from egretstack.errors import ErrorKind
 from egretstack.ids import ModelName, ServiceName, WorkId
+from egretstack.lengths import LengthSummary
 from egretstack.policy._base import Policy
 from egretstack.policy._book import Book, RunnerBook, Sent
 from egretstack.policy._fitting import Fitter
@@ -18,6 +19,7 @@
     Evict,
     Evicted,
     InstancesSeen,
+    LengthsLearned,
     PolicyEvent,
     Progressed,
     Refuse,
@@ -79,6 +81,7 @@
             RunnerReported: self._runner_reported,
             CacheChanged: self._cache_changed,
             InstancesSeen: self._instances_seen,
+            LengthsLearned: self._lengths_learned,
             Started: self._started,
             Tick: self._tick,
         }
@@ -91,6 +94,10 @@
         """Give the time at which to send a Tick, or None."""
         return min((work.deadline_s for work in self._queue.works()), default=None)
 
+    def summary(self) -> LengthSummary:
+        """Give what other instances may learn from this one."""
+        return self._fitter.lengths.summary()
+
     def _arrived(self, event: Arrived, now_s: float) -> list[Action]:
         work = event.work
         if work.excluded:
@@ -110,7 +117,7 @@
         if book is None:
             return []
         sent = book.sent[event.work_id]
-        self._fitter.lengths.progressed(self._fitter.key(sent.work), sent.tokens, event.tokens)
+        self._fitter.lengths.progressed(sent.key, sent.tokens, event.tokens)
         book.progressed(now_s, sent, event.tokens, event.delivered)
         return []
 
@@ -118,8 +125,7 @@
         self._queue.remove(event.work_id, now_s)
         sent = self._remove(now_s, event.work_id)
         if sent is not None and event.reason is EndReason.FINISHED and event.tokens:
-            key = self._fitter.key(sent.work)
-            self._fitter.lengths.finished(key, sent.tokens, event.tokens)
+            self._fitter.lengths.finished(sent.key, sent.tokens, event.tokens)
         return self._dispatch_ready(now_s)
 
     def _evicted(self, event: Evicted, now_s: float) -> list[Action]:
@@ -160,6 +166,10 @@
         self._fitter.instances = max(1, event.count)
         return []
 
+    def _lengths_learned(self, event: LengthsLearned, now_s: float) -> list[Action]:
+        self._fitter.lengths.learn(event.source, event.summary)
+        return []
+
     def _started(self, event: Started, now_s: float) -> list[Action]:
         return []
 
@@ -216,7 +226,7 @@
         self._queue.use.add(now_s, work.account, demand.mean[0] + demand.mean[1])
         self._fitter.sent(book, demand)
         self._router.sent(work, book.info.id)
-        self._book.send(now_s, work, book.info.id)
+        self._book.send(now_s, work, book.info.id, self._fitter.key(work))
         self._waits(work).sent(now_s, work.value, waited_s)
         return Dispatch(work.id, book.info.id, self._priority(work))
 
--- a/egretstack/policy/_fitting.py
+++ b/egretstack/policy/_fitting.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass
+from zlib import crc32
 
 from egretstack.ids import AccountId, RunnerId, WorkId
 from egretstack.lengths import LengthKey, LengthModel
@@ -56,7 +57,9 @@
 
     def key(self, work: Work) -> LengthKey:
         """Give the key under which a work's length is learned."""
-        prefix = "" if Part.PREFIX_LENGTHS in self._left_out else work.prefix
+        prefix = f"{crc32(work.prefix.encode()):08x}" if work.prefix else ""
+        if Part.PREFIX_LENGTHS in self._left_out:
+            prefix = ""
         return LengthKey(work.service, work.model, work.account, prefix)
 
     def demand(self, work: Work) -> Demand:
@@ -140,7 +143,7 @@
         demand = Demand()
         model = self._model()
         for sent in book.sent.values():
-            add_sent(demand, sent, model.curve(self.key(sent.work)), now_s, book.rate)
+            add_sent(demand, sent, model.curve(sent.key), now_s, book.rate)
         if book.sent:
             first = next(iter(book.sent.values())).work
             pooled = LengthKey(first.service, first.model)
--- a/egretstack/policy/_messages.py
+++ b/egretstack/policy/_messages.py
@@ -7,7 +7,16 @@
 from enum import Enum
 
 from egretstack.errors import ErrorKind
-from egretstack.ids import AccountId, ModelName, RunnerId, ServiceName, WorkId, ZoneName
+from egretstack.ids import (
+    AccountId,
+    InstanceId,
+    ModelName,
+    RunnerId,
+    ServiceName,
+    WorkId,
+    ZoneName,
+)
+from egretstack.lengths import LengthSummary
 
 
 @dataclass(frozen=True)
@@ -139,6 +148,14 @@
     count: int
 
 
+@dataclass(frozen=True)
+class LengthsLearned:
+    """Another instance's summary of output lengths, in place of its earlier one."""
+
+    source: InstanceId
+    summary: LengthSummary
+
+
 @dataclass(frozen=True)
 class Tick:
     """The time asked for by `Policy.next_wake_s` has come."""
@@ -155,6 +172,7 @@
     | CacheChanged
     | Evicted
     | InstancesSeen
+    | LengthsLearned
     | Tick
 )
 
--- a/egretstack/policy/_queued.py
+++ b/egretstack/policy/_queued.py
@@ -15,6 +15,7 @@
     Ended,
     Evicted,
     InstancesSeen,
+    LengthsLearned,
     PolicyEvent,
     Progressed,
     Refuse,
@@ -102,7 +103,7 @@
         self._instances = event.count
         return []
 
-    @_note.register(Started | Progressed | CacheChanged | Evicted | Tick)
+    @_note.register(Started | Progressed | CacheChanged | Evicted | LengthsLearned | Tick)
     def _(self, event: PolicyEvent) -> list[Action]:
         return []
 
--- a/egretstack/replay/_loop.py
+++ b/egretstack/replay/_loop.py
@@ -6,7 +6,8 @@
 from functools import partial
 from heapq import heappop, heappush
 
-from egretstack.ids import WorkId
+from egretstack.ids import InstanceId, WorkId
+from egretstack.lengths import pack_summary, unpack_summary
 from egretstack.policy import (
     Action,
     Arrived,
@@ -17,6 +18,7 @@
     Evict,
     Evicted,
     InstancesSeen,
+    LengthsLearned,
     Policy,
     PolicyEvent,
     Progressed,
@@ -36,6 +38,8 @@
 PATIENCE_S = 1.0
 """How long after the start deadline a caller without a token leaves."""
 CACHE_DELAY_S = 1.0
+SHARE_PERIOD_S = 10.0
+"""How often entries give each other what they learned of lengths."""
 CACHE_LOSS = 0.2
 """Share of cache events that never come."""
 
@@ -85,6 +89,8 @@
             self._tell(entry, InstancesSeen(len(self._entries)))
             for engine in self._engines:
                 self._tell(entry, RunnerSeen(engine.info))
+        if len(self._entries) > 1:
+            self._at(SHARE_PERIOD_S, self._share_lengths)
         for session in self._sessions:
             self._at(session.line.at_s, partial(self._arrive, session))
         for engine in self._engines:
@@ -271,6 +277,15 @@
         for entry in self._entries:
             self._tell(entry, event)
 
+    def _share_lengths(self) -> None:
+        self._at(self._now_s + SHARE_PERIOD_S, self._share_lengths)
+        for number, giver in enumerate(self._entries):
+            packed = pack_summary(giver.policy.summary())
+            event = LengthsLearned(InstanceId(str(number)), unpack_summary(packed))
+            for entry in self._entries:
+                if entry is not giver and event.summary.by_key:
+                    self._tell(entry, event)
+
     def _notice(self, engine: ReplayEngine) -> None:
         engine.leaving = True
         self._tell_all(RunnerLeft(engine.id))
