--- /dev/null
+++ b/egretstack/ledger/_writer.py
@@ -0,0 +1,300 @@
+"""Decides what one process reads and writes of one shard. Pure: no I/O, times passed in.
+
+All operations that wait go into one conditional update (group commit). After an update without
+an answer the head is read again and the operations are applied again to what is found. That
+settles every case: a row with one's own attempt landed; where it is missing and the version has
+moved on, the lost update can never land; where the version has not moved, the next update is
+conditional on the same version as the lost one, so at most one of the two takes effect, and
+both carry the same attempt.
+"""
+
+from dataclasses import replace
+from math import inf
+
+from egretstack.ledger._entry import CallState
+from egretstack.ledger._row import KeyId, Row
+from egretstack.ledger._segments import SegmentBook
+from egretstack.ledger._shard import (
+    MAX_HEAD_BYTES,
+    MAX_SEGMENTS,
+    ROLL_BYTES,
+    Shard,
+)
+from egretstack.ledger._steps import (
+    DropSegment,
+    MakeSegment,
+    Operation,
+    Outcome,
+    ReadHead,
+    ReadSegment,
+    Step,
+    Wanted,
+    WriteHead,
+)
+
+MAX_PENDING = 2_000
+OPEN_ROWS_KEPT_S = 86_400
+"""How long past its retention a row without an outcome is kept, in seconds."""
+
+
+class ShardWriter:
+    """The state of one shard as one process knows it."""
+
+    def __init__(self, roll_bytes: int = ROLL_BYTES) -> None:
+        self._pending: list[Operation] = []
+        self._batch: list[Operation] = []
+        self._shard: Shard | None = None
+        self._version: str | None = None
+        self._segments = SegmentBook(roll_bytes)
+        self._draft = Shard()
+        self._full = False
+        self._shared = False
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no operation waits."""
+        return not self._pending and not self._batch
+
+    def submit(self, operation: Operation) -> None:
+        """Take an operation in; its outcome is set on it later."""
+        begins = operation.wanted is Wanted.BEGIN
+        if begins and len(self._pending) >= MAX_PENDING:
+            operation.outcome = Outcome.REFUSED
+            return
+        self._pending.append(operation)
+
+    def give_up(self, now: float) -> None:
+        """End the beginnings whose time is over; those in doubt are retracted from now on."""
+        for operation in [*self._pending, *self._batch]:
+            begins = operation.wanted is Wanted.BEGIN and operation.outcome is None
+            if begins and operation.give_up_s <= now:
+                self._end_begin(operation)
+
+    def step(self, epoch_s: float) -> Step | None:
+        """Give the next call to make, or None when nothing waits."""
+        if self._segments.unlisted is not None:
+            return DropSegment(self._segments.unlisted)
+        if not self._pending:
+            if self._shared:
+                # Others write this shard too: a write on an old view would only conflict, and a
+                # read costs the platform less than a write.
+                self._shard = None
+            return None
+        if self._shard is None:
+            return ReadHead()
+        unread = self._segments.unread(self._shard, epoch_s) if self._searches() else None
+        if unread is not None:
+            return ReadSegment(unread)
+        return self._plan(epoch_s)
+
+    def head_read(self, shard: Shard, version: str | None) -> None:
+        """Take in the head as just read."""
+        self._shared = version != self._version
+        self._shard, self._version = shard, version
+        self._segments.head_read(shard, version)
+        for operation in self._pending:
+            operation.fresh = True
+
+    def segment_read(self, name: str, row_by_key: dict[KeyId, Row] | None) -> None:
+        """Take in a segment; None if there is none of that name."""
+        if row_by_key is not None:
+            self._segments.read(name, row_by_key)
+            return
+        # The head may list it no more; where it does, nothing can begin here safely.
+        if self._segments.missing(name):
+            self.failed(False)
+        self._shard = None
+
+    def segment_made(self, name: str, made: MakeSegment) -> None:
+        """Take in that the segment exists; the next write of the head lists it."""
+        self._segments.make(name, made, self._version)
+
+    def segment_dropped(self) -> None:
+        """Take in that an unlisted segment was deleted, or that this was tried."""
+        self._segments.unlisted = None
+
+    def written(self, version: str) -> None:
+        """Take in that the write took effect."""
+        self._shard, self._version = self._draft, version
+        self._segments.clear_made()
+        for operation in self._batch:
+            operation.outcome = operation.outcome or Outcome.WRITTEN
+        self._batch = []
+
+    def conflict(self) -> None:
+        """Take in that another write came first, or that one's own landed unnoticed."""
+        self._requeue()
+
+    def failed(self, sent: bool) -> None:
+        """Take in that a call had no effect, or (`sent`) that a write may have had or have yet.
+
+        Beginnings end at once: their callers are told when to come back.
+        """
+        for operation in self._batch if sent else ():
+            left = operation.retraction or operation
+            left.in_doubt, left.doubt = True, self._version
+        self._requeue()
+        if sent:
+            return
+        for operation in list(self._pending):
+            if operation.wanted is Wanted.BEGIN:
+                self._end_begin(operation)
+
+    def _searches(self) -> bool:
+        return any(self._needs_segments(operation) for operation in self._pending)
+
+    @staticmethod
+    def _needs_segments(operation: Operation) -> bool:
+        """Tell whether an operation may add a row, which no older one of the key allows."""
+        retracts = operation.wanted is Wanted.RETRACT and operation.forwarded
+        return operation.wanted is Wanted.BEGIN or retracts
+
+    def _requeue(self) -> None:
+        self._pending = [one for one in self._batch if one.outcome is None] + self._pending
+        self._batch = []
+        self._shard = None
+        for operation in self._pending:
+            operation.fresh = False
+
+    def _end_begin(self, operation: Operation) -> None:
+        under_way = operation in self._batch
+        if not under_way:
+            self._pending.remove(operation)
+        if not under_way and not operation.in_doubt and not operation.forwarded:
+            operation.outcome = Outcome.REFUSED
+            return
+        operation.outcome = Outcome.ABANDONED
+        if operation.for_peer:
+            # Its sender may have written the intent itself meanwhile, and be sending the call:
+            # retracted here, the key would be free for a second run. The sender retracts.
+            return
+        # The caller is answered, so this attempt is never sent. Its intent may be in the store
+        # or land later and would block the key for ever: retracting it goes on until settled.
+        operation.retraction = Operation(
+            Wanted.RETRACT,
+            operation.key,
+            operation.row.ended(CallState.NOT_RUN),
+            inf,
+            forwarded=operation.forwarded,
+            in_doubt=operation.in_doubt,
+            doubt=operation.doubt,
+        )
+        self._pending.append(operation.retraction)
+
+    def _plan(self, epoch_s: float) -> Step | None:
+        rows = {key: row for key, row in self._shard.row_by_key.items() if kept(row, epoch_s)}
+        rolled = self._segments.roll(rows)
+        if rolled is not None:
+            return rolled
+        changed: list[Operation] = []
+        self._full = self._is_full(rows)
+        for operation in list(self._pending):
+            step = self._apply(operation, rows, changed, epoch_s)
+            if step is not None:
+                return step
+        if not changed:
+            return None
+        self._batch = changed
+        self._pending = [one for one in self._pending if one not in changed]
+        segments = self._shard.segments
+        if self._segments.made is not None:
+            segments = (*segments, self._segments.made)
+        self._draft = Shard(rows, segments, self._shard.turn + 1)
+        return WriteHead(self._draft.spec(), self._version)
+
+    def _is_full(self, rows: dict[KeyId, Row]) -> bool:
+        many = len(self._shard.segments) >= MAX_SEGMENTS
+        return many or sum(row.size for row in rows.values()) > MAX_HEAD_BYTES
+
+    def _apply(
+        self,
+        operation: Operation,
+        rows: dict[KeyId, Row],
+        changed: list[Operation],
+        epoch_s: float,
+    ) -> Step | None:
+        """Apply one operation to the draft; give a call to make first, if one is needed."""
+        if any(one.key == operation.key for one in changed):
+            return None
+        found = rows.get(operation.key) or self._moved_row(operation.key)
+        if found is None and self._needs_segments(operation):
+            segment = self._segment_of(operation, epoch_s)
+            if segment is not None and segment != self._segments.loaded:
+                return ReadSegment(segment)
+            found = self._segments.row_by_key[operation.key] if segment else None
+        if operation.wanted is not Wanted.BEGIN:
+            return self._apply_end(operation, found, rows, changed)
+        if found is not None and found.attempt == operation.row.attempt:
+            # Written by an update whose answer was lost, or by the home that was asked to.
+            operation.row = found
+            return self._settle(operation, Outcome.WRITTEN if found.open else Outcome.REFUSED)
+        if found is not None and not _free(found, operation):
+            operation.found = found
+            return self._settle(operation, Outcome.FOUND) if operation.fresh else self._reread()
+        if self._full:
+            return self._settle(operation, Outcome.REFUSED)
+        if found is not None:
+            number = max(operation.row.fence, found.fence + 1)
+            operation.row = replace(operation.row, fence=number)
+        rows[operation.key] = operation.row
+        changed.append(operation)
+        return None
+
+    def _apply_end(
+        self,
+        operation: Operation,
+        found: Row | None,
+        rows: dict[KeyId, Row],
+        changed: list[Operation],
+    ) -> Step | None:
+        own = found is not None and found.attempt == operation.row.attempt
+        if own and found == operation.row:
+            return self._settle(operation, Outcome.WRITTEN)
+        if own:
+            rows[operation.key] = operation.row
+            changed.append(operation)
+            return None
+        if found is None and self._needs_segments(operation):
+            # The process that was asked to write the intent may do so late: it then finds the
+            # attempt ended, and writes nothing.
+            rows[operation.key] = operation.row
+            changed.append(operation)
+            return None
+        if operation.wanted is Wanted.RETRACT and self._may_land_yet(operation):
+            # Nothing of ours is there, but a write delayed on its way could land until the
+            # head's version moves. Writing the head, changed in its turn alone, shuts it out.
+            changed.append(operation)
+            return None
+        if not operation.fresh:
+            return self._reread()
+        return self._settle(operation, Outcome.LOST)
+
+    def _may_land_yet(self, operation: Operation) -> bool:
+        return operation.in_doubt and operation.doubt == self._version
+
+    def _reread(self) -> ReadHead:
+        self._shard = None
+        return ReadHead()
+
+    def _settle(self, operation: Operation, outcome: Outcome) -> None:
+        operation.outcome = outcome
+        self._pending.remove(operation)
+
+    def _segment_of(self, operation: Operation, epoch_s: float) -> str | None:
+        return self._segments.holder(operation, self._shard, epoch_s)
+
+    def _moved_row(self, key: KeyId) -> Row | None:
+        """Give a row that this very write moves into a segment which the head does not list yet."""
+        return self._segments.moved.get(key)
+
+
+def kept(row: Row, epoch_s: float) -> bool:
+    """Tell whether a row is still kept; one without an outcome is kept longer."""
+    extra_s = OPEN_ROWS_KEPT_S if row.open else 0
+    return epoch_s < row.until_s + extra_s
+
+
+def _free(found: Row, operation: Operation) -> bool:
+    if found.fingerprint != operation.row.fingerprint:
+        return False
+    return found.state is CallState.NOT_RUN or found.attempt == operation.over
--- a/egretstack/programs/steward.py
+++ b/egretstack/programs/steward.py
@@ -13,6 +13,9 @@
     "instances",
     "peer_port",
     "configuration",
+    "configuration_watch",
+    "configuration_news",
+    "duties",
     "operator_port",
 )
 
--- a/egretstack/settings/_schema.py
+++ b/egretstack/settings/_schema.py
@@ -52,6 +52,13 @@
         "How often the instance list is read.",
         "1",
     ),
+    Key(
+        "engines",
+        "silence_s",
+        Number(0.5, 600, _SECONDS),
+        "Silence on an engine's stream after which the engine is asked over a new connection.",
+        "5",
+    ),
     Key("logs", "form", Choice(LogForm), "Form of log lines.", "json"),
     Key("logs", "level", Choice(Level), "Least level that is written.", "INFO"),
 )
@@ -72,6 +79,13 @@
         "Silence after which a stream carries a comment line.",
         "5",
     ),
+    Key(
+        "caller",
+        "send_timeout_s",
+        Number(1, 3600, _SECONDS),
+        "How long a caller may leave what was sent unread before its connection is closed.",
+        "30",
+    ),
     Key(
         "caller",
         "answer_life_s",
@@ -93,13 +107,6 @@
         "How often each runner's load report is read.",
         "0.5",
     ),
-    Key(
-        "engines",
-        "silence_s",
-        Number(0.5, 600, _SECONDS),
-        "Silence on an engine's stream after which the engine is asked over a new connection.",
-        "5",
-    ),
 )
 
 _SCHEMAS = {
