--- a/egretstack/lengths/_model.py
+++ b/egretstack/lengths/_model.py
@@ -12,7 +12,7 @@
 
 MAX_KEYS = 2048
 MAX_SOURCES = 16
-PARENT_SESSIONS = 8.0
+PARENT_SESSIONS = 4.0
 """Sessions that the estimate one level up counts for."""
 PRIOR_HAZARD = 0.2
 """Share that ends in each bucket, before anything is known: few tokens to tens of thousands."""
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -144,7 +144,9 @@
             "figure": name,
             "site": site,
             "load": load,
-            "by_policy": {policy: round(figures[name], 4) for (policy, _), figures in means.items()},
+            "by_policy": {
+                policy: round(figures[name], 4) for (policy, _), figures in means.items()
+            },
             "to_best_baseline": _ratio(own[name], best),
             "to_richest_baseline": _ratio(own[name], baselines[richest][name]),
             "richest_baseline": richest,
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -57,7 +57,9 @@
 def printed(trace, site, *options):
     out = StringIO()
     with redirect_stdout(out):
-        app([*("replay", str(trace), "--engines", str(site)), *options], result_action="return_none")
+        app(
+            [*("replay", str(trace), "--engines", str(site)), *options], result_action="return_none"
+        )
     return out.getvalue()
 
 
