--- a/tests/scripted_engine.py
+++ b/tests/scripted_engine.py
@@ -38,6 +38,8 @@
 BROKEN = EngineBroken("reset")
 MAX_OUTPUT = 100
 START_DEADLINE_S = 10.0
+LIMIT_S = 600.0
+"""On the mock clock; every recovery ends before."""
 
 
 def event(sequence: int, kind: EngineEventKind, generation: GenerationId = ONE) -> EngineEvent:
@@ -95,6 +97,9 @@
             raise answer
         return answer
 
+    async def models(self):
+        raise NotImplementedError
+
     async def load(self):
         raise NotImplementedError
 
@@ -204,21 +209,26 @@
     placement = Placement(work, RunnerId("r"), engines[0], 1) if picked_up else None
     if picked_up:
         session.id = SessionId("resp_x")
-    async with trio.open_nursery() as nursery:
-        links = PumpLinks(
-            placer, lambda ref: SessionId("resp_x"), InstanceId("i"), nursery.start_soon
-        )
-        pump = Pump(session, work, links, RecoveryBudget(), placement)
-        nursery.start_soon(pump.run)
-        yield Run(session, pump, placer)
-        nursery.cancel_scope.cancel()
+    with trio.fail_after(LIMIT_S):
+        async with trio.open_nursery() as nursery:
+            links = PumpLinks(
+                placer, lambda ref: SessionId("resp_x"), InstanceId("i"), nursery.start_soon
+            )
+            pump = Pump(session, work, links, RecoveryBudget(), placement)
+            nursery.start_soon(pump.run)
+            yield Run(session, pump, placer)
+            nursery.cancel_scope.cancel()
 
 
 async def read_out(*engines: EngineClient, **options: object) -> Run:
     """Run a session to its end and read it; give what was seen."""
     async with opened_run(*engines, **options) as run:
-        if run.session.request.streamed:
-            await run.read()
-        await run.session.wait_for_end()
-        await trio.testing.wait_all_tasks_blocked()
+        await _read_to_end(run)
     return run
+
+
+async def _read_to_end(run: Run) -> None:
+    if run.session.request.streamed:
+        await run.read()
+    await run.session.wait_for_end()
+    await trio.testing.wait_all_tasks_blocked()
