--- a/egretstack/reports/_burn.py
+++ b/egretstack/reports/_burn.py
@@ -79,6 +79,11 @@
     share: float
     burn_by_window: dict[Window, WindowBurn]
 
+    @property
+    def rates(self) -> tuple[float, ...]:
+        """Give the burn rate of each window."""
+        return tuple(burn.rate for burn in self.burn_by_window.values())
+
     @property
     def budget_left(self) -> float:
         """Give the share of the budget that is left; below 0 once it is overspent."""
--- a/egretstack/reports/_plots.py
+++ b/egretstack/reports/_plots.py
@@ -13,6 +13,7 @@
 ROW_IN = 0.34
 HEAD_IN = 1.3
 BAR = 0.16
+MARGIN = 1.3
 SVG_SALT = "egretstack"
 PNG_DPI = 90
 
@@ -55,8 +56,12 @@
     for alert in Alert:
         axes.axvline(alert.rate, color="0.6", linewidth=0.8, linestyle="--")
     axes.set_xscale("symlog", linthresh=1.0)
-    axes.set_xlim(left=0)
-    axes.set_xlabel("burn rate (dashed: alerts at 1, 6 and 14.4)")
+    most = max(Alert.PAGE_FAST.rate, *(rate for burn in burns for rate in burn.rates)) * MARGIN
+    axes.set_xlim(0, most)
+    marks = (0.0, 0.5, *sorted(alert.rate for alert in Alert))
+    axes.set_xticks(marks, [f"{mark:g}" for mark in marks])
+    axes.set_xticks([], minor=True)
+    axes.set_xlabel("burn rate (dashed: where alerts begin)")
     axes.legend(title="window", fontsize="small")
 
 
