A leaving entry keeps a conservative share, and the last live instance a home

Cause: an entry that leaves was in no list of live instances, so without a slice it had no share and answered 429 while it still had to serve (tests.process.test_drain, seen failing: 429 in place of 503). The leaving entry's part adds at most 1/(n+1) of the contract to the conservative shares.

--- a/egretstack/limits/_homes.py
+++ b/egretstack/limits/_homes.py
@@ -76,6 +76,11 @@
         that see the same live instances make up at most the whole.
         """
         holders = self._holders(account)
+        if own not in self._views[-1][1]:
+            # An entry that leaves is in nobody's list but serves on: it may add one small share.
+            count = len(holders) + 1
+            burst = int(whole.burst) // count
+            return Share(whole.rate / count if burst else 0.0, float(burst), whole.slots // count)
         if own not in holders:
             return NOTHING
         count = len(holders)
--- a/egretstack/services/limits.py
+++ b/egretstack/services/limits.py
@@ -140,5 +140,7 @@
 
     def _live(self) -> dict[InstanceId, Member]:
         """Give the live entries: the one place that asks who may be a home."""
-        members = self.kernel.get(Membership).live_members()
+        membership = self.kernel.get(Membership)
+        # The last instance serves on while it leaves; without a home it would refuse everyone.
+        members = membership.live_members() or [membership.own_member]
         return {InstanceId(member.id): member for member in members}
