--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -43,6 +43,16 @@
         "came of it.",
     )
     CALL_UNKNOWN = (220, Level.ERROR, "A call that may not be repeated has no known outcome.")
+    LIMITS_HOME_AWAY = (
+        230,
+        Level.WARNING,
+        "The instance that lends the limits of some accounts does not answer; a share is used.",
+    )
+    LIMITS_HOME_THAWED = (
+        231,
+        Level.WARNING,
+        "This process stood still; it forgot the limits it had lent and waits before lending.",
+    )
     CONFIG_APPLIED = (300, Level.INFO, "A configuration revision is in force on this instance.")
     CONFIG_REFUSED_OLDER = (
         301,
@@ -61,8 +71,26 @@
     PLATFORM_BREAKER_CLOSED = (313, Level.INFO, "The platform answered a probe; calls go out.")
     PLATFORM_WATCH_SILENT = (314, Level.WARNING, "A watch sent no bookmark; it is opened anew.")
     PEER_REFUSED = (320, Level.WARNING, "A peer connection was refused; check keys and version.")
+    INSTANCE_LIVE = (321, Level.INFO, "An instance takes work.")
+    INSTANCE_LEAVING = (322, Level.INFO, "An instance leaves; callers are sent elsewhere.")
+    INSTANCE_SUSPECT = (
+        323,
+        Level.WARNING,
+        "An instance does not answer heartbeats; it is used for some seconds more.",
+    )
+    INSTANCE_GONE = (
+        324,
+        Level.WARNING,
+        "An instance stopped, or did not answer a suspicion; no caller is sent there.",
+    )
     RUNNER_JOINED = (330, Level.INFO, "A runner is known and gets work.")
     RUNNER_LEFT = (331, Level.INFO, "A runner gets no new work.")
+    RUNNER_SILENT = (
+        332,
+        Level.WARNING,
+        "A runner's load report cannot be read; it gets no new work from this instance.",
+    )
+    RUNNER_NOTICED = (333, Level.INFO, "A runner said, or was ordered, to leave or to return.")
     DUTY_TAKEN = (350, Level.INFO, "This steward holds a duty now.")
     DUTY_LOST = (351, Level.WARNING, "This steward's lease on a duty ended; it gives no orders.")
     DUTY_UNREADABLE = (352, Level.ERROR, "The object of a lease cannot be read; delete it.")
--- a/egretstack/programs/entry.py
+++ b/egretstack/programs/entry.py
@@ -14,6 +14,7 @@
     "peer_port",
     "membership",
     "configuration",
+    "limits",
     "accounts",
     "runners",
     "dispatching",
