--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -43,6 +43,23 @@
         "came of it.",
     )
     CALL_UNKNOWN = (220, Level.ERROR, "A call that may not be repeated has no known outcome.")
+    INTENT_ABANDONED = (
+        221,
+        Level.WARNING,
+        "The store gave no answer to an intent in time; the call was refused and is never sent.",
+    )
+    INTENT_TOO_OLD = (
+        222,
+        Level.WARNING,
+        "This process stood still after it wrote an intent; the call was not sent.",
+    )
+    CALL_TAKEN_OVER = (
+        223,
+        Level.WARNING,
+        "A repeat took a key over from an attempt that was given up, or that is fenced off.",
+    )
+    CALL_LOOKED_UP = (224, Level.INFO, "A service was asked whether a call ran.")
+    LEDGER_PRUNED = (225, Level.INFO, "Old segments of the ledger were dropped.")
     LIMITS_HOME_AWAY = (
         230,
         Level.WARNING,
