Stewards keep heartbeats too, so that the list's changes reach them

Cause: the list is read in turns, and its changes come with heartbeats, which only entries had. A steward with twelve members listed knew the list up to 3.6 s late, at the target size it would be some ten minutes. A period of 1 s for stewards was ruled out: 420 whole reads a second.

--- a/egretstack/programs/steward.py
+++ b/egretstack/programs/steward.py
@@ -12,6 +12,7 @@
     "platform_access",
     "instances",
     "peer_port",
+    "membership",
     "configuration",
     "configuration_watch",
     "configuration_news",
--- a/egretstack/services/membership.py
+++ b/egretstack/services/membership.py
@@ -27,7 +27,8 @@
 from egretstack.services.peer_port import Lane, PeerPort
 
 RevisionListener = Callable[[InstanceId, Revision], None]
-PEER_PORT = "peer"
+ENTRY_PORT = "peer"
+STEWARD_PORT = "steward"
 HELD_CHECK_S = 1.0
 _EVENT_BY_STATE = {
     InstanceState.LIVE: Event.INSTANCE_LIVE,
@@ -148,7 +149,7 @@
         self._publish()
 
     async def _send(self, ask: Ask) -> HeartbeatAnswer:
-        port = ask.peer.ports.get(PEER_PORT)
+        port = ask.peer.ports.get(_port_name(self.kernel))
         if port is None:
             raise PeerGone("no peer port is listed")
         answer = await self.kernel.get(PeerPort).ask(
@@ -212,14 +213,19 @@
             del self._revision_by_peer[name]
 
 
+def _port_name(kernel: Kernel) -> str:
+    """Name the port for heartbeats: entries keep them among entries, stewards among stewards."""
+    return ENTRY_PORT if kernel.settings.has("caller", "address") else STEWARD_PORT
+
+
 def _own_member(kernel: Kernel) -> Member:
     settings = kernel.settings
     host, _, port = settings.text("instance", "peer_address").rpartition(":")
     if ip_address(host.strip("[]")).is_unspecified:
         raise UserError("instance.peer_address: give the address that other instances connect to")
-    ports = {PEER_PORT: int(port)}
-    ports["operator"] = _port(settings.text("instance", "operator_address"))
+    ports = {_port_name(kernel): int(port)}
     if settings.has("caller", "address"):
+        ports["operator"] = _port(settings.text("instance", "operator_address"))
         ports["caller"] = _port(settings.text("caller", "address"))
     return Member(
         settings.text("instance", "id"),
