--- a/scripts/slopes_configuration.py
+++ b/scripts/slopes_configuration.py
@@ -40,7 +40,7 @@
 from egretstack.configuration._head_object import HeadObject
 from egretstack.ids import ChangeId, InstanceId, Revision, ZoneName
 from egretstack.peers import encode
-from egretstack.platform import ENTRY_SERVICE, Member, MemberState
+from egretstack.platform import ENTRY_SERVICE, Member, MemberState, PlatformAway
 from standins.object_store import InProcessObjectApi, ObjectStore
 
 CONTRACTS = 700
@@ -298,7 +298,7 @@
         try:
             await operators.apply(change)
             took.append(trio.current_time() - start_s)
-        except ApplyConflict:
+        except (ApplyConflict, PlatformAway):
             refused += 1
 
     async with trio.open_nursery() as nursery:
@@ -315,7 +315,7 @@
         changes_a_day=per_day,
         latency_ms=latency_s * 1000,
         accepted=len(took),
-        refused=refused,
+        not_accepted=refused,
         retries_a_change=round((updates - len(took)) / max(1, len(took)), 4),
         slowest_s=round(max(took), 3),
     )
