--- a/scripts/_capacity_lines.py
+++ b/scripts/_capacity_lines.py
@@ -2,23 +2,28 @@
 
 from collections.abc import Callable
 
+from egretstack.membership import MAX_REPORTS, ReadingPlan
+from egretstack.services.peer_port import MAX_LINKS
+from egretstack.services.runners import MAX_READS_PER_S
 from scripts._sheet import Line, Resource, Slopes, amount
 from scripts._target import BOUNDS, DAY_S, TARGET
 
 PROCESSES = 2
 """Processes of an instance: its entry and its steward."""
-LIST_READS = PROCESSES
-"""Reads of the instance list an instance makes each second."""
+LIST_PERIOD_S = ReadingPlan.make(1.0, TARGET.members, 0, TARGET.nodes).period_s
+"""Time between two reads of the instance list by one process, as the product plans it."""
 REPORTS_A_RUNNER = 2
-"""Load reports an entry reads from each runner in a second."""
+"""Load reports an entry reads from each runner in a second while they are few."""
+REPORTS = min(REPORTS_A_RUNNER * MAX_REPORTS, MAX_READS_PER_S)
+"""Load reports an entry reads in a second, whatever the number of runners."""
 CORE_US = 1_000_000
 ACTIVE_ACCOUNTS = 10
 """Accounts an entry serves at once, were each account's callers spread over six entries."""
 LEDGER_CALLS = 800
 """Calls a second that may not be repeated, the most that was run; the users give no figure."""
 
-_LIST = "each process reads the whole list every second"
-_REPORTS = "each entry reads every runner twice a second"
+_LIST = "processes take turns; what one finds spreads with heartbeats"
+_REPORTS = f"each entry reads at most {MAX_REPORTS} runners, at a bounded rate"
 _CHANGED = "watchers at the head, then the changed parts from peer to peer"
 
 
@@ -71,7 +76,7 @@
 
 
 def _list_lines(slopes: Slopes) -> list[Line]:
-    how = f"{LIST_READS} x {TARGET.members:,} members"
+    how = f"{PROCESSES} x {TARGET.members:,} members every {LIST_PERIOD_S:.0f} s"
     answer = slopes.at("runners.instance_list_answer", TARGET.members)
     read = slopes.at("runners.instance_list_read_cpu", TARGET.members)
     return [
@@ -80,7 +85,7 @@
             Resource.TRAFFIC,
             ("runners.instance_list_answer",),
             how,
-            LIST_READS * answer,
+            PROCESSES * answer / LIST_PERIOD_S,
             _LIST,
         ),
         Line(
@@ -88,30 +93,30 @@
             Resource.CPU,
             ("runners.instance_list_read_cpu",),
             how,
-            LIST_READS * read,
+            PROCESSES * read / LIST_PERIOD_S,
             _LIST,
         ),
     ]
 
 
 def _report_lines(slopes: Slopes) -> list[Line]:
-    reports = REPORTS_A_RUNNER * TARGET.runners
-    how = f"{REPORTS_A_RUNNER} x {TARGET.runners:,} runners"
+    how = f"{REPORTS:g} reports/s"
+    report_us = slopes.each("path.entry_idle_cpu") / REPORTS_A_RUNNER
     return [
         Line(
             "load reports",
             Resource.TRAFFIC,
             ("runners.load_report_wire",),
             how,
-            slopes.each("runners.load_report_wire") * reports,
+            slopes.each("runners.load_report_wire") * REPORTS,
             _REPORTS,
         ),
         Line(
             "load reports",
             Resource.CPU,
             ("path.entry_idle_cpu",),
-            f"{TARGET.runners:,} runners",
-            slopes.each("path.entry_idle_cpu") * TARGET.runners,
+            how + ", two of them the slope of a runner",
+            report_us * REPORTS,
             _REPORTS,
         ),
         Line(
@@ -178,13 +183,21 @@
 def _standing_lines(slopes: Slopes) -> list[Line]:
     nodes = f"{TARGET.nodes} instances"
     return [
+        Line(
+            "heartbeats",
+            Resource.TRAFFIC,
+            ("membership.traffic",),
+            nodes,
+            slopes.at("membership.traffic", TARGET.nodes),
+            "to a few neighbours chosen by hash",
+        ),
         Line(
             "links between instances",
             Resource.TRAFFIC,
             ("nodes.idle_bytes",),
             nodes,
             slopes.at("nodes.idle_bytes", TARGET.nodes),
-            "heartbeats, and asking peers for a newer revision",
+            "heartbeats and asking peers for a newer revision, as objects",
         ),
         Line(
             "all that runs by itself, without sockets",
@@ -274,6 +287,7 @@
     ):
         size = ("active account", "active_accounts_per_node")
         slopes.fit_rows(name, unit, size, value, kind="cost", nodes=80)
+    slopes.fit_rows("membership.traffic", "bytes/s", ("instance", "instances"), "bytes_per_s")
     tree = {"what": "in_force", "width": 4}
     busiest = "bytes_a_second_of_the_busiest"
     instance = ("instance", "stewards")
@@ -327,6 +341,9 @@
         "ledger_share": f"{TARGET.requests / max(writes.sizes):.1f}",
         "links": f"{slopes.at('nodes.links_busiest', TARGET.nodes):.0f}",
         "link_memory": amount(slopes.each("nodes.idle_memory"), "bytes"),
+        "max_links": f"{MAX_LINKS}",
+        "reports": f"{REPORTS:g}",
+        "max_reports": f"{MAX_REPORTS}",
         "link_end": amount(slopes.each("runners.link_memory"), "bytes"),
         "reports_a_core_share": f"{BOUNDS.cpu_us / report_us:.1f}",
         "node_tokens": f"{TARGET.node_tokens:,.0f}",
