--- a/tests/scripted_engine.py
+++ b/tests/scripted_engine.py
@@ -97,9 +97,6 @@
             raise answer
         return answer
 
-    async def models(self):
-        raise NotImplementedError
-
     async def load(self):
         raise NotImplementedError
 
