A fault matrix on the mock clock, its checks, and a gate that freezes a process

Cause: nothing showed the seven points under faults at each step. The stand-ins gain a gate for each process (freeze, kill through shields, seams to strike at), HTTP between callers and entries with broken and silent connections, runners of plain services that die or go silent in a call, and resumed streams that begin early and leave an event out. Ruled out: cancelling a killed process alone; a call shielded from cancellation went on.

--- /dev/null
+++ b/standins/access.py
@@ -0,0 +1,267 @@
+"""Access of one process to the stand-ins of a world, through the gate of that process."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from egretstack.callers import AsgiApp
+from egretstack.delivery import TokenBox
+from egretstack.errors import NotRunProof
+from egretstack.ids import GenerationId, RunnerId
+from egretstack.kernel import Kernel
+from egretstack.platform import InstanceList, Member, ObjectApi
+from egretstack.services.platform_access import PlatformAccess
+from egretstack.upstreams import (
+    CacheEvent,
+    CallRequest,
+    CallResponse,
+    EngineClient,
+    EngineEvent,
+    GenerationRequest,
+    GenerationState,
+    LoadReport,
+    Order,
+    OutcomeUnknown,
+    PlainService,
+    Unsent,
+)
+from standins.engine_client import InProcessEngine
+from standins.gate import Gate, GatedObjectApi, Seam
+from standins.object_store import InProcessObjectApi
+from standins.plain_service import InProcessPlainService
+
+if TYPE_CHECKING:
+    from standins.world import World
+
+SESSION_KEY = TokenBox.new_key()
+CONNECT_TIMEOUT_S = 2.0
+
+
+class GatedEngine(EngineClient):
+    """An engine as one process reaches it."""
+
+    def __init__(self, inner: EngineClient, gate: Gate) -> None:
+        self._inner = inner
+        self._gate = gate
+
+    @asynccontextmanager
+    async def generate(self, request: GenerationRequest) -> AsyncIterator[AsyncIterator]:
+        """Start a generation."""
+        await self._gate.wait()
+        await self._gate.reached(Seam.ENGINE_ASKED, request.prompt)
+        async with self._inner.generate(request) as events:
+            await self._gate.reached(Seam.ENGINE_ACCEPTED, request.prompt)
+            yield self._events(events)
+
+    @asynccontextmanager
+    async def resume(self, generation: GenerationId, after: int) -> AsyncIterator[AsyncIterator]:
+        """Follow a generation after a sequence number."""
+        await self._gate.wait()
+        async with self._inner.resume(generation, after) as events:
+            await self._gate.wait()
+            yield self._events(events)
+
+    async def cancel(self, generation: GenerationId) -> None:
+        """End a generation."""
+        await self._gate.through(lambda: self._inner.cancel(generation))
+
+    async def state(self, generation: GenerationId) -> GenerationState:
+        """Ask after a generation."""
+        return await self._gate.through(lambda: self._inner.state(generation))
+
+    async def load(self) -> LoadReport:
+        """Read the load report."""
+        return await self._gate.through(self._inner.load)
+
+    async def cache_events(self, after: int) -> list[CacheEvent]:
+        """Read cache events."""
+        return await self._gate.through(lambda: self._inner.cache_events(after))
+
+    async def order(self, order: Order) -> None:
+        """Give an order."""
+        await self._gate.wait()
+        await self._gate.reached(Seam.ORDER_SENT, order)
+        await self._gate.through(lambda: self._inner.order(order))
+        await self._gate.reached(Seam.ORDER_TAKEN, order)
+
+    async def _events(self, events: AsyncIterator[EngineEvent]) -> AsyncIterator[EngineEvent]:
+        async for event in events:
+            await self._gate.wait()
+            yield event
+
+
+@dataclass
+class PlainFaults:
+    """Faults of one runner of a plain service.
+
+    `dead`: connections are refused and calls in progress get no answer, though one that has
+    arrived is carried out. `stalled`: nothing moves. `silent`: answers of calls in progress are
+    lost without a sign; set `silent` back to let new calls work.
+    """
+
+    dead: bool = False
+    stalled: bool = False
+    silent: bool = False
+
+
+class GatedPlain(PlainService):
+    """A runner of a plain service as one process reaches it.
+
+    A call that arrived is carried out whatever becomes of its connection or its caller.
+    """
+
+    def __init__(
+        self, inner: InProcessPlainService, faults: PlainFaults, gate: Gate, nursery: trio.Nursery
+    ) -> None:
+        self._inner = inner
+        self._faults = faults
+        self._gate = gate
+        self._nursery = nursery
+
+    async def call(self, request: CallRequest) -> CallResponse:
+        """Make a call."""
+        await self._gate.wait()
+        await self._gate.reached(Seam.CALL_SENT, request)
+        await self._connect()
+        with trio.move_on_after(request.timeout_s):
+            answer = await self._exchange(request)
+            await self._gate.reached(Seam.CALL_RAN, request)
+            await self._arrive()
+            return answer
+        await self._gate.wait()
+        raise OutcomeUnknown("no answer in time")
+
+    async def _connect(self) -> None:
+        if self._faults.stalled:
+            await trio.sleep(CONNECT_TIMEOUT_S)
+            raise Unsent(NotRunProof("connection timed out"))
+        if self._faults.dead:
+            raise Unsent(NotRunProof("connection refused"))
+
+    async def _exchange(self, request: CallRequest) -> CallResponse:
+        """Have the call carried out in a task of the world, which outlives this process."""
+        outcome: list[CallResponse | Exception] = []
+        done = trio.Event()
+
+        async def carry_out() -> None:
+            try:
+                outcome.append(await self._inner.call(request))
+            except (Unsent, OutcomeUnknown) as error:
+                outcome.append(error)
+            done.set()
+
+        self._nursery.start_soon(carry_out)
+        await done.wait()
+        if isinstance(outcome[0], Exception):
+            raise outcome[0]
+        return outcome[0]
+
+    async def _arrive(self) -> None:
+        if self._faults.dead:
+            raise OutcomeUnknown("connection reset")
+        while self._faults.stalled:
+            await trio.sleep(0.1)
+        if self._faults.silent:
+            await trio.sleep_forever()
+
+
+class GatedList(InstanceList):
+    """The instance list as one process reads it."""
+
+    def __init__(self, inner: InstanceList, gate: Gate) -> None:
+        self._inner = inner
+        self._gate = gate
+
+    async def members(self) -> list[Member]:
+        """Read every member."""
+        return await self._gate.through(self._inner.members)
+
+
+class GatedStream(trio.abc.Stream):
+    """A stream to a peer as one process uses it."""
+
+    def __init__(self, inner: trio.abc.Stream, gate: Gate) -> None:
+        self._inner = inner
+        self._gate = gate
+
+    async def send_all(self, data: bytes) -> None:
+        """Send."""
+        await self._gate.wait()
+        await self._inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait as the inner stream does."""
+        await self._inner.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Receive."""
+        data = await self._inner.receive_some(max_bytes)
+        await self._gate.wait()
+        return data
+
+    async def aclose(self) -> None:
+        """Close; the kernel does it for a killed process."""
+        await self._inner.aclose()
+
+
+class InProcessAccess(PlatformAccess):
+    """Reaches the stand-ins of a world."""
+
+    def __init__(self, kernel: Kernel, world: "World", host: str, gate: Gate) -> None:
+        super().__init__(kernel)
+        self._world = world
+        self._host = host
+        self.gate = gate
+        self.app_by_address: dict[str, AsgiApp] = {}
+        self.object_api: ObjectApi = GatedObjectApi(InProcessObjectApi(world.store), gate)
+        self.instance_list = GatedList(world.listed, gate)
+
+    def engine(self, member: Member) -> EngineClient:
+        """Make the client of an engine."""
+        standin = self._world.engine_by_id[RunnerId(member.id)]
+        silence_s = self.kernel.settings.number("engines", "silence_s")
+        inner = InProcessEngine(standin.live, standin.faults, silence_s)
+        return GatedEngine(inner, self.gate)
+
+    def plain(self, member: Member) -> PlainService:
+        """Make the client of a plain service's runner."""
+        inner = self._world.plain_by_id[member.id]
+        faults = self._world.plain_faults_by_id[member.id]
+        return GatedPlain(inner, faults, self.gate, self._world.nursery)
+
+    async def open_stream(self, host: str, port: int) -> trio.abc.Stream:
+        """Connect to a peer."""
+        await self.gate.wait()
+        stream = await self._world.network.connect(self._host, host, port)
+        return GatedStream(stream, self.gate)
+
+    async def serve_streams(
+        self,
+        handler: Callable[[trio.abc.Stream], Awaitable[None]],
+        host: str,
+        port: int,
+        task_status: trio.TaskStatus[object],
+    ) -> None:
+        """Serve peers."""
+
+        async def handle(stream: trio.abc.Stream) -> None:
+            await handler(GatedStream(stream, self.gate))
+
+        await self._world.network.serve(handle, host, port, task_status)
+
+    async def serve_http(
+        self,
+        app: AsgiApp,
+        address: str,
+        stop: trio.Event,
+        task_status: trio.TaskStatus[object],
+    ) -> None:
+        """Serve callers of the world's own network; a test may also call the application."""
+        self.app_by_address[address] = app
+        await self._world.http.serve(app, address, self.gate, stop, task_status)
+
+    def _keys(self) -> list[bytes]:
+        return [SESSION_KEY]
--- a/standins/engine_client.py
+++ b/standins/engine_client.py
@@ -1,6 +1,6 @@
 """An engine client that reaches a live engine inside the same process, with faults."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import trio
@@ -23,6 +23,8 @@
 from standins.live_engine import Generation, LiveEngine
 
 CONNECT_TIMEOUT_S = 2.0
+EVENTS_EARLY = 2
+LEFT_OUT_AFTER = 3
 
 
 class EngineFaults:
@@ -30,13 +32,16 @@
 
     `dead`: connections are refused and open streams break. `stalled`: nothing moves on any
     connection. `silent_before`: streams opened before that time are silent for good, new ones
-    work. `full`: new generations are refused.
+    work. `full`: new generations are refused. `untidy`: a resumed stream begins some events early,
+    and the first one of each generation leaves an event out.
     """
 
     def __init__(self) -> None:
         self.dead = False
         self.stalled = False
         self.full = False
+        self.untidy = False
+        self.left_out: set[GenerationId] = set()
         self.silent_before = -1.0
         self.changed = trio.Event()
 
@@ -47,19 +52,9 @@
 
 
 class InProcessEngine(EngineClient):
-    """Reaches `live`; `silence_s` is the longest wait for the next event, in seconds.
+    """Reaches `live`; `silence_s` is the longest wait for the next event, in seconds."""
 
-    `is_dead` tells that the process that uses this client was killed.
-    """
-
-    def __init__(
-        self,
-        live: LiveEngine,
-        faults: EngineFaults,
-        silence_s: float,
-        is_dead: Callable[[], bool] = lambda: False,
-    ) -> None:
-        self._is_dead = is_dead
+    def __init__(self, live: LiveEngine, faults: EngineFaults, silence_s: float) -> None:
         self._live = live
         self._faults = faults
         self._silence_s = silence_s
@@ -76,7 +71,11 @@
     async def resume(self, generation: GenerationId, after: int) -> AsyncIterator[AsyncIterator]:
         """Follow a generation after a sequence number."""
         await self._reach()
-        yield self._events(self._find(generation), after)
+        found = self._find(generation)
+        if self._faults.untidy:
+            yield self._untidy(found, after)
+        else:
+            yield self._events(found, after)
 
     async def cancel(self, generation: GenerationId) -> None:
         """End a generation."""
@@ -111,7 +110,7 @@
 
     async def _reach(self) -> None:
         await trio.lowlevel.checkpoint()
-        if self._faults.dead or self._is_dead():
+        if self._faults.dead:
             raise EngineUnreachable("connection refused")
         if self._faults.stalled:
             await trio.sleep(CONNECT_TIMEOUT_S)
@@ -134,6 +133,14 @@
                     return
             await self._wait(changed, faults_changed)
 
+    async def _untidy(self, generation: Generation, after: int) -> AsyncIterator[EngineEvent]:
+        left_out = after + LEFT_OUT_AFTER if generation.id not in self._faults.left_out else None
+        async for event in self._events(generation, max(-1, after - EVENTS_EARLY)):
+            if event.sequence == left_out:
+                self._faults.left_out.add(generation.id)
+            else:
+                yield event
+
     def _is_silent(self, opened_s: float) -> bool:
         return self._faults.stalled or opened_s < self._faults.silent_before
 
--- a/standins/live_engine.py
+++ b/standins/live_engine.py
@@ -3,6 +3,7 @@
 import random
 import re
 import secrets
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from zlib import crc32
 
@@ -88,6 +89,10 @@
         self.models = models
         self.by_id: dict[GenerationId, Generation] = {}
         self.orders: list[Order] = []
+        self.on_start: Callable[[Generation], None] = _ignore
+        """Told of each generation that the engine accepts."""
+        self.text: Callable[[Generation], str] = _word
+        """Gives the text of a generation's next token."""
         self._checks_fencing = checks_fencing
         self._fencing = 0
         self._rng = random.Random(seed)
@@ -99,6 +104,7 @@
         """Accept a generation."""
         generation = Generation(GenerationId("gen" + secrets.token_hex(8)), request.prompt)
         self.by_id[generation.id] = generation
+        self.on_start(generation)
         generation.add(EngineEventKind.CREATED)
         self.model.submit(
             trio.current_time(),
@@ -161,17 +167,12 @@
             generation = self.by_id[output.generation]
             if output.kind is OutputKind.TOKEN:
                 generation.state = GenerationState.RUNNING
-                generation.add(EngineEventKind.TOKEN, self._text(generation))
+                generation.add(EngineEventKind.TOKEN, self.text(generation))
             elif output.kind is OutputKind.FINISHED:
                 generation.end(GenerationState.COMPLETED, now_s)
         self._note_cache(now_s)
         self._forget(now_s)
 
-    @staticmethod
-    def _text(generation: Generation) -> str:
-        number = len(generation.events)
-        return _WORDS[(crc32(generation.prompt.encode()) + number) % len(_WORDS)] + " "
-
     def _note_cache(self, now_s: float) -> None:
         cached = set(self.model.cached_prefixes())
         for prefix in sorted(cached ^ self._cached):
@@ -189,3 +190,12 @@
         ]
         for generation_id in old:
             del self.by_id[generation_id]
+
+
+def _word(generation: Generation) -> str:
+    number = len(generation.events)
+    return _WORDS[(crc32(generation.prompt.encode()) + number) % len(_WORDS)] + " "
+
+
+def _ignore(generation: Generation) -> None:
+    """Do nothing."""
--- a/standins/network.py
+++ b/standins/network.py
@@ -15,10 +15,17 @@
         self._inner = inner
         self._network = network
         self._way = (source, target)
+        self._opened_s = trio.current_time()
+
+    @property
+    def _lost(self) -> bool:
+        is_silent = self._opened_s < self._network.silent_before_s
+        return is_silent or self._way in self._network.cuts
 
     async def send_all(self, data: bytes) -> None:
         """Send, or lose."""
-        if self._way not in self._network.cuts:
+        await trio.lowlevel.checkpoint()
+        if not self._lost:
             await self._inner.send_all(data)
 
     async def wait_send_all_might_not_block(self) -> None:
@@ -30,16 +37,21 @@
 
     async def aclose(self) -> None:
         """Close; the other end sees it unless the way is cut."""
-        if self._way in self._network.cuts:
+        if self._lost:
             await trio.lowlevel.checkpoint()
             return
         await self._inner.aclose()
 
 
 class Network:
-    """Connects hosts by IP number. A pair (source, target) in `cuts` loses what goes that way."""
+    """Connects hosts by IP number.
+
+    A pair (source, target) in `cuts` loses what goes that way. Streams opened before
+    `silent_before_s` are silent for good; new ones work.
+    """
 
     def __init__(self) -> None:
+        self.silent_before_s = 0.0
         self.cuts: set[tuple[str, str]] = set()
         self._listeners: dict[tuple[str, int], tuple[Handler, trio.Nursery]] = {}
 
@@ -71,5 +83,15 @@
             raise ConnectionRefusedError(f"{host}:{port}")
         handler, nursery = self._listeners[host, port]
         near, far = memory_stream_pair()
-        nursery.start_soon(handler, _CutStream(far, self, host, source))
+        nursery.start_soon(_serve_one, handler, _CutStream(far, self, host, source))
         return _CutStream(near, self, source, host)
+
+
+async def _serve_one(handler: Handler, stream: trio.abc.Stream) -> None:
+    try:
+        await handler(stream)
+    finally:
+        # A server closes the connection when its handler ends, and the kernel that of a
+        # killed process: the other end sees it and does not wait for an answer.
+        with trio.CancelScope(shield=True):
+            await stream.aclose()
--- a/standins/world.py
+++ b/standins/world.py
@@ -3,25 +3,23 @@
 Runs the same services as the programs do, on trio's mock clock, with stand-ins outside.
 """
 
-from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import trio
 
-from egretstack.callers import AsgiApp
 from egretstack.configuration import Change, ConfigurationStore
-from egretstack.delivery import TokenBox
-from egretstack.ids import ChangeId, ModelName, RunnerId, ServiceName, ZoneName
+from egretstack.ids import ChangeId, ModelName, ServiceName, ZoneName
 from egretstack.kernel import Kernel, load_services
 from egretstack.platform import ENTRY_SERVICE, InstanceList, Member, MemberState, PlatformAway
 from egretstack.programs.entry import SERVICES as ENTRY_SERVICES
 from egretstack.programs.steward import SERVICES as STEWARD_SERVICES
 from egretstack.replay import EngineParameters
-from egretstack.services.platform_access import PlatformAccess
-from egretstack.settings import Program, schema_of
-from egretstack.upstreams import EngineClient, PlainService
-from standins.engine_client import EngineFaults, InProcessEngine
+from egretstack.settings import Program, Settings, schema_of
+from standins.access import InProcessAccess, PlainFaults
+from standins.engine_client import EngineFaults
+from standins.gate import Gate, Observer, ProcessKilled
+from standins.http_link import HttpNetwork
 from standins.live_engine import LiveEngine
 from standins.network import Network
 from standins.object_store import InProcessObjectApi, ObjectStore
@@ -34,7 +32,6 @@
     "peer": 9200,
     "steward": 9201,
 }
-SESSION_KEY = TokenBox.new_key()
 
 
 @dataclass
@@ -69,7 +66,14 @@
     network: Network = field(default_factory=Network)
     engine_by_id: dict[str, EngineStandin] = field(default_factory=dict)
     plain_by_id: dict[str, InProcessPlainService] = field(default_factory=dict)
+    plain_faults_by_id: dict[str, PlainFaults] = field(default_factory=dict)
+    http: HttpNetwork = field(default_factory=HttpNetwork)
+    observers: list[Observer] = field(default_factory=list)
+    """Told of every place that a process reaches at its edge."""
+    settings: dict[Program, dict[str, dict[str, str]]] = field(default_factory=dict)
+    """Settings of a program's processes that differ from the defaults, by section and key."""
     nursery: trio.Nursery | None = None
+    _host_by_name: dict[str, str] = field(default_factory=dict)
 
     def add_engine(
         self, name: str, service: str, models: tuple[str, ...], parameters: EngineParameters
@@ -84,6 +88,7 @@
     def add_plain(self, name: str, service: str, book: Book) -> InProcessPlainService:
         """Add a runner of a plain service and list it."""
         self.plain_by_id[name] = InProcessPlainService(book)
+        self.plain_faults_by_id[name] = PlainFaults()
         self._list(name, service, f"10.2.0.{len(self.plain_by_id)}", {"http": 8000}, "a")
         return self.plain_by_id[name]
 
@@ -92,6 +97,10 @@
         old = self.listed.by_id[name]
         self.listed.by_id[name] = Member(old.id, old.service, old.zone, old.host, old.ports, state)
 
+    def listed_host(self, name: str) -> str:
+        """Give the IP number of a member that is or was listed."""
+        return self._host_by_name[name]
+
     async def configure(self, **sections_by_part: dict[str, dict[str, str]]) -> int:
         """Accept parts, named like `contract__acme`; give the revision."""
         parts = {name.replace("__", "."): value for name, value in sections_by_part.items()}
@@ -102,8 +111,9 @@
     async def start(self, name: str, program: Program, zone: str = "a") -> "Process":
         """Start one process of an instance and wait until it is up."""
         host = self._host(name, zone)
-        kernel = Kernel(_settings(name, program, host, zone))
-        access = InProcessAccess(kernel, self, host)
+        kernel = Kernel(_settings(name, program, host, zone, self.settings.get(program, {})))
+        label = name if program is Program.ENTRY else f"{name}.steward"
+        access = InProcessAccess(kernel, self, host, Gate(label, self.observers))
         kernel.add(access)
         names = ENTRY_SERVICES if program is Program.ENTRY else STEWARD_SERVICES
         wanted = [one for one in names if one != access.name]
@@ -119,6 +129,7 @@
         return self.listed.by_id[name].host
 
     def _list(self, name: str, service: str, host: str, ports: dict[str, int], zone: str) -> None:
+        self._host_by_name[name] = host
         self.listed.by_id[name] = Member(
             name, ServiceName(service), ZoneName(zone), host, ports, MemberState.LIVE
         )
@@ -131,7 +142,7 @@
     name: str
     host: str
     kernel: Kernel
-    access: "InProcessAccess"
+    access: InProcessAccess
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     stopped: trio.Event = field(default_factory=trio.Event)
 
@@ -140,68 +151,28 @@
         try:
             with self.scope:
                 await self.kernel.run(task_status)
+        except* ProcessKilled:
+            pass
         finally:
             self.stopped.set()
 
     def kill(self) -> None:
         """End the process at once; nothing that it would do while stopping reaches outside."""
-        self.access.dead = True
+        self.access.gate.dead = True
         self.scope.cancel()
 
+    def freeze(self) -> None:
+        """Stop the process until `thaw`, as SIGSTOP does."""
+        self.access.gate.freeze()
+
+    def thaw(self) -> None:
+        """Let the process go on."""
+        self.access.gate.thaw()
+
 
-class InProcessAccess(PlatformAccess):
-    """Reaches the stand-ins of a world."""
-
-    def __init__(self, kernel: Kernel, world: World, host: str) -> None:
-        super().__init__(kernel)
-        self._world = world
-        self._host = host
-        self.dead = False
-        self.app_by_address: dict[str, AsgiApp] = {}
-        self.object_api = InProcessObjectApi(world.store)
-        self.instance_list = world.listed
-
-    def engine(self, member: Member) -> EngineClient:
-        """Make the client of an engine."""
-        standin = self._world.engine_by_id[RunnerId(member.id)]
-        silence_s = self.kernel.settings.number("engines", "silence_s")
-        return InProcessEngine(standin.live, standin.faults, silence_s, lambda: self.dead)
-
-    def plain(self, member: Member) -> PlainService:
-        """Make the client of a plain service's runner."""
-        return self._world.plain_by_id[member.id]
-
-    async def open_stream(self, host: str, port: int) -> trio.abc.Stream:
-        """Connect to a peer."""
-        return await self._world.network.connect(self._host, host, port)
-
-    async def serve_streams(
-        self,
-        handler: Callable[[trio.abc.Stream], Awaitable[None]],
-        host: str,
-        port: int,
-        task_status: trio.TaskStatus[object],
-    ) -> None:
-        """Serve peers."""
-        await self._world.network.serve(handler, host, port, task_status)
-
-    async def serve_http(
-        self,
-        app: AsgiApp,
-        address: str,
-        stop: trio.Event,
-        task_status: trio.TaskStatus[object],
-    ) -> None:
-        """Keep the application for a test to call; no socket is opened."""
-        self.app_by_address[address] = app
-        task_status.started()
-        await stop.wait()
-
-    def _keys(self) -> list[bytes]:
-        return [SESSION_KEY]
-
-
-def _settings(name: str, program: Program, host: str, zone: str):
+def _settings(
+    name: str, program: Program, host: str, zone: str, given: dict[str, dict[str, str]]
+) -> Settings:
     steward = program is Program.STEWARD
     sections = {
         "instance": {
@@ -215,6 +186,8 @@
     }
     if not steward:
         sections["caller"] = {"address": f"{host}:{PORTS['caller']}"}
+    for section, values in given.items():
+        sections[section] = sections.get(section, {}) | values
     return schema_of(program).check(name, sections)
 
 
--- /dev/null
+++ b/tests/matrix/paths.py
@@ -0,0 +1,200 @@
+"""The columns of the matrix: the steps of each path, and how a cell walks the path to one."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import trio
+
+from egretstack.platform import ObjectKind
+from standins.gate import Gate, Seam
+from tests.matrix.faults import Fault, Target
+from tests.matrix.history import CallRan, Path
+from tests.matrix.site import ANSWER_LIFE_S, ENGINES, ENTRIES, PLAIN, Site
+
+FOCUS = "focus"
+FOCUS_ENTRY = ENTRIES[0]
+SESSION_TOKENS = 40
+MIDDLE = 15
+LONG_TOKENS = 130
+"""A session that outlives the answers that callers keep, at ten tokens a second."""
+
+
+class Striker:
+    """Lets the faults of a cell strike once, when the step is reached."""
+
+    def __init__(self, site: Site, path: Path, faults: tuple[Fault, ...]) -> None:
+        self._site = site
+        self._path = path
+        self._faults = faults
+        self.entry = FOCUS_ENTRY
+        self.struck = False
+        self.healed = trio.Event()
+
+    def strike(self, upstream: str | None = None) -> None:
+        """Strike now; `upstream` is the one at work, by default the one given the request."""
+        if self.struck:
+            return
+        self.struck = True
+        found = upstream or self._site.upstream_of(FOCUS)
+        default = PLAIN[0] if self._path is Path.CALL else ENGINES[0]
+        target = Target(self._path, self.entry, found or default)
+        for fault in self._faults:
+            fault.strike(self._site, target)
+        self._site.world.nursery.start_soon(self._heal, target)
+
+    async def _heal(self, target: Target) -> None:
+        async with trio.open_nursery() as nursery:
+            for fault in self._faults:
+                nursery.start_soon(fault.heal, self._site, target)
+        self.healed.set()
+
+    def at(self, process: str, seam: Seam, matches: Callable[[object], bool]) -> None:
+        """Strike when a process reaches a seam with a subject that matches."""
+
+        def observe(gate: Gate, reached: Seam, subject: object) -> None:
+            if gate.process == process and reached is seam and matches(subject):
+                self.strike()
+
+        self._site.world.observers.append(observe)
+
+
+Walk = Callable[[Site, Striker], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class Step:
+    """One step of a path: its name, and the walk that strikes at it."""
+
+    path: Path
+    name: str
+    walk: Walk
+
+
+async def _placing(site: Site, striker: Striker) -> None:
+    striker.at(FOCUS_ENTRY, Seam.ENGINE_ASKED, lambda prompt: f"r:{FOCUS} " in prompt)
+    await site.session(FOCUS, length=SESSION_TOKENS).run()
+
+
+async def _before_first_token(site: Site, striker: Striker) -> None:
+    striker.at(FOCUS_ENTRY, Seam.ENGINE_ACCEPTED, lambda prompt: f"r:{FOCUS} " in prompt)
+    await site.session(FOCUS, length=SESSION_TOKENS).run()
+
+
+def _at_token(number: int) -> Walk:
+    async def walk(site: Site, striker: Striker) -> None:
+        caller = site.session(FOCUS, length=SESSION_TOKENS)
+        caller.on_token.append(lambda count: striker.strike() if count == number else None)
+        await caller.run()
+
+    return walk
+
+
+async def _reconnect(site: Site, striker: Striker) -> None:
+    caller = site.session(FOCUS, length=SESSION_TOKENS, leaves_at=MIDDLE)
+    caller.before_return.append(striker.strike)
+    await caller.run()
+
+
+async def _before_intent(site: Site, striker: Striker) -> None:
+    await site.call(FOCUS, before_ask=[striker.strike]).run()
+
+
+async def _intent_written(site: Site, striker: Striker) -> None:
+    striker.at(FOCUS_ENTRY, Seam.STORE_WRITE, lambda kind: kind is ObjectKind.LEDGER)
+    await site.call(FOCUS).run()
+
+
+async def _dispatch(site: Site, striker: Striker) -> None:
+    striker.at(FOCUS_ENTRY, Seam.CALL_SENT, lambda call: call.method == "POST")
+    await site.call(FOCUS).run()
+
+
+async def _answer(site: Site, striker: Striker) -> None:
+    striker.at(FOCUS_ENTRY, Seam.CALL_RAN, lambda call: call.method == "POST")
+    await site.call(FOCUS).run()
+
+
+async def _outcome_written(site: Site, striker: Striker) -> None:
+    def ran(kind: object) -> bool:
+        return kind is ObjectKind.LEDGER and any(
+            one.request == FOCUS for one in site.history.of(CallRan)
+        )
+
+    striker.at(FOCUS_ENTRY, Seam.STORE_WRITE, ran)
+    await site.call(FOCUS).run()
+
+
+async def _repeat(site: Site, striker: Striker) -> None:
+    await site.call(FOCUS).run()
+    others = (ENTRIES[1], ENTRIES[0], ENTRIES[2])
+    await site.call(FOCUS, others, before_ask=[striker.strike]).run()
+
+
+async def _parts_written(site: Site, striker: Striker) -> None:
+    striker.at("operator", Seam.STORE_WRITE, lambda kind: kind is ObjectKind.CONFIG_PART)
+    await site.change()
+
+
+async def _head_update(site: Site, striker: Striker) -> None:
+    striker.at("operator", Seam.STORE_WRITE, lambda kind: kind is ObjectKind.CONFIG_HEAD)
+    await site.change()
+
+
+async def _fan_out(site: Site, striker: Striker) -> None:
+    await site.change()
+    striker.strike()
+    await trio.sleep(3)
+
+
+async def _drained(site: Site, strikes: Callable[[trio.Nursery], None]) -> None:
+    """Stop the focus entry while a long session and calls are in progress on it."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(site.session(FOCUS, length=LONG_TOKENS).run)
+        nursery.start_soon(site.call("focus-call").run)
+        await trio.sleep(0.2)
+        strikes(nursery)
+        await site.stop(FOCUS_ENTRY)
+
+
+def _drain_after(delay_s: float) -> Walk:
+    async def walk(site: Site, striker: Striker) -> None:
+        async def strike_later() -> None:
+            await trio.sleep(delay_s)
+            striker.strike()
+
+        await _drained(site, lambda nursery: nursery.start_soon(strike_later))
+
+    return walk
+
+
+async def _drain_stop(site: Site, striker: Striker) -> None:
+    async def strike_at_end() -> None:
+        caller = site.session("last", length=LONG_TOKENS + 20)
+        caller.on_token.append(
+            lambda count: striker.strike("engine-1") if count == caller.length else None
+        )
+        await caller.run()
+
+    await _drained(site, lambda nursery: nursery.start_soon(strike_at_end))
+
+
+STEPS: tuple[Step, ...] = (
+    Step(Path.SESSION, "placing", _placing),
+    Step(Path.SESSION, "before_first_token", _before_first_token),
+    Step(Path.SESSION, "mid_stream", _at_token(MIDDLE)),
+    Step(Path.SESSION, "reconnect", _reconnect),
+    Step(Path.SESSION, "last_token", _at_token(SESSION_TOKENS)),
+    Step(Path.CALL, "before_intent", _before_intent),
+    Step(Path.CALL, "intent_written", _intent_written),
+    Step(Path.CALL, "dispatch", _dispatch),
+    Step(Path.CALL, "answer", _answer),
+    Step(Path.CALL, "outcome_written", _outcome_written),
+    Step(Path.CALL, "repeat", _repeat),
+    Step(Path.CHANGE, "parts_written", _parts_written),
+    Step(Path.CHANGE, "head_update", _head_update),
+    Step(Path.CHANGE, "fan_out", _fan_out),
+    Step(Path.DRAIN, "begun", _drain_after(0)),
+    Step(Path.DRAIN, "answers_life", _drain_after(ANSWER_LIFE_S / 2)),
+    Step(Path.DRAIN, "in_progress", _drain_after(ANSWER_LIFE_S + 3)),
+    Step(Path.DRAIN, "stop", _drain_stop),
+)
--- /dev/null
+++ b/tests/matrix/results.py
@@ -0,0 +1,56 @@
+"""Runs many cells in a few worker processes, each cell by itself and from one seed."""
+
+from concurrent.futures import Future, ProcessPoolExecutor
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from tests.matrix.cells import SEED, Cell, run_cell
+from tests.matrix.points import Violation
+from tests.matrix.table import CELLS
+
+WORKERS = 3
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """What a cell showed, without its history."""
+
+    broken: tuple[Violation, ...] = ()
+    other: tuple[str, ...] = ()
+
+    @property
+    def passed(self) -> bool:
+        """Tell whether the cell came to its end and broke nothing."""
+        return not self.broken and not self.other
+
+    def __str__(self) -> str:
+        lines = [f"{one.point.name}: {one.detail}" for one in self.broken]
+        return "; ".join([*lines, *self.other])
+
+
+def judge(name: str, seed: int = SEED) -> Verdict:
+    """Run a cell of the table; an error that ends it is part of the verdict."""
+    logger.remove()
+    try:
+        result = run_cell(CELLS[name], seed)
+    except Exception as error:
+        return Verdict(other=(f"the cell ended with {error!r}",))
+    return Verdict(tuple(result.broken), tuple(result.other))
+
+
+@dataclass
+class Results:
+    """Verdicts by name of cell; the first one asked for starts them all."""
+
+    names: list[str]
+    _pool: ProcessPoolExecutor | None = None
+    _future_by_name: dict[str, Future[Verdict]] = field(default_factory=dict)
+
+    def of(self, cell: Cell) -> Verdict:
+        """Wait for the verdict of a cell."""
+        if self._pool is None:
+            self._pool = ProcessPoolExecutor(WORKERS)
+            self._future_by_name = {name: self._pool.submit(judge, name) for name in self.names}
+            self._pool.shutdown(wait=False)
+        return self._future_by_name[cell.name].result()
--- /dev/null
+++ b/tests/matrix/table.py
@@ -0,0 +1,35 @@
+"""The table of cells: every fault at every step, the pairs, and the cells that cannot occur."""
+
+from itertools import combinations
+
+from tests.matrix.cells import Cell
+from tests.matrix.faults import FAULT_BY_NAME
+from tests.matrix.history import Path
+from tests.matrix.paths import STEPS
+
+PAIR_STEPS = ((Path.SESSION, "mid_stream"), (Path.CALL, "dispatch"))
+"""The steps at which every two faults strike together."""
+
+ORDER_STEPS = ("lease_taken", "order_sent", "holder_change")
+
+CANNOT_OCCUR: dict[str, str] = {}
+"""By name of cell: why the fault cannot strike at that step."""
+
+NOT_PROVED: dict[str, str] = {
+    f"test_order_{step}__{fault}": "no cell yet: no program gives orders to engines"
+    for step in ORDER_STEPS
+    for fault in FAULT_BY_NAME
+}
+"""By name of cell: why it is not run though it can occur."""
+
+
+def _single() -> list[Cell]:
+    return [Cell(step, (fault,)) for step in STEPS for fault in FAULT_BY_NAME]
+
+
+def _pairs() -> list[Cell]:
+    steps = [step for step in STEPS if (step.path, step.name) in PAIR_STEPS]
+    return [Cell(step, pair) for step in steps for pair in combinations(FAULT_BY_NAME, 2)]
+
+
+CELLS: dict[str, Cell] = {cell.name: cell for cell in _single() + _pairs()}
