--- a/egretstack/upstreams/_engine.py
+++ b/egretstack/upstreams/_engine.py
@@ -21,6 +21,10 @@
     """No connection was made: nothing was sent."""
 
 
+class EngineNoAnswer(EngineUnreachable):
+    """No connection was made in time; the engine may be stalled, or gone without a sign."""
+
+
 class EngineRefused(EngineError):
     """The engine answered that it takes no new generation now."""
 
@@ -94,6 +98,8 @@
     kv_used_tokens: int
     kv_capacity_tokens: int
     preemptions: int
+    leaving: bool = False
+    """The engine says that it is to get no new work."""
 
 
 @dataclass(frozen=True)
@@ -151,6 +157,10 @@
     async def cache_events(self, after: int) -> list[CacheEvent]:
         """Read cache events numbered above `after`; numbers may be missing."""
 
+    @abstractmethod
+    async def models(self) -> tuple[ModelName, ...]:
+        """Read which models the engine serves now. Raises EngineError."""
+
     @abstractmethod
     async def order(self, order: Order) -> None:
         """Give an order. Raises OrderRefused, EngineError."""
--- a/standins/access.py
+++ b/standins/access.py
@@ -10,9 +10,9 @@
 from egretstack.callers import AsgiApp
 from egretstack.delivery import TokenBox
 from egretstack.errors import NotRunProof
-from egretstack.ids import GenerationId, RunnerId
+from egretstack.ids import GenerationId, ModelName, RunnerId
 from egretstack.kernel import Kernel
-from egretstack.platform import InstanceList, Member, ObjectApi
+from egretstack.platform import InstanceList, Member
 from egretstack.services.platform_access import PlatformAccess
 from egretstack.upstreams import (
     CacheEvent,
@@ -72,6 +72,10 @@
         """Ask after a generation."""
         return await self._gate.through(lambda: self._inner.state(generation))
 
+    async def models(self) -> tuple[ModelName, ...]:
+        """Read which models the engine serves."""
+        return await self._gate.through(self._inner.models)
+
     async def load(self) -> LoadReport:
         """Read the load report."""
         return await self._gate.through(self._inner.load)
@@ -121,11 +125,16 @@
         self._gate = gate
         self._nursery = nursery
 
-    async def call(self, request: CallRequest) -> CallResponse:
-        """Make a call."""
+    async def call(
+        self, request: CallRequest, check: Callable[[], None] | None = None
+    ) -> CallResponse:
+        """Make a call; a freeze strikes between the last check and the first byte."""
         await self._gate.wait()
-        await self._gate.reached(Seam.CALL_SENT, request)
         await self._connect()
+        if check is not None:
+            check()
+        await self._gate.reached(Seam.CALL_SENT, request)
+        self._refuse_dead()
         with trio.move_on_after(request.timeout_s):
             answer = await self._exchange(request)
             await self._gate.reached(Seam.CALL_RAN, request)
@@ -135,9 +144,14 @@
         raise OutcomeUnknown("no answer in time")
 
     async def _connect(self) -> None:
+        if self._inner.connecting is not None:
+            await self._inner.connecting.wait()
         if self._faults.stalled:
             await trio.sleep(CONNECT_TIMEOUT_S)
             raise Unsent(NotRunProof("connection timed out"))
+        self._refuse_dead()
+
+    def _refuse_dead(self) -> None:
         if self._faults.dead:
             raise Unsent(NotRunProof("connection refused"))
 
@@ -216,7 +230,8 @@
         self._host = host
         self.gate = gate
         self.app_by_address: dict[str, AsgiApp] = {}
-        self.object_api: ObjectApi = GatedObjectApi(InProcessObjectApi(world.store), gate)
+        self.store_client = GatedObjectApi(InProcessObjectApi(world.store), gate)
+        self.object_api = self.budgeted(self.store_client)
         self.instance_list = GatedList(world.listed, gate)
 
     def engine(self, member: Member) -> EngineClient:
@@ -257,6 +272,8 @@
         app: AsgiApp,
         address: str,
         stop: trio.Event,
+        send_timeout_s: float = 0.0,
+        *,
         task_status: trio.TaskStatus[object],
     ) -> None:
         """Serve callers of the world's own network; a test may also call the application."""
--- a/standins/gate.py
+++ b/standins/gate.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from egretstack.platform import ObjectApi, ObjectKind, StoredObject, WatchChange
+from egretstack.platform import WATCH_LIFE_S, ObjectApi, ObjectKind, StoredObject, WatchChange
 from standins.object_store import InProcessObjectApi
 
 T = TypeVar("T")
@@ -127,11 +127,11 @@
 
     @asynccontextmanager
     async def watch(
-        self, kind: ObjectKind, since: str | None
+        self, kind: ObjectKind, since: str | None, life_s: float = WATCH_LIFE_S
     ) -> AsyncIterator[AsyncIterator[WatchChange]]:
         """Follow changes."""
         await self._gate.wait()
-        async with self.inner.watch(kind, since) as changes:
+        async with self.inner.watch(kind, since, life_s) as changes:
             yield self._changes(changes)
 
     async def _changes(self, changes: AsyncIterator[WatchChange]) -> AsyncIterator[WatchChange]:
--- a/standins/live_engine.py
+++ b/standins/live_engine.py
@@ -93,6 +93,7 @@
         """Told of each generation that the engine accepts."""
         self.text: Callable[[Generation], str] = _word
         """Gives the text of a generation's next token."""
+        self.leaving = False
         self._checks_fencing = checks_fencing
         self._fencing = 0
         self._rng = random.Random(seed)
@@ -142,6 +143,7 @@
             kv_used_tokens=snapshot.kv_used_tokens,
             kv_capacity_tokens=self.model.parameters.kv_capacity_tokens,
             preemptions=snapshot.preemptions,
+            leaving=self.leaving,
         )
 
     def cache_events(self, after: int) -> list[CacheEvent]:
--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass, field
 from unittest import mock
 
-import httpx
 import trio
 import trio.testing
 
@@ -79,6 +78,7 @@
             await _walk(site, cell, striker)
         if limit.cancelled_caught:
             other.append("the cell did not come to its end")
+        other.extend(f"{name} does not serve what it should" for name in site.unconverged())
         if not striker.struck:
             other.append("the step was not reached")
     history = site.history
@@ -137,7 +137,6 @@
     with (
         mock.patch.object(random, "Random", make),
         mock.patch.object(secrets, "token_hex", lambda size=16: source.randbytes(size).hex()),
-        mock.patch.object(httpx, "AsyncClient", _NoClient),
         mock.patch.object(core, "_ALLOW_DETERMINISTIC_SCHEDULING", True),
     ):
         core._r.seed(seed)
@@ -145,16 +144,3 @@
 
 
 _Random = random.Random
-
-
-class _NoClient:
-    """In place of HTTP clients that no process of a cell uses; making one loads certificates."""
-
-    def __init__(self, **settings: object) -> None:
-        self.settings = settings
-
-    async def __aenter__(self) -> "_NoClient":
-        return self
-
-    async def __aexit__(self, *error: object) -> None:
-        return None
--- a/tests/matrix/faults.py
+++ b/tests/matrix/faults.py
@@ -98,7 +98,7 @@
         """Lose all that open connections carry from now on."""
         now_s = trio.current_time()
         if target.path is Path.CHANGE:
-            site.world.network.silent_before_s = now_s
+            site.world.network.silence_open_streams()
             site.world.store.faults.silent_watches = True
         elif target.upstream in site.world.engine_by_id:
             faults = site.world.engine_by_id[target.upstream].faults
--- a/tests/matrix/paths.py
+++ b/tests/matrix/paths.py
@@ -5,7 +5,9 @@
 
 import trio
 
+from egretstack.duties import LEASE_LIFE_S
 from egretstack.platform import ObjectKind
+from egretstack.services.duties import Duties
 from standins.gate import Gate, Seam
 from tests.matrix.faults import Fault, Target
 from tests.matrix.history import CallRan, Path
@@ -15,6 +17,7 @@
 FOCUS_ENTRY = ENTRIES[0]
 SESSION_TOKENS = 40
 MIDDLE = 15
+TAKEOVER_S = 3 * LEASE_LIFE_S
 LONG_TOKENS = 130
 """A session that outlives the answers that callers keep, at ten tokens a second."""
 
@@ -57,6 +60,19 @@
 
         self._site.world.observers.append(observe)
 
+    def at_steward(
+        self, seam: Seam, matches: Callable[[object], bool], but: tuple[str, ...] = ()
+    ) -> None:
+        """Strike the instance whose steward reaches a seam with a subject that matches."""
+
+        def observe(gate: Gate, reached: Seam, subject: object) -> None:
+            instance, _, program = gate.process.partition(".")
+            if program and instance not in but and reached is seam and matches(subject):
+                self.entry = instance
+                self.strike()
+
+        self._site.world.observers.append(observe)
+
 
 Walk = Callable[[Site, Striker], Awaitable[None]]
 
@@ -146,6 +162,50 @@
     await trio.sleep(3)
 
 
+def _holder(site: Site) -> str:
+    """Give the instance whose steward holds the duty of the engines."""
+    for name in ENTRIES:
+        if site.process_by_name[f"{name}.steward"].kernel.get(Duties).held():
+            return name
+    raise AssertionError("no steward holds the duty")
+
+
+def _is_lease(kind: object) -> bool:
+    return kind is ObjectKind.LEASE
+
+
+async def _lease_taken(site: Site, striker: Striker) -> None:
+    holder = _holder(site)
+    striker.at_steward(Seam.STORE_WRITTEN, _is_lease, but=(holder,))
+    site.kill(f"{holder}.steward")
+    await site.add_model()
+    await trio.sleep(TAKEOVER_S)
+
+
+async def _order_sent(site: Site, striker: Striker) -> None:
+    striker.at_steward(Seam.ORDER_SENT, lambda order: True)
+    await site.add_model()
+    await trio.sleep(TAKEOVER_S)
+
+
+async def _holder_change(site: Site, striker: Striker) -> None:
+    """Freeze the holder as its order is about to leave; the next one gives orders; thaw."""
+    holder = _holder(site)
+    steward = f"{holder}.steward"
+    striker.at_steward(Seam.ORDER_SENT, lambda order: True, but=(holder,))
+
+    def freeze(gate: Gate, seam: Seam, subject: object) -> None:
+        if gate.process == steward and seam is Seam.ORDER_SENT and not gate.frozen:
+            site.freeze(steward)
+
+    site.world.observers.append(freeze)
+    await site.add_model()
+    await trio.sleep(TAKEOVER_S)
+    site.world.observers.remove(freeze)
+    site.thaw(steward)
+    await trio.sleep(TAKEOVER_S)
+
+
 async def _drained(site: Site, strikes: Callable[[trio.Nursery], None]) -> None:
     """Stop the focus entry while a long session and calls are in progress on it."""
     async with trio.open_nursery() as nursery:
@@ -193,6 +253,9 @@
     Step(Path.CHANGE, "parts_written", _parts_written),
     Step(Path.CHANGE, "head_update", _head_update),
     Step(Path.CHANGE, "fan_out", _fan_out),
+    Step(Path.ORDER, "lease_taken", _lease_taken),
+    Step(Path.ORDER, "order_sent", _order_sent),
+    Step(Path.ORDER, "holder_change", _holder_change),
     Step(Path.DRAIN, "begun", _drain_after(0)),
     Step(Path.DRAIN, "answers_life", _drain_after(ANSWER_LIFE_S / 2)),
     Step(Path.DRAIN, "in_progress", _drain_after(ANSWER_LIFE_S + 3)),
--- a/tests/matrix/site.py
+++ b/tests/matrix/site.py
@@ -17,6 +17,7 @@
 from egretstack.replay import EngineParameters
 from egretstack.services.configuration import Configuration
 from egretstack.settings import Program
+from egretstack.upstreams import Order
 from standins.gate import Gate, GatedObjectApi
 from standins.live_engine import Generation
 from standins.object_store import InProcessObjectApi
@@ -33,6 +34,7 @@
     InForce,
     Killed,
     LeavingBegan,
+    OrderTaken,
     StopBegan,
     Stopped,
     Thawed,
@@ -53,6 +55,8 @@
     "limits": {"requests_per_s": "100", "burst": "1000", "concurrency": "1000"},
 }
 CONTRACT_PART = "contract.acme"
+ENGINE_PART = "service.llm"
+MORE_MODELS = ("story", "poem")
 ENGINE_SERVICE = {"service": {"name": "llm", "kind": "engine"}, "engine": {"models": "story"}}
 PLAIN_SERVICE = {"service": {"name": "holds", "kind": "plain"}}
 SETTINGS = {"caller": {"answer_life_s": str(ANSWER_LIFE_S), "heartbeat_s": "3"}}
@@ -70,6 +74,11 @@
         super().__setitem__(key, count)
 
 
+def _digests(spec: dict) -> dict[str, str]:
+    """Give each part's version at a head; the few parts of a cell are all in the head itself."""
+    return {part: digest for part, digest in spec["since"].items() if digest is not None}
+
+
 def _marker(prompt: str) -> str:
     return prompt.partition("r:")[2].partition(" ")[0]
 
@@ -136,10 +145,24 @@
 
     async def change(self, operator: str = "operator", base: str | None = None) -> None:
         """Change the contract as an operator who starts from version `base` or the present."""
+        limits = CONTRACT["limits"] | {"burst": str(1001 + self.changes)}
+        await self.apply(CONTRACT_PART, CONTRACT | {"limits": limits}, operator, base)
+
+    async def add_model(self) -> None:
+        """Change what the engines have to serve."""
+        sections = ENGINE_SERVICE | {"engine": {"models": ",".join(MORE_MODELS)}}
+        await self.apply(ENGINE_PART, sections)
+
+    async def apply(
+        self,
+        part: str,
+        sections: dict[str, dict[str, str]],
+        operator: str = "operator",
+        base: str | None = None,
+    ) -> None:
+        """Change a part and record what the operator is told."""
         self.changes += 1
         change_id = ChangeId(f"{operator}-{self.changes}")
-        limits = CONTRACT["limits"] | {"burst": str(1000 + self.changes)}
-        sections = CONTRACT | {"limits": limits}
         api = GatedObjectApi(
             InProcessObjectApi(self.world.store), Gate(operator, self.world.observers)
         )
@@ -147,8 +170,8 @@
         answer, revision = ChangeAnswer.AWAY, 0
         try:
             if base is None:
-                base = (await store.head()).digest_by_part[CONTRACT_PART]
-            change = Change(change_id, {CONTRACT_PART: sections}, {CONTRACT_PART: base})
+                base = (await store.head()).digest_by_part[part]
+            change = Change(change_id, {part: sections}, {part: base})
             revision = (await store.apply(change)).revision
             answer = ChangeAnswer.ACCEPTED
         except ApplyConflict:
@@ -157,17 +180,34 @@
             answer = ChangeAnswer.UNKNOWN
         except PlatformAway:
             answer = ChangeAnswer.AWAY
-        self.history.add(ChangeTold, str(change_id), CONTRACT_PART, answer, revision, base or "")
+        self.history.add(ChangeTold, str(change_id), part, answer, revision, base or "")
 
     def contract_digest(self) -> str:
         """Give the version of the contract in the store now."""
         head = self.world.store.by_place[ObjectKind.CONFIG_HEAD, "head"]
-        return head.spec["parts"][CONTRACT_PART]
+        return _digests(head.spec)[CONTRACT_PART]
 
     def entry_names(self) -> tuple[str, ...]:
         """Give the entries whose processes run."""
         return tuple(name for name in ENTRIES if not self.process_by_name[name].stopped.is_set())
 
+    def unconverged(self) -> list[str]:
+        """Give the live engines that do not serve what the configuration in the store says."""
+        heads = self.world.store.by_place[ObjectKind.CONFIG_HEAD, "head"].spec
+        digest = _digests(heads)[ENGINE_PART]
+        place = (ObjectKind.CONFIG_PART, f"{ENGINE_PART}.{digest}")
+        wanted = set(
+            self.world.store.by_place[place].spec["sections"]["engine"]["models"].split(",")
+        )
+        return [
+            name
+            for name, engine in self.world.engine_by_id.items()
+            if name in self.world.listed.by_id
+            and not engine.faults.dead
+            and self.world.listed.by_id[name].state is MemberState.LIVE
+            and set(engine.live.models) != wanted
+        ]
+
     def upstream_of(self, request: str) -> str | None:
         """Give the upstream that was given a request last."""
         given = [one for one in self.history.of(WorkGiven) if one.request == request]
@@ -189,7 +229,7 @@
     def _note_heads(self, seen: int) -> int:
         for version, change in self.world.store.since(ObjectKind.CONFIG_HEAD, seen):
             spec = change.object.spec
-            self.history.add(HeadWritten, spec["revision"], spec["change_id"], dict(spec["parts"]))
+            self.history.add(HeadWritten, spec["revision"], spec["change_id"], _digests(spec))
             seen = version
         return seen
 
@@ -211,6 +251,7 @@
             site.history.add(WorkGiven, name, _marker(generation.prompt), generation.id)
 
         engine.live.on_start = note
+        engine.live.order = _noting_order(site, name, engine.live.order)
         engine.faults.untidy = True
         engine.live.text = lambda one: f"{one.id}:{len(one.events)} "
     site.book = Book(delay_s=CALL_S, runs_by_key=_RecordedRuns(site.history))
@@ -219,11 +260,19 @@
         runner.call = _noting(site, name, runner.call)
 
 
+def _noting_order(site: Site, name: str, take):
+    def noted(order: Order) -> None:
+        take(order)
+        site.history.add(OrderTaken, name, order.id, order.fencing, True)
+
+    return noted
+
+
 def _noting(site: Site, name: str, call):
-    async def noted(request):
+    async def noted(request, check=None):
         if request.method == "POST":
             site.history.add(WorkGiven, name, request.path.removeprefix("/hold/"))
-        return await call(request)
+        return await call(request, check)
 
     return noted
 
--- a/tests/matrix/table.py
+++ b/tests/matrix/table.py
@@ -10,16 +10,10 @@
 PAIR_STEPS = ((Path.SESSION, "mid_stream"), (Path.CALL, "dispatch"))
 """The steps at which every two faults strike together."""
 
-ORDER_STEPS = ("lease_taken", "order_sent", "holder_change")
-
 CANNOT_OCCUR: dict[str, str] = {}
 """By name of cell: why the fault cannot strike at that step."""
 
-NOT_PROVED: dict[str, str] = {
-    f"test_order_{step}__{fault}": "no cell yet: no program gives orders to engines"
-    for step in ORDER_STEPS
-    for fault in FAULT_BY_NAME
-}
+NOT_PROVED: dict[str, str] = {}
 """By name of cell: why it is not run though it can occur."""
 
 
