A refusal before the ledger was read says so; a kept link gone silent costs no peer

Conclusion: a keyed refusal that the ledger did not make is attempt-not-run; the configuration asks a peer again over a new link before it goes on to the next.

--- a/egretstack/callers/_answers.py
+++ b/egretstack/callers/_answers.py
@@ -14,9 +14,9 @@
 _ITEM = "msg_0"
 
 
-def problem(error: EgretError) -> Response:
-    """Build the answer of an error."""
-    document = problem_document(error.kind, error.detail, error.retry_after_s)
+def problem(error: EgretError, *, keyed: bool = False) -> Response:
+    """Build the answer of an error; `keyed` as for `run_state`."""
+    document = problem_document(error.kind, error.detail, error.retry_after_s, keyed=keyed)
     if error.delivered is not None:
         document["delivered_tokens"] = error.delivered
     document["error"] = {"code": error.kind.value, "message": error.detail}
--- a/egretstack/callers/_app.py
+++ b/egretstack/callers/_app.py
@@ -13,6 +13,7 @@
 from egretstack.errors import EgretError, ErrorKind
 from egretstack.events import Event, log
 from egretstack.ids import ServiceName
+from egretstack.ledger import KEY_HEADER
 from egretstack.upstreams import CallRequest, CallResponse
 
 MAX_HEADERS = 100
@@ -141,7 +142,7 @@
     async def refused(error: EgretError) -> Response:
         links.count_refusal(error.kind)
         log(Event.REQUEST_REFUSED, kind=error.kind.value, path=request.path[:80])
-        return problem(error)
+        return problem(error, keyed=KEY_HEADER in request.headers)
 
     @app.errorhandler(RequestEntityTooLarge)
     async def too_large(error: RequestEntityTooLarge) -> Response:
--- a/egretstack/errors/__init__.py
+++ b/egretstack/errors/__init__.py
@@ -2,7 +2,7 @@
 
 from egretstack.errors._exceptions import EgretError, NotRunProof, UserError
 from egretstack.errors._kinds import ErrorKind
-from egretstack.errors._table import ANSWERS, Answer, RunState, problem_document
+from egretstack.errors._table import ANSWERS, Answer, RunState, problem_document, run_state
 
 __all__ = [
     "ANSWERS",
@@ -13,4 +13,5 @@
     "RunState",
     "UserError",
     "problem_document",
+    "run_state",
 ]
--- a/egretstack/errors/_table.py
+++ b/egretstack/errors/_table.py
@@ -16,6 +16,8 @@
     """What is known about whether the refused request ran."""
 
     NOT_RUN = "not-run"
+    ATTEMPT_NOT_RUN = "attempt-not-run"
+    """This attempt did not run; an earlier one with the same Idempotency-Key may have."""
     MAY_HAVE_RUN = "may-have-run"
     RAN_IN_PART = "ran-in-part"
 
@@ -77,7 +79,26 @@
 }
 
 
-def problem_document(kind: ErrorKind, detail: str, retry_after_s: int | None) -> dict[str, object]:
+_KNOWS_THE_KEY = frozenset({ErrorKind.NOT_RUN, ErrorKind.NO_RUNNER, ErrorKind.KEY_REUSED})
+"""Refusals that come after the ledger was read: no earlier attempt with the key ran."""
+
+
+def run_state(kind: ErrorKind, *, keyed: bool) -> RunState:
+    """Tell what a refusal says about running; `keyed`: the request had an Idempotency-Key.
+
+    An entry that refuses before it read the ledger knows of its own attempt alone. Were it to
+    say "not run", a caller whose first attempt ran and whose repeat met an outage would take
+    the call for one that never ran, and make it again under a new key.
+    """
+    run = ANSWERS[kind].run
+    if keyed and run is RunState.NOT_RUN and kind not in _KNOWS_THE_KEY:
+        return RunState.ATTEMPT_NOT_RUN
+    return run
+
+
+def problem_document(
+    kind: ErrorKind, detail: str, retry_after_s: int | None, *, keyed: bool = False
+) -> dict[str, object]:
     """Build the problem detail of one answer (RFC 9457, with two members of our own)."""
     answer = ANSWERS[kind]
     document: dict[str, object] = {
@@ -85,7 +106,7 @@
         "title": answer.title,
         "status": answer.status,
         "detail": detail,
-        "run": answer.run.value,
+        "run": run_state(kind, keyed=keyed).value,
     }
     if retry_after_s is not None:
         document["retry_after_s"] = retry_after_s
--- a/egretstack/services/configuration.py
+++ b/egretstack/services/configuration.py
@@ -8,7 +8,7 @@
 import random
 from contextlib import suppress
 from dataclasses import dataclass
-from functools import cached_property
+from functools import cached_property, partial
 
 import trio
 
@@ -45,6 +45,8 @@
 
 PULL_PERIOD_S = 1.0
 
+PEER_TIMEOUT_S = 1.0
+"""Wait for a peer's answer; a question is asked a second time, over a new link."""
 PEERS_ASKED = 2
 PEERS_ASKED_AT_START = 5
 SNAPSHOT_TRIES = 3
@@ -240,8 +242,21 @@
         number = member.ports.get(port)
         if number is None:
             raise PeerGone(f"no port {port}")
-        peers = self.kernel.get(PeerPort)
-        return await peers.ask(InstanceId(member.id), member.host, number, message)
+        ask = partial(
+            self.kernel.get(PeerPort).ask,
+            InstanceId(member.id),
+            member.host,
+            number,
+            message,
+            timeout_s=PEER_TIMEOUT_S,
+        )
+        try:
+            return await ask()
+        except PeerGone:
+            # A kept link may have gone silent for good while new ones work. Going on to the next
+            # peer would meet the same there: three peers in turn, two seconds each, and a change
+            # would be in force after the five seconds allowed. A question may be asked twice.
+            return await ask()
 
     async def _answer(self, message: ConfigAsk) -> Message:
         found = self.state.delta_since(message.revision, message.change_id)
--- a/standins/gate.py
+++ b/standins/gate.py
@@ -15,7 +15,7 @@
 import trio
 
 from egretstack.platform import WATCH_LIFE_S, ObjectApi, ObjectKind, StoredObject, WatchChange
-from standins.object_store import InProcessObjectApi
+from standins.object_store import InProcessObjectApi, ObjectStore
 
 T = TypeVar("T")
 
@@ -96,6 +96,11 @@
         self.inner = inner
         self._gate = gate
 
+    @property
+    def store(self) -> ObjectStore:
+        """Give the store behind it."""
+        return self.inner.store
+
     @property
     def cut(self) -> bool:
         """Tell whether this process alone is cut off; set it to do so."""
--- a/tests/matrix/test_checkers.py
+++ b/tests/matrix/test_checkers.py
@@ -177,6 +177,14 @@
     check.assertEqual(_broken([*_sound(), told, again]), set())
 
 
+def test_this_attempt_not_run_is_untrue_only_of_the_first_attempt():
+    state = RunState.ATTEMPT_NOT_RUN
+    first = _refusal("k", 6.4, ErrorKind.PLATFORM_AWAY, state)
+    again = [Asked(7.0, "k", Path.CALL, "entry-1"), replace(first, at_s=7.1)]
+    check.assertIn(Point.NOT_RUN_IS_TRUE, _broken([*_sound(), first]))
+    check.assertNotIn(Point.NOT_RUN_IS_TRUE, _broken([*_sound(), *again]))
+
+
 def test_not_run_for_a_generation_that_began_is_caught():
     told = _refusal("s", 5.2, ErrorKind.NO_RUNNER, RunState.NOT_RUN)
     check.assertIn(Point.NOT_RUN_IS_TRUE, _broken([*_sound(), told]))
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -1,6 +1,6 @@
 """The closed list of error kinds and its table."""
 
-from egretstack.errors import ANSWERS, EgretError, ErrorKind, NotRunProof, RunState
+from egretstack.errors import ANSWERS, EgretError, ErrorKind, NotRunProof, RunState, run_state
 from tests.support import check, tests_of
 
 load_tests = tests_of(globals())
@@ -25,3 +25,13 @@
 def test_kinds_after_dispatch_never_say_not_run():
     for kind in (ErrorKind.OUTCOME_UNKNOWN, ErrorKind.IN_PROGRESS, ErrorKind.UPSTREAM_FAILED):
         check.assertIsNot(ANSWERS[kind].run, RunState.NOT_RUN)
+
+
+def test_a_refusal_before_the_ledger_was_read_speaks_of_its_own_attempt_alone():
+    # A seat hold ran and its answer was lost; the caller repeats it while the store is away.
+    # Told "not run", it would hold the seat again under a new key.
+    check.assertIs(run_state(ErrorKind.PLATFORM_AWAY, keyed=True), RunState.ATTEMPT_NOT_RUN)
+    check.assertIs(run_state(ErrorKind.DRAINING, keyed=True), RunState.ATTEMPT_NOT_RUN)
+    check.assertIs(run_state(ErrorKind.NOT_RUN, keyed=True), RunState.NOT_RUN)
+    check.assertIs(run_state(ErrorKind.PLATFORM_AWAY, keyed=False), RunState.NOT_RUN)
+    check.assertIs(run_state(ErrorKind.OUTCOME_UNKNOWN, keyed=True), RunState.MAY_HAVE_RUN)
