--- a/tests/process/site.py
+++ b/tests/process/site.py
@@ -108,9 +108,9 @@
     for url in (f"{PLATFORM}/calls", f"http://{engine}/metrics", f"http://{plain}/ready"):
         await site.wait_for(url)
     hosts = {f"entry-{number}": f"{NET}.0.{number + 11}" for number in range(entries)}
-    await _list(site, "egret-entry", hosts, PORTS)
-    await _list(site, "llm", {"engine-0": f"{NET}.1.1"}, {"http": 8000})
-    await _list(site, "holds", {"holds-0": f"{NET}.1.2"}, {"http": 8000})
+    await list_members(site, "egret-entry", hosts, PORTS)
+    await list_members(site, "llm", {"engine-0": f"{NET}.1.1"}, {"http": 8000})
+    await list_members(site, "holds", {"holds-0": f"{NET}.1.2"}, {"http": 8000})
     await _configure(site)
     (site.folder / "session.keys").write_text(new_session_key() + "\n")
     for name, host in hosts.items():
@@ -134,7 +134,10 @@
         await trio.run_process(command, stdout=subprocess.DEVNULL)
 
 
-async def _list(site: Site, service: str, hosts: dict[str, str], ports: dict[str, int]) -> None:
+async def list_members(
+    site: Site, service: str, hosts: dict[str, str], ports: dict[str, int]
+) -> None:
+    """Have the instance list name these members of a service."""
     body = {
         "metadata": {"name": service, "labels": {"kubernetes.io/service-name": service}},
         "ports": [{"name": port, "port": number} for port, number in ports.items()],
