--- a/standins/world.py
+++ b/standins/world.py
@@ -167,6 +167,7 @@
         """End the process at once; nothing that it would do while stopping reaches outside."""
         self.access.gate.dead = True
         self.access.gate.thaw()
+        self.access.store_client.cut = True
         self.scope.cancel()
 
     def freeze(self) -> None:
