--- a/tests/matrix/points.py
+++ b/tests/matrix/points.py
@@ -19,7 +19,6 @@
     LeavingBegan,
     NotListening,
     OrderTaken,
-    Path,
     Refused,
     StopBegan,
     Stopped,
@@ -234,11 +233,6 @@
     return broken
 
 
-def sessions_of(history: History) -> list[str]:
-    """Give the names of the sessions that were asked for."""
-    return [one.request for one in history.of(Asked) if one.path is Path.SESSION]
-
-
 def _short(numbers: list[int]) -> str:
     if len(numbers) <= 12:
         return str(numbers)
