A longer listening queue, and links that hold a tenth of the memory

Cause 1: connections opened together waited for over a second, or were reset: the server library listens with a backlog of 100 and the kernel drops what comes above. The test fails with a backlog of 100: connect times out.

Cause 2: each end of a link asked for 1,089,841 bytes for msgpack's default read_size; 106,801 with 64 KiB. The test fails without it.

--- a/egretstack/peers/_link.py
+++ b/egretstack/peers/_link.py
@@ -59,7 +59,7 @@
 
     def __init__(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
-        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        self._unpacker = msgpack.Unpacker(read_size=READ_BYTES, max_buffer_size=MAX_MESSAGE_BYTES)
         self._sending = trio.Lock()
         self.peer = InstanceId("")
         self.sent_bytes = 0
--- a/egretstack/services/platform_access.py
+++ b/egretstack/services/platform_access.py
@@ -34,6 +34,12 @@
 CONNECT_TIMEOUT_S = 2.0
 IDLE_CONNECTION_S = 75
 STOP_GRACE_S = 1.0
+LISTEN_BACKLOG = 2048
+"""Connections that may wait to be accepted.
+
+With the library's 100, callers that all connect at once (after another entry died) overflow the
+queue: the kernel drops their first packets, and they wait for a second or more to try again.
+"""
 SEND_TIMEOUT_S = 30.0
 SEND_BUFFER_BYTES = 131_072
 MAX_KEY_FILE_BYTES = 65_536
@@ -121,6 +127,7 @@
         """
         config = _BoundedConfig(send_timeout_s)
         config.bind = [address]
+        config.backlog = LISTEN_BACKLOG
         config.accesslog = None
         config.errorlog = None
         config.keep_alive_timeout = IDLE_CONNECTION_S
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -17,6 +17,8 @@
 from standins.plain_service import Book, make_plain_app
 from standins.platform_http import ListedServices, make_platform_app
 
+LISTEN_BACKLOG = 2048
+
 app = App(name="standins", help="Stand-ins for engines, plain services and the platform.")
 
 
@@ -62,6 +64,7 @@
 async def _serve(quart_app: QuartTrio, address: str) -> None:
     config = Config()
     config.bind = [address]
+    config.backlog = LISTEN_BACKLOG
     config.accesslog = None
     config.graceful_timeout = 0.2
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- /dev/null
+++ b/tests/process/test_listening.py
@@ -0,0 +1,70 @@
+"""The listening socket of an entry's HTTP port."""
+
+import socket
+import sys
+from contextlib import ExitStack
+
+import trio
+from quart_trio import QuartTrio
+
+from egretstack.kernel import Kernel
+from egretstack.services.platform_access import PlatformAccess
+from egretstack.settings import Program, schema_of
+from standins.access import SESSION_KEY
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+CALLERS = 300
+HOST = "127.0.0.1"
+CONNECT_LIMIT_S = 30
+TOTAL_RETRANS_AT = 100
+_SETTINGS = {
+    "instance": {
+        "id": "entry",
+        "zone": "a",
+        "operator_address": f"{HOST}:1",
+        "peer_address": f"{HOST}:2",
+    },
+    "sessions": {"key_file": "unused"},
+    "platform": {"object_api": "http://unused"},
+}
+
+
+class KeyedAccess(PlatformAccess):
+    """Access without a key file."""
+
+    def _keys(self):
+        return [SESSION_KEY]
+
+
+def free_port():
+    with socket.create_server((HOST, 0)) as server:
+        return server.getsockname()[1]
+
+
+def packets_sent_again(connection):
+    """Read `tcpi_total_retrans` of the kernel's `tcp_info` (linux/tcp.h)."""
+    info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TOTAL_RETRANS_AT + 4)
+    return int.from_bytes(info[TOTAL_RETRANS_AT:], sys.byteorder)
+
+
+@on_real_clock
+async def test_callers_that_connect_together_all_get_a_connection():
+    # Another entry died and its callers connect here in the same instant, while the loop is busy
+    # and accepts none. The kernel has to hold them all: where its queue is too short it drops
+    # what a caller sends first, and the caller tries again after seconds.
+    access = KeyedAccess(Kernel(schema_of(Program.STEWARD).check("test", _SETTINGS)))
+    port = free_port()
+    stop = trio.Event()
+    with ExitStack() as callers:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(access.serve_http, QuartTrio("nothing"), f"{HOST}:{port}", stop)
+            # No checkpoint in this loop: the server cannot accept meanwhile.
+            for _ in range(CALLERS):
+                caller = callers.enter_context(socket.socket())
+                caller.settimeout(CONNECT_LIMIT_S)
+                caller.connect((HOST, port))
+                check.assertEqual(packets_sent_again(caller), 0)
+            stop.set()
+            nursery.cancel_scope.cancel()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,7 @@
 """Links between instances: bounds, and keys that change one instance at a time."""
 
+import tracemalloc
+
 import msgpack
 import trio
 from trio.testing import memory_stream_pair
@@ -84,3 +86,15 @@
         await near.send_all(body)
         with check.assertRaises(PeerRefused):
             await PeerLink(far).receive()
+
+
+def test_a_link_at_rest_holds_little_memory():
+    # An instance has a link each way to many others. The unpacker's default asks for a megabyte
+    # at once, which at 420 instances was more than all of control may hold.
+    near, _ = memory_stream_pair()
+    tracemalloc.start()
+    link = PeerLink(near)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    check.assertEqual(link.sent_bytes, 0)
+    check.assertLess(held, 200_000)
