A prior that ends with the lengths it knows of, and a higher quantile

The flat prior has no mean: what other instances have on an engine looked endless and entries sent nothing.

--- a/egretstack/lengths/_model.py
+++ b/egretstack/lengths/_model.py
@@ -14,8 +14,9 @@
 MAX_SOURCES = 16
 PARENT_SESSIONS = 4.0
 """Sessions that the estimate one level up counts for."""
-PRIOR_HAZARD = 0.2
-"""Share that ends in each bucket, before anything is known: few tokens to tens of thousands."""
+PRIOR_HAZARDS = tuple(min(0.9, 0.02 + 0.0006 * bucket**2) for bucket in range(BUCKETS))
+"""Share that ends in each bucket before anything is known: a median of some 130 tokens, one in
+ten above 2,000, one in a hundred above 13,000."""
 REBUILD_SHARE = 32
 """A curve is rebuilt when its observations have grown by this part, and by MIN_NEWS."""
 MIN_NEWS = 8
@@ -95,7 +96,7 @@
         return entry
 
     def _hazards(self, key: LengthKey) -> list[float]:
-        estimate = [PRIOR_HAZARD] * BUCKETS
+        estimate = list(PRIOR_HAZARDS)
         for level in key.levels():
             counts = self._counts(level)
             for bucket, parent in enumerate(estimate):
--- a/egretstack/policy/__init__.py
+++ b/egretstack/policy/__init__.py
@@ -32,13 +32,11 @@
     make_oracle,
     make_policy,
 )
-from egretstack.policy._subset import SUBSET_SIZE, report_subset
 
 __all__ = [
     "DEFAULT_POLICY",
     "ORACLE",
     "POLICIES",
-    "SUBSET_SIZE",
     "Action",
     "Arrived",
     "CacheChanged",
@@ -64,5 +62,4 @@
     "Work",
     "make_oracle",
     "make_policy",
-    "report_subset",
 ]
--- a/egretstack/policy/_book.py
+++ b/egretstack/policy/_book.py
@@ -136,12 +136,17 @@
         return sent
 
     def candidates(self, work: Work) -> list[RunnerBook]:
-        """Give the runners that serve the work's model and did not fail it before."""
-        return [
+        """Give the runners that serve the work's model and did not fail it before.
+
+        An instance reads the reports of some runners only. One without a report would look empty
+        and draw work from every instance, so it counts only while no other has one.
+        """
+        found = [
             book
             for book in self.by_id.values()
             if book.usable and work.model in book.info.models and book.info.id not in work.excluded
         ]
+        return [book for book in found if book.report is not None] or found
 
     def _forget_if_empty(self, book: RunnerBook) -> None:
         if not book.usable and not book.sent:
--- a/egretstack/policy/_default.py
+++ b/egretstack/policy/_default.py
@@ -39,6 +39,8 @@
 """Added to a stream's priority: above every contract value."""
 RERUN_ALLOWED_S = 10.0
 """Time that work has to start again after it lost its runner."""
+LATE_SHARE = 0.98
+"""Part of the time allowed that a forecast wait may take."""
 LOOKED_AT = 30
 """Waiting works of a group that are tried for room before the rest have to wait."""
 RECONSIDER_S = 0.5
@@ -280,7 +282,7 @@
         if Part.DEADLINE_FORECAST in self._left_out or work.excluded:
             return False
         allowed_s = work.deadline_s - now_s + self._queue.waited_s(work.id, now_s)
-        return self._waits(work).wait_s(now_s, ahead, work.value) >= allowed_s
+        return self._waits(work).wait_s(now_s, ahead, work.value) >= LATE_SHARE * allowed_s
 
     def _refuse(self, now_s: float, work: Work, kind: ErrorKind, ahead: int) -> Refuse:
         waited_s = self._queue.remove(work.id, now_s)
--- a/egretstack/policy/_forecast.py
+++ b/egretstack/policy/_forecast.py
@@ -9,7 +9,7 @@
 
 AHEAD_TOKENS = (0, 64, 192, 512, 1024, 2048, 4096)
 """Points of the horizon, in output tokens of one sequence: all of a batch advance together."""
-QUANTILE_DEVIATIONS = 0.8
+QUANTILE_DEVIATIONS = 1.8
 """Standard deviations above the mean; the peak is taken as normal."""
 
 
--- a/egretstack/policy/_waits.py
+++ b/egretstack/policy/_waits.py
@@ -6,7 +6,7 @@
 """Time in which an observation of the rate loses most of its weight."""
 MIN_SENT = 4.0
 """Weight of observations that a rate rests on; before that no wait is forecast."""
-OUTCOME_LIFE_S = 10.0
+OUTCOME_LIFE_S = 5.0
 """How long the last wait of a value forecasts the next one; then one is let in to see."""
 MAX_VALUES = 64
 MIN_RETRY_S = 1.0
--- a/egretstack/services/dispatching.py
+++ b/egretstack/services/dispatching.py
@@ -9,6 +9,7 @@
 from egretstack.errors import EgretError, ErrorKind
 from egretstack.ids import RunnerId, WorkId
 from egretstack.kernel import Kernel, Service
+from egretstack.platform import ENTRY_SERVICE, MemberState
 from egretstack.policy import (
     DEFAULT_POLICY,
     Action,
@@ -17,6 +18,8 @@
     Ended,
     EndReason,
     Evict,
+    Evicted,
+    InstancesSeen,
     PolicyEvent,
     Progressed,
     Refuse,
@@ -25,6 +28,7 @@
     Work,
     make_policy,
 )
+from egretstack.services.instances import Instances
 from egretstack.services.runners import Runners
 from egretstack.sessions import Placement, Placer
 from egretstack.upstreams import EngineClient
@@ -43,7 +47,7 @@
     """The one place where the policy runs in this process."""
 
     name = "dispatching"
-    requires = ("runners",)
+    requires = ("instances", "runners")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -53,6 +57,8 @@
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Send the policy the ticks it asks for."""
+        self.kernel.get(Instances).on_change(self._count_instances)
+        self._count_instances()
         self.kernel.get(Runners).on_event(self._tell)
         task_status.started()
         while True:
@@ -72,7 +78,9 @@
 
     async def place_again(self, placement: Placement) -> Placement:
         """Wait for a runner after the policy took the work away."""
-        return await self._decision(self._waiting_by_id[placement.work.id])
+        waiting = self._waiting_by_id[placement.work.id]
+        self._tell(Evicted(placement.work.id))
+        return await self._decision(waiting)
 
     def engine(self, runner_id: RunnerId) -> EngineClient | None:
         """Give the client of a runner, also of a leaving one."""
@@ -107,6 +115,10 @@
         waiting.placement = Placement(waiting.work, action.runner_id, engine, action.priority)
         return waiting.placement
 
+    def _count_instances(self) -> None:
+        live = self.kernel.get(Instances).members(ENTRY_SERVICE, MemberState.LIVE)
+        self._tell(InstancesSeen(max(1, len(live))))
+
     def _tell(self, event: PolicyEvent) -> None:
         for action in self._policy.handle(trio.current_time(), event):
             self._carry_out(action)
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -15,10 +15,10 @@
 from typing import Annotated
 
 from cyclopts import App, Parameter
+from make_trace import SITES, make
 
 from egretstack.policy import DEFAULT_POLICY, ORACLE, POLICIES, Part
 from egretstack.replay import read_site, read_trace, replay
-from make_trace import SITES, make
 
 HELD_APART = (11, 12, 13)
 """Seeds that no constant was chosen on."""
