An instance that knows no lengths still sends

Seen with the tests of the policy: with 1.8 deviations and no session learned, an engine that is used by a fifth refused everything; a new instance would never have learned.

--- a/egretstack/lengths/_model.py
+++ b/egretstack/lengths/_model.py
@@ -64,6 +64,10 @@
             entry.news = 0
         return entry.curve
 
+    def sessions(self, key: LengthKey) -> float:
+        """Give the weight of the sessions that a key's curve rests on."""
+        return self._counts(key).came[0]
+
     def summary(self) -> LengthSummary:
         """Give what this instance itself has learned, for other instances."""
         return LengthSummary({key: entry.own for key, entry in self._by_key.items()})
--- a/egretstack/policy/_fitting.py
+++ b/egretstack/policy/_fitting.py
@@ -20,6 +20,8 @@
 from egretstack.policy._parts import Part
 
 FORECAST_LIFE_S = 0.25
+MIN_SESSIONS = 20
+"""Sessions that a forecast of other instances' work rests on."""
 FULL_SHARE = 0.97
 """Part of a runner's memory that the forecast peak may fill; engines keep some free."""
 
@@ -150,7 +152,11 @@
         else:
             pooled = LengthKey(book.info.service, book.info.models[0])
         unseen = Part.UNSEEN not in self._left_out and self.instances > 1
-        add_others(demand, book, model.curve(pooled), now_s, unseen=unseen)
+        # An instance that has just started knows no lengths. By the prior, whose longest answers
+        # fill an engine, it would find no room on any that others use, and so never learn.
+        known = model.sessions(pooled) >= MIN_SESSIONS
+        curve = model.curve(pooled) if known else None
+        add_others(demand, book, curve, now_s, unseen=unseen)
         return demand
 
 
--- a/egretstack/policy/_forecast.py
+++ b/egretstack/policy/_forecast.py
@@ -68,15 +68,19 @@
 
 
 def add_others(
-    demand: Demand, book: RunnerBook, curve: Curve, now_s: float, *, unseen: bool
+    demand: Demand, book: RunnerBook, curve: Curve | None, now_s: float, *, unseen: bool
 ) -> None:
     """Add what other instances have on a runner: as reported, and sent since then.
 
     How many they sent since follows from how many they have there: as many come as leave.
+    Without a curve their memory is taken to stay as it is.
     """
     count, kv_tokens = book.others()
     if not count:
         return
+    if curve is None:
+        demand.mean = [mean + kv_tokens for mean in demand.mean]
+        return
     grown = max(0.0, now_s - book.report.taken_s) * book.rate
     held = kv_tokens / count
     sent_since = count * grown / curve.mean_tokens if unseen else 0.0
