--- a/scripts/make_trace.py
+++ b/scripts/make_trace.py
@@ -4,7 +4,7 @@
 A day is compressed to a quarter of an hour: 900 s of the trace. The load rises to a peak and
 falls again; the mean over the day is `--load` times what the engines can generate. At noon the
 lengths shift; one engine is reclaimed at the peak; a large account sends a burst. The file is
-named after the parameters: SITE-LOAD-SEED[-SECONDS].jsonl.
+named after the parameters: SITE-LOAD-SEED[-SECONDSs][-ENGINESe].jsonl.
 """
 
 import json
@@ -118,11 +118,12 @@
     folder
         Where the files go.
     few_engines
-        Engines, where it is not the site's own number.
+        Engines, where it is not the site's own number; then the file's name tells.
     """
     spec = SITES[site]
     spec = replace(spec, engines=few_engines or spec.engines)
     suffix = "" if seconds == DAY_S else f"-{seconds:g}s"
+    suffix += f"-{few_engines}e" if few_engines else ""
     folder.mkdir(parents=True, exist_ok=True)
     path = folder / f"{site}-{load:g}-{seed}{suffix}.jsonl"
     lines = draw(spec, load, seconds, random.Random(f"{site}-{load:g}-{seed}-{seconds:g}"))
