--- a/egretstack/replay/_loop.py
+++ b/egretstack/replay/_loop.py
@@ -39,7 +39,7 @@
 """How long after the start deadline a caller without a token leaves."""
 CACHE_DELAY_S = 1.0
 SHARE_PERIOD_S = 10.0
-"""How often entries give each other what they learned of lengths."""
+"""How often an entry asks one other for what it learned of lengths."""
 CACHE_LOSS = 0.2
 """Share of cache events that never come."""
 
@@ -82,6 +82,7 @@
         self._tally = Tally()
         self._sessions = [self._session(n, line, entries) for n, line in enumerate(lines)]
         self._open = len(lines)
+        self._turn = 0
 
     def run(self) -> Tally:
         """Replay until every session has ended."""
@@ -278,13 +279,15 @@
             self._tell(entry, event)
 
     def _share_lengths(self) -> None:
+        """Let each entry learn from one other, from each in turn."""
         self._at(self._now_s + SHARE_PERIOD_S, self._share_lengths)
-        for number, giver in enumerate(self._entries):
-            packed = pack_summary(giver.policy.summary())
-            event = LengthsLearned(InstanceId(str(number)), unpack_summary(packed))
-            for entry in self._entries:
-                if entry is not giver and event.summary.by_key:
-                    self._tell(entry, event)
+        self._turn = self._turn % (len(self._entries) - 1) + 1
+        for number, entry in enumerate(self._entries):
+            giver = (number + self._turn) % len(self._entries)
+            packed = pack_summary(self._entries[giver].policy.summary())
+            event = LengthsLearned(InstanceId(str(giver)), unpack_summary(packed))
+            if event.summary.by_key:
+                self._tell(entry, event)
 
     def _notice(self, engine: ReplayEngine) -> None:
         engine.leaving = True
