--- a/egretstack/programs/entry.py
+++ b/egretstack/programs/entry.py
@@ -18,6 +18,7 @@
     "accounts",
     "runners",
     "dispatching",
+    "length_sharing",
     "session_host",
     "ledger_store",
     "calls",
--- a/egretstack/services/dispatching.py
+++ b/egretstack/services/dispatching.py
@@ -9,6 +9,7 @@
 from egretstack.errors import EgretError, ErrorKind
 from egretstack.ids import RunnerId, WorkId
 from egretstack.kernel import Kernel, Service
+from egretstack.lengths import LengthSummary
 from egretstack.platform import ENTRY_SERVICE, MemberState
 from egretstack.policy import (
     DEFAULT_POLICY,
@@ -20,6 +21,7 @@
     Evict,
     Evicted,
     InstancesSeen,
+    LengthsLearned,
     PolicyEvent,
     Progressed,
     Refuse,
@@ -99,6 +101,14 @@
         self._waiting_by_id.pop(work.id, None)
         self._tell(Ended(work.id, tokens, reason))
 
+    def lengths(self) -> LengthSummary:
+        """Give what this entry learned of output lengths."""
+        return self._policy.summary()
+
+    def learned(self, event: LengthsLearned) -> None:
+        """Tell the policy what another entry learned."""
+        self._tell(event)
+
     async def _decision(self, waiting: _Waiting) -> Placement:
         await waiting.decided.wait()
         action = waiting.action
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -12,6 +12,7 @@
     Evict,
     Evicted,
     InstancesSeen,
+    LengthsLearned,
     Progressed,
     RunnerReported,
 )
@@ -85,3 +86,17 @@
                 dispatching._carry_out(Evict(session.work_id))
         check.assertEqual(numbers, list(range(101)))
         check.assertNotIn(Evicted(session.work_id), [event for _, event, _ in seen])
+
+
+async def test_an_entry_learns_lengths_from_another():
+    with watched() as seen:
+        async with small_site(entries=2) as (_, entries):
+            session = await open_story(entries[0], 40)
+            await read_all(session)
+            await trio.sleep(25)
+            mine = entries[1].kernel.get(Dispatching)._policy
+    learned = [
+        event for policy, event, _ in seen if policy is mine and isinstance(event, LengthsLearned)
+    ]
+    check.assertTrue(any(event.summary.by_key for event in learned))
+    check.assertEqual({event.source for event in learned}, {"entry-0"})
