--- a/egretstack/policy/_forecast.py
+++ b/egretstack/policy/_forecast.py
@@ -9,7 +9,7 @@
 
 AHEAD_TOKENS = (0, 64, 192, 512, 1024, 2048, 4096)
 """Points of the horizon, in output tokens of one sequence: all of a batch advance together."""
-QUANTILE_DEVIATIONS = 0.8
+QUANTILE_DEVIATIONS = 1.8
 """Standard deviations above the mean; the peak is taken as normal."""
 
 
@@ -26,6 +26,13 @@
         self.mean[point] += count * size
         self.variance[point] += count * size * held * (1.0 - share_left)
 
+    def change(self, other: "Demand", sign: int) -> None:
+        """Add another demand, or with the sign -1 take it off."""
+        for point, mean in enumerate(other.mean):
+            self.mean[point] = max(0.0, self.mean[point] + sign * mean)
+            spread = self.variance[point] + sign * other.variance[point]
+            self.variance[point] = max(0.0, spread)
+
     def peak(self, deviations: float) -> float:
         """Give the quantile of memory at its worst point, tokens."""
         return self.peak_with(_NOTHING, deviations)
@@ -68,15 +75,19 @@
 
 
 def add_others(
-    demand: Demand, book: RunnerBook, curve: Curve, now_s: float, *, unseen: bool
+    demand: Demand, book: RunnerBook, curve: Curve | None, now_s: float, *, unseen: bool
 ) -> None:
     """Add what other instances have on a runner: as reported, and sent since then.
 
     How many they sent since follows from how many they have there: as many come as leave.
+    Without a curve their memory is taken to stay as it is.
     """
     count, kv_tokens = book.others()
     if not count:
         return
+    if curve is None:
+        demand.mean = [mean + kv_tokens for mean in demand.mean]
+        return
     grown = max(0.0, now_s - book.report.taken_s) * book.rate
     held = kv_tokens / count
     sent_since = count * grown / curve.mean_tokens if unseen else 0.0
