Callers go by the conservative share as soon as the home is silent

Cause: an entry kept to its slice until the slice ended, also when it was used up or only counted what was open, and while its home was dead or a new home warmed up (a kept slice is prolonged all through the warm-up). A new home then opened with an empty bucket while the tokens of the share stayed behind.

Ruled out: an entry that never held a slice (its test passed before the change); a larger bound, as the share's tokens and slots are in the bound already.

Left: with a demand below 0.2 requests a second, a call within 1 / rate seconds of a new home's opening may still be refused, as its bucket starts empty.

--- a/egretstack/limits/_entry.py
+++ b/egretstack/limits/_entry.py
@@ -76,11 +76,11 @@
         if held is not None:
             held.waiting += count
 
-    def unanswered(self, account: AccountId) -> None:
-        """Note that a request waited long enough for the home of its account."""
+    def unanswered(self, now_s: float, account: AccountId) -> None:
+        """Note that a request waited READY_WAIT_S for the home of its account."""
         held = self._held_by_account.get(account)
         if held is not None:
-            held.unanswered()
+            held.unanswered(now_s)
 
     def open(self, now_s: float, contract: Contract) -> None:
         """Count a request in; raise EgretError that says when to come back."""
@@ -92,7 +92,8 @@
             if held.mode(now_s) is Mode.COLD:
                 held.due_s = now_s
             raise refusal
-        held.take_token(now_s, self._conservative(contract.account, held))
+        conservative = self._conservative(contract.account, held)
+        held.take_token(now_s, self._source(now_s, held, conservative), conservative)
         held.opened()
 
     def close(self, now_s: float, account: AccountId) -> None:
@@ -140,18 +141,21 @@
     def _conservative(self, account: AccountId, held: Held) -> Share:
         return self._homes.conservative(account, self._own, held.whole)
 
+    def _source(self, now_s: float, held: Held, conservative: Share) -> Mode:
+        """Tell by what the next request is decided."""
+        mode = held.mode(now_s)
+        if mode is not Mode.SLICE or not held.fallback:
+            return mode
+        # A slice outlives its home. One that is used up, or that only counts what was open,
+        # would refuse callers within their contract until it ends. The conservative share is
+        # theirs as soon as the home is silent; the greater of the two counts, not the sum.
+        if _refusal_by(now_s, held, mode, conservative) is None:
+            return mode
+        return Mode.FALLBACK
+
     def _refusal(self, now_s: float, account: AccountId, held: Held) -> EgretError | None:
         conservative = self._conservative(account, held)
-        share = held.slice_share(now_s)
-        if held.mode(now_s) is Mode.FALLBACK:
-            share = conservative
-        # Slots are lent for the tokens there are; where both lack, the rate is the cause.
-        tokens = held.tokens(now_s, conservative)
-        if tokens < 1.0:
-            return _rate_limited(held, share, tokens)
-        if held.open >= share.slots:
-            return _over_concurrency(held, share)
-        return None
+        return _refusal_by(now_s, held, self._source(now_s, held, conservative), conservative)
 
     def _is_due(self, now_s: float, held: Held, home: InstanceId) -> bool:
         if held.waiting and now_s >= held.not_before_s and held.mode(now_s) is not Mode.FALLBACK:
@@ -182,6 +186,17 @@
             del self._held_by_account[account]
 
 
+def _refusal_by(now_s: float, held: Held, source: Mode, conservative: Share) -> EgretError | None:
+    share = conservative if source is Mode.FALLBACK else held.slice_share(now_s)
+    # Slots are lent for the tokens there are; where both lack, the rate is the cause.
+    tokens = held.tokens(now_s, source, conservative)
+    if tokens < 1.0:
+        return _rate_limited(held, share, tokens)
+    if held.open >= share.slots:
+        return _over_concurrency(held, share)
+    return None
+
+
 def _over_concurrency(held: Held, share: Share) -> EgretError:
     gap_s = held.close_gap_s if held.close_gap_s is not None else LIFE_S
     return EgretError(
--- a/egretstack/limits/_held.py
+++ b/egretstack/limits/_held.py
@@ -16,6 +16,7 @@
     HOLD_RENEW_S,
     IDLE_S,
     LIFE_S,
+    READY_WAIT_S,
     REASK_S,
     RENEW_S,
 )
@@ -79,6 +80,7 @@
         self._failures = 0
         self._is_contested = False
         self._tried_s = -inf
+        self._answered_s = -inf
         self._demand = Demand(now_s)
         self._closed_s: float | None = None
 
@@ -94,17 +96,17 @@
             return NOTHING
         return self.share.scaled(self._whole_at_grant, self.whole).at_most(self.whole)
 
-    def tokens(self, now_s: float, conservative: Share) -> float:
-        """Tell how many tokens there are for requests now."""
-        bucket = self._filled(now_s, conservative)
+    def tokens(self, now_s: float, source: Mode, conservative: Share) -> float:
+        """Tell how many tokens there are for requests now, by what they are decided."""
+        bucket = self._filled(now_s, source, conservative)
         return bucket.level + self._direct_now(now_s)
 
-    def take_token(self, now_s: float, conservative: Share) -> None:
+    def take_token(self, now_s: float, source: Mode, conservative: Share) -> None:
         """Spend a token."""
         if self._direct_now(now_s):
             self._direct -= 1
         else:
-            self._filled(now_s, conservative).take(1.0)
+            self._filled(now_s, source, conservative).take(1.0)
 
     def _direct_now(self, now_s: float) -> int:
         # Tokens for waiting requests count for the home only while they may be under way.
@@ -112,13 +114,13 @@
             self._direct = 0
         return self._direct
 
-    def _filled(self, now_s: float, conservative: Share) -> TokenBucket:
+    def _filled(self, now_s: float, source: Mode, conservative: Share) -> TokenBucket:
         if self._spare_bucket is None:
             self._spare_bucket = TokenBucket(now_s, conservative.burst)
         # The spare bucket goes on through all modes: one filled anew at each loss of the home
         # would give a burst for each.
         self._spare_bucket.fill(now_s, conservative.rate, conservative.burst)
-        if self.mode(now_s) is Mode.FALLBACK:
+        if source is Mode.FALLBACK:
             return self._spare_bucket
         self.fill(now_s)
         return self._bucket
@@ -177,10 +179,10 @@
             self._whole_at_grant = self.whole
             returned = self._bucket.take(max(0.0, self._bucket.level - self.share.burst))
             keep = self.share
-        elif self.fallback:
-            keep = conservative
         else:
             keep = NOTHING
+        if self.fallback:
+            keep = keep.at_least(conservative)
         self._tried_s = now_s
         self.due_s = inf
         return Asked(now_s, self.open, self.waiting, keep, want, returned, self.whole)
@@ -188,6 +190,7 @@
     def answered(self, now_s: float, asked: Asked, grant: Grant) -> None:
         """Take a home's answer."""
         self._failures = 0
+        self._answered_s = now_s
         self.forecast_s = grant.wait_s
         if grant.standing is Standing.GRANTED:
             self._granted(now_s, asked, grant)
@@ -202,9 +205,11 @@
         self.not_before_s = now_s + pause_s
         self.due_s = now_s + pause_s if self._is_needed(now_s) else inf
 
-    def unanswered(self) -> None:
-        """Note that a request waited long enough for the home."""
-        self.fallback = True
+    def unanswered(self, now_s: float) -> None:
+        """Note that a request waited READY_WAIT_S for the home."""
+        # A home that answered meanwhile, with too little, lends the contract to others.
+        if now_s - self._answered_s >= READY_WAIT_S:
+            self.fallback = True
 
     def _granted(self, now_s: float, asked: Asked, grant: Grant) -> None:
         holds = only_holds(grant.share, grant.direct, asked.open)
@@ -215,6 +220,7 @@
         if now_s >= self.until_s:
             self._bucket.take(inf)
         self._bucket.level += grant.tokens
+        self._carry_over(asked, grant.share.burst)
         end_s = asked.sent_s + FLIGHT_S
         self._direct_until_s = (
             min(end_s, self._direct_until_s) if self._direct_now(now_s) else end_s
@@ -229,6 +235,12 @@
         renew_s = HOLD_RENEW_S if holds else RENEW_S
         self.due_s = asked.sent_s + renew_s if self._is_needed(now_s) else inf
 
+    def _carry_over(self, asked: Asked, most: float) -> None:
+        # A home opens with an empty bucket, and gives `keep` less than it lends: a caller that was
+        # served by the share until now would be refused. The share's tokens move, none is made.
+        if self.fallback and asked.keep.burst and self._spare_bucket is not None:
+            self._bucket.level += self._spare_bucket.take(most - self._bucket.level)
+
     def _is_all(self, asked: Asked, grant: Grant) -> bool:
         slots = grant.share.slots
         if slots < asked.open + asked.waiting or slots >= self.whole.slots:
--- a/egretstack/services/limits.py
+++ b/egretstack/services/limits.py
@@ -73,7 +73,7 @@
             while self.entry.should_wait(clock.now(), contract):
                 await self._wait(contract.account)
         if scope.cancelled_caught:
-            self.entry.unanswered(contract.account)
+            self.entry.unanswered(clock.now(), contract.account)
 
     def open(self, contract: Contract) -> None:
         """Count a request in; raise EgretError."""
--- a/tests/limits_fleet.py
+++ b/tests/limits_fleet.py
@@ -181,7 +181,7 @@
                     node.entry.wait(account, 1)
                     node.waiting.append([deadline, account, hold_s, True])
                     continue
-                node.entry.unanswered(account)
+                node.entry.unanswered(self.now, account)
             self._open(node, known, hold_s)
 
     def _open(self, node: Node, known: Contract, hold_s: float) -> None:
--- a/tests/test_limits_world.py
+++ b/tests/test_limits_world.py
@@ -178,3 +178,66 @@
         check.assertEqual(open_at(entries[0]), 3)
         entries[0].kernel.get(Accounts).close("acme")
         check.assertEqual(open_at(entries[0]), 2)
+
+
+async def one_call(process):
+    """Make one short request; give its refusal, or None."""
+    admitted, refusals = await admit(process, 1)
+    if admitted:
+        process.kernel.get(Accounts).close("acme")
+    return refusals[0] if refusals else None
+
+
+async def call_all_along(process, time_s, gap_s):
+    """Make short requests for some time; give the refusals."""
+    end_s = trio.current_time() + time_s
+    refusals = []
+    while trio.current_time() < end_s:
+        refusal = await one_call(process)
+        if refusal is not None:
+            refusals.append(refusal)
+        await trio.sleep(gap_s)
+    return refusals
+
+
+async def test_a_cold_entry_admits_a_caller_whose_home_was_killed():
+    # The account's home is killed and still listed. The caller goes to an entry that never held
+    # a slice, waits for the home in vain, and gets the entry's conservative share.
+    async with small_site(entries=3) as (_, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        home, others = home_and_others(entries)
+        home.kill()
+        check.assertEqual(await call_all_along(others[0], 30, 1.0), [])
+
+
+async def test_an_entry_with_a_spent_slice_admits_a_caller_whose_home_was_killed():
+    # A caller with little demand holds a slice without a token left when the home is killed. No
+    # home gives another token, for as long as the slice lasts or a new home is warming up.
+    async with small_site(entries=3) as (_, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        home, others = home_and_others(entries)
+        check.assertIsNone(await one_call(others[0]))
+        home.kill()
+        check.assertEqual(await call_all_along(others[0], 30, 0.7), [])
+
+
+async def test_the_survivor_of_two_entries_admits_a_caller_within_its_contract():
+    # Two entries; the home is killed while the other holds a slice without a token left. The
+    # survivor becomes the home and lends nothing while it warms up.
+    async with small_site(entries=2) as (_, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        home, others = home_and_others(entries)
+        check.assertIsNone(await one_call(others[0]))
+        home.kill()
+        check.assertEqual(await call_all_along(others[0], 30, 0.7), [])
+
+
+async def test_the_first_call_at_a_fresh_entry_is_admitted():
+    # One more instance starts and may become the home. Each entry, the new one included, has a
+    # caller within the contract all along; one of them asks for the first time at each moment.
+    async with small_site(entries=2) as (world, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        check.assertIsNone(await one_call(entries[0]))
+        fresh = await world.start("entry-9", Program.ENTRY)
+        for process in [fresh, *entries]:
+            check.assertEqual(await call_all_along(process, 8, 0.9), [])
