A home takes the sender of an ask from the link, not from the message

Cause: the home charged whoever the message named. A peer could end what is lent to another entry by a greater serial, after which each later ask of that entry counted as an old one.

Seen failing with the check taken out and the message's name used: the home answered with grants. Tests that ask a home by hand now say who asks; their assertions are as they were.

--- a/egretstack/limits/_home.py
+++ b/egretstack/limits/_home.py
@@ -17,6 +17,7 @@
 )
 from egretstack.limits._share import NOTHING, whole_of
 from egretstack.limits._timing import FREEZE_S, WARM_UP_S
+from egretstack.peers import MessageError
 
 SWEEP_S = 5.0
 _NO_HOME = Grant(Standing.NOT_HOME, NOTHING, 0.0, 0, 0.0)
@@ -57,12 +58,21 @@
         return frozen
 
     def answer(
-        self, now_s: float, ask: LimitsAsk, contract_by_account: Mapping[AccountId, Contract]
+        self,
+        now_s: float,
+        entry: InstanceId,
+        ask: LimitsAsk,
+        contract_by_account: Mapping[AccountId, Contract],
     ) -> LimitsAnswer:
-        """Answer an ask; raise MessageError."""
+        """Answer an ask of `entry`, as the link has proved it; raise MessageError.
+
+        An ask that names another sender would end what is lent to that one, by its serial, and
+        its limits would go to whoever asks next.
+        """
+        if ask.instance != entry:
+            raise MessageError(f"an ask of {entry} in another's name")
         rows = ask_rows(ask)
         self.beat(now_s)
-        entry = InstanceId(ask.instance)
         return make_answer(
             [self._row(now_s, entry, ask.serial, row, contract_by_account) for row in rows]
         )
--- a/egretstack/services/limits.py
+++ b/egretstack/services/limits.py
@@ -48,7 +48,7 @@
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Answer entries, and send the asks that are due."""
-        self.kernel.get(PeerPort).answer(LimitsAsk, self._answer)
+        self.kernel.get(PeerPort).answer_peer(LimitsAsk, self._answer)
         self.kernel.get(Membership).on_change(self._see)
         self._see()
         async with trio.open_nursery() as nursery:
@@ -110,7 +110,7 @@
 
     async def _reach(self, ask: HomeAsk) -> LimitsAnswer:
         if ask.home == self._own:
-            return self._decide(ask.message)
+            return self._decide(self._own, ask.message)
         member = self._live().get(ask.home)
         if member is None or PEER_PORT not in member.ports:
             raise PeerGone("not listed")
@@ -122,16 +122,16 @@
             raise PeerRefused("not an answer about limits")
         raise PeerGone("no answer in time")
 
-    async def _answer(self, message: Message) -> Message:
+    async def _answer(self, sender: InstanceId, message: Message) -> Message:
         try:
-            return self._decide(message)
+            return self._decide(sender, message)
         except MessageError as error:
             log(Event.PEER_REFUSED, error=str(error))
             return Nothing()
 
-    def _decide(self, ask: Message) -> LimitsAnswer:
+    def _decide(self, sender: InstanceId, ask: LimitsAsk) -> LimitsAnswer:
         contracts = self.kernel.get(Configuration).state.contract_by_account
-        return self.home.answer(clock.now(), ask, contracts)
+        return self.home.answer(clock.now(), sender, ask, contracts)
 
     def _see(self) -> None:
         zone_by_id = {instance: member.zone for instance, member in self._live().items()}
--- a/tests/limits_fleet.py
+++ b/tests/limits_fleet.py
@@ -196,7 +196,7 @@
     def _send(self, node: Node, ask: HomeAsk) -> None:
         home = self.node_by_name[ask.home]
         if home is node:
-            answer = home.home.answer(self.now, ask.message, home.contract_by_account)
+            answer = home.home.answer(self.now, node.name, ask.message, home.contract_by_account)
             node.entry.answered(self.now, ask, answer)
             return
         flight = [self.now + ASK_TIMEOUT_S, node, ask, False]
@@ -206,7 +206,7 @@
             home.inbox.append(lambda: self._receive(home, node, flight, message))
 
     def _receive(self, home: Node, node: Node, flight: list, message) -> None:
-        answer = home.home.answer(self.now, message, home.contract_by_account)
+        answer = home.home.answer(self.now, node.name, message, home.contract_by_account)
         back = self._over_wire(home, answer)
         if (home.name, node.name) not in self.cuts and node.alive:
             node.inbox.append(lambda: self._deliver(node, flight, back))
--- a/tests/test_limits_faults.py
+++ b/tests/test_limits_faults.py
@@ -116,7 +116,7 @@
     entry.wait("acme", 1)
     (ask,) = entry.due(fleet.now)
     home = fleet.node_by_name[ask.home].home
-    answer = home.answer(fleet.now, ask.message, {"acme": ACME})
+    answer = home.answer(fleet.now, others[0].name, ask.message, {"acme": ACME})
     entry.answered(fleet.now + LIFE_S, ask, answer)
     check.assertIs(entry.mode(fleet.now + LIFE_S, "acme"), Mode.COLD)
 
@@ -145,7 +145,7 @@
     entry.wait("acme", 5)
     (ask,) = entry.due(fleet.now)
     home = fleet.node_by_name[ask.home].home
-    answer = home.answer(fleet.now, ask.message, {"acme": ACME})
+    answer = home.answer(fleet.now, others[0].name, ask.message, {"acme": ACME})
     entry.answered(fleet.now + 0.1, ask, answer)
     entry.wait("acme", -5)
     entry.open(fleet.now + 0.2, ACME)
@@ -189,7 +189,9 @@
 def test_an_instance_that_is_not_the_home_lends_nothing():
     fleet, home, others = fleet_and_home()
     row = AskRow(AccountId("acme"), 0, 1, Share(), Share(1, 2, 3), 0.0)
-    answer = others[0].home.answer(fleet.now, make_ask(home.name, 1, [row]), {"acme": ACME})
+    answer = others[0].home.answer(
+        fleet.now, home.name, make_ask(home.name, 1, [row]), {"acme": ACME}
+    )
     (grant,) = answer_grants(answer, 1)
     check.assertEqual((grant.standing, grant.share), (Standing.NOT_HOME, Share()))
 
@@ -216,7 +218,8 @@
         kept, wanted = Share(0, 0, keep), Share(0, 0, want)
         row = AskRow(AccountId("acme"), open, waiting, kept, wanted, 0.0)
         ask = make_ask(InstanceId(entry), serial, [row])
-        return answer_grants(self._home.answer(self.now_s, ask, {"acme": ACME}), 1)[0]
+        answer = self._home.answer(self.now_s, InstanceId(entry), ask, {"acme": ACME})
+        return answer_grants(answer, 1)[0]
 
 
 def test_a_late_ask_does_not_undo_a_newer_one():
--- a/tests/test_limits_messages.py
+++ b/tests/test_limits_messages.py
@@ -91,7 +91,7 @@
             AskRow(AccountId(f"x{number}-{place}"), 1, 1, Share(), Share(1, 1, 1), 0.0)
             for place in range(MAX_ROWS)
         ]
-        answer = home.answer(number * 0.1, make_ask(own, number + 1, rows), {})
+        answer = home.answer(number * 0.1, own, make_ask(own, number + 1, rows), {})
         check.assertIs(answer_grants(answer, MAX_ROWS)[0].standing, Standing.UNKNOWN_ACCOUNT)
     check.assertEqual(home.accounts, 0)
 
@@ -104,5 +104,6 @@
     known = {AccountId("acme"): contract()}
     row = AskRow(AccountId("acme"), 1, 0, Share(), Share(slots=1), 0.0)
     for number in range(3000):
-        home.answer(0.0, make_ask(InstanceId(f"e{number}"), 1, [row]), known)
+        entry = InstanceId(f"e{number}")
+        home.answer(0.0, entry, make_ask(entry, 1, [row]), known)
     check.assertLessEqual(len(home._loans_by_account["acme"]._loan_by_entry), 2048)
--- a/tests/test_limits_world.py
+++ b/tests/test_limits_world.py
@@ -3,13 +3,16 @@
 import trio
 
 from egretstack.errors import EgretError, ErrorKind
-from egretstack.ids import InstanceId
-from egretstack.limits import LIFE_S, WARM_UP_S
+from egretstack.ids import AccountId, InstanceId
+from egretstack.limits import LIFE_S, WARM_UP_S, AskRow, Share, make_ask
+from egretstack.peers import Nothing
 from egretstack.platform import MemberState
 from egretstack.services.accounts import Accounts
 from egretstack.services.configuration import Configuration
 from egretstack.services.limits import Limits
+from egretstack.services.peer_port import PeerPort
 from egretstack.settings import Program
+from standins.world import PORTS
 from tests.support import check, tests_of
 from tests.test_world import contract_of, small_site
 
@@ -241,3 +244,21 @@
         fresh = await world.start("entry-9", Program.ENTRY)
         for process in [fresh, *entries]:
             check.assertEqual(await call_all_along(process, 8, 0.9), [])
+
+
+async def test_a_peer_cannot_ask_in_the_name_of_another():
+    # A peer asks the home in another entry's name, with a serial above all of that entry's, and
+    # says that nothing is open there. The home would lend the open requests' slots once more,
+    # and take every later ask of that entry for an old one.
+    async with small_site(entries=3) as (world, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        home, others = home_and_others(entries)
+        await admit(others[0], 10)
+        loans = home.kernel.get(Limits).home._loans_by_account[AccountId("acme")]
+        before = loans._loan_by_entry[InstanceId(others[0].name)]
+        row = AskRow(AccountId("acme"), 0, 0, Share(), Share(), 0.0)
+        ask = make_ask(InstanceId(others[0].name), 10**15, [row])
+        port = others[1].kernel.get(PeerPort)
+        answer = await port.ask(InstanceId(home.name), home.host, PORTS["peer"], ask)
+        check.assertIsInstance(answer, Nothing)
+        check.assertEqual(loans._loan_by_entry[InstanceId(others[0].name)], before)
