Test modules run side by side in four processes; the path measurement takes its network

Cause: one process ran all modules in a row, and two measurements on one machine collided on one network. Each module runs whole in one fresh interpreter of a small pool; reports are printed in the order of module names, failures whole, and a process that dies ends the run with an error.

--- a/scripts/measure_path.py
+++ b/scripts/measure_path.py
@@ -7,8 +7,10 @@
 import json
 import subprocess
 import sys
+from functools import partial
 from pathlib import Path
 
+import cyclopts
 import trio
 from path_site import path_site, print_figure
 
@@ -21,10 +23,14 @@
 LOAD_CLIENT = Path(__file__).parent / "load_client.py"
 
 
-async def main() -> None:
-    """Run the measurement."""
-    async with path_site(NET, ENGINES, STEP_S) as site:
-        for streams in STREAMS:
+def main(*streams: int, net: str = NET) -> None:
+    """Measure at each number of streams. `net` is the first two numbers of every address."""
+    trio.run(partial(_measure, streams or STREAMS, net))
+
+
+async def _measure(wanted: tuple[int, ...], net: str) -> None:
+    async with path_site(net, ENGINES, STEP_S) as site:
+        for streams in wanted:
             direct = await _load(site.engine_urls, streams, site.key)
             cpu_s = site.entry_cpu_s()
             through = await _load([site.entry_url], streams, site.key)
@@ -83,4 +89,5 @@
     return round(one / other, 3)
 
 
-trio.run(main)
+if __name__ == "__main__":
+    cyclopts.run(main)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,36 +1,59 @@
 """Runs every test and ends with `N passed, N failed`.
 
-Tests named in KNOWN-RED.txt may fail; each that does is printed with its cause. With arguments,
-runs only the modules named, such as `tests.test_delivery`.
+Modules run side by side in a few processes; what they report is printed in the order of their
+names. Tests named in KNOWN-RED.txt may fail; each that does is printed with its cause. With
+arguments, runs only the modules named, such as `tests.test_delivery`.
 """
 
+import os
 import sys
-import unittest
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
 from pathlib import Path
 
-from loguru import logger
+from tests.running import ModuleReport, run_module
 
-KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+TESTS = Path(__file__).parent
+KNOWN_RED = TESTS.parent / "KNOWN-RED.txt"
+MAX_PROCESSES = 4
 
 
 def main() -> int:
     """Run and give the exit code."""
-    logger.remove()
-    loader = unittest.TestLoader()
-    if sys.argv[1:]:
-        suite = loader.loadTestsFromNames(sys.argv[1:])
-    else:
-        suite = loader.discover(str(Path(__file__).parent), top_level_dir=str(KNOWN_RED.parent))
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
-    bad = {case.id() for case, _ in result.failures + result.errors}
+    ran = 0
+    bad: set[str] = set()
+    for report in _reports(sys.argv[1:] or _all_modules()):
+        _print_report(report)
+        ran += report.ran
+        bad |= {failed.id for failed in report.failed}
     known = _known_red()
     for name in sorted(bad & known.keys()):
         print(f"known red: {known[name]}")
     for name in sorted(known.keys() - bad):
         print(f"listed as known red, but passed: {name}")
     failed = len(bad - known.keys())
-    print(f"{result.testsRun - len(bad)} passed, {failed} failed")
-    return 1 if failed or result.testsRun == 0 else 0
+    print(f"{ran - len(bad)} passed, {failed} failed")
+    return 1 if failed or ran == 0 else 0
+
+
+def _reports(modules: list[str]) -> Iterator[ModuleReport]:
+    """Run the modules; a process that dies raises BrokenProcessPool here."""
+    processes = min(MAX_PROCESSES, os.cpu_count() or 1, len(modules))
+    # A fresh interpreter for each process: nothing that one module left behind, such as a socket
+    # or a cached key, reaches a module of another process.
+    with ProcessPoolExecutor(processes, mp_context=get_context("spawn")) as pool:
+        yield from pool.map(run_module, modules)
+
+
+def _all_modules() -> list[str]:
+    return sorted(f"{TESTS.name}.{path.stem}" for path in TESTS.glob("test*.py"))
+
+
+def _print_report(report: ModuleReport) -> None:
+    print(f"{report.module}: {report.ran} run, {len(report.failed)} failed", flush=True)
+    for failed in report.failed:
+        print(f"\nFAIL: {failed.id}\n{failed.traceback}", flush=True)
 
 
 def _known_red() -> dict[str, str]:
@@ -40,4 +63,5 @@
     return {line.partition(":")[0].strip(): line for line in lines}
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
