--- a/tests/matrix/faults.py
+++ b/tests/matrix/faults.py
@@ -156,6 +156,19 @@
         site.history.add(StoreBack)
 
 
+class ListDown(Fault):
+    """The instance list does not answer."""
+
+    def strike(self, site: Site, target: Target) -> None:
+        """Go away."""
+        site.world.listed.down = True
+
+    async def heal(self, site: Site, target: Target) -> None:
+        """Come back."""
+        await trio.sleep(STORE_AWAY_S)
+        site.world.listed.down = False
+
+
 class AnswerLost(Fault):
     """The next write takes effect and its answer is lost."""
 
@@ -229,6 +242,7 @@
     "caller_connection_silent": CallerConnectionSilent(),
     "store_down": StoreDown(),
     "store_slow": StoreSlow(),
+    "list_down": ListDown(),
     "answer_lost": AnswerLost(),
     "lease_lapsed": LeaseLapsed(),
     "operators_race": OperatorsRace(),
