A held runner keeps the time of a frozen sender

Cause: the whole run gave tests.test_ledger_faults.test_a_fenced_look_up_lets_a_repeat_take_the_key_over red (499 passed, 1 failed): the gate's timer ran while the stand-in held the first byte back. After: tests.test_ledger_faults 15 passed, 0 failed.

--- a/standins/access.py
+++ b/standins/access.py
@@ -166,6 +166,10 @@
     async def _send(self, request: CallRequest) -> "_Sent":
         """Have the call carried out in a task of the world, which outlives this process."""
         self._refuse_dead()
+        if self._inner.sending is not None:
+            # A frozen process keeps no time: its bytes leave before its timers run.
+            with trio.CancelScope(shield=True):
+                await self._inner.sending.wait()
         sent = _Sent()
 
         async def carry_out() -> None:
