--- a/tests/test_limits_partitions.py
+++ b/tests/test_limits_partitions.py
@@ -30,6 +30,21 @@
     check.assertLessEqual(sum(share.rate for share in shares), 7)
 
 
+def test_a_leaving_entry_adds_at_most_one_small_share():
+    # An instance that leaves is in nobody's list, its own included, and serves on for a while.
+    # Its callers get a share, which comes on top of the shares of those that are listed.
+    fleet = Fleet(7, [ACME])
+    whole = whole_of(ACME)
+    leaving, *rest = fleet.nodes()
+    for node in fleet.nodes():
+        fleet.tell(node, [one.name for one in rest])
+    shares = [node.homes.conservative("acme", node.name, whole) for node in rest]
+    check.assertEqual(sum(share.slots for share in shares), SLOTS)
+    extra = leaving.homes.conservative("acme", leaving.name, whole)
+    check.assertEqual((extra.slots, extra.burst), (SLOTS // 7, whole.burst // 7))
+    check.assertLessEqual(extra.rate, whole.rate / 7)
+
+
 def test_slices_go_on_while_the_home_changes():
     # An instance joins and becomes the home of an account. It lends nothing at first, but an
     # entry keeps the slice it holds, so its callers notice nothing.
