--- a/tests/test_limits_faults.py
+++ b/tests/test_limits_faults.py
@@ -4,6 +4,7 @@
 from egretstack.ids import AccountId, InstanceId
 from egretstack.limits import (
     LIFE_S,
+    READY_WAIT_S,
     VIEW_LAG_S,
     WARM_UP_S,
     AskRow,
@@ -251,3 +252,23 @@
     check.assertIs(home.ask("entry-b", 1, open=40).standing, Standing.WARMING)
     home.now_s += 1.2
     check.assertEqual(home.ask("entry-c", 1, waiting=SLOTS, want=SLOTS).share.slots, SLOTS - 40)
+
+
+def test_a_home_that_answers_with_too_little_is_not_silent():
+    # Another entry holds every slot. A request waits here while the home answers once, with no
+    # slot, and then times out. Were that taken for the home's silence, the conservative share
+    # would come on top of the contract though nothing is broken.
+    fleet, _, others = fleet_and_home()
+    fleet.run(3, press(fleet, [others[0]]))
+    entry = others[1].entry
+    began_s = fleet.now
+    check.assertTrue(entry.should_wait(began_s, ACME))
+    entry.wait("acme", 1)
+    (ask,) = entry.due(began_s)
+    home = fleet.node_by_name[ask.home].home
+    answer = home.answer(began_s, others[1].name, ask.message, {"acme": ACME})
+    entry.answered(began_s + 0.1, ask, answer)
+    entry.unanswered(began_s + READY_WAIT_S, "acme")
+    entry.wait("acme", -1)
+    with check.assertRaises(EgretError):
+        entry.open(began_s + READY_WAIT_S, ACME)
