No ask is made while requests that an answer let in have not run yet

Cause of the unsteady test_one_entry_of_three_gets_the_whole_contract (19 != 20) and test_a_request_over_the_limits_is_refused_at_once: a fault of the product. The loop let one checkpoint pass before an ask; where the answer came in the same turn of the scheduler as that checkpoint, the ask counted requests once more that had their token already. The second token for one of them was lost, or came without a slot. Ruled out as the tests' settling: the invariant is broken after a long settling too. The order in which trio runs ready tasks is what varies.

The same class of test as before; no assertion changed.

--- a/egretstack/services/limits.py
+++ b/egretstack/services/limits.py
@@ -45,6 +45,8 @@
         self.home = HomeSide(self._own, self._homes, now_s)
         self._wake = trio.Event()
         self._answered = trio.Event()
+        self._waiters: set[object] = set()
+        self._woken: set[object] = set()
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Answer entries, and send the asks that are due."""
@@ -58,9 +60,7 @@
                 with trio.move_on_after(BEAT_S):
                     await self._wake.wait()
                 self._wake = trio.Event()
-                # Requests that an answer has just let in run first; counted as waiting once
-                # more, they would take a second token, and others would be refused for it.
-                await trio.lowlevel.checkpoint()
+                await self._let_woken_run()
 
     async def ready(self, contract: Contract) -> None:
         """Wait, at most READY_WAIT_S, while the account's home may let in one more request.
@@ -84,12 +84,30 @@
         self.entry.close(clock.now(), account)
 
     async def _wait(self, account: AccountId) -> None:
+        waiter = object()
+        self._waiters.add(waiter)
         self.entry.wait(account, 1)
         self._wake.set()
         try:
             await self._answered.wait()
         finally:
             self.entry.wait(account, -1)
+            self._waiters.discard(waiter)
+            self._woken.discard(waiter)
+
+    def _wake_waiters(self) -> None:
+        self._woken |= self._waiters
+        self._waiters.clear()
+        self._answered.set()
+        self._answered = trio.Event()
+        self._wake.set()
+
+    async def _let_woken_run(self) -> None:
+        # Requests that an answer has just let in run before the next ask; counted as waiting once
+        # more, they would take a second token, and others would be refused for it. Tasks that are
+        # ready run in any order, so one checkpoint is not enough.
+        while self._woken:
+            await trio.lowlevel.checkpoint()
 
     def _beat(self, nursery: trio.Nursery) -> None:
         if self.home.beat(clock.now()):
@@ -104,9 +122,7 @@
         except (PeerGone, PeerRefused, MessageError) as error:
             log(Event.LIMITS_HOME_AWAY, home=ask.home, error=str(error))
             self.entry.failed(clock.now(), ask)
-        self._answered.set()
-        self._answered = trio.Event()
-        self._wake.set()
+        self._wake_waiters()
 
     async def _reach(self, ask: HomeAsk) -> LimitsAnswer:
         if ask.home == self._own:
--- a/tests/test_limits_world.py
+++ b/tests/test_limits_world.py
@@ -262,3 +262,30 @@
         answer = await port.ask(InstanceId(home.name), home.host, PORTS["peer"], ask)
         check.assertIsInstance(answer, Nothing)
         check.assertEqual(loans._loan_by_entry[InstanceId(others[0].name)], before)
+
+
+async def test_no_ask_counts_a_request_that_an_answer_has_just_let_in():
+    # Requests arrive one after the other while answers come. An answer has given a token for a
+    # request that waits, and before that request runs, another arrival makes the entry ask once
+    # more. Counted there again, it would take a second token, and a later caller be refused.
+    async with small_site(entries=3) as (_, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        _, others = home_and_others(entries)
+        entry = others[0].kernel.get(Limits).entry
+        inner = entry.due
+        counted_twice = []
+
+        def due(now_s):
+            held = entry._held_by_account.get(AccountId("acme"))
+            if held is not None and held.waiting:
+                counted_twice.append(entry._refusal(now_s, AccountId("acme"), held) is None)
+            return inner(now_s)
+
+        entry.due = due
+        for _ in range(20):
+            await admit(others[0], BURST)
+            for _ in range(open_at(others[0])):
+                others[0].kernel.get(Accounts).close("acme")
+            await trio.sleep(8)
+        check.assertGreater(len(counted_twice), 0)
+        check.assertEqual(sum(counted_twice), 0)
