An entry that gave up its share tells its home so after half a second

Cause: at a new home's opening each entry is charged with the share that it kept, together the contract, until its next renewal 2.5 s later; the home has nothing to lend and its bucket does not fill, so a caller at another entry is refused. The same charge leaves no slot ('0 requests are open here' at a cold entry).

A first form asked again after each cut slice, not only after a share; narrowed as it would have asked every half second under contention (not measured).

--- a/egretstack/limits/_held.py
+++ b/egretstack/limits/_held.py
@@ -230,10 +230,14 @@
         self._is_contested = grant.share.slots < asked.want.slots
         self._whole_at_grant = asked.whole
         self.until_s = until_s
-        self.fallback = False
+        kept_share, self.fallback = self.fallback, False
         self.not_before_s = now_s + REASK_S if self._is_all(asked, grant) else now_s
         renew_s = HOLD_RENEW_S if holds else RENEW_S
         self.due_s = asked.sent_s + renew_s if self._is_needed(now_s) else inf
+        if kept_share and asked.keep.burst > grant.share.burst:
+            # The home is charged with all that was kept until it hears that less is. Where each
+            # entry kept its share, that is the contract, and nobody would get a token meanwhile.
+            self.due_s = min(self.due_s, now_s + REASK_S)
 
     def _carry_over(self, asked: Asked, most: float) -> None:
         # A home opens with an empty bucket, and gives `keep` less than it lends: a caller that was
--- a/tests/test_limits_world.py
+++ b/tests/test_limits_world.py
@@ -289,3 +289,25 @@
             await trio.sleep(8)
         check.assertGreater(len(counted_twice), 0)
         check.assertEqual(sum(counted_twice), 0)
+
+
+async def test_a_third_entry_is_served_when_a_new_home_opens():
+    # One of four entries, the home, is killed. Callers at two others are served by their shares
+    # while the new home warms up. The last entry is asked for the first time as it opens: what
+    # the others kept makes up the contract, though they hardly use it.
+    async with small_site(entries=4) as (world, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        home, others = home_and_others(entries)
+        home.kill()
+        while any(home_of(one) == home.name for one in others):
+            for one in others:
+                check.assertIsNone(await one_call(one))
+            await trio.sleep(0.5)
+        fresh = await world.start("entry-9", Program.ENTRY)
+        refusals = []
+        for _turn in range(16):
+            for one in others:
+                refusals.append(await one_call(one))
+            refusals.append(await one_call(fresh))
+            await trio.sleep(1.0)
+        check.assertEqual([one for one in refusals if one], [])
