Load reports: a bounded number of readings a second for the whole process

Cause: each chosen runner was read twice a second, up to 26 readings/s; one costs some 3 ms. Ruled out: a smaller subset alone - two engines at two readings each are above the bound already. Urgent readings (a refused connect, a broken stream, a failed reading) go ahead of the turns and put the later ones off, so the rate holds. The capacity page is made anew with the setting's default; its kept slope of an idle entry is from before and has to be run again.

--- a/egretstack/membership/__init__.py
+++ b/egretstack/membership/__init__.py
@@ -10,6 +10,7 @@
 )
 from egretstack.membership._messages import Heartbeat, HeartbeatAnswer
 from egretstack.membership._reading import ReadingPlan
+from egretstack.membership._report_turns import ReportTurns
 from egretstack.membership._rows import InstanceState, RowError
 from egretstack.membership._runner_watch import RunnerWatch
 from egretstack.membership._state import (
@@ -36,6 +37,7 @@
     "NearbyReports",
     "ReadingPlan",
     "ReportChooser",
+    "ReportTurns",
     "RowError",
     "RunnerWatch",
     "entries_for",
--- /dev/null
+++ b/egretstack/membership/_report_turns.py
@@ -0,0 +1,84 @@
+"""In which order, and how often, the chosen runners' load reports are read."""
+
+import random
+from collections.abc import Iterable
+
+from egretstack.ids import RunnerId
+
+JITTER = 0.1
+"""Share by which the time between two turns varies, so that instances do not fall into step."""
+MAX_AHEAD = 4
+"""Turns that urgent readings may take ahead; the ones after them wait that much longer."""
+RETRY_S = 0.5
+"""Least time between two readings of one runner out of turn."""
+RETRIED_S = 10.0
+"""How long after its first failure a runner is read out of turn; later it is read in its turn."""
+
+
+class ReportTurns:
+    """Shares a bounded rate of readings evenly among runners; doubtful ones are read first.
+
+    Times are seconds on the runtime's clock. Over any longer time the readings stay below the
+    rate: an urgent one at once puts off the turns that follow.
+    """
+
+    def __init__(self, rate_per_s: float, least_s: float, rng: random.Random) -> None:
+        self._gap_s = 1 / rate_per_s
+        self._least_s = least_s
+        self._rng = rng
+        self._turn_s = float("-inf")
+        self._read_s: dict[RunnerId, float] = {}
+        self._urgent: dict[RunnerId, None] = {}
+        self._failed_s: dict[RunnerId, float] = {}
+
+    def choose(self, runners: Iterable[RunnerId]) -> None:
+        """Take turns among these runners; new ones come first, in a random order."""
+        wanted = set(runners)
+        for held in (self._read_s, self._urgent, self._failed_s):
+            for runner in held.keys() - wanted:
+                del held[runner]
+        new = sorted(wanted - self._read_s.keys())
+        self._rng.shuffle(new)
+        self._read_s |= dict.fromkeys(new, float("-inf"))
+
+    def doubt(self, runner: RunnerId) -> None:
+        """Read a runner out of turn: something else than its report says that it is away."""
+        if runner in self._read_s:
+            self._urgent[runner] = None
+
+    def failed(self, now_s: float, runner: RunnerId) -> None:
+        """Take note that a reading failed; the runner is read again soon, for some time."""
+        if runner not in self._read_s:
+            return
+        if now_s - self._failed_s.setdefault(runner, now_s) < RETRIED_S:
+            self._urgent[runner] = None
+
+    def succeeded(self, runner: RunnerId) -> None:
+        """Take note that a reading brought a report."""
+        self._failed_s.pop(runner, None)
+
+    def take(self, now_s: float, busy: set[RunnerId]) -> RunnerId | None:
+        """Give the runner to read now, if one is due; not one of `busy`."""
+        runner = self._next(now_s, busy)
+        if runner is None or self._due_s(now_s, runner) > now_s:
+            return None
+        gap_s = self._gap_s * self._rng.uniform(1 - JITTER, 1 + JITTER)
+        self._turn_s = max(self._turn_s, now_s - self._gap_s) + gap_s
+        self._read_s[runner] = now_s
+        self._urgent.pop(runner, None)
+        return runner
+
+    def wait_s(self, now_s: float, busy: set[RunnerId]) -> float:
+        """Give the time until `take` may give a runner; infinite where there is none."""
+        runner = self._next(now_s, busy)
+        return float("inf") if runner is None else max(0.0, self._due_s(now_s, runner) - now_s)
+
+    def _next(self, now_s: float, busy: set[RunnerId]) -> RunnerId | None:
+        free = [runner for runner in self._read_s if runner not in busy]
+        return min(free, key=lambda one: (self._due_s(now_s, one), self._read_s[one]), default=None)
+
+    def _due_s(self, now_s: float, runner: RunnerId) -> float:
+        if runner in self._urgent:
+            ahead_s = self._turn_s - MAX_AHEAD * self._gap_s
+            return max(self._read_s[runner] + RETRY_S, ahead_s)
+        return max(self._read_s[runner] + self._least_s, self._turn_s, now_s)
--- a/egretstack/services/dispatching.py
+++ b/egretstack/services/dispatching.py
@@ -88,7 +88,9 @@
 
     def ended(self, work: Work, tokens: int, reason: EndReason) -> None:
         """Tell the policy that the work left its engine, or the queue."""
-        self._waiting_by_id.pop(work.id, None)
+        waiting = self._waiting_by_id.pop(work.id, None)
+        if reason is EndReason.FAILED and waiting is not None and waiting.placement is not None:
+            self.kernel.get(Runners).doubt(waiting.placement.runner_id)
         self._tell(Ended(work.id, tokens, reason))
 
     async def _decision(self, waiting: _Waiting) -> Placement:
--- a/egretstack/services/runners.py
+++ b/egretstack/services/runners.py
@@ -9,7 +9,13 @@
 from egretstack.events import Event, log
 from egretstack.ids import InstanceId, RunnerId, ServiceName, ZoneName
 from egretstack.kernel import Kernel, Service
-from egretstack.membership import MAX_REPORTS, NearbyReports, ReportChooser, RunnerWatch
+from egretstack.membership import (
+    MAX_REPORTS,
+    NearbyReports,
+    ReportChooser,
+    ReportTurns,
+    RunnerWatch,
+)
 from egretstack.platform import Member, MemberState
 from egretstack.policy import PolicyEvent, RunnerInfo, RunnerLeft, RunnerReported, RunnerSeen
 from egretstack.services.configuration import Configuration
@@ -18,8 +24,6 @@
 from egretstack.services.platform_access import PlatformAccess
 from egretstack.upstreams import EngineClient, EngineError, LoadReport, PlainService
 
-MAX_READS_PER_S = 26.0
-"""Load reports read in a second; with more runners chosen, each is read less often."""
 REPORT_TIMEOUT_S = 2.0
 RENEW_S = 60.0
 """How often it is spread again that a runner's own report says it leaves."""
@@ -46,8 +50,13 @@
         self._unlisted_s: dict[RunnerId, float] = {}
         self._renewed_s: dict[RunnerId, float] = {}
         self._listeners: list[Callable[[PolicyEvent], None]] = []
-        self._scope_by_id: dict[RunnerId, trio.CancelScope] = {}
-        self._nursery: trio.Nursery
+        self._turns = ReportTurns(
+            settings.number("engines", "report_readings_per_s"),
+            settings.number("engines", "report_period_s"),
+            self._rng,
+        )
+        self._busy: set[RunnerId] = set()
+        self._turns_changed = trio.Event()
 
     def on_event(self, listener: Callable[[PolicyEvent], None]) -> None:
         """Tell `listener` of every runner that comes, reports or leaves.
@@ -71,12 +80,13 @@
         """Ask the chooser again."""
         known = self._watch.known()
         chosen = sorted(self._chooser.choose(known) & {info.id for info in known})[:MAX_REPORTS]
-        for runner_id in self._scope_by_id.keys() - set(chosen):
-            self._scope_by_id.pop(runner_id).cancel()
-        for runner_id in chosen:
-            if runner_id not in self._scope_by_id:
-                self._scope_by_id[runner_id] = trio.CancelScope()
-                self._nursery.start_soon(self._report, runner_id, self._scope_by_id[runner_id])
+        self._turns.choose(chosen)
+        self._turns_changed.set()
+
+    def doubt(self, runner_id: RunnerId) -> None:
+        """Read a runner's report out of turn, after a refused connection or a broken stream."""
+        self._turns.doubt(runner_id)
+        self._turns_changed.set()
 
     def engine(self, runner_id: RunnerId) -> EngineClient | None:
         """Give the client of an engine, also of a leaving one."""
@@ -93,7 +103,7 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Follow the instance list and the configuration."""
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+            nursery.start_soon(self._read_in_turn)
             self.kernel.get(Instances).on_change(self._refresh)
             self._refresh()
             task_status.started()
@@ -132,27 +142,45 @@
                 del self._unlisted_s[runner_id]
                 self._renewed_s.pop(runner_id, None)
 
-    async def _report(self, runner_id: RunnerId, scope: trio.CancelScope) -> None:
-        least_s = self.kernel.settings.number("engines", "report_period_s")
-        with scope:
+    async def _read_in_turn(self) -> None:
+        async with trio.open_nursery() as nursery:
             while True:
-                await self._read_report(runner_id)
-                await trio.sleep(max(least_s, len(self._scope_by_id) / MAX_READS_PER_S))
+                self._turns_changed = trio.Event()
+                now_s = trio.current_time()
+                runner_id = self._turns.take(now_s, self._busy)
+                if runner_id is not None:
+                    self._busy.add(runner_id)
+                    nursery.start_soon(self._read_report, runner_id)
+                    continue
+                with trio.move_on_after(self._turns.wait_s(now_s, self._busy)):
+                    await self._turns_changed.wait()
 
     async def _read_report(self, runner_id: RunnerId) -> None:
-        report = None
-        with trio.move_on_after(REPORT_TIMEOUT_S):
-            try:
-                report = await self._engine_by_id[runner_id].load()
-            except EngineError:
-                report = None
+        try:
+            report = await self._load(runner_id)
+        finally:
+            self._busy.discard(runner_id)
+            self._turns_changed.set()
         if report is None:
+            self._turns.failed(trio.current_time(), runner_id)
             self._note_silence(runner_id)
             return
+        self._turns.succeeded(runner_id)
         self._tell_all(self._watch.reported(runner_id, report.leaving))
         self._spread(runner_id, report.leaving)
         self._tell(_reported(runner_id, report))
 
+    async def _load(self, runner_id: RunnerId) -> LoadReport | None:
+        engine = self._engine_by_id.get(runner_id)
+        if engine is None:
+            return None
+        with trio.move_on_after(REPORT_TIMEOUT_S):
+            try:
+                return await engine.load()
+            except EngineError:
+                return None
+        return None
+
     def _note_silence(self, runner_id: RunnerId) -> None:
         was_silent = self._watch.is_silent(runner_id)
         self._tell_all(self._watch.failed(trio.current_time(), runner_id))
--- a/egretstack/settings/_schema.py
+++ b/egretstack/settings/_schema.py
@@ -104,9 +104,16 @@
         "engines",
         "report_period_s",
         Number(0.1, 60, _SECONDS),
-        "How often each runner's load report is read.",
+        "Least time between two readings of one runner's load report.",
         "0.5",
     ),
+    Key(
+        "engines",
+        "report_readings_per_s",
+        Number(0.1, 100, "readings per second"),
+        "Load reports that this process reads in all; with more runners each is read less often.",
+        "2",
+    ),
 )
 
 _SCHEMAS = {
--- a/scripts/_capacity_lines.py
+++ b/scripts/_capacity_lines.py
@@ -4,7 +4,6 @@
 
 from egretstack.membership import MAX_REPORTS, ReadingPlan
 from egretstack.services.peer_port import MAX_LINKS
-from egretstack.services.runners import MAX_READS_PER_S
 from scripts._sheet import Line, Resource, Slopes, amount
 from scripts._target import BOUNDS, DAY_S, TARGET
 
@@ -13,9 +12,10 @@
 LIST_PERIOD_S = ReadingPlan.make(1.0, TARGET.members, 0, TARGET.nodes).period_s
 """Time between two reads of the instance list by one process, as the product plans it."""
 REPORTS_A_RUNNER = 2
-"""Load reports an entry reads from each runner in a second while they are few."""
-REPORTS = min(REPORTS_A_RUNNER * MAX_REPORTS, MAX_READS_PER_S)
-"""Load reports an entry reads in a second, whatever the number of runners."""
+"""Load reports read of each runner in a second when the kept slope for idle entries was run."""
+REPORTS = 2.0
+"""Load reports an entry reads in a second, whatever the number of runners: the default of the
+setting `engines.report_readings_per_s`."""
 CORE_US = 1_000_000
 ACTIVE_ACCOUNTS = 10
 """Accounts an entry serves at once, were each account's callers spread over six entries."""
--- /dev/null
+++ b/scripts/measure_idle.py
@@ -0,0 +1,55 @@
+"""Measures the processor time of an entry that serves nobody, by the number of engines listed.
+
+Prints one JSON line for each number of engines: percent of one core, readings of the instance
+list and of load reports a second. The processes are real and on loopback. Run it as
+`python scripts/measure_idle.py [ENGINES ...]`.
+"""
+
+import os
+import sys
+
+import httpx
+import trio
+from path_site import PathSite, path_site, print_figure
+
+ENGINES = (2, 7, 20)
+SETTLE_S = 8.0
+MEASURE_S = 20.0
+STEP_S = 0.05
+NET = os.environ.get("DEMO_NET", "127.36")
+
+
+async def main() -> None:
+    """Run the measurement."""
+    for engines in [int(text) for text in sys.argv[1:]] or ENGINES:
+        async with path_site(NET, engines, STEP_S) as site:
+            await trio.sleep(SETTLE_S)
+            await _measure(site, engines)
+
+
+async def _measure(site: PathSite, engines: int) -> None:
+    async with httpx.AsyncClient(trust_env=False) as client:
+        lists, reports = await _readings(client, site)
+        began_s, cpu_s = trio.current_time(), site.entry_cpu_s()
+        await trio.sleep(MEASURE_S)
+        cpu_s, took_s = site.entry_cpu_s() - cpu_s, trio.current_time() - began_s
+        lists_after, reports_after = await _readings(client, site)
+    print_figure(
+        "idle",
+        engines=engines,
+        core_percent=round(100 * cpu_s / took_s, 2),
+        list_reads_per_s=round((lists_after - lists) / took_s, 2),
+        report_readings_per_s=round((reports_after - reports) / took_s, 2),
+    )
+
+
+async def _readings(client: httpx.AsyncClient, site: PathSite) -> tuple[int, int]:
+    """Count readings of the list and of all load reports so far."""
+    calls = (await client.get(f"http://{NET}.0.10:9000/calls")).json()
+    reports = 0
+    for url in site.engine_urls:
+        reports += (await client.get(f"{url}/readings")).json().get("load", 0)
+    return calls["list_reads"], reports
+
+
+trio.run(main)
--- a/standins/engine_http.py
+++ b/standins/engine_http.py
@@ -1,6 +1,7 @@
 """The engine stand-in as an HTTP process: a subset of the OpenAI Responses API."""
 
 import json
+from collections import Counter
 from collections.abc import AsyncIterator
 
 from quart import Response, request
@@ -78,8 +79,15 @@
             return Response(b"", status=409)
         return _json({"models": list(engine.models)})
 
+    readings = Counter()
+
+    @app.get("/readings")
+    async def count() -> Response:
+        return _json(readings)
+
     @app.get("/metrics")
     async def metrics() -> Response:
+        readings["load"] += 1
         return Response(_metrics_text(engine), content_type="text/plain; version=0.0.4")
 
 
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -20,6 +20,7 @@
 
     def __init__(self) -> None:
         self.by_service: dict[str, dict] = {}
+        self.reads = 0
 
     def body(self) -> dict[str, object]:
         """Give the list as EndpointSlices."""
@@ -92,6 +93,7 @@
 def _add_controls(app: QuartTrio, store: ObjectStore, listed: ListedServices) -> None:
     @app.get(_LISTS)
     async def instances(namespace: str) -> Response:
+        listed.reads += 1
         return _json(listed.body())
 
     @app.put("/instances/<service>")
@@ -109,7 +111,13 @@
     @app.get("/calls")
     async def calls() -> Response:
         counts = {f"{verb} {kind.value}": n for (verb, kind), n in store.calls.items()}
-        return _json({"calls": counts, "waiting_watches": store.waiting_watches})
+        return _json(
+            {
+                "calls": counts,
+                "waiting_watches": store.waiting_watches,
+                "list_reads": listed.reads,
+            }
+        )
 
     @app.get("/weights/<model>")
     async def weights(model: str) -> Response:
--- a/tests/test_membership_choice.py
+++ b/tests/test_membership_choice.py
@@ -1,5 +1,8 @@
 """Choices by rendezvous hash, and the turns in which instances read the list."""
 
+import itertools
+import random
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -9,8 +12,10 @@
     MAX_REPORTS,
     NearbyReports,
     ReadingPlan,
+    ReportTurns,
     entries_for,
 )
+from egretstack.membership._report_turns import JITTER, MAX_AHEAD
 from egretstack.policy import RunnerInfo
 from tests.membership_fleet import instance
 from tests.support import check, tests_of
@@ -94,3 +99,50 @@
         wait_s = plan.wait_s(now_s)
         check.assertGreaterEqual(wait_s, plan.period_s / 2)
         check.assertLessEqual(wait_s, plan.period_s * 1.5)
+
+
+def readings(turns, seconds, answers, rate_check_s=0.01):
+    """Let time pass in small steps; give (time, runner) of each reading."""
+    found = []
+    for step in range(int(seconds / rate_check_s)):
+        now_s = step * rate_check_s
+        runner = turns.take(now_s, set())
+        if runner is not None:
+            found.append((now_s, runner))
+            turns.succeeded(runner) if answers(runner) else turns.failed(now_s, runner)
+    return found
+
+
+@given(st.integers(1, 40), st.integers(0, 40), st.integers(0, 5))
+def test_readings_stay_below_their_rate_also_when_many_runners_fail(runners, failing, seed):
+    turns = ReportTurns(2.0, 0.5, random.Random(seed))
+    turns.choose(RunnerId(f"r-{number}") for number in range(runners))
+    dead = {f"r-{number}" for number in range(failing)}
+    found = readings(turns, 30, lambda runner: runner not in dead)
+    check.assertLessEqual(len(found), 30 * 2 * (1 + JITTER) + MAX_AHEAD + 2)
+
+
+def test_turns_are_shared_evenly_and_two_runners_are_read_once_a_second():
+    turns = ReportTurns(2.0, 0.5, random.Random(1))
+    turns.choose([RunnerId("a"), RunnerId("b")])
+    found = readings(turns, 20, lambda runner: True)
+    times = [at_s for at_s, runner in found if runner == "a"]
+    for gap_s in (after - before for before, after in itertools.pairwise(times)):
+        check.assertTrue(0.85 <= gap_s <= 1.15, gap_s)
+
+
+def test_a_doubted_runner_is_read_at_once_and_the_turns_after_it_wait():
+    # A caller's stream to a runner broke. Its report would tell whether the runner is away, but
+    # its turn is 20 s off; until then new work would go there.
+    turns = ReportTurns(2.0, 0.5, random.Random(1))
+    turns.choose(RunnerId(f"r-{number}") for number in range(40))
+    found = readings(turns, 30, lambda runner: True)
+    last_s, doubted = found[0][0], found[0][1]
+    check.assertEqual(last_s, 0.0)
+    turns.choose(RunnerId(f"r-{number}") for number in range(40))
+    read_last = found[-1][1]
+    turns.doubt(read_last)
+    check.assertEqual(turns.take(30.6, set()), read_last)
+    check.assertIsNone(turns.take(30.6, {doubted}))
+    turns.doubt(read_last)
+    check.assertNotEqual(turns.take(30.7, set()), read_last)
