All test modules run again: those in packages too, one package in a row

Cause: the runner listed the modules of one folder only, so the 8 tests of tests/process were passed over (380 instead of 388; found by comparing with unittest's own discovery). Packages are walked now: 388. Modules of one package run in a row.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -11,8 +11,9 @@
 from concurrent.futures import ProcessPoolExecutor
 from multiprocessing import get_context
 from pathlib import Path
+from pkgutil import walk_packages
 
-from tests.running import ModuleReport, run_module
+from tests.running import ModuleReport, run_modules
 
 TESTS = Path(__file__).parent
 KNOWN_RED = TESTS.parent / "KNOWN-RED.txt"
@@ -39,15 +40,32 @@
 
 def _reports(modules: list[str]) -> Iterator[ModuleReport]:
     """Run the modules; a process that dies raises BrokenProcessPool here."""
-    processes = min(MAX_PROCESSES, os.cpu_count() or 1, len(modules))
+    jobs = _jobs(modules)
+    processes = min(MAX_PROCESSES, os.cpu_count() or 1, len(jobs))
     # A fresh interpreter for each process: nothing that one module left behind, such as a socket
     # or a cached key, reaches a module of another process.
     with ProcessPoolExecutor(processes, mp_context=get_context("spawn")) as pool:
-        yield from pool.map(run_module, modules)
+        for reports in pool.map(run_modules, jobs):
+            yield from reports
+
+
+def _jobs(modules: list[str]) -> list[tuple[str, ...]]:
+    """Group what has to run in a row: modules of one package below this one.
+
+    They start programs on loopback addresses that they found free a moment before. Side by side
+    two could find the same ones, and would do so with twice the processes.
+    """
+    names_by_job: dict[str, list[str]] = {}
+    for name in modules:
+        package = name.rpartition(".")[0]
+        names_by_job.setdefault(name if package == TESTS.name else package, []).append(name)
+    return [tuple(names) for names in names_by_job.values()]
 
 
 def _all_modules() -> list[str]:
-    return sorted(f"{TESTS.name}.{path.stem}" for path in TESTS.glob("test*.py"))
+    found = walk_packages([str(TESTS)], f"{TESTS.name}.")
+    names = [one.name for one in found if not one.ispkg]
+    return sorted(name for name in names if name.rpartition(".")[2].startswith("test"))
 
 
 def _print_report(report: ModuleReport) -> None:
--- a/tests/running.py
+++ b/tests/running.py
@@ -1,4 +1,4 @@
-"""Runs the tests of one module; imported by each process that runs tests."""
+"""Runs the tests of modules; imported by each process that runs tests."""
 
 import unittest
 from dataclasses import dataclass
@@ -23,9 +23,13 @@
     failed: tuple[Failed, ...]
 
 
-def run_module(module: str) -> ModuleReport:
-    """Run the tests of one module in this process."""
+def run_modules(modules: tuple[str, ...]) -> list[ModuleReport]:
+    """Run the tests of modules in this process, one module after another."""
     logger.remove()
+    return [_run_module(module) for module in modules]
+
+
+def _run_module(module: str) -> ModuleReport:
     result = unittest.TestResult()
     unittest.defaultTestLoader.loadTestsFromName(module).run(result)
     failed = [Failed(case.id(), text) for case, text in result.failures + result.errors]
