--- /dev/null
+++ b/scripts/_capacity_lines.py
@@ -0,0 +1,372 @@
+"""The lines of the capacity page, role by role, from the kept slopes."""
+
+from collections.abc import Callable
+
+from egretstack.membership import MAX_REPORTS, ReadingPlan
+from egretstack.services.peer_port import MAX_LINKS
+from egretstack.services.runners import MAX_READS_PER_S
+from scripts._sheet import Line, Resource, Slopes, amount
+from scripts._target import BOUNDS, DAY_S, TARGET
+
+PROCESSES = 2
+"""Processes of an instance: its entry and its steward."""
+LIST_PERIOD_S = ReadingPlan.make(1.0, TARGET.members, 0, TARGET.nodes).period_s
+"""Time between two reads of the instance list by one process, as the product plans it."""
+REPORTS_A_RUNNER = 2
+"""Load reports an entry reads from each runner in a second while they are few."""
+REPORTS = min(REPORTS_A_RUNNER * MAX_REPORTS, MAX_READS_PER_S)
+"""Load reports an entry reads in a second, whatever the number of runners."""
+CORE_US = 1_000_000
+ACTIVE_ACCOUNTS = 10
+"""Accounts an entry serves at once, were each account's callers spread over six entries."""
+LEDGER_CALLS = 800
+"""Calls a second that may not be repeated, the most that was run; the users give no figure."""
+
+_LIST = "processes take turns; what one finds spreads with heartbeats"
+_REPORTS = f"each entry reads at most {MAX_REPORTS} runners, at a bounded rate"
+_CHANGED = "watchers at the head, then the changed parts from peer to peer"
+
+
+def entry(slopes: Slopes) -> list[Line]:
+    """Give what passing sessions on costs one entry process."""
+    return [
+        Line(
+            "tokens",
+            Resource.CORE,
+            ("path.entry_token_cpu",),
+            f"{TARGET.node_tokens:,.0f} tokens/s",
+            TARGET.node_tokens * slopes.each("path.entry_token_cpu"),
+            "one write for each token",
+        ),
+        Line(
+            "requests",
+            Resource.CORE,
+            ("path.entry_request_cpu",),
+            f"{TARGET.node_requests:.1f} requests/s",
+            TARGET.node_requests * slopes.each("path.entry_request_cpu"),
+            "a new connection each way for each request",
+        ),
+        Line(
+            "choice of a runner",
+            Resource.CORE,
+            ("runners.policy_request_cpu",),
+            f"{TARGET.node_requests:.1f} requests/s x {TARGET.runners:,} runners",
+            TARGET.node_requests * slopes.at("runners.policy_request_cpu", TARGET.runners),
+            "policy",
+        ),
+        Line(
+            "open sessions",
+            Resource.DATA_MEMORY,
+            ("path.entry_session_memory",),
+            f"{TARGET.open_sessions:.0f} sessions",
+            TARGET.open_sessions * slopes.each("path.entry_session_memory"),
+            "connections, and the last events kept for a caller who comes back",
+        ),
+    ]
+
+
+def every_node(slopes: Slopes) -> list[Line]:
+    """Give what control costs each instance, with its entry and its steward."""
+    return [
+        *_list_lines(slopes),
+        *_report_lines(slopes),
+        *_configuration_lines(slopes),
+        *_standing_lines(slopes),
+    ]
+
+
+def _list_lines(slopes: Slopes) -> list[Line]:
+    how = f"{PROCESSES} x {TARGET.members:,} members every {LIST_PERIOD_S:.0f} s"
+    answer = slopes.at("runners.instance_list_answer", TARGET.members)
+    read = slopes.at("runners.instance_list_read_cpu", TARGET.members)
+    return [
+        Line(
+            "instance list",
+            Resource.TRAFFIC,
+            ("runners.instance_list_answer",),
+            how,
+            PROCESSES * answer / LIST_PERIOD_S,
+            _LIST,
+        ),
+        Line(
+            "instance list",
+            Resource.CPU,
+            ("runners.instance_list_read_cpu",),
+            how,
+            PROCESSES * read / LIST_PERIOD_S,
+            _LIST,
+        ),
+    ]
+
+
+def _report_lines(slopes: Slopes) -> list[Line]:
+    how = f"{REPORTS:g} reports/s"
+    report_us = slopes.each("path.entry_idle_cpu") / REPORTS_A_RUNNER
+    return [
+        Line(
+            "load reports",
+            Resource.TRAFFIC,
+            ("runners.load_report_wire",),
+            how,
+            slopes.each("runners.load_report_wire") * REPORTS,
+            _REPORTS,
+        ),
+        Line(
+            "load reports",
+            Resource.CPU,
+            ("path.entry_idle_cpu",),
+            how + ", two of them the slope of a runner",
+            report_us * REPORTS,
+            _REPORTS,
+        ),
+        Line(
+            "runners as the policy holds them",
+            Resource.MEMORY,
+            ("runners.policy_memory",),
+            f"{TARGET.runners:,} runners",
+            slopes.at("runners.policy_memory", TARGET.runners),
+            "one record for each runner",
+        ),
+    ]
+
+
+def _configuration_lines(slopes: Slopes) -> list[Line]:
+    rate = PROCESSES * TARGET.changes
+    how = f"{TARGET.changes_a_day:,} changes a day x {PROCESSES} processes"
+    starts = (TARGET.failed_a_day + TARGET.replaced_a_day) / DAY_S
+    snapshot = slopes.at("accounts.configuration_snapshot_wire", TARGET.parts)
+    return [
+        Line(
+            "changes",
+            Resource.TRAFFIC,
+            ("accounts.configuration_change_wire",),
+            how,
+            rate * slopes.at("accounts.configuration_change_wire", TARGET.parts),
+            _CHANGED,
+        ),
+        Line(
+            "changes",
+            Resource.CPU,
+            ("accounts.configuration_change_cpu",),
+            f"{how} x {TARGET.parts} parts",
+            rate * slopes.at("accounts.configuration_change_cpu", TARGET.parts),
+            _CHANGED,
+        ),
+        Line(
+            "whole configuration for starting instances",
+            Resource.TRAFFIC,
+            ("accounts.configuration_snapshot_wire",),
+            f"{TARGET.failed_a_day + TARGET.replaced_a_day} starts a day x {TARGET.parts} parts, "
+            "were one peer to give all of it",
+            PROCESSES * starts * snapshot,
+            "pieces from a peer",
+        ),
+        Line(
+            "configuration in force",
+            Resource.MEMORY,
+            ("accounts.configuration_memory",),
+            f"{PROCESSES} processes x {TARGET.parts} parts",
+            PROCESSES * slopes.at("accounts.configuration_memory", TARGET.parts),
+            "each process holds all of it",
+        ),
+        Line(
+            "metrics by account",
+            Resource.MEMORY,
+            ("accounts.metrics_memory",),
+            f"{TARGET.accounts} accounts",
+            slopes.at("accounts.metrics_memory", TARGET.accounts),
+            "a set of series for each account that an entry serves",
+        ),
+    ]
+
+
+def _standing_lines(slopes: Slopes) -> list[Line]:
+    nodes = f"{TARGET.nodes} instances"
+    return [
+        Line(
+            "heartbeats",
+            Resource.TRAFFIC,
+            ("membership.traffic",),
+            nodes,
+            slopes.at("membership.traffic", TARGET.nodes),
+            "to a few neighbours chosen by hash",
+        ),
+        Line(
+            "links between instances",
+            Resource.TRAFFIC,
+            ("nodes.idle_bytes",),
+            nodes,
+            slopes.at("nodes.idle_bytes", TARGET.nodes),
+            "heartbeats and asking peers for a newer revision, as objects",
+        ),
+        Line(
+            "all that runs by itself, without sockets",
+            Resource.CPU,
+            ("nodes.idle_cpu",),
+            nodes,
+            slopes.at("nodes.idle_cpu", TARGET.nodes),
+            "timers of entry and steward",
+        ),
+        Line(
+            "the two processes",
+            Resource.MEMORY,
+            ("path.entry_idle_memory",),
+            f"{PROCESSES} processes, the steward taken to be as large as the entry",
+            PROCESSES * slopes.each("path.entry_idle_memory"),
+            "interpreter and libraries",
+        ),
+        Line(
+            "links and what else grows with the fleet",
+            Resource.MEMORY,
+            ("memory.idle_memory",),
+            nodes,
+            slopes.each("memory.idle_memory") * TARGET.nodes,
+            "a buffer at each end of each link",
+        ),
+    ]
+
+
+def homes(slopes: Slopes) -> list[Line]:
+    """Give what lending limits costs an instance, as entry and as home."""
+    lent = "limits lent by an account's home instance, renewed by the entries that use them"
+    active = f"{ACTIVE_ACCOUNTS} active accounts on each entry"
+    return [
+        Line(what, resource, (name,), active, slopes.at(name, ACTIVE_ACCOUNTS), lent)
+        for what, resource, name in (
+            ("asking and granting", Resource.TRAFFIC, "limits.traffic"),
+            ("asking and granting", Resource.CPU, "limits.cpu"),
+            ("what is lent and held", Resource.MEMORY, "limits.memory"),
+        )
+    ]
+
+
+def relays(slopes: Slopes) -> list[Line]:
+    """Give what the busiest steward sends while changes pass."""
+    return [
+        Line(
+            "news and changed parts",
+            Resource.TRAFFIC,
+            ("configuration.busiest",),
+            f"{TARGET.nodes} instances, {TARGET.changes_a_day:,} changes a day",
+            slopes.at("configuration.busiest", TARGET.nodes),
+            "a tree of stewards, four below each; the busiest of them",
+        )
+    ]
+
+
+def ledger(slopes: Slopes) -> list[Line]:
+    """Give what calls that may not be repeated cost the object API."""
+    how = f"{LEDGER_CALLS} such calls a second, over 40 entries"
+    carried = "shards with group commit, each written by its home instance alone"
+    return [
+        Line(
+            "intents and outcomes",
+            Resource.WRITES,
+            ("ledger.writes",),
+            how,
+            slopes.at("ledger.writes", LEDGER_CALLS),
+            carried,
+        ),
+        Line(
+            "reading shards",
+            Resource.READS,
+            ("ledger.reads",),
+            how,
+            slopes.at("ledger.reads", LEDGER_CALLS),
+            carried,
+        ),
+    ]
+
+
+def read_parts(slopes: Slopes) -> None:
+    """Fit the runs of parts that print runs."""
+    for value, name, unit in (
+        ("bytes_per_s", "limits.traffic", "bytes/s"),
+        ("cpu_us_per_s", "limits.cpu", "us/s"),
+        ("memory_bytes", "limits.memory", "bytes"),
+    ):
+        size = ("active account", "active_accounts_per_node")
+        slopes.fit_rows(name, unit, size, value, kind="cost", nodes=80)
+    slopes.fit_rows("membership.traffic", "bytes/s", ("instance", "instances"), "bytes_per_s")
+    tree = {"what": "in_force", "width": 4}
+    busiest = "bytes_a_second_of_the_busiest"
+    instance = ("instance", "stewards")
+    slopes.fit_rows("configuration.busiest", "bytes/s", instance, busiest, **tree)
+    slopes.fit_rows("configuration.seconds", "s", instance, "seconds", **tree)
+    shards = {"way": "homed", "entries": 40, "shards": 8, "pace_ms": 50}
+    offered = ("call a second", "offered_per_s")
+    slopes.fit_rows("ledger.writes", "calls/s", offered, "writes_per_s", **shards)
+    slopes.fit_rows("ledger.reads", "calls/s", offered, "reads_per_s", **shards)
+
+
+def object_api(slopes: Slopes) -> list[Line]:
+    """Give what the whole fleet asks of the object API."""
+    return [
+        Line(
+            "configuration, at rest",
+            Resource.READS,
+            ("nodes.idle_object_api_calls",),
+            f"{TARGET.nodes} instances",
+            slopes.at("nodes.idle_object_api_calls", TARGET.nodes),
+            "a few watchers; the others read the head now and then at a rate the fleet shares",
+        ),
+        Line(
+            "waiting watches",
+            Resource.READS,
+            ("nodes.idle_waiting_watches",),
+            f"{TARGET.nodes} instances, each watch as one call a second",
+            slopes.at("nodes.idle_waiting_watches", TARGET.nodes),
+            "a few watchers",
+        ),
+        Line(
+            "configuration, changes",
+            Resource.READS,
+            ("nodes.change_object_api_calls",),
+            f"{TARGET.changes_a_day:,} changes a day",
+            TARGET.changes * slopes.at("nodes.change_object_api_calls", TARGET.nodes),
+            "the changed part comes with the head",
+        ),
+    ]
+
+
+def sentences(slopes: Slopes) -> dict[str, str]:
+    """Give the figures that the page's prose names."""
+    writes = slopes.slope_by_name["ledger.writes"]
+    token_us = slopes.each("path.entry_token_cpu")
+    report_us = slopes.each("path.entry_idle_cpu") / REPORTS_A_RUNNER
+    sessions = TARGET.open_sessions * TARGET.nodes
+    return {
+        "in_force": f"{max(slopes.slope_by_name['configuration.seconds'].values):.2f}",
+        "ledger_calls": f"{max(writes.sizes):.0f}",
+        "ledger_share": f"{TARGET.requests / max(writes.sizes):.1f}",
+        "links": f"{slopes.at('nodes.links_busiest', TARGET.nodes):.0f}",
+        "link_memory": amount(slopes.each("memory.idle_memory"), "bytes"),
+        "max_links": f"{MAX_LINKS}",
+        "reports": f"{REPORTS:g}",
+        "max_reports": f"{MAX_REPORTS}",
+        "link_end": amount(slopes.each("runners.link_memory"), "bytes"),
+        "reports_a_core_share": f"{BOUNDS.cpu_us / report_us:.1f}",
+        "node_tokens": f"{TARGET.node_tokens:,.0f}",
+        "token_us": f"{token_us:.0f}",
+        "tokens_a_core": f"{CORE_US / token_us:,.0f}",
+        "entry_processes": f"{TARGET.node_tokens * token_us / CORE_US:.1f}",
+        "sessions": f"{sessions:,.0f}",
+        "node_sessions": f"{TARGET.open_sessions:.0f}",
+        "zone_sessions": f"{sessions / TARGET.zones:,.0f}",
+        "zone_sessions_a_node": f"{sessions / TARGET.zones / (TARGET.nodes * 0.9):.0f}",
+        "zone_nodes": f"{TARGET.nodes // TARGET.zones}",
+        "snapshot": amount(
+            slopes.at("accounts.configuration_snapshot_wire", TARGET.parts), "bytes"
+        ),
+        "report_us": f"{report_us:,.0f}",
+    }
+
+
+TABLES: dict[str, Callable[[Slopes], list[Line]]] = {
+    "entry": entry,
+    "every_node": every_node,
+    "homes": homes,
+    "relays": relays,
+    "ledger": ledger,
+    "object_api": object_api,
+}
