Membership: two processes of one id raise an alarm and come to rest

Cause: each went above the other's row once a second for ever, and the whole fleet heard of it. Ruled out: never answering a row of another process - a former run's row has to be answered.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -100,6 +100,11 @@
         Level.WARNING,
         "An instance stopped, or did not answer a suspicion; no caller is sent there.",
     )
+    INSTANCE_ID_TWICE = (
+        325,
+        Level.ERROR,
+        "Another process goes by this instance's id; end one of them, or give it another id.",
+    )
     RUNNER_JOINED = (330, Level.INFO, "A runner is known and gets work.")
     RUNNER_LEFT = (331, Level.INFO, "A runner gets no new work.")
     RUNNER_SILENT = (
--- a/egretstack/membership/_report_turns.py
+++ b/egretstack/membership/_report_turns.py
@@ -7,8 +7,9 @@
 
 JITTER = 0.1
 """Share by which the time between two turns varies, so that instances do not fall into step."""
-MAX_AHEAD = 4
-"""Turns that urgent readings may take ahead; the ones after them wait that much longer."""
+MAX_AHEAD = 7
+"""Turns that urgent readings may take ahead; the ones after them wait that much longer. Enough
+for one runner to be read every `RETRY_S` until it counts as silent, with the jitter of turns."""
 RETRY_S = 0.5
 """Least time between two readings of one runner out of turn."""
 RETRIED_S = 10.0
--- a/egretstack/membership/_state.py
+++ b/egretstack/membership/_state.py
@@ -20,6 +20,7 @@
 )
 from egretstack.membership._steadiness import Steadiness
 from egretstack.membership._table import Table
+from egretstack.membership._twin import TwinWatch
 from egretstack.membership._views import InstanceView, Views
 from egretstack.platform import Member
 
@@ -75,6 +76,7 @@
         self._ticked_s = now_s
         self._probed_s = now_s
         self._defended_s = float("-inf")
+        self._twin = TwinWatch()
         self._refresh()
 
     @property
@@ -82,6 +84,11 @@
         """Give the digest of everything known; equal ones mean equal knowledge."""
         return self._table.digest
 
+    @property
+    def twin_alarms(self) -> int:
+        """Give how often it was found that another process goes by this instance's id."""
+        return self._twin.alarms
+
     @property
     def own_member(self) -> Member:
         """Give this instance's own address."""
@@ -255,6 +262,8 @@
         if held == self._row or now_s - self._defended_s < DEFEND_S:
             return
         self._defended_s = now_s
+        if not self._twin.may_answer(now_s, held):
+            return
         # A frozen process that thaws, or one that restarted on a machine whose clock is behind,
         # finds its own row overruled; nobody would believe it until it is above that row.
         self._row = InstanceRow(self._row.member, held.incarnation + 1, self._row.state)
--- a/egretstack/services/membership.py
+++ b/egretstack/services/membership.py
@@ -55,6 +55,7 @@
             _own_member(kernel), trio.current_time(), kernel.epoch.now(), self._rng
         )
         self._listing = trio.Lock()
+        self._told_twins = 0
         self._told_changes = -1
         self._told_live: tuple[InstanceId, ...] = ()
         self._told_states: dict[InstanceId, InstanceState] = {}
@@ -134,6 +135,9 @@
     def _beat(self, nursery: trio.Nursery) -> None:
         for ask in self._state.tick(trio.current_time()):
             nursery.start_soon(self._ask, ask)
+        if self._told_twins != self._state.twin_alarms:
+            self._told_twins = self._state.twin_alarms
+            log(Event.INSTANCE_ID_TWICE, instance=self.own)
         if self._state.wants_list(trio.current_time()):
             self.kernel.get(Instances).read_soon()
         self._publish()
