A closed drain takes over no session of another entry

Cause: only new work was refused; each session picked up late held up the end by a generation. The refusal is DRAINING with the table's Retry-After; GET /v1/entries tells where to go and is answered to the end. A session served here is let in. Seen failing with the check taken out.

--- a/egretstack/services/caller_api.py
+++ b/egretstack/services/caller_api.py
@@ -58,6 +58,7 @@
         """Serve on until callers' cached answers have run out, then take nothing new."""
         await trio.sleep(LEAVING_KNOWN_S + self._answer_life_s())
         self._closed = True
+        self.kernel.get(SessionHost).close()
         self._requests.close()
         await self._requests.wait_idle()
 
--- a/egretstack/services/session_host.py
+++ b/egretstack/services/session_host.py
@@ -66,6 +66,7 @@
         self._uncounted: set[WorkId] = set()
         self._nursery: trio.Nursery
         self._idle = trio.Event()
+        self._closed = False
         self._budget = RecoveryBudget()
         self._own = InstanceId(kernel.settings.text("instance", "id"))
         self._resume_window_s = kernel.settings.number("sessions", "resume_window_s")
@@ -81,6 +82,10 @@
             task_status.started()
             await trio.sleep_forever()
 
+    def close(self) -> None:
+        """Take over no more sessions: a leaving process would never come to its end."""
+        self._closed = True
+
     async def drain(self) -> None:
         """Wait until no session is in progress."""
         while self._session_by_work:
@@ -110,6 +115,8 @@
             raise EgretError(ErrorKind.BAD_REQUEST, f"the generation has no event {after} yet")
         if here is not None and here.can_read_after(after):
             return here
+        if here is None and self._closed:
+            raise EgretError(ErrorKind.DRAINING, "ask which entry to use")
         engine = self._engine(ref)
         if here is not None:
             # Its events before the caller's place are kept no more; the engine has them.
--- a/tests/test_membership_services.py
+++ b/tests/test_membership_services.py
@@ -104,6 +104,28 @@
         await entries[1].stopped.wait()
 
 
+async def test_an_entry_that_has_closed_takes_over_no_session_but_serves_its_own():
+    # The answers that callers keep have run out and a leaving entry waits for its last session.
+    # A caller comes with a session of another entry: taken over, it would hold up the end by a
+    # whole generation, and the next caller again. One that is served here must be let in.
+    async with small_site(entries=2) as (_, entries):
+        other = await open_story(entries[0], 600)
+        entries[1].kernel.begin_drain()
+        host = entries[1].kernel.get(SessionHost)
+        contract = contract_of(entries[1])
+        await trio.sleep(ANSWER_LIFE_S + LEAVING_KNOWN_S - 0.5)
+        own = await open_story(entries[1], 600)
+        await trio.sleep(1)
+        with check.assertRaises(EgretError) as refused:
+            await host.pick_up(contract, other.id, -1)
+        check.assertIs(refused.exception.kind, ErrorKind.DRAINING)
+        check.assertGreaterEqual(refused.exception.retry_after_s, 1)
+        check.assertEqual(named(entries[1]), ["entry-0"])
+        check.assertIs(await host.pick_up(contract, own.id, -1), own)
+        check.assertEqual(await read_all(own), list(range(601)))
+        await entries[1].stopped.wait()
+
+
 async def test_a_last_entry_that_leaves_still_names_itself():
     async with small_site(entries=1) as (_, entries):
         entries[0].kernel.begin_drain()
