--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint measure slopes clean
+.PHONY: demo test lint measure proofs slopes clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,5 +28,8 @@
 	$(VENV)/bin/python scripts/slopes.py $(ONLY)
 	PYTHONPATH=. $(VENV)/bin/python scripts/capacity.py
 
+proofs: $(STAMP)
+	PYTHONHASHSEED=0 $(VENV)/bin/python -m tests.matrix
+
 clean:
 	rm -rf $(VENV)
--- a/egretstack/services/limits.py
+++ b/egretstack/services/limits.py
@@ -45,10 +45,12 @@
         self.home = HomeSide(self._own, self._homes, now_s)
         self._wake = trio.Event()
         self._answered = trio.Event()
+        self._waiters: set[object] = set()
+        self._woken: set[object] = set()
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Answer entries, and send the asks that are due."""
-        self.kernel.get(PeerPort).answer(LimitsAsk, self._answer)
+        self.kernel.get(PeerPort).answer_peer(LimitsAsk, self._answer)
         self.kernel.get(Membership).on_change(self._see)
         self._see()
         async with trio.open_nursery() as nursery:
@@ -58,9 +60,7 @@
                 with trio.move_on_after(BEAT_S):
                     await self._wake.wait()
                 self._wake = trio.Event()
-                # Requests that an answer has just let in run first; counted as waiting once
-                # more, they would take a second token, and others would be refused for it.
-                await trio.lowlevel.checkpoint()
+                await self._let_woken_run()
 
     async def ready(self, contract: Contract) -> None:
         """Wait, at most READY_WAIT_S, while the account's home may let in one more request.
@@ -73,7 +73,7 @@
             while self.entry.should_wait(clock.now(), contract):
                 await self._wait(contract.account)
         if scope.cancelled_caught:
-            self.entry.unanswered(contract.account)
+            self.entry.unanswered(clock.now(), contract.account)
 
     def open(self, contract: Contract) -> None:
         """Count a request in; raise EgretError."""
@@ -84,12 +84,30 @@
         self.entry.close(clock.now(), account)
 
     async def _wait(self, account: AccountId) -> None:
+        waiter = object()
+        self._waiters.add(waiter)
         self.entry.wait(account, 1)
         self._wake.set()
         try:
             await self._answered.wait()
         finally:
             self.entry.wait(account, -1)
+            self._waiters.discard(waiter)
+            self._woken.discard(waiter)
+
+    def _wake_waiters(self) -> None:
+        self._woken |= self._waiters
+        self._waiters.clear()
+        self._answered.set()
+        self._answered = trio.Event()
+        self._wake.set()
+
+    async def _let_woken_run(self) -> None:
+        # Requests that an answer has just let in run before the next ask; counted as waiting once
+        # more, they would take a second token, and others would be refused for it. Tasks that are
+        # ready run in any order, so one checkpoint is not enough.
+        while self._woken:
+            await trio.lowlevel.checkpoint()
 
     def _beat(self, nursery: trio.Nursery) -> None:
         if self.home.beat(clock.now()):
@@ -104,13 +122,11 @@
         except (PeerGone, PeerRefused, MessageError) as error:
             log(Event.LIMITS_HOME_AWAY, home=ask.home, error=str(error))
             self.entry.failed(clock.now(), ask)
-        self._answered.set()
-        self._answered = trio.Event()
-        self._wake.set()
+        self._wake_waiters()
 
     async def _reach(self, ask: HomeAsk) -> LimitsAnswer:
         if ask.home == self._own:
-            return self._decide(ask.message)
+            return self._decide(self._own, ask.message)
         member = self._live().get(ask.home)
         if member is None or PEER_PORT not in member.ports:
             raise PeerGone("not listed")
@@ -122,16 +138,16 @@
             raise PeerRefused("not an answer about limits")
         raise PeerGone("no answer in time")
 
-    async def _answer(self, message: Message) -> Message:
+    async def _answer(self, sender: InstanceId, message: Message) -> Message:
         try:
-            return self._decide(message)
+            return self._decide(sender, message)
         except MessageError as error:
             log(Event.PEER_REFUSED, error=str(error))
             return Nothing()
 
-    def _decide(self, ask: Message) -> LimitsAnswer:
+    def _decide(self, sender: InstanceId, ask: LimitsAsk) -> LimitsAnswer:
         contracts = self.kernel.get(Configuration).state.contract_by_account
-        return self.home.answer(clock.now(), ask, contracts)
+        return self.home.answer(clock.now(), sender, ask, contracts)
 
     def _see(self) -> None:
         zone_by_id = {instance: member.zone for instance, member in self._live().items()}
--- a/standins/network.py
+++ b/standins/network.py
@@ -82,5 +82,15 @@
             raise ConnectionRefusedError(f"{host}:{port}")
         handler, nursery = self._listeners[host, port]
         near, far = memory_stream_pair()
-        nursery.start_soon(handler, _CutStream(far, self, host, source))
+        nursery.start_soon(_serve_one, handler, _CutStream(far, self, host, source))
         return _CutStream(near, self, source, host)
+
+
+async def _serve_one(handler: Handler, stream: trio.abc.Stream) -> None:
+    try:
+        await handler(stream)
+    finally:
+        # A server closes the connection when its handler ends, and the kernel that of a
+        # killed process: the other end sees it and does not wait for an answer.
+        with trio.CancelScope(shield=True):
+            await stream.aclose()
--- a/tests/ledger_site.py
+++ b/tests/ledger_site.py
@@ -14,7 +14,8 @@
 from egretstack.services.ledger_store import LedgerStore
 from egretstack.settings import Program
 from egretstack.upstreams import CallRequest
-from standins.plain_service import Book, ProcessKilled
+from standins.gate import ProcessKilled
+from standins.plain_service import Book
 from standins.world import open_world
 from tests.ledger_support import LateObjectApi, outcome_of
 
--- a/tests/test_limits_world.py
+++ b/tests/test_limits_world.py
@@ -3,13 +3,16 @@
 import trio
 
 from egretstack.errors import EgretError, ErrorKind
-from egretstack.ids import InstanceId
-from egretstack.limits import LIFE_S, WARM_UP_S
+from egretstack.ids import AccountId, InstanceId
+from egretstack.limits import LIFE_S, WARM_UP_S, AskRow, Share, make_ask
+from egretstack.peers import Nothing
 from egretstack.platform import MemberState
 from egretstack.services.accounts import Accounts
 from egretstack.services.configuration import Configuration
 from egretstack.services.limits import Limits
+from egretstack.services.peer_port import PeerPort
 from egretstack.settings import Program
+from standins.world import PORTS
 from tests.support import check, tests_of
 from tests.test_world import contract_of, small_site
 
@@ -178,3 +181,133 @@
         check.assertEqual(open_at(entries[0]), 3)
         entries[0].kernel.get(Accounts).close("acme")
         check.assertEqual(open_at(entries[0]), 2)
+
+
+async def one_call(process):
+    """Make one short request; give its refusal, or None."""
+    admitted, refusals = await admit(process, 1)
+    if admitted:
+        process.kernel.get(Accounts).close("acme")
+    return refusals[0] if refusals else None
+
+
+async def call_all_along(process, time_s, gap_s):
+    """Make short requests for some time; give the refusals."""
+    end_s = trio.current_time() + time_s
+    refusals = []
+    while trio.current_time() < end_s:
+        refusal = await one_call(process)
+        if refusal is not None:
+            refusals.append(refusal)
+        await trio.sleep(gap_s)
+    return refusals
+
+
+async def test_a_cold_entry_admits_a_caller_whose_home_was_killed():
+    # The account's home is killed and still listed. The caller goes to an entry that never held
+    # a slice, waits for the home in vain, and gets the entry's conservative share.
+    async with small_site(entries=3) as (_, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        home, others = home_and_others(entries)
+        home.kill()
+        check.assertEqual(await call_all_along(others[0], 30, 1.0), [])
+
+
+async def test_an_entry_with_a_spent_slice_admits_a_caller_whose_home_was_killed():
+    # A caller with little demand holds a slice without a token left when the home is killed. No
+    # home gives another token, for as long as the slice lasts or a new home is warming up.
+    async with small_site(entries=3) as (_, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        home, others = home_and_others(entries)
+        check.assertIsNone(await one_call(others[0]))
+        home.kill()
+        check.assertEqual(await call_all_along(others[0], 30, 0.7), [])
+
+
+async def test_the_survivor_of_two_entries_admits_a_caller_within_its_contract():
+    # Two entries; the home is killed while the other holds a slice without a token left. The
+    # survivor becomes the home and lends nothing while it warms up.
+    async with small_site(entries=2) as (_, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        home, others = home_and_others(entries)
+        check.assertIsNone(await one_call(others[0]))
+        home.kill()
+        check.assertEqual(await call_all_along(others[0], 30, 0.7), [])
+
+
+async def test_the_first_call_at_a_fresh_entry_is_admitted():
+    # One more instance starts and may become the home. Each entry, the new one included, has a
+    # caller within the contract all along; one of them asks for the first time at each moment.
+    async with small_site(entries=2) as (world, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        check.assertIsNone(await one_call(entries[0]))
+        fresh = await world.start("entry-9", Program.ENTRY)
+        for process in [fresh, *entries]:
+            check.assertEqual(await call_all_along(process, 8, 0.9), [])
+
+
+async def test_a_peer_cannot_ask_in_the_name_of_another():
+    # A peer asks the home in another entry's name, with a serial above all of that entry's, and
+    # says that nothing is open there. The home would lend the open requests' slots once more,
+    # and take every later ask of that entry for an old one.
+    async with small_site(entries=3) as (world, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        home, others = home_and_others(entries)
+        await admit(others[0], 10)
+        loans = home.kernel.get(Limits).home._loans_by_account[AccountId("acme")]
+        before = loans._loan_by_entry[InstanceId(others[0].name)]
+        row = AskRow(AccountId("acme"), 0, 0, Share(), Share(), 0.0)
+        ask = make_ask(InstanceId(others[0].name), 10**15, [row])
+        port = others[1].kernel.get(PeerPort)
+        answer = await port.ask(InstanceId(home.name), home.host, PORTS["peer"], ask)
+        check.assertIsInstance(answer, Nothing)
+        check.assertEqual(loans._loan_by_entry[InstanceId(others[0].name)], before)
+
+
+async def test_no_ask_counts_a_request_that_an_answer_has_just_let_in():
+    # Requests arrive one after the other while answers come. An answer has given a token for a
+    # request that waits, and before that request runs, another arrival makes the entry ask once
+    # more. Counted there again, it would take a second token, and a later caller be refused.
+    async with small_site(entries=3) as (_, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        _, others = home_and_others(entries)
+        entry = others[0].kernel.get(Limits).entry
+        inner = entry.due
+        counted_twice = []
+
+        def due(now_s):
+            held = entry._held_by_account.get(AccountId("acme"))
+            if held is not None and held.waiting:
+                counted_twice.append(entry._refusal(now_s, AccountId("acme"), held) is None)
+            return inner(now_s)
+
+        entry.due = due
+        for _ in range(20):
+            await admit(others[0], BURST)
+            for _ in range(open_at(others[0])):
+                others[0].kernel.get(Accounts).close("acme")
+            await trio.sleep(8)
+        check.assertGreater(len(counted_twice), 0)
+        check.assertEqual(sum(counted_twice), 0)
+
+
+async def test_a_third_entry_is_served_when_a_new_home_opens():
+    # One of four entries, the home, is killed. Callers at two others are served by their shares
+    # while the new home warms up. The last entry is asked for the first time as it opens: what
+    # the others kept makes up the contract, though they hardly use it.
+    async with small_site(entries=4) as (world, entries):
+        await trio.sleep(WARM_UP_S + 3)
+        home, others = home_and_others(entries)
+        home.kill()
+        while any(home_of(one) == home.name for one in others):
+            for one in others:
+                check.assertIsNone(await one_call(one))
+            await trio.sleep(0.5)
+        fresh = await world.start("entry-9", Program.ENTRY)
+        refusals = []
+        for _turn in range(16):
+            for one in others:
+                refusals.append(await one_call(one))
+            refusals.append(await one_call(fresh))
+            await trio.sleep(1.0)
+        check.assertEqual([one for one in refusals if one], [])
