Ledger pruning is a leased duty of the stewards

Cause: LedgerPruner was written and nobody called it, so heads would list segments up to their bound and then take no call. Besides, an update of a head on the version read before the paced deletions conflicts whenever an entry writes in between.

Change: LeasedDuty (lease keeping, taken out of the orders' duty), FleetDuty (rounds of one work), PacedObjectApi (4 calls a second, status budget, lease checked before each call). The pruner reads the head again just before it takes segments off the list; a delete that conflicts is one that another round made. Event 356 for a round that was not finished. Duties.held() now gives duty names; the tests' holders() asks for the orders' duty as before.

Ruled out: a loop that sleeps until the bucket has a call (rounding leaves a wait too small for the clock to move, seen as a hang at 20 calls/s on the mock clock); it now spends, then sleeps once.

Seen failing, each with one safeguard taken out (python -m tests tests.test_fleet_duties): - head not read again: busy head test, (0, 1) in place of (6, 0) - lease not checked: paused holder, DutyEnded not raised - conflict on delete not taken as gone: 1 failed head in place of 0 - pace 20/s in place of 4/s: whole-program test, 21 calls in a second in place of 6 at most The pause-at-any-call test was not seen failing: it shows a property, by versions, of the store.

Conclusion: tests.test_fleet_duties, test_duties, test_ledger_shards, test_reference_pages: 29 passed, 0 failed. The whole suite was not run.

--- a/egretstack/duties/__init__.py
+++ b/egretstack/duties/__init__.py
@@ -1,5 +1,6 @@
-"""Duties that one steward at a time carries out: leases with fencing, and orders to engines."""
+"""Duties that one steward at a time carries out: leases with fencing, orders, fleet duties."""
 
+from egretstack.duties._fleet import FleetDuty, FleetWork
 from egretstack.duties._lease import (
     CLOCK_MARGIN_S,
     LEASE_LIFE_S,
@@ -9,16 +10,25 @@
     LeaseUnreadable,
     LeaseWrite,
 )
+from egretstack.duties._leased import TICK_S, LeasedDuty
 from egretstack.duties._orders import ORDER_TIMEOUT_S, OrderPlan
+from egretstack.duties._paced import CALLS_PER_S, DutyEnded, PacedObjectApi
 
 __all__ = [
+    "CALLS_PER_S",
     "CLOCK_MARGIN_S",
     "LEASE_LIFE_S",
     "ORDER_TIMEOUT_S",
     "RENEWALS_IN_LIFE",
+    "TICK_S",
+    "DutyEnded",
+    "FleetDuty",
+    "FleetWork",
     "Lease",
     "LeaseRecord",
     "LeaseUnreadable",
     "LeaseWrite",
+    "LeasedDuty",
     "OrderPlan",
+    "PacedObjectApi",
 ]
--- /dev/null
+++ b/egretstack/duties/_leased.py
@@ -0,0 +1,130 @@
+"""One duty of this process: keeps its lease at the object API, and works while it holds it."""
+
+import random
+import secrets
+from abc import ABC, abstractmethod
+
+import trio
+
+from egretstack.duties._lease import (
+    LEASE_LIFE_S,
+    RENEWALS_IN_LIFE,
+    Lease,
+    LeaseRecord,
+    LeaseUnreadable,
+    LeaseWrite,
+)
+from egretstack.events import Event, log
+from egretstack.ids import DutyName, InstanceId
+from egretstack.platform import Conflict, ObjectApi, ObjectKind, PlatformError
+
+LOOK_PERIOD_S = LEASE_LIFE_S / RENEWALS_IN_LIFE
+TICK_S = 1.0
+INCARNATION_BYTES = 4
+
+
+class LeasedDuty(ABC):
+    """A duty that one process of the fleet carries out at a time."""
+
+    def __init__(self, api: ObjectApi, own: InstanceId, name: DutyName) -> None:
+        self._api = api
+        self._name = name
+        self._rng = random.Random(f"{own}/{name}")
+        # A process started anew is another holder: it cannot know what the one before it sent.
+        self._lease = Lease(f"{own}.{secrets.token_hex(INCARNATION_BYTES)}")
+        self._taken_fencing: int | None = None
+        self._scope = trio.CancelScope()
+        self._stopped = trio.Event()
+
+    @abstractmethod
+    async def work(self) -> None:
+        """Carry the duty out for ever; it has to ask `holds` before each effect."""
+
+    @abstractmethod
+    def begin(self) -> bool:
+        """Prepare one holding of the lease; False while what it needs is not known yet."""
+
+    @abstractmethod
+    def end(self) -> None:
+        """Forget what belongs to the holding that ended."""
+
+    def holds(self) -> bool:
+        """Tell whether this process holds the duty."""
+        return self._lease.holds(trio.current_time())
+
+    def remaining_s(self) -> float:
+        """Give the seconds for which this process holds the duty still; 0 if it does not."""
+        return self._lease.remaining_s(trio.current_time())
+
+    async def run(self) -> None:
+        """Keep the lease and work until laid down."""
+        try:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._keep)
+                    nursery.start_soon(self.work)
+        finally:
+            self._stopped.set()
+
+    async def lay_down(self) -> None:
+        """Stop acting, then free the lease."""
+        self._scope.cancel()
+        await self._stopped.wait()
+        write = self._lease.release()
+        if write is not None:
+            await self._write(write)
+
+    async def _keep(self) -> None:
+        while True:
+            if not self.holds() or self._lease.is_renewal_due(trio.current_time()):
+                await self._step()
+            self._follow_lease()
+            # A holder looks often, so that a failed renewal is tried again well within the life.
+            period_s = TICK_S if self.holds() else LOOK_PERIOD_S
+            await trio.sleep(period_s * (0.8 + 0.4 * self._rng.random()))
+
+    def _follow_lease(self) -> None:
+        held = self.holds()
+        fencing = self._lease.fencing
+        if self._taken_fencing is not None and (not held or fencing != self._taken_fencing):
+            log(Event.DUTY_LOST, duty=self._name, fencing=self._taken_fencing)
+            self._taken_fencing = None
+            self.end()
+        if held and self._taken_fencing is None and self.begin():
+            self._taken_fencing = fencing
+            log(Event.DUTY_TAKEN, duty=self._name, fencing=fencing)
+
+    async def _step(self) -> None:
+        if (not self.holds() or self._lease.is_unsettled()) and not await self._look():
+            return
+        write = self._lease.next_write(trio.current_time())
+        if write is not None:
+            await self._write(write)
+
+    async def _look(self) -> bool:
+        try:
+            stored = await self._api.get(ObjectKind.LEASE, self._name)
+            record = None if stored is None else LeaseRecord.read(stored.spec)
+        except PlatformError:
+            return False
+        except LeaseUnreadable as error:
+            log(Event.DUTY_UNREADABLE, duty=self._name, error=str(error))
+            return False
+        version = None if stored is None else stored.version
+        self._lease.saw(trio.current_time(), record, version)
+        return True
+
+    async def _write(self, write: LeaseWrite) -> None:
+        self._lease.sending(trio.current_time(), write)
+        spec = write.record.spec()
+        try:
+            if write.version is None:
+                stored = await self._api.create(ObjectKind.LEASE, self._name, spec)
+            else:
+                stored = await self._api.replace(ObjectKind.LEASE, self._name, spec, write.version)
+        except Conflict:
+            self._lease.give_up()
+            return
+        except PlatformError:
+            return
+        self._lease.won(stored.version)
--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -114,6 +114,11 @@
     ORDER_SENT = (353, Level.INFO, "An engine was ordered to serve the models described.")
     ORDER_REFUSED = (354, Level.WARNING, "An engine knows a newer holder; this one stops.")
     ORDER_FAILED = (355, Level.WARNING, "An engine could not be read or given an order.")
+    DUTY_ROUND_FAILED = (
+        356,
+        Level.WARNING,
+        "A round of a fleet duty was not finished; the next period makes another.",
+    )
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
         self.number = number
--- a/egretstack/ledger/_pruning.py
+++ b/egretstack/ledger/_pruning.py
@@ -1,15 +1,18 @@
 """Drops segments of the ledger whose rows may all be forgotten."""
 
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
-from egretstack.ledger._shard import SHARDS, BadShard, Segment, Shard, head_name
+import trio
+
+from egretstack.ledger._shard import SHARDS, BadShard, Shard, head_name
 from egretstack.platform import (
     Conflict,
     ObjectApi,
     ObjectKind,
     PlatformAway,
     PlatformOutcomeUnknown,
-    StoredObject,
 )
 
 PRUNE_MARGIN_S = 300.0
@@ -19,6 +22,8 @@
 refuse every new call of the shard.
 """
 
+UNLIST_ATTEMPTS = 8
+
 
 @dataclass(frozen=True)
 class Pruned:
@@ -29,10 +34,20 @@
 
 
 class LedgerPruner:
-    """One round over every head. Two at once do no harm: each step is conditional."""
+    """One round over every head; `before_pair` is awaited before a read with a write on it.
+
+    Two at once do no harm, nor does one that goes on late: a segment whose time was over stays
+    so, its name is never used again, and each update of a head is conditional on its version.
+    """
 
-    def __init__(self, api: ObjectApi, shards: int = SHARDS) -> None:
+    def __init__(
+        self,
+        api: ObjectApi,
+        shards: int = SHARDS,
+        before_pair: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint,
+    ) -> None:
         self._api = api
+        self._before_pair = before_pair
         self._shards = shards
 
     async def round(self, epoch_s: float) -> Pruned:
@@ -47,24 +62,38 @@
         return Pruned(dropped, failed)
 
     async def _prune_head(self, name: str, epoch_s: float) -> int:
-        stored = await self._api.get(ObjectKind.LEDGER, name)
-        shard = Shard.from_stored(stored)
-        old = [one for one in shard.segments if one.until_s + PRUNE_MARGIN_S <= epoch_s]
+        shard = Shard.from_stored(await self._api.get(ObjectKind.LEDGER, name))
+        old = {one.name for one in shard.segments if one.until_s + PRUNE_MARGIN_S <= epoch_s}
         if not old:
             return 0
         # Deleted before it is taken off the list: after a stop in between, the list still leads
         # the next round to it. The other way round it would stay in the store for ever.
         for segment in old:
             await self._delete(segment)
-        await self._unlist(stored, shard, old)
+        await self._unlist(name, old)
         return len(old)
 
-    async def _delete(self, segment: Segment) -> None:
-        stored = await self._api.get(ObjectKind.LEDGER, segment.name)
-        if stored is not None:
-            await self._api.delete(ObjectKind.LEDGER, segment.name, stored.version)
+    async def _delete(self, segment: str) -> None:
+        stored = await self._api.get(ObjectKind.LEDGER, segment)
+        if stored is None:
+            return
+        # A segment never changes: a conflict says that another round has deleted it.
+        with suppress(Conflict):
+            await self._api.delete(ObjectKind.LEDGER, segment, stored.version)
 
-    async def _unlist(self, stored: StoredObject, shard: Shard, old: list[Segment]) -> None:
-        left = tuple(segment for segment in shard.segments if segment not in old)
-        fresh = Shard(shard.row_by_key, left, shard.turn + 1)
-        await self._api.replace(ObjectKind.LEDGER, stored.name, fresh.spec(), stored.version)
+    async def _unlist(self, name: str, dropped: set[str]) -> None:
+        # The head was read before the deletions, which take seconds, and entries write it many
+        # times a second: on the version from then, every update would conflict, and the list
+        # would grow until the shard takes no call. So it is read again, just before the update.
+        for _ in range(UNLIST_ATTEMPTS):
+            await self._before_pair()
+            stored = await self._api.get(ObjectKind.LEDGER, name)
+            shard = Shard.from_stored(stored)
+            left = tuple(one for one in shard.segments if one.name not in dropped)
+            if left == shard.segments:
+                return
+            fresh = Shard(shard.row_by_key, left, shard.turn + 1)
+            with suppress(Conflict):
+                await self._api.replace(ObjectKind.LEDGER, name, fresh.spec(), stored.version)
+                return
+        raise Conflict(name)
--- a/egretstack/programs/steward.py
+++ b/egretstack/programs/steward.py
@@ -16,6 +16,7 @@
     "configuration",
     "configuration_watch",
     "configuration_news",
+    "ledger_pruning",
     "duties",
     "operator_port",
 )
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -6,7 +6,7 @@
 
 from egretstack.platform import ObjectKind
 from egretstack.replay import EngineParameters
-from egretstack.services.duties import Duties
+from egretstack.services.duties import Duties, orders_of
 from egretstack.settings import Program
 from egretstack.upstreams import Order
 from standins.engine_client import InProcessEngine
@@ -51,7 +51,7 @@
 
 
 def holders(processes):
-    return [one for one in processes if one.kernel.get(Duties).held()]
+    return [one for one in processes if orders_of("llm") in one.kernel.get(Duties).held()]
 
 
 def served(world):
