--- a/egretstack/services/dispatching.py
+++ b/egretstack/services/dispatching.py
@@ -9,6 +9,8 @@
 from egretstack.errors import EgretError, ErrorKind
 from egretstack.ids import RunnerId, WorkId
 from egretstack.kernel import Kernel, Service
+from egretstack.lengths import LengthSummary
+from egretstack.platform import ENTRY_SERVICE, MemberState
 from egretstack.policy import (
     DEFAULT_POLICY,
     Action,
@@ -17,6 +19,9 @@
     Ended,
     EndReason,
     Evict,
+    Evicted,
+    InstancesSeen,
+    LengthsLearned,
     PolicyEvent,
     Progressed,
     Refuse,
@@ -25,6 +30,7 @@
     Work,
     make_policy,
 )
+from egretstack.services.instances import Instances
 from egretstack.services.runners import Runners
 from egretstack.sessions import Placement, Placer
 from egretstack.upstreams import EngineClient
@@ -43,7 +49,7 @@
     """The one place where the policy runs in this process."""
 
     name = "dispatching"
-    requires = ("runners",)
+    requires = ("instances", "runners")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -53,6 +59,8 @@
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Send the policy the ticks it asks for."""
+        self.kernel.get(Instances).on_change(self._count_instances)
+        self._count_instances()
         self.kernel.get(Runners).on_event(self._tell)
         task_status.started()
         while True:
@@ -72,7 +80,9 @@
 
     async def place_again(self, placement: Placement) -> Placement:
         """Wait for a runner after the policy took the work away."""
-        return await self._decision(self._waiting_by_id[placement.work.id])
+        waiting = self._waiting_by_id[placement.work.id]
+        self._tell(Evicted(placement.work.id))
+        return await self._decision(waiting)
 
     def engine(self, runner_id: RunnerId) -> EngineClient | None:
         """Give the client of a runner, also of a leaving one."""
@@ -88,9 +98,19 @@
 
     def ended(self, work: Work, tokens: int, reason: EndReason) -> None:
         """Tell the policy that the work left its engine, or the queue."""
-        self._waiting_by_id.pop(work.id, None)
+        waiting = self._waiting_by_id.pop(work.id, None)
+        if reason is EndReason.FAILED and waiting is not None and waiting.placement is not None:
+            self.kernel.get(Runners).doubt(waiting.placement.runner_id)
         self._tell(Ended(work.id, tokens, reason))
 
+    def lengths(self) -> LengthSummary:
+        """Give what this entry learned of output lengths."""
+        return self._policy.summary()
+
+    def learned(self, event: LengthsLearned) -> None:
+        """Tell the policy what another entry learned."""
+        self._tell(event)
+
     async def _decision(self, waiting: _Waiting) -> Placement:
         await waiting.decided.wait()
         action = waiting.action
@@ -107,6 +127,10 @@
         waiting.placement = Placement(waiting.work, action.runner_id, engine, action.priority)
         return waiting.placement
 
+    def _count_instances(self) -> None:
+        live = self.kernel.get(Instances).members(ENTRY_SERVICE, MemberState.LIVE)
+        self._tell(InstancesSeen(max(1, len(live))))
+
     def _tell(self, event: PolicyEvent) -> None:
         for action in self._policy.handle(trio.current_time(), event):
             self._carry_out(action)
--- a/tests/test_limits_faults.py
+++ b/tests/test_limits_faults.py
@@ -4,6 +4,7 @@
 from egretstack.ids import AccountId, InstanceId
 from egretstack.limits import (
     LIFE_S,
+    READY_WAIT_S,
     VIEW_LAG_S,
     WARM_UP_S,
     AskRow,
@@ -116,7 +117,7 @@
     entry.wait("acme", 1)
     (ask,) = entry.due(fleet.now)
     home = fleet.node_by_name[ask.home].home
-    answer = home.answer(fleet.now, ask.message, {"acme": ACME})
+    answer = home.answer(fleet.now, others[0].name, ask.message, {"acme": ACME})
     entry.answered(fleet.now + LIFE_S, ask, answer)
     check.assertIs(entry.mode(fleet.now + LIFE_S, "acme"), Mode.COLD)
 
@@ -145,7 +146,7 @@
     entry.wait("acme", 5)
     (ask,) = entry.due(fleet.now)
     home = fleet.node_by_name[ask.home].home
-    answer = home.answer(fleet.now, ask.message, {"acme": ACME})
+    answer = home.answer(fleet.now, others[0].name, ask.message, {"acme": ACME})
     entry.answered(fleet.now + 0.1, ask, answer)
     entry.wait("acme", -5)
     entry.open(fleet.now + 0.2, ACME)
@@ -189,7 +190,9 @@
 def test_an_instance_that_is_not_the_home_lends_nothing():
     fleet, home, others = fleet_and_home()
     row = AskRow(AccountId("acme"), 0, 1, Share(), Share(1, 2, 3), 0.0)
-    answer = others[0].home.answer(fleet.now, make_ask(home.name, 1, [row]), {"acme": ACME})
+    answer = others[0].home.answer(
+        fleet.now, home.name, make_ask(home.name, 1, [row]), {"acme": ACME}
+    )
     (grant,) = answer_grants(answer, 1)
     check.assertEqual((grant.standing, grant.share), (Standing.NOT_HOME, Share()))
 
@@ -216,7 +219,8 @@
         kept, wanted = Share(0, 0, keep), Share(0, 0, want)
         row = AskRow(AccountId("acme"), open, waiting, kept, wanted, 0.0)
         ask = make_ask(InstanceId(entry), serial, [row])
-        return answer_grants(self._home.answer(self.now_s, ask, {"acme": ACME}), 1)[0]
+        answer = self._home.answer(self.now_s, InstanceId(entry), ask, {"acme": ACME})
+        return answer_grants(answer, 1)[0]
 
 
 def test_a_late_ask_does_not_undo_a_newer_one():
@@ -248,3 +252,23 @@
     check.assertIs(home.ask("entry-b", 1, open=40).standing, Standing.WARMING)
     home.now_s += 1.2
     check.assertEqual(home.ask("entry-c", 1, waiting=SLOTS, want=SLOTS).share.slots, SLOTS - 40)
+
+
+def test_a_home_that_answers_with_too_little_is_not_silent():
+    # Another entry holds every slot. A request waits here while the home answers once, with no
+    # slot, and then times out. Were that taken for the home's silence, the conservative share
+    # would come on top of the contract though nothing is broken.
+    fleet, _, others = fleet_and_home()
+    fleet.run(3, press(fleet, [others[0]]))
+    entry = others[1].entry
+    began_s = fleet.now
+    check.assertTrue(entry.should_wait(began_s, ACME))
+    entry.wait("acme", 1)
+    (ask,) = entry.due(began_s)
+    home = fleet.node_by_name[ask.home].home
+    answer = home.answer(began_s, others[1].name, ask.message, {"acme": ACME})
+    entry.answered(began_s + 0.1, ask, answer)
+    entry.unanswered(began_s + READY_WAIT_S, "acme")
+    entry.wait("acme", -1)
+    with check.assertRaises(EgretError):
+        entry.open(began_s + READY_WAIT_S, ACME)
