--- a/tests/test_fleet_duties.py
+++ b/tests/test_fleet_duties.py
@@ -66,13 +66,13 @@
 def record(process):
     """Give the list to which each call of a process to the store is added, with its second."""
     calls = []
-    inner = process.access.store_client._call
+    inner = process.access.store_client.inner._call
 
     async def counted(verb, kind):
         calls.append((trio.current_time(), verb, kind))
         await inner(verb, kind)
 
-    process.access.store_client._call = counted
+    process.access.store_client.inner._call = counted
     return calls
 
 
