Limits: tokens since a loan's end are not lost

Cause: a home filled its bucket up to now under loans that had ended long ago. Ruled out: the freeze check of the home (no event 231), the store's outage (the same on the mock clock with the store up), load (load average 1). Loans are taken out each at its own end now.

--- a/egretstack/limits/_loans.py
+++ b/egretstack/limits/_loans.py
@@ -114,24 +114,37 @@
     def _settle(self, now_s: float, whole: Share) -> None:
         if self._whole is NOTHING:
             self._whole = whole
+        few = len(self._loan_by_entry) < _FEW
+        is_due = few or now_s >= self._refresh_s + _REFRESH_S
+        if is_due:
+            self._end_loans(now_s)
         self._fill(now_s)
         self._whole = whole
-        few = len(self._loan_by_entry) < _FEW
-        if few or now_s >= self._refresh_s + _REFRESH_S:
+        if is_due:
             self._refresh(now_s)
 
     def _refresh(self, now_s: float) -> None:
+        self._end_loans(now_s)
         self._fill(now_s)
         self._refresh_s = now_s
-        ended = [entry for entry, loan in self._loan_by_entry.items() if loan.until_s <= now_s]
-        for entry in ended:
-            del self._loan_by_entry[entry]
         total = NOTHING
         for loan in self._loan_by_entry.values():
             total += loan.charged
         self._total = total
         self._fair = self._fair_share()
 
+    def _end_loans(self, now_s: float) -> None:
+        """Take the loans that have ended out, each at its own end.
+
+        Were the bucket filled up to now under loans that ended long ago, the tokens since their
+        end would be lost, and the first request after a quiet time refused.
+        """
+        ended = [(loan.until_s, entry) for entry, loan in self._loan_by_entry.items()]
+        for until_s, entry in sorted(row for row in ended if row[0] <= now_s):
+            self._fill(until_s)
+            self._total = self._total_without(entry)
+            del self._loan_by_entry[entry]
+
     def _target(self, entry: InstanceId, row: AskRow, whole: Share, left: Share) -> Share:
         want = row.want.at_most(whole)
         if not self._loan_by_entry.keys() <= {entry}:
--- a/tests/test_limits_world.py
+++ b/tests/test_limits_world.py
@@ -14,7 +14,7 @@
 from egretstack.settings import Program
 from standins.world import PORTS
 from tests.support import check, tests_of
-from tests.test_world import contract_of, small_site
+from tests.test_world import CONTRACT, contract_of, small_site
 
 load_tests = tests_of(globals())
 
@@ -311,3 +311,21 @@
             refusals.append(await one_call(fresh))
             await trio.sleep(1.0)
         check.assertEqual([one for one in refusals if one], [])
+
+
+async def test_a_call_after_a_quiet_time_is_not_refused():
+    # A caller sends two requests soon after a start, when the new home lends nothing and counts
+    # the share that its entry keeps: all of the contract at a site of one entry. The next request
+    # comes a quarter of a minute later. The tokens since the share's end are there for it.
+    contract = {
+        **CONTRACT,
+        "limits": {"requests_per_s": "1000", "burst": "1000", "concurrency": "1000"},
+    }
+    async with small_site(entries=1, contract=contract) as (_, entries):
+        limits = entries[0].kernel.get(Limits)
+        held = contract_of(entries[0])
+        for quiet_s in (0.1, 15, 0):
+            await limits.ready(held)
+            limits.open(held)
+            limits.close(held.account)
+            await trio.sleep(quiet_s)
