--- a/egretstack/configuration/_fanout.py
+++ b/egretstack/configuration/_fanout.py
@@ -8,7 +8,7 @@
 import hashlib
 
 from egretstack.ids import InstanceId
-from egretstack.platform import Member, MemberState
+from egretstack.objectapi import Member, MemberState
 
 WATCHERS = 3
 """Stewards that watch the platform; the number does not grow with the fleet."""
--- a/egretstack/configuration/_head_object.py
+++ b/egretstack/configuration/_head_object.py
@@ -11,7 +11,7 @@
 from egretstack.configuration._model import RECENT_KEPT, Head, Sections, head_digest
 from egretstack.configuration._transfer import is_sections
 from egretstack.ids import ChangeId, Revision
-from egretstack.platform import PlatformAway, Spec
+from egretstack.objectapi import PlatformAway, Spec
 
 SINCE_KEPT = 64
 """Versions of parts that the head holds before a new manifest is written."""
--- a/egretstack/configuration/_store.py
+++ b/egretstack/configuration/_store.py
@@ -24,7 +24,7 @@
 from egretstack.configuration._transfer import is_sections
 from egretstack.errors import UserError
 from egretstack.ids import ChangeId, Revision
-from egretstack.platform import (
+from egretstack.objectapi import (
     Conflict,
     ObjectApi,
     ObjectKind,
--- a/egretstack/duties/_fleet.py
+++ b/egretstack/duties/_fleet.py
@@ -8,7 +8,7 @@
 from egretstack.duties._paced import LEAST_LEASE_LEFT_S, DutyEnded, PacedObjectApi
 from egretstack.events import Event, log
 from egretstack.ids import DutyName, InstanceId
-from egretstack.platform import BudgetedObjectApi, PlatformError
+from egretstack.objectapi import BudgetedObjectApi, PlatformError
 
 
 class FleetWork(ABC):
--- a/egretstack/duties/_lease.py
+++ b/egretstack/duties/_lease.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, replace
 from typing import Self
 
-from egretstack.platform import Spec
+from egretstack.objectapi import Spec
 
 LEASE_LIFE_S = 15.0
 RENEWALS_IN_LIFE = 3
--- a/egretstack/duties/_leased.py
+++ b/egretstack/duties/_leased.py
@@ -16,7 +16,7 @@
 )
 from egretstack.events import Event, log
 from egretstack.ids import DutyName, InstanceId
-from egretstack.platform import Conflict, ObjectApi, ObjectKind, PlatformError
+from egretstack.objectapi import Conflict, ObjectApi, ObjectKind, PlatformError
 
 LOOK_PERIOD_S = LEASE_LIFE_S / RENEWALS_IN_LIFE
 TICK_S = 1.0
--- a/egretstack/duties/_orders.py
+++ b/egretstack/duties/_orders.py
@@ -11,7 +11,7 @@
 from egretstack.contracts import Fencing
 from egretstack.duties._lease import Lease
 from egretstack.ids import ModelName, RunnerId, ServiceName
-from egretstack.platform import TokenBucket
+from egretstack.objectapi import TokenBucket
 from egretstack.upstreams import Order
 
 ORDER_TIMEOUT_S = 3.0
--- a/egretstack/duties/_paced.py
+++ b/egretstack/duties/_paced.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from egretstack.platform import (
+from egretstack.objectapi import (
     BudgetedObjectApi,
     CallClass,
     ObjectKind,
--- a/egretstack/errors/_kinds.py
+++ b/egretstack/errors/_kinds.py
@@ -8,6 +8,9 @@
 
     BAD_REQUEST = "bad-request"
     BODY_TOO_LARGE = "body-too-large"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    SLOW_SENDER = "slow-sender"
+    NOT_SUPPORTED = "not-supported"
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not-found"
@@ -26,6 +29,7 @@
     CONFIGURATION_MISSING = "configuration-missing"
     NOT_RUN = "not-run"
     OUTCOME_UNKNOWN = "outcome-unknown"
+    OUT_OF_TIME = "out-of-time"
     GENERATION_LOST = "generation-lost"
     GENERATION_CANCELLED = "generation-cancelled"
     UPSTREAM_FAILED = "upstream-failed"
--- a/egretstack/errors/_table.py
+++ b/egretstack/errors/_table.py
@@ -44,6 +44,9 @@
 ANSWERS: dict[ErrorKind, Answer] = {
     ErrorKind.BAD_REQUEST: _refusal(400, "The request is malformed"),
     ErrorKind.BODY_TOO_LARGE: _refusal(413, "The request body is too large"),
+    ErrorKind.HEADERS_TOO_LARGE: _refusal(431, "The request's headers are too large"),
+    ErrorKind.SLOW_SENDER: _refusal(408, "The request did not arrive in time"),
+    ErrorKind.NOT_SUPPORTED: _refusal(501, "The request's transfer coding is not supported"),
     ErrorKind.UNAUTHENTICATED: _refusal(401, "The client account's key is missing or wrong"),
     ErrorKind.FORBIDDEN: _refusal(403, "The client account may not do this"),
     ErrorKind.NOT_FOUND: _refusal(404, "There is no such resource"),
@@ -66,6 +69,9 @@
     ErrorKind.OUTCOME_UNKNOWN: Answer(
         502, "The call may have run; its outcome is unknown", RunState.MAY_HAVE_RUN, retry=False
     ),
+    ErrorKind.OUT_OF_TIME: Answer(
+        504, "The upstream did not answer in time; it may have run", RunState.MAY_HAVE_RUN, False
+    ),
     ErrorKind.GENERATION_LOST: Answer(
         502, "The engine lost the generation", RunState.RAN_IN_PART, retry=True
     ),
--- a/egretstack/events/__init__.py
+++ b/egretstack/events/__init__.py
@@ -1,6 +1,16 @@
 """Structured logs: numbered events from one closed catalogue."""
 
 from egretstack.events._catalogue import Event, Level, catalogue_page
-from egretstack.events._log import LogForm, log, set_up_logs
+from egretstack.events._line_writer import LineWriter
+from egretstack.events._log import LogForm, log, set_up_line_logs, set_up_logs
 
-__all__ = ["Event", "Level", "LogForm", "catalogue_page", "log", "set_up_logs"]
+__all__ = [
+    "Event",
+    "Level",
+    "LineWriter",
+    "LogForm",
+    "catalogue_page",
+    "log",
+    "set_up_line_logs",
+    "set_up_logs",
+]
--- a/egretstack/events/_log.py
+++ b/egretstack/events/_log.py
@@ -11,6 +11,7 @@
 
 from egretstack.events._catalogue import Event
 from egretstack.events._level import Level
+from egretstack.events._line_writer import LineWriter
 
 if TYPE_CHECKING:
     from loguru import Message
@@ -35,14 +36,24 @@
         logger.add(sys.stderr, level=level.value, format=_HUMAN)
 
 
+def set_up_line_logs(level: Level, lines: LineWriter) -> None:
+    """Send log lines as JSON to a writer that never waits for its reader."""
+    logger.remove()
+    logger.add(lambda message: lines.write(_json_line(message)), level=level.value)
+
+
 def _write_json(message: Message) -> None:
+    print(_json_line(message), file=sys.stderr, flush=True)
+
+
+def _json_line(message: Message) -> str:
     record = message.record
     row = {
         "time": record["time"].isoformat(timespec="milliseconds"),
         "level": record["level"].name,
         "name": record["message"],
     }
-    print(json.dumps(row | record["extra"], default=str), file=sys.stderr, flush=True)
+    return json.dumps(row | record["extra"], default=str)
 
 
 def log(event: Event, **fields: object) -> None:
--- /dev/null
+++ b/egretstack/fleet/__init__.py
@@ -0,0 +1,48 @@
+"""The instances of one fleet and the runners before them, as each instance knows them."""
+
+from egretstack.fleet._configuration_link import fetch_text, give_text
+from egretstack.fleet._fleet import REPORT_PERIOD_S, Fleet
+from egretstack.fleet._instance import Instance, InstanceState, KnownInstance
+from egretstack.fleet._messages import (
+    FleetNews,
+    FleetView,
+    InstanceReport,
+    MoveAsk,
+    MoveDone,
+    MoveTurn,
+    PlaceAnswer,
+    PlaceAsk,
+    instance_of,
+    instance_row,
+    rows_of,
+    runner_of,
+    runner_row,
+)
+from egretstack.fleet._runner import Runner, RunnerState
+from egretstack.fleet._runner_table import RunnerTable
+
+__all__ = [
+    "REPORT_PERIOD_S",
+    "Fleet",
+    "FleetNews",
+    "FleetView",
+    "Instance",
+    "InstanceReport",
+    "InstanceState",
+    "KnownInstance",
+    "MoveAsk",
+    "MoveDone",
+    "MoveTurn",
+    "PlaceAnswer",
+    "PlaceAsk",
+    "Runner",
+    "RunnerState",
+    "RunnerTable",
+    "fetch_text",
+    "give_text",
+    "instance_of",
+    "instance_row",
+    "rows_of",
+    "runner_of",
+    "runner_row",
+]
--- /dev/null
+++ b/egretstack/fleet/_instance.py
@@ -0,0 +1,38 @@
+"""An instance of the system, as others know it."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from egretstack.ids import InstanceId, ZoneName
+
+
+class InstanceState(Enum):
+    """Whether clients may be sent to an instance."""
+
+    STARTING = 0
+    """It lacks the configuration or the runners."""
+    READY = 1
+    LEAVING = 2
+    """It was asked to stop and serves only what it has."""
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """Where one instance is."""
+
+    id: InstanceId
+    zone: ZoneName
+    front_address: str
+    peer_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class KnownInstance:
+    """What was last said of an instance."""
+
+    instance: Instance
+    incarnation: int
+    """Drawn at random at each start of its process."""
+    state: InstanceState
+    reads_store: bool
+    config_version: int
--- /dev/null
+++ b/egretstack/fleet/_messages.py
@@ -0,0 +1,169 @@
+"""What instances tell and ask each other in datagrams; numbers 70 to 79.
+
+Rows are lists, in the order of the fields that the functions here name. Whatever is lost is told
+again within a period, or asked again; nothing that callers were promised rests on any of it.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import ClassVar
+
+from egretstack.fleet._instance import Instance, InstanceState, KnownInstance
+from egretstack.fleet._runner import Runner, RunnerState
+from egretstack.ids import InstanceId, RunnerId, ServiceName, ZoneName
+from egretstack.messages import Message, MessageError
+
+MAX_ROWS = 4096
+
+
+@dataclass(frozen=True)
+class InstanceReport(Message):
+    """An instance tells the home, and the next in line, of itself and of what it runs."""
+
+    number: ClassVar[int] = 70
+    sender: list
+    """One row as `instance_row` makes it."""
+    home: str
+    """Whom the sender takes for the home."""
+    runners_revision: int
+    runs: list
+
+
+@dataclass(frozen=True)
+class FleetNews(Message):
+    """The home tells every instance who lives, which runners there are, and their load."""
+
+    number: ClassVar[int] = 71
+    home: str
+    incarnation: int
+    instances: list
+    runners_revision: int
+    runners_age_ms: int
+    runners: list
+    loads: list
+
+
+@dataclass(frozen=True)
+class FleetView(Message):
+    """An instance that is not the home tells a newcomer which instances live."""
+
+    number: ClassVar[int] = 77
+    instances: list
+
+
+@dataclass(frozen=True)
+class PlaceAsk(Message):
+    """Asks the home for a runner for one generation."""
+
+    number: ClassVar[int] = 72
+    sender: str
+    work: list
+
+
+@dataclass(frozen=True)
+class PlaceAnswer(Message):
+    """The runner, or when to come back. An empty runner is a refusal."""
+
+    number: ClassVar[int] = 73
+    attempt: str
+    runner: str
+    backup: str
+    retry_after_ms: int
+
+
+@dataclass(frozen=True)
+class MoveAsk(Message):
+    """Asks the home for this run's turn to be copied off its runner."""
+
+    number: ClassVar[int] = 74
+    sender: str
+    attempt: str
+    source: str
+    order: float
+    """The lowest goes first."""
+
+
+@dataclass(frozen=True)
+class MoveTurn(Message):
+    """Where to copy the run to; an empty destination means that others go first."""
+
+    number: ClassVar[int] = 75
+    attempt: str
+    destination: str
+
+
+@dataclass(frozen=True)
+class MoveDone(Message):
+    """The turn is over, however it went."""
+
+    number: ClassVar[int] = 76
+    sender: str
+    attempt: str
+    source: str
+
+
+def instance_row(known: KnownInstance) -> list:
+    """Give the row of an instance."""
+    one = known.instance
+    return [
+        one.id,
+        one.zone,
+        one.front_address,
+        one.peer_address,
+        known.incarnation,
+        known.state.value,
+        known.reads_store,
+        known.config_version,
+    ]
+
+
+def instance_of(row: object) -> KnownInstance:
+    """Read the row of an instance. Raises MessageError."""
+    try:
+        name, zone, front, peer, incarnation, state, reads_store, version = row
+        instance = Instance(InstanceId(str(name)), ZoneName(str(zone)), str(front), str(peer))
+        return KnownInstance(
+            instance, int(incarnation), InstanceState(state), bool(reads_store), int(version)
+        )
+    except (TypeError, ValueError) as error:
+        raise MessageError(f"not an instance: {error}") from error
+
+
+def runner_row(runner: Runner) -> list:
+    """Give the row of a runner."""
+    leaving = runner.state is RunnerState.LEAVING
+    cold_ms = round(runner.cold_s * 1000)
+    return [
+        runner.id,
+        runner.service,
+        runner.address,
+        runner.zone,
+        runner.slots,
+        leaving,
+        cold_ms,
+    ]
+
+
+def runner_of(row: object) -> Runner:
+    """Read the row of a runner. Raises MessageError."""
+    try:
+        name, service, address, zone, slots, leaving, cold_ms = row
+        return Runner(
+            RunnerId(str(name)),
+            ServiceName(str(service)),
+            str(address),
+            ZoneName(str(zone)),
+            int(slots),
+            RunnerState.LEAVING if leaving else RunnerState.READY,
+            int(cold_ms) / 1000,
+        )
+    except (TypeError, ValueError) as error:
+        raise MessageError(f"not a runner: {error}") from error
+
+
+def rows_of(rows: Iterable, read) -> list:
+    """Read the rows of a message; raise MessageError if there are too many or one is bad."""
+    rows = list(rows)
+    if len(rows) > MAX_ROWS:
+        raise MessageError(f"{len(rows)} rows")
+    return [read(row) for row in rows]
--- a/egretstack/kernel/_kernel.py
+++ b/egretstack/kernel/_kernel.py
@@ -1,7 +1,8 @@
 """Starts services in order of dependency, keeps them running, and stops them in reverse."""
 
+import random
 from graphlib import CycleError, TopologicalSorter
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import trio
 
@@ -9,7 +10,6 @@
 from egretstack.errors import UserError
 from egretstack.events import Event, log
 from egretstack.kernel._service import Service, ServiceFailed
-from egretstack.settings import Settings
 
 S = TypeVar("S", bound=Service)
 FAREWELL_S = 2.0
@@ -18,8 +18,10 @@
 class Kernel:
     """The services of one process, by name, with the settings and clock they share."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Any, rng: random.Random | None = None) -> None:
         self.settings = settings
+        """Of the type that the program's services expect."""
+        self.rng = rng or random.Random()
         self.epoch = EpochClock.start()
         self.draining = trio.Event()
         self._by_name: dict[str, Service] = {}
--- a/egretstack/ledger/_per_call.py
+++ b/egretstack/ledger/_per_call.py
@@ -8,7 +8,7 @@
 from egretstack.errors import EgretError, ErrorKind, NotRunProof
 from egretstack.ids import AccountId, AttemptId, IdempotencyKey, ServiceName
 from egretstack.ledger._entry import CallState, LedgerEntry
-from egretstack.platform import (
+from egretstack.objectapi import (
     Conflict,
     ObjectApi,
     ObjectKind,
--- a/egretstack/ledger/_pruning.py
+++ b/egretstack/ledger/_pruning.py
@@ -7,7 +7,7 @@
 import trio
 
 from egretstack.ledger._shard import SHARDS, BadShard, Shard, head_name
-from egretstack.platform import (
+from egretstack.objectapi import (
     Conflict,
     ObjectApi,
     ObjectKind,
--- a/egretstack/ledger/_shard.py
+++ b/egretstack/ledger/_shard.py
@@ -12,7 +12,7 @@
 
 from egretstack.ledger._entry import CallState
 from egretstack.ledger._row import KeyId, Row
-from egretstack.platform import StoredObject
+from egretstack.objectapi import StoredObject
 
 SHARDS = 8
 """Never change it while rows are kept: a key would move to a shard that has not its row."""
--- a/egretstack/ledger/_store.py
+++ b/egretstack/ledger/_store.py
@@ -20,7 +20,7 @@
     WriteHead,
 )
 from egretstack.ledger._writer import ShardWriter
-from egretstack.platform import (
+from egretstack.objectapi import (
     Conflict,
     ObjectApi,
     ObjectKind,
--- a/egretstack/membership/_choice.py
+++ b/egretstack/membership/_choice.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from egretstack.ids import AccountId, InstanceId, RunnerId, ZoneName
-from egretstack.platform import Member
+from egretstack.objectapi import Member
 from egretstack.policy import RunnerInfo
 
 ENTRIES_ANSWERED = 5
--- a/egretstack/membership/_listing.py
+++ b/egretstack/membership/_listing.py
@@ -4,7 +4,7 @@
 
 from egretstack.membership._rows import ListedRow, Row
 from egretstack.membership._table import Key, Table
-from egretstack.platform import Member
+from egretstack.objectapi import Member
 
 FIRST_STAMP = 1
 """Stamp of what a process's first reading finds. It is sent to nobody: a restart, or the start of
--- a/egretstack/membership/_rows.py
+++ b/egretstack/membership/_rows.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from egretstack.ids import RunnerId, ServiceName, ZoneName, is_name
-from egretstack.platform import Member, MemberState
+from egretstack.objectapi import Member, MemberState
 
 MAX_PORTS = 16
 MAX_HOST_LENGTH = 45
--- a/egretstack/membership/_state.py
+++ b/egretstack/membership/_state.py
@@ -22,7 +22,7 @@
 from egretstack.membership._table import Table
 from egretstack.membership._twin import TwinWatch
 from egretstack.membership._views import InstanceView, Views
-from egretstack.platform import Member
+from egretstack.objectapi import Member
 
 TICK_S = 0.2
 """Time between calls of `tick`, and between two messages to one neighbour that carry news."""
--- a/egretstack/membership/_views.py
+++ b/egretstack/membership/_views.py
@@ -14,7 +14,7 @@
     RunnerNotice,
 )
 from egretstack.membership._table import Table
-from egretstack.platform import ENTRY_SERVICE, Member, MemberState
+from egretstack.objectapi import ENTRY_SERVICE, Member, MemberState
 
 _Place = tuple[str, str]
 """The service and the id of a listed member."""
--- /dev/null
+++ b/egretstack/messages/__init__.py
@@ -0,0 +1,5 @@
+"""Typed messages between the system's processes, and their msgpack form."""
+
+from egretstack.messages._messages import Hello, Message, MessageError, Nothing, decode, encode
+
+__all__ = ["Hello", "Message", "MessageError", "Nothing", "decode", "encode"]
--- a/egretstack/platform/_budget.py
+++ b/egretstack/objectapi/_budget.py
@@ -8,7 +8,7 @@
 
 from enum import Enum
 
-from egretstack.platform._object_api import ObjectKind
+from egretstack.objectapi._object_api import ObjectKind
 
 
 class CallClass(Enum):
--- a/egretstack/platform/_budgeted.py
+++ b/egretstack/objectapi/_budgeted.py
@@ -9,9 +9,9 @@
 
 from egretstack.events import Event, log
 from egretstack.metrics import Metrics
-from egretstack.platform._breaker import Breaker, BreakerState
-from egretstack.platform._budget import CLASS_BY_KIND, CallBudget
-from egretstack.platform._object_api import (
+from egretstack.objectapi._breaker import Breaker, BreakerState
+from egretstack.objectapi._budget import CLASS_BY_KIND, CallBudget
+from egretstack.objectapi._object_api import (
     WATCH_LIFE_S,
     Conflict,
     ObjectApi,
--- a/egretstack/platform/_http_instance_list.py
+++ b/egretstack/objectapi/_http_instance_list.py
@@ -4,8 +4,8 @@
 import trio
 
 from egretstack.ids import ServiceName, ZoneName, is_name
-from egretstack.platform._instance_list import InstanceList, Member, MemberState
-from egretstack.platform._object_api import PlatformAway
+from egretstack.objectapi._instance_list import InstanceList, Member, MemberState
+from egretstack.objectapi._object_api import PlatformAway
 
 SERVICE_LABEL = "kubernetes.io/service-name"
 MAX_MEMBERS = 10_000
--- a/egretstack/platform/_http_object_api.py
+++ b/egretstack/objectapi/_http_object_api.py
@@ -6,7 +6,7 @@
 
 import httpx
 
-from egretstack.platform._object_api import (
+from egretstack.objectapi._object_api import (
     MAX_OBJECT_BYTES,
     WATCH_LIFE_S,
     Conflict,
--- a/egretstack/platform/_weight_store.py
+++ b/egretstack/objectapi/_weight_store.py
@@ -5,7 +5,7 @@
 import httpx
 
 from egretstack.ids import ModelName
-from egretstack.platform._object_api import PlatformAway
+from egretstack.objectapi._object_api import PlatformAway
 
 MAX_VERSIONS = 1000
 
--- a/egretstack/operators/_recovery.py
+++ b/egretstack/operators/_recovery.py
@@ -12,8 +12,8 @@
 )
 from egretstack.errors import UserError
 from egretstack.ids import ChangeId, Revision
+from egretstack.objectapi import ENTRY_SERVICE, InstanceList, Member
 from egretstack.operators._status import OPERATOR_PORT, InstanceStatus, fleet_status
-from egretstack.platform import ENTRY_SERVICE, InstanceList, Member
 
 ASKED_BEFORE_A_CHANGE = 8
 
--- a/egretstack/operators/_status.py
+++ b/egretstack/operators/_status.py
@@ -7,7 +7,7 @@
 import trio
 
 from egretstack.ids import InstanceId, Revision
-from egretstack.platform import ENTRY_SERVICE, InstanceList, Member
+from egretstack.objectapi import ENTRY_SERVICE, InstanceList, Member
 
 OPERATOR_PORT = "operator"
 STEWARD_OPERATOR_PORT = "steward-operator"
--- a/egretstack/peers/__init__.py
+++ b/egretstack/peers/__init__.py
@@ -1,5 +1,12 @@
 """Links between the system's own processes: typed messages in msgpack over TCP."""
 
+from egretstack.messages import (
+    Message,
+    MessageError,
+    Nothing,
+    decode,
+    encode,
+)
 from egretstack.peers._link import (
     PeerGone,
     PeerKeys,
@@ -8,13 +15,6 @@
     connect_peer,
     greet_peer,
 )
-from egretstack.peers._messages import (
-    Message,
-    MessageError,
-    Nothing,
-    decode,
-    encode,
-)
 
 __all__ = [
     "Message",
--- a/egretstack/peers/_link.py
+++ b/egretstack/peers/_link.py
@@ -12,7 +12,7 @@
 
 from egretstack.clock import EpochClock
 from egretstack.ids import InstanceId
-from egretstack.peers._messages import Hello, Message, MessageError, decode, encode
+from egretstack.messages import Hello, Message, MessageError, decode, encode
 
 PROTOCOL_VERSION = 1
 SEAL_LIFE_S = 60
--- /dev/null
+++ b/egretstack/placing/_move_turns.py
@@ -0,0 +1,54 @@
+"""Whose turn it is to be copied off an engine; pure, with the time passed in.
+
+Copies off one engine queue up behind each other on its link. When several run at once, the last
+part of each, which stops the stream, waits behind the first parts of the others: the pause that a
+reader sees grows from some 10 ms to several hundred. One at a time keeps it short.
+"""
+
+from dataclasses import dataclass
+
+from egretstack.ids import RunnerId
+
+TURN_S = 1.2
+"""Longest turn; a copy takes some 0.2 to 0.4 s, and one that hangs must not hold up the rest."""
+ASKING_S = 0.4
+"""An instance asks again every tenth of a second; one that stopped asking has given up."""
+
+
+@dataclass(slots=True)
+class _Asking:
+    order: float
+    asked_s: float
+
+
+class MoveTurns:
+    """One turn at a time for each engine that runs are copied off."""
+
+    def __init__(self) -> None:
+        self._holder_by_source: dict[RunnerId, tuple[str, float]] = {}
+        self._asking_by_source: dict[RunnerId, dict[str, _Asking]] = {}
+
+    def ask(self, now_s: float, source: RunnerId, attempt: str, order: float) -> bool:
+        """Tell whether it is this run's turn; the lowest order among those asking goes first."""
+        asking = self._asking_by_source.setdefault(source, {})
+        asking[attempt] = _Asking(order, now_s)
+        holder = self._holder_by_source.get(source)
+        if holder is not None and now_s - holder[1] < TURN_S:
+            return holder[0] == attempt
+        for name in [one for one, it in asking.items() if now_s - it.asked_s > ASKING_S]:
+            del asking[name]
+        first = min(asking, key=lambda name: asking[name].order)
+        if first != attempt:
+            return False
+        self._holder_by_source[source] = (attempt, now_s)
+        return True
+
+    def done(self, source: RunnerId, attempt: str) -> None:
+        """Note that a turn is over."""
+        asking = self._asking_by_source.get(source, {})
+        asking.pop(attempt, None)
+        if not asking:
+            self._asking_by_source.pop(source, None)
+        holder = self._holder_by_source.get(source)
+        if holder is not None and holder[0] == attempt:
+            del self._holder_by_source[source]
--- /dev/null
+++ b/egretstack/placing/_run.py
@@ -0,0 +1,101 @@
+"""A generation that wants an engine, and one that has one."""
+
+from dataclasses import dataclass
+
+from egretstack.ids import RunnerId, ServiceName
+from egretstack.messages import MessageError
+
+HINT_MARGIN = 1.25
+"""A client's estimate of the length is right at the median only; this covers most of its error."""
+UNKNOWN_SHARE = 0.5
+"""Part of the most output that is expected where the client gives no estimate."""
+OVERRUN_SHARE = 0.25
+"""What a run that passed its expected length is expected to go on for, as part of that length."""
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A generation that wants an engine."""
+
+    attempt: str
+    service: ServiceName
+    prompt_tokens: int
+    max_output_tokens: int
+    length_hint: int | None
+    rank: int
+    """0 is the most urgent."""
+    patience_s: float
+    """Longest wait for the first token that is of use to the caller."""
+    excluded: tuple[RunnerId, ...] = ()
+
+    def expected_output(self) -> float:
+        """Give the output tokens to reckon with before any is made."""
+        if self.length_hint is None:
+            return self.max_output_tokens * UNKNOWN_SHARE
+        return min(self.max_output_tokens, self.length_hint * HINT_MARGIN)
+
+
+@dataclass(slots=True)
+class Run:
+    """A generation on an engine, as its instance last told of it."""
+
+    work: Work
+    runner: RunnerId
+    backup: RunnerId | None
+    made_tokens: int = 0
+    started: bool = False
+    """Whether its first token came."""
+
+    def peak_tokens(self) -> float:
+        """Give the memory to reckon with at its end."""
+        expected = self.work.expected_output()
+        if self.made_tokens >= expected:
+            expected = self.made_tokens + expected * OVERRUN_SHARE
+        return self.work.prompt_tokens + min(expected, self.work.max_output_tokens)
+
+
+def work_row(work: Work) -> list:
+    """Give the row of a work for a message."""
+    return [
+        work.attempt,
+        work.service,
+        work.prompt_tokens,
+        work.max_output_tokens,
+        work.length_hint,
+        work.rank,
+        round(work.patience_s * 1000),
+        list(work.excluded),
+    ]
+
+
+def work_of(row: object) -> Work:
+    """Read the row of a work. Raises MessageError."""
+    try:
+        attempt, service, prompt, most, hint, rank, patience_ms, excluded = row
+        return Work(
+            str(attempt),
+            ServiceName(str(service)),
+            int(prompt),
+            int(most),
+            None if hint is None else int(hint),
+            int(rank),
+            int(patience_ms) / 1000,
+            tuple(RunnerId(str(one)) for one in excluded),
+        )
+    except (TypeError, ValueError) as error:
+        raise MessageError(f"not a work: {error}") from error
+
+
+def run_row(run: Run) -> list:
+    """Give the row of a run for a message."""
+    return [work_row(run.work), run.runner, run.backup, run.made_tokens, run.started]
+
+
+def run_of(row: object) -> Run:
+    """Read the row of a run. Raises MessageError."""
+    try:
+        work, runner, backup, made, started = row
+        copy = None if backup is None else RunnerId(str(backup))
+        return Run(work_of(work), RunnerId(str(runner)), copy, int(made), bool(started))
+    except (TypeError, ValueError) as error:
+        raise MessageError(f"not a run: {error}") from error
--- a/egretstack/platform/__init__.py
+++ b/egretstack/platform/__init__.py
@@ -1,57 +1,81 @@
-"""What the platform gives: object API, instance list and weight store, each behind one class."""
+"""The users' platform: its names, formats and calls, and nothing that decides.
 
-from egretstack.platform._breaker import Breaker, BreakerState
-from egretstack.platform._budget import CallBudget, CallClass, TokenBucket
-from egretstack.platform._budgeted import BudgetedObjectApi
-from egretstack.platform._http_instance_list import HttpInstanceList
-from egretstack.platform._http_object_api import HttpObjectApi
-from egretstack.platform._instance_list import (
-    ENTRY_SERVICE,
-    InstanceList,
-    Member,
-    MemberState,
+Everything that comes from outside is decoded here once into types of the product.
+"""
+
+from egretstack.platform._bodies import BadBody, parse_object
+from egretstack.platform._configuration import decode_configuration
+from egretstack.platform._entry_wire import (
+    asked_zone,
+    decode_request,
+    directory_answer,
+    is_directory_question,
+    is_ready_question,
+    json_answer,
+)
+from egretstack.platform._node_settings import (
+    SETTINGS_VARIABLE,
+    Bounds,
+    NodeSettings,
+    read_node_settings,
+)
+from egretstack.platform._runner_wire import (
+    client_head,
+    free_copy_request,
+    move_answer,
+    move_request,
+    report_request,
+    runner_answer,
+    runner_report,
+    runner_request,
 )
-from egretstack.platform._object_api import (
-    WATCH_LIFE_S,
-    Conflict,
-    ObjectApi,
+from egretstack.platform._runners import decode_runner
+from egretstack.platform._store import (
+    CONFIGURATION_NAME,
+    Change,
+    Changes,
+    HistoryGone,
+    Listing,
     ObjectKind,
-    PlatformAway,
-    PlatformError,
-    PlatformOutcomeUnknown,
-    Spec,
+    RevisionConflict,
+    Store,
+    StoreAway,
     StoredObject,
-    WatchChange,
-    WatchKind,
-    WatchLost,
+    StoreOutcomeUnknown,
 )
-from egretstack.platform._weight_store import HttpWeightStore, WeightStore
 
 __all__ = [
-    "ENTRY_SERVICE",
-    "WATCH_LIFE_S",
-    "Breaker",
-    "BreakerState",
-    "BudgetedObjectApi",
-    "CallBudget",
-    "CallClass",
-    "Conflict",
-    "HttpInstanceList",
-    "HttpObjectApi",
-    "HttpWeightStore",
-    "InstanceList",
-    "Member",
-    "MemberState",
-    "ObjectApi",
+    "CONFIGURATION_NAME",
+    "SETTINGS_VARIABLE",
+    "BadBody",
+    "Bounds",
+    "Change",
+    "Changes",
+    "HistoryGone",
+    "Listing",
+    "NodeSettings",
     "ObjectKind",
-    "PlatformAway",
-    "PlatformError",
-    "PlatformOutcomeUnknown",
-    "Spec",
+    "RevisionConflict",
+    "Store",
+    "StoreAway",
+    "StoreOutcomeUnknown",
     "StoredObject",
-    "TokenBucket",
-    "WatchChange",
-    "WatchKind",
-    "WatchLost",
-    "WeightStore",
+    "asked_zone",
+    "client_head",
+    "decode_configuration",
+    "decode_request",
+    "decode_runner",
+    "directory_answer",
+    "free_copy_request",
+    "is_directory_question",
+    "is_ready_question",
+    "json_answer",
+    "move_answer",
+    "move_request",
+    "parse_object",
+    "read_node_settings",
+    "report_request",
+    "runner_answer",
+    "runner_report",
+    "runner_request",
 ]
--- /dev/null
+++ b/egretstack/platform/_configuration.py
@@ -0,0 +1,113 @@
+"""Decodes the operator's configuration, which the store holds as one object."""
+
+from egretstack.http1 import ServerLimits
+from egretstack.ids import AccountId, ServiceName
+from egretstack.platform._bodies import BadBody, Body, flag, number, rows, text, whole
+from egretstack.routing import (
+    ClientAccount,
+    EnginePlan,
+    Route,
+    RouteKind,
+    RouteTarget,
+    RoutingConfiguration,
+    ServicePlan,
+    key_digest,
+)
+
+_KIND_BY_WORD = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+}
+
+
+def decode_configuration(spec: Body) -> RoutingConfiguration:
+    """Decode a whole configuration. Raises BadBody."""
+    services = [_service(row) for row in rows(spec, "services")]
+    tenants = rows(spec, "tenants")
+    return RoutingConfiguration(
+        version=whole(spec, "version"),
+        routes=tuple(_route(row) for row in rows(spec, "routes")),
+        service_by_name={service.name: service for service in services},
+        account_by_key_digest=_accounts(tenants),
+        limits=_limits(spec.get("limits")),
+        has_accounts="tenants" in spec,
+    )
+
+
+def _route(row: Body) -> Route:
+    word = text(row, "route-type")
+    if word not in _KIND_BY_WORD:
+        raise BadBody(f"route-type {word!r} is not known")
+    gap_ms = number(row, "gap-target-ms", 0)
+    return Route(
+        name=text(row, "name"),
+        host=text(row, "host"),
+        path_prefix=text(row, "path-prefix"),
+        kind=_KIND_BY_WORD[word],
+        targets=_targets(row),
+        timeout_s=number(row, "timeout-ms") / 1000,
+        target_latency_s=number(row, "target-latency-ms", 0) / 1000,
+        rank=whole(row, "priority", 5),
+        max_sends=max(1, whole(row, "max-attempts", 1)),
+        anonymous=flag(row, "allow-anonymous"),
+        resumable=flag(row, "can-resume"),
+        gap_target_s=gap_ms / 1000 if gap_ms else None,
+    )
+
+
+def _targets(row: Body) -> tuple[RouteTarget, ...]:
+    split = rows(row, "traffic-split")
+    if not split:
+        return (RouteTarget(ServiceName(text(row, "service")), 1.0),)
+    return tuple(
+        RouteTarget(ServiceName(text(one, "service")), number(one, "weight", 1)) for one in split
+    )
+
+
+def _service(row: Body) -> ServicePlan:
+    engine = row.get("engine")
+    return ServicePlan(
+        name=ServiceName(text(row, "name")),
+        health_path=text(row, "health-path", "/health"),
+        max_connections=whole(row, "max-conns", 64),
+        engine=_engine(engine) if isinstance(engine, dict) else None,
+    )
+
+
+def _engine(row: Body) -> EnginePlan:
+    return EnginePlan(
+        batch_slots=whole(row, "slots"),
+        kv_capacity_tokens=whole(row, "kv-capacity-tokens"),
+        kv_token_bytes=whole(row, "kv-token-bytes", 0),
+        link_mbps=number(row, "link-mbps", 0),
+        moves=flag(row, "moves"),
+        backups=flag(row, "backups"),
+        tokens_per_event=max(1, whole(row, "stride", 1)),
+        copy_life_s=number(row, "handle-s", 5),
+    )
+
+
+def _accounts(tenants: list[Body]) -> dict[str, ClientAccount]:
+    account_by_key_digest: dict[str, ClientAccount] = {}
+    for row in tenants:
+        rank = row.get("priority")
+        account = ClientAccount(
+            AccountId(text(row, "name")), rank if isinstance(rank, int) else None
+        )
+        keys = row.get("api-keys", [])
+        if not isinstance(keys, list):
+            raise BadBody("api-keys is not a list")
+        for key in keys:
+            account_by_key_digest[key_digest(str(key))] = account
+    return account_by_key_digest
+
+
+def _limits(row: object) -> ServerLimits:
+    limits = row if isinstance(row, dict) else {}
+    return ServerLimits(
+        header_bytes=whole(limits, "max-header-bytes", 16_384),
+        body_bytes=whole(limits, "max-body-bytes", 4_194_304),
+        header_timeout_s=number(limits, "header-timeout-ms", 3_000) / 1000,
+        idle_timeout_s=number(limits, "idle-timeout-ms", 15_000) / 1000,
+    )
--- /dev/null
+++ b/egretstack/platform/_entry_wire.py
@@ -0,0 +1,131 @@
+"""What clients, and the platform's own checks, say to an instance and are told.
+
+Names on this side: a client's own id for each attempt, the milliseconds it will wait, the size of
+the generation it asks for, and its account's key as a bearer token.
+"""
+
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from egretstack.http1 import Header, RequestHead, ResponseHead, first_value
+from egretstack.ids import ModelName
+from egretstack.traffic import ClientRequest, Generation, PromptPart
+
+READY_PATH = "/egretstack/ready"
+DIRECTORY_PATH = "/egretstack/resolve"
+
+_ATTEMPT_ID = b"attempt-id"
+_DEADLINE_MS = b"deadline-ms"
+_MODEL = b"model"
+_TOKEN_COUNT = b"token-count"
+_PROMPT_PREFIX = b"prompt-prefix"
+_LENGTH_HINT = b"length-hint"
+_AUTHORIZATION = b"authorization"
+_RETRY_AFTER = b"retry-after"
+_BEARER = "bearer "
+_MAX_PARTS = 64
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+def decode_request(head: RequestHead, body: bytes) -> ClientRequest:
+    """Decode a client's request; what cannot be read of its hints counts as not given."""
+    deadline_ms = _number(_value(head, _DEADLINE_MS))
+    return ClientRequest(
+        attempt_id=_value(head, _ATTEMPT_ID),
+        host=_value(head, b"host"),
+        path=head.target.decode("latin-1").partition("?")[0],
+        head=head,
+        body=body,
+        time_left_s=None if deadline_ms is None else deadline_ms / 1000,
+        key=_bearer(_value(head, _AUTHORIZATION)),
+        generation=_generation(head),
+    )
+
+
+def is_directory_question(head: RequestHead) -> bool:
+    """Tell whether a request asks which instances to use."""
+    return urlsplit(head.target.decode("latin-1")).path == DIRECTORY_PATH
+
+
+def is_ready_question(head: RequestHead) -> bool:
+    """Tell whether a request asks whether this instance is ready."""
+    return urlsplit(head.target.decode("latin-1")).path == READY_PATH
+
+
+def asked_zone(head: RequestHead) -> str:
+    """Give the client's availability zone in a directory question; empty if not told."""
+    query = parse_qs(urlsplit(head.target.decode("latin-1")).query)
+    return query.get("zone", [""])[0]
+
+
+def directory_answer(addresses: list[str], life_s: float) -> tuple[ResponseHead, bytes]:
+    """Give the answer to a directory question; `life_s` is how long clients may keep it."""
+    return json_answer(200, {"addresses": addresses, "ttl-s": life_s})
+
+
+def json_answer(
+    status: int, document: object, retry_after_s: float | None = None
+) -> tuple[ResponseHead, bytes]:
+    """Give an answer of this system's own."""
+    headers: list[Header] = [(b"content-type", b"application/json")]
+    if retry_after_s is not None:
+        headers.append((_RETRY_AFTER, b"%.3f" % retry_after_s))
+    head = ResponseHead(status, _REASONS.get(status, b"Unknown"), tuple(headers))
+    return head, json.dumps(document).encode()
+
+
+def _generation(head: RequestHead) -> Generation | None:
+    counts = _value(head, _TOKEN_COUNT).split(",")
+    numbers = [_number(one) for one in counts]
+    if len(numbers) != 2 or None in numbers:
+        return None
+    hint = _number(_value(head, _LENGTH_HINT))
+    return Generation(
+        model=ModelName(_value(head, _MODEL)),
+        prompt_tokens=int(numbers[0]),
+        max_output_tokens=int(numbers[1]),
+        length_hint=None if hint is None else int(hint),
+        prompt_parts=_parts(_value(head, _PROMPT_PREFIX)),
+    )
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for one in text.split(",")[:_MAX_PARTS]:
+        part_id, _, tokens = one.strip().partition(":")
+        size = _number(tokens)
+        if part_id and size is not None:
+            parts.append(PromptPart(part_id, int(size)))
+    return tuple(parts)
+
+
+def _bearer(text: str) -> str | None:
+    if text[: len(_BEARER)].lower() != _BEARER:
+        return None
+    return text[len(_BEARER) :].strip() or None
+
+
+def _value(head: RequestHead, name: bytes) -> str:
+    return (first_value(head.headers, name) or b"").decode("latin-1").strip()
+
+
+def _number(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < 1e9 else None
--- /dev/null
+++ b/egretstack/platform/_node_settings.py
@@ -0,0 +1,164 @@
+"""The settings file that the platform writes for a process: lines of the form `a.b=value`.
+
+Fields that are not known here are left alone, since new ones may come.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from egretstack.errors import UserError
+from egretstack.ids import InstanceId, ZoneName
+
+SETTINGS_VARIABLE = "EGRETSTACK_NODE_FILE"
+"""Name of the environment variable that holds the file's path."""
+
+MAX_SEEDS = 16
+MAX_FILE_BYTES = 262_144
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """Limits in time that the platform holds the system to, in seconds."""
+
+    runner_drain_s: float
+    """From a runner's accepted notice to the last request that may reach it."""
+    grace_s: float
+    """From SIGTERM to SIGKILL."""
+    config_apply_s: float
+    """From an accepted configuration to its being in force everywhere."""
+    stable_window_s: float
+    directory_life_s: float
+    """Longest time that callers keep an answer of the directory."""
+    event_pass_s: float
+    """Longest time that a stream's event may take from its runner to the caller."""
+    address_reuse_s: float
+    """After a runner's end its address may belong to another service after this long."""
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+    """Retries allowed in each window beyond the ratio, for the whole fleet."""
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """What the platform tells a process at its start."""
+
+    instance: InstanceId
+    zone: ZoneName
+    region: str
+    ip: str
+    front_address: str
+    """Where clients connect."""
+    ready_address: str
+    """Where the platform asks whether this instance is ready."""
+    directory_address: str
+    """Where clients ask which instances to use; empty if another process answers them."""
+    control_address: str
+    """Where other instances reach this one at first; empty if the role does not serve it."""
+    first_peer_port: int
+    last_peer_port: int
+    seeds: tuple[str, ...]
+    """Control addresses of a few instances, which may be gone."""
+    store_address: str
+    memory_mb: int
+    max_descriptors: int
+    bounds: Bounds
+
+
+def read_node_settings(path: Path) -> NodeSettings:
+    """Read and check the file. Raises UserError with the file, the key and what is allowed."""
+    try:
+        with path.open("rb") as file:
+            text = file.read(MAX_FILE_BYTES).decode("utf-8", "replace")
+    except OSError as error:
+        raise UserError(f"{path}: cannot be read: {error.strerror}") from error
+    return _Fields(str(path), _values(text)).settings()
+
+
+def _values(text: str) -> dict[str, str]:
+    values: dict[str, str] = {}
+    for line in text.splitlines():
+        name, found, value = line.partition("=")
+        if found and not name.lstrip().startswith("#"):
+            values[name.strip()] = value.strip()
+    return values
+
+
+class _Fields:
+    """Takes typed values out of the file's fields."""
+
+    def __init__(self, source: str, values: Mapping[str, str]) -> None:
+        self._source = source
+        self._values = values
+
+    def settings(self) -> NodeSettings:
+        """Give the whole."""
+        first, last = self._ports("internal-ports")
+        return NodeSettings(
+            instance=InstanceId(self._text("node-name")),
+            zone=ZoneName(self._text("zone")),
+            region=self._values.get("region", ""),
+            ip=self._text("ip"),
+            front_address=self._address("listen.front"),
+            ready_address=self._address("listen.ready-address"),
+            directory_address=self._address("listen.directory", required=False),
+            control_address=self._address("listen.control", required=False),
+            first_peer_port=first,
+            last_peer_port=last,
+            seeds=tuple(one for one in self._values.get("seeds", "").split(",") if one)[:MAX_SEEDS],
+            store_address=self._address("platform.address"),
+            memory_mb=int(self._number("limits.memory-mb", 128)),
+            max_descriptors=int(self._number("limits.max-fds", 1024)),
+            bounds=self._bounds(),
+        )
+
+    def _bounds(self) -> Bounds:
+        return Bounds(
+            runner_drain_s=self._number("bounds.drain-ms", 2000) / 1000,
+            grace_s=self._number("bounds.grace-s", 8),
+            config_apply_s=self._number("bounds.config-apply-ms", 2000) / 1000,
+            stable_window_s=self._number("bounds.stable-window-ms", 3000) / 1000,
+            directory_life_s=self._number("bounds.ttl_max_s", 5),
+            event_pass_s=self._number("bounds.pass-ms", 120) / 1000,
+            address_reuse_s=self._number("bounds.reuse-after-s", 2),
+            retry_ratio=self._number("bounds.retry-ratio", 0.2),
+            retry_window_s=self._number("bounds.budget-window-s", 10),
+            retry_slack=self._number("bounds.budget-slack", 10),
+        )
+
+    def _text(self, name: str) -> str:
+        value = self._values.get(name, "")
+        if not value:
+            raise UserError(f"{self._source}: {name} is missing")
+        return value
+
+    def _number(self, name: str, default: float) -> float:
+        text = self._values.get(name, "")
+        if not text:
+            return default
+        try:
+            value = float(text)
+        except ValueError as error:
+            raise UserError(f"{self._source}: {name}: {text!r} is not a number") from error
+        if not 0 <= value < float("inf"):
+            raise UserError(f"{self._source}: {name}: {text!r} is not a number of 0 or more")
+        return value
+
+    def _address(self, name: str, *, required: bool = True) -> str:
+        value = self._text(name) if required else self._values.get(name, "")
+        if not value:
+            return ""
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+            raise UserError(f"{self._source}: {name}: {value!r} is not HOST:PORT")
+        return value
+
+    def _ports(self, name: str) -> tuple[int, int]:
+        parts = self._text(name).split(",")
+        if len(parts) != 2 or not all(part.isdigit() for part in parts):
+            raise UserError(f"{self._source}: {name}: two ports are needed, such as 7200,7215")
+        first, last = int(parts[0]), int(parts[1])
+        if not 0 < first <= last < 65_536:
+            raise UserError(f"{self._source}: {name}: {first},{last} is not a range of ports")
+        return first, last
--- /dev/null
+++ b/egretstack/platform/_runner_wire.py
@@ -0,0 +1,190 @@
+"""What is said to runners, and what they answer.
+
+Names on this side that mislead: a run's `created` is the events it has made so far, `leaves_ms`
+the time until a runner ends, and `kv-used` only the memory that cannot yield.
+"""
+
+import json
+
+from egretstack.http1 import (
+    Header,
+    Headers,
+    RequestHead,
+    ResponseHead,
+    connection_headers,
+    first_value,
+)
+from egretstack.platform._bodies import Body, number, parse_object, text, whole
+from egretstack.traffic import (
+    ClientRequest,
+    MoveAnswer,
+    MoveOutcome,
+    RunnerAnswer,
+    RunnerLoad,
+    RunnerReport,
+    RunReport,
+    SendTerms,
+)
+
+REPORT_PATH = b"/egretstack/report"
+_MOVE_PATH = b"/egretstack/kv-move"
+_HANDLE_PATH = b"/egretstack/kv-handle/"
+
+_ATTEMPT_ID = b"attempt-id"
+_SEAL = b"runner-seal"
+_NOT_EXECUTED = b"not-executed"
+_RUNNER_ID = b"runner-id"
+_LOAD = b"runner-load"
+_DEADLINE_MS = b"deadline-ms"
+_LAST_EVENT_ID = b"last-event-id"
+
+_SYSTEM_ONLY = frozenset(
+    {
+        b"authorization",
+        b"tenant",
+        b"expect-runner",
+        b"expect-version",
+        b"request-priority",
+        b"hold",
+        b"pin-ms",
+        b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"not-executed",
+        b"runner-seal",
+        b"runner-id",
+        _DEADLINE_MS,
+        _LAST_EVENT_ID,
+    }
+)
+"""Headers that only the system may set towards a runner, and the account's key."""
+
+_FROM_RUNNER_ONLY = frozenset({_RUNNER_ID, _LOAD, _NOT_EXECUTED})
+"""Headers of an answer that are between the runner and the system."""
+
+_MOST_PRIORITY = 9
+_MISDIRECTED = 421
+
+
+def runner_request(request: ClientRequest, terms: SendTerms) -> RequestHead:
+    """Give the head that a runner gets for a client's request."""
+    dropped = connection_headers(request.head.headers) | _SYSTEM_ONLY
+    headers = [one for one in request.head.headers if one[0] not in dropped]
+    headers.append((_DEADLINE_MS, b"%d" % max(1, int(terms.time_left_s * 1000))))
+    headers.append((b"expect-runner", terms.runner_id.encode()))
+    if terms.account is not None:
+        headers.append((b"tenant", terms.account.encode()))
+    if terms.priority is not None:
+        headers.append((b"request-priority", b"%d" % min(_MOST_PRIORITY, max(0, terms.priority))))
+    if terms.backup_address is not None:
+        headers.append((b"kv-backup", terms.backup_address.encode()))
+    headers.extend(_continuation(terms))
+    if request.body or first_value(request.head.headers, b"content-length") is not None:
+        headers.append((b"content-length", b"%d" % len(request.body)))
+    return RequestHead(request.head.method, request.head.target, tuple(headers))
+
+
+def _continuation(terms: SendTerms) -> list[Header]:
+    if terms.continue_from is not None:
+        place = f"{terms.continue_from.address}/{terms.continue_from.copy_id}"
+        return [
+            (b"kv-from", place.encode()),
+            (_LAST_EVENT_ID, terms.continue_from.last_event_id.encode()),
+        ]
+    if terms.last_event_id is not None:
+        return [(_LAST_EVENT_ID, terms.last_event_id.encode())]
+    return []
+
+
+def runner_answer(head: ResponseHead) -> RunnerAnswer:
+    """Decode the head of a runner's answer."""
+    return RunnerAnswer(
+        head=head,
+        attempt_id=(first_value(head.headers, _ATTEMPT_ID) or b"").decode("latin-1"),
+        sealed=first_value(head.headers, _SEAL) is not None,
+        rejected=head.status == _MISDIRECTED
+        or first_value(head.headers, _NOT_EXECUTED) is not None,
+        encoded=first_value(head.headers, b"content-encoding") is not None,
+        load=_load(first_value(head.headers, _LOAD)),
+    )
+
+
+def client_head(answer: RunnerAnswer) -> ResponseHead:
+    """Give the head that a client gets for a runner's answer."""
+    dropped = connection_headers(answer.head.headers) | _FROM_RUNNER_ONLY
+    kept: Headers = tuple(one for one in answer.head.headers if one[0] not in dropped)
+    return ResponseHead(answer.head.status, answer.head.reason, kept)
+
+
+def _load(value: bytes | None) -> RunnerLoad | None:
+    parts = (value or b"").split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    return RunnerLoad(int(parts[0]), int(parts[1]), int(parts[2]))
+
+
+def report_request(address: str) -> RequestHead:
+    """Give the question for an engine's report."""
+    return RequestHead(b"GET", REPORT_PATH, ((b"host", address.encode()),))
+
+
+def runner_report(body: bytes) -> RunnerReport:
+    """Decode a report. Raises BadBody."""
+    row = parse_object(body)
+    leaves_ms = row.get("leaves_ms")
+    return RunnerReport(
+        leaving=text(row, "state", "ready") == "draining",
+        leaves_in_s=leaves_ms / 1000 if isinstance(leaves_ms, int | float) else None,
+        running=whole(row, "running", 0),
+        waiting=whole(row, "waiting", 0),
+        kv_used_tokens=whole(row, "kv-used", 0),
+        kv_total_tokens=whole(row, "kv-total", 0),
+        runs=_runs(row),
+    )
+
+
+def _runs(row: Body) -> tuple[RunReport, ...]:
+    runs = row.get("runs")
+    if not isinstance(runs, list):
+        return ()
+    return tuple(
+        RunReport(str(one[0]), int(one[1]), int(one[2]), int(one[3]))
+        for one in runs
+        if isinstance(one, list) and len(one) >= 4 and all(isinstance(n, int) for n in one[1:4])
+    )
+
+
+_OUTCOME_BY_STATUS = {
+    200: MoveOutcome.COPIED,
+    404: MoveOutcome.NO_SUCH_RUN,
+    409: MoveOutcome.BUSY,
+    503: MoveOutcome.NO_ROOM,
+}
+
+
+def move_request(
+    source: str, attempt_id: str, destination: str, *, stop: bool
+) -> tuple[RequestHead, bytes]:
+    """Give the order to copy a run's memory; with `stop` the run stops before its last part."""
+    body = json.dumps({"id": attempt_id, "to": destination, "last": stop}).encode()
+    return RequestHead(b"POST", _MOVE_PATH, _post_headers(source, body)), body
+
+
+def move_answer(status: int, body: bytes) -> MoveAnswer:
+    """Decode the answer to a copy. Raises BadBody."""
+    outcome = _OUTCOME_BY_STATUS.get(status, MoveOutcome.FAILED)
+    row = parse_object(body) if body else {}
+    return MoveAnswer(outcome, text(row, "handle", ""), int(number(row, "created", 0)))
+
+
+def free_copy_request(address: str, handle: str) -> RequestHead:
+    """Give the order to free a copy; asked of the source, it frees both ends."""
+    return RequestHead(b"DELETE", _HANDLE_PATH + handle.encode(), ((b"host", address.encode()),))
+
+
+def _post_headers(address: str, body: bytes) -> Headers:
+    return (
+        (b"host", address.encode()),
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+    )
--- a/egretstack/programs/_ctl_common.py
+++ b/egretstack/programs/_ctl_common.py
@@ -11,7 +11,7 @@
 from cyclopts import Parameter
 
 from egretstack.configuration import ApplyConflict, ApplyUnknown
-from egretstack.platform import (
+from egretstack.objectapi import (
     HttpInstanceList,
     HttpObjectApi,
     PlatformError,
--- a/egretstack/programs/_running.py
+++ b/egretstack/programs/_running.py
@@ -12,7 +12,7 @@
 from egretstack.errors import UserError
 from egretstack.events import Level, LogForm, set_up_logs
 from egretstack.kernel import Kernel, ServiceFailed, load_services
-from egretstack.settings import Program, read_settings
+from egretstack.settings import Program, Settings, read_settings
 
 COLLECT_EVERY_OBJECTS = 20_000
 """Objects made and not yet freed before the youngest are searched for cycles; 700 by default."""
@@ -37,11 +37,20 @@
 def run_daemon(path: Path, program: Program, services: tuple[str, ...]) -> None:
     """Run the services until SIGTERM or SIGINT and the graceful shutdown that follows."""
 
-    async def main() -> None:
+    def start() -> Settings:
         settings = read_settings(path, program)
         form = settings.get("logs", "form", LogForm)
         set_up_logs(form, settings.get("logs", "level", Level))
-        kernel = Kernel(settings)
+        return settings
+
+    run_services(start, services)
+
+
+def run_services(start: Callable[[], object], services: tuple[str, ...]) -> None:
+    """Run services with the settings that `start` gives, once it has set up the logs too."""
+
+    async def main() -> None:
+        kernel = Kernel(start())
         load_services(kernel, services)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_drain_on_signal, kernel)
--- /dev/null
+++ b/egretstack/programs/platform_entry.py
@@ -0,0 +1,43 @@
+"""`egret-platform-entry`: serves clients on one instance of the users' platform."""
+
+import os
+import sys
+from pathlib import Path
+
+from egretstack.errors import UserError
+from egretstack.events import Event, Level, LineWriter, log, set_up_line_logs
+from egretstack.platform import SETTINGS_VARIABLE, NodeSettings, read_node_settings
+from egretstack.programs._running import run_services
+
+SERVICES = (
+    "fleet_port",
+    "store_reading",
+    "configuration_relay",
+    "engine_placing",
+    "relaying",
+    "settings_file",
+    "front_port",
+    "directory_port",
+)
+
+
+def main() -> None:
+    """Serve until SIGTERM, with the settings file that the platform names.
+
+    Exit codes: 0 stopped, 1 a service failed, 2 wrong settings.
+    """
+    run_services(_start, SERVICES)
+
+
+def _start() -> NodeSettings:
+    set_up_line_logs(Level.INFO, LineWriter(sys.stdout.fileno()))
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise UserError(f"{SETTINGS_VARIABLE} does not name a settings file")
+    settings = read_node_settings(Path(path))
+    log(Event.RELAY_STARTED, instance=settings.instance, zone=settings.zone)
+    return settings
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/egretstack/relay/_tools.py
@@ -0,0 +1,89 @@
+"""What relays of all kinds work with, and the task that one request is to them."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+import trio
+
+from egretstack.fleet import Runner, RunnerTable
+from egretstack.http1 import ConnectionPool
+from egretstack.ids import RunnerId
+from egretstack.placing import Placement, PlainBalancer, Run, Work
+from egretstack.relay._budget import RetryBudget
+from egretstack.routing import ClientAccount, EnginePlan, Route, ServicePlan
+from egretstack.traffic import ClientRequest, SendTerms
+
+CONNECT_TIMEOUT_S = 0.3
+"""Time for a connection to a runner: it takes a few milliseconds unless the runner is gone."""
+
+
+class EnginePlacing(ABC):
+    """Where generations run; asks the home, or decides here while the home is silent."""
+
+    @abstractmethod
+    async def place(self, work: Work, engine: EnginePlan) -> Placement:
+        """Give the place of a generation. Raises RequestFailed."""
+
+    @abstractmethod
+    def begin(self, run: Run) -> None:
+        """Note a run that goes out, in progress until `end`; its fields change as it does."""
+
+    @abstractmethod
+    def end(self, run: Run) -> None:
+        """Note that a run is over here."""
+
+    @abstractmethod
+    def first_token(self, prompt_tokens: int, waited_s: float) -> None:
+        """Note how long a run waited for its first token."""
+
+    @abstractmethod
+    def backup_for(self, run: Run, engine: EnginePlan) -> RunnerId | None:
+        """Choose where the memory of a run that moved is copied from now on."""
+
+    @abstractmethod
+    async def move_turn(self, run: Run, engine: EnginePlan) -> RunnerId:
+        """Wait until it is a run's turn to be copied off its runner; give the destination."""
+
+    @abstractmethod
+    def move_done(self, attempt: str, source: RunnerId) -> None:
+        """Give the turn up."""
+
+
+@dataclass
+class RelayTools:
+    """Shared by all requests of a process."""
+
+    runners: RunnerTable
+    balancer: PlainBalancer
+    placing: EnginePlacing
+    budget: RetryBudget
+    pool: ConnectionPool
+
+
+@dataclass(frozen=True)
+class Task:
+    """One request with all that was decided about it when its head was read."""
+
+    request: ClientRequest
+    route: Route
+    service: ServicePlan
+    account: ClientAccount | None
+    began_s: float
+    deadline_s: float
+    """When its answer has to be final, on the runtime's clock."""
+
+    def time_left_s(self) -> float:
+        """Give the time until the deadline."""
+        return self.deadline_s - trio.current_time()
+
+    @property
+    def rank(self) -> int:
+        """Its rank: the client account's, if it has one, goes before the route's."""
+        if self.account is None or self.account.rank is None:
+            return self.route.rank
+        return self.account.rank
+
+    def terms(self, runner: Runner, **more: object) -> SendTerms:
+        """Give the terms of a send to a runner."""
+        account = None if self.account is None else self.account.name
+        return SendTerms(runner.id, self.time_left_s(), account, **more)
--- /dev/null
+++ b/egretstack/routing/__init__.py
@@ -0,0 +1,25 @@
+"""What an operator's configuration says: routes, services, client accounts, and which one wins."""
+
+from egretstack.routing._model import (
+    ClientAccount,
+    EnginePlan,
+    Route,
+    RouteKind,
+    RouteTarget,
+    RoutingConfiguration,
+    ServicePlan,
+)
+from egretstack.routing._table import RoutingTable, VersionGate, key_digest
+
+__all__ = [
+    "ClientAccount",
+    "EnginePlan",
+    "Route",
+    "RouteKind",
+    "RouteTarget",
+    "RoutingConfiguration",
+    "RoutingTable",
+    "ServicePlan",
+    "VersionGate",
+    "key_digest",
+]
--- /dev/null
+++ b/egretstack/routing/_model.py
@@ -0,0 +1,95 @@
+"""The parts of an operator's configuration. Durations are in seconds, sizes in tokens or bytes."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from egretstack.http1 import ServerLimits
+from egretstack.ids import AccountId, ServiceName
+
+
+class RouteKind(Enum):
+    """What may be repeated: it follows from the route, never from the request's method."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAM = "stream"
+    """A stream of events; not idempotent either."""
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTarget:
+    """A service that gets a share of a route's requests."""
+
+    service: ServiceName
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Which requests go to which services, and under what terms."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    targets: tuple[RouteTarget, ...]
+    timeout_s: float
+    target_latency_s: float
+    rank: int
+    """0 is the most urgent."""
+    max_sends: int
+    """Most runners that one request may be sent to."""
+    anonymous: bool
+    """Whether requests need no key."""
+    resumable: bool
+    """Whether a caller may ask for the rest of a stream it has seen in part."""
+    gap_target_s: float | None
+    """Longest pause between two events for which a stream is still on time."""
+
+
+@dataclass(frozen=True, slots=True)
+class EnginePlan:
+    """What all engines of a service have in common."""
+
+    batch_slots: int
+    kv_capacity_tokens: int
+    kv_token_bytes: int
+    link_mbps: float
+    """Rate at which an engine's memory is copied to another, Mbit/s."""
+    moves: bool
+    backups: bool
+    tokens_per_event: int
+    copy_life_s: float
+    """How long an engine keeps a copied run that nobody continues."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """One service behind the routes; `engine` is None for a plain service."""
+
+    name: ServiceName
+    health_path: str
+    max_connections: int
+    engine: EnginePlan | None
+
+
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account; its keys are kept as digests only."""
+
+    name: AccountId
+    rank: int | None
+    """Goes before a route's rank; None leaves the order to the route."""
+
+
+@dataclass(frozen=True)
+class RoutingConfiguration:
+    """One accepted configuration, whole."""
+
+    version: int
+    routes: tuple[Route, ...]
+    service_by_name: dict[ServiceName, ServicePlan]
+    account_by_key_digest: dict[str, ClientAccount]
+    limits: ServerLimits
+    has_accounts: bool
+    """Whether requests need a key, but for routes that are anonymous."""
--- /dev/null
+++ b/egretstack/routing/_table.py
@@ -0,0 +1,73 @@
+"""Finds the route and the client account of a request, and keeps versions from going back."""
+
+from hashlib import sha256
+
+from egretstack.ids import ServiceName
+from egretstack.routing._model import ClientAccount, Route, RoutingConfiguration, ServicePlan
+
+
+def key_digest(key: str) -> str:
+    """Give the form in which a client account's key is kept."""
+    return sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+class RoutingTable:
+    """A configuration, indexed for look-ups. It never changes; a new version is a new table."""
+
+    def __init__(self, configuration: RoutingConfiguration) -> None:
+        self.configuration = configuration
+        self._routes_by_host: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            self._routes_by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self._routes_by_host.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+
+    @property
+    def version(self) -> int:
+        """The configuration's version."""
+        return self.configuration.version
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Give the route of the host with the longest prefix of the path, or None."""
+        for route in self._routes_by_host.get(_bare_host(host), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def service(self, name: ServiceName) -> ServicePlan | None:
+        """Give a service by name."""
+        return self.configuration.service_by_name.get(name)
+
+    def account(self, key: str | None) -> ClientAccount | None:
+        """Give the client account that holds a key, or None."""
+        if key is None:
+            return None
+        return self.configuration.account_by_key_digest.get(key_digest(key))
+
+
+class VersionGate:
+    """The configuration in force; it moves to newer versions only.
+
+    A store that answers from an older copy, or a peer that lags, would otherwise bring dropped
+    routes and revoked keys back.
+    """
+
+    def __init__(self) -> None:
+        self.table: RoutingTable | None = None
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 before the first."""
+        return 0 if self.table is None else self.table.version
+
+    def offer(self, configuration: RoutingConfiguration) -> bool:
+        """Put a configuration in force if it is newer; tell whether it was."""
+        if configuration.version <= self.version:
+            return False
+        self.table = RoutingTable(configuration)
+        return True
+
+
+def _bare_host(host: str) -> str:
+    name, _, port = host.rpartition(":")
+    return (name if name and port.isdigit() else host).lower()
--- a/egretstack/services/configuration.py
+++ b/egretstack/services/configuration.py
@@ -36,8 +36,8 @@
 from egretstack.events import Event, log
 from egretstack.ids import InstanceId, Revision
 from egretstack.kernel import Kernel, Service
+from egretstack.objectapi import ENTRY_SERVICE, Member, PlatformAway
 from egretstack.peers import Message, Nothing, PeerGone, PeerRefused
-from egretstack.platform import ENTRY_SERVICE, Member, PlatformAway
 from egretstack.services.instances import Instances
 from egretstack.services.membership import Membership
 from egretstack.services.peer_port import PeerPort
--- a/egretstack/services/configuration_news.py
+++ b/egretstack/services/configuration_news.py
@@ -5,8 +5,8 @@
 from egretstack.configuration import ConfigNews
 from egretstack.ids import InstanceId, Revision
 from egretstack.kernel import Kernel, Service
+from egretstack.objectapi import ENTRY_SERVICE, Member
 from egretstack.peers import PeerGone, PeerRefused
-from egretstack.platform import ENTRY_SERVICE, Member
 from egretstack.services.configuration import ENTRY_PORT, STEWARD_PORT, Configuration
 from egretstack.services.configuration_watch import ConfigurationWatch
 from egretstack.services.instances import Instances
--- /dev/null
+++ b/egretstack/services/configuration_relay.py
@@ -0,0 +1,27 @@
+"""Gives the configuration in force to peers that cannot reach the store."""
+
+import trio
+
+from egretstack.fleet import give_text
+from egretstack.http1 import open_listener
+from egretstack.kernel import Service
+from egretstack.platform import NodeSettings
+from egretstack.services.store_reading import StoreReading
+
+
+class ConfigurationRelay(Service):
+    """Serves the configuration on the peer port."""
+
+    name = "configuration_relay"
+    requires = ("store_reading",)
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Serve peers."""
+        node: NodeSettings = self.kernel.settings
+        listener = await open_listener(node.ip, node.first_peer_port)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(trio.serve_listeners, self._give, [listener])
+            task_status.started()
+
+    async def _give(self, stream: trio.SocketStream) -> None:
+        await give_text(stream, self.kernel.get(StoreReading).configuration_text)
--- a/egretstack/services/configuration_watch.py
+++ b/egretstack/services/configuration_watch.py
@@ -8,7 +8,7 @@
 from egretstack.events import Event, log
 from egretstack.ids import InstanceId
 from egretstack.kernel import Kernel, Service
-from egretstack.platform import (
+from egretstack.objectapi import (
     ENTRY_SERVICE,
     ObjectKind,
     PlatformAway,
--- /dev/null
+++ b/egretstack/services/directory_port.py
@@ -0,0 +1,124 @@
+"""Tells clients which instances to use, and the platform whether this one is ready."""
+
+from functools import partial
+
+import trio
+
+from egretstack.fleet import InstanceState
+from egretstack.http1 import (
+    BadRequest,
+    ClientConnection,
+    ClientGone,
+    RequestHead,
+    ServerLimits,
+    SlowSender,
+    open_listener,
+)
+from egretstack.kernel import Kernel, Service
+from egretstack.platform import (
+    NodeSettings,
+    directory_answer,
+    is_directory_question,
+    is_ready_question,
+    json_answer,
+)
+from egretstack.services.fleet_port import FleetPort
+from egretstack.services.store_reading import StoreReading
+
+LIMITS = ServerLimits(header_bytes=8_192, body_bytes=1_024, header_timeout_s=2, idle_timeout_s=10)
+MAX_ADDRESSES = 64
+"""Clients use no more of one answer."""
+ANSWER_LIFE_S = 2.0
+"""How long clients keep an answer; some keep it three times as long, still within the grace of a
+stopping instance. A dead instance is named for no longer than this plus its silence."""
+GRACE_SHARE = 0.25
+"""Part of the grace that an answer's life may take at most, so that three lives end within it."""
+LOOK_S = 0.05
+
+
+class DirectoryPort(Service):
+    """Answers directory questions and readiness checks."""
+
+    name = "directory_port"
+    requires = ("fleet_port", "store_reading")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._port = kernel.get(FleetPort)
+        self._store = kernel.get(StoreReading)
+        self._leaving = False
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        node: NodeSettings = self.kernel.settings
+        addresses = {node.ready_address, node.directory_address} - {""}
+        async with trio.open_nursery() as nursery:
+            for address in sorted(addresses):
+                host, _, port = address.rpartition(":")
+                listener = await open_listener(host, int(port))
+                serve = partial(trio.serve_listeners, self._serve, [listener])
+                await nursery.start(serve)
+            task_status.started()
+            nursery.start_soon(self._leave_on_drain)
+            while True:
+                self._tell_state()
+                await trio.sleep(LOOK_S)
+
+    async def _leave_on_drain(self) -> None:
+        await self.kernel.draining.wait()
+        self._leaving = True
+        self._tell_state()
+        self._port.tell_soon()
+
+    def is_ready(self) -> bool:
+        """Tell whether clients may be sent here."""
+        return not self._leaving and self._store.is_informed()
+
+    def _tell_state(self) -> None:
+        if self._leaving:
+            state = InstanceState.LEAVING
+        else:
+            state = InstanceState.READY if self.is_ready() else InstanceState.STARTING
+        if state is not self._port.fleet.own.state:
+            self._port.describe(state=state)
+            self._port.tell_soon()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = ClientConnection(stream, LIMITS)
+        try:
+            while True:
+                head = await connection.read_head()
+                if head is None:
+                    return
+                await connection.read_body()
+                await connection.send_answer(*self._answer(head))
+                if not connection.start_next():
+                    return
+        except (BadRequest, SlowSender, ClientGone):
+            return  # Nothing was promised to whoever asked; it asks elsewhere.
+        finally:
+            connection.close()
+
+    def _answer(self, head: RequestHead):
+        if is_ready_question(head):
+            return json_answer(200 if self.is_ready() else 503, {"ready": self.is_ready()})
+        if is_directory_question(head):
+            addresses = self._addresses()
+            if not addresses:
+                return json_answer(503, {"error": "no instance is ready"}, ANSWER_LIFE_S)
+            grace_s = self.kernel.settings.bounds.grace_s
+            life_s = min(
+                ANSWER_LIFE_S, grace_s * GRACE_SHARE, self.kernel.settings.bounds.directory_life_s
+            )
+            return directory_answer(addresses, life_s)
+        return json_answer(404, {"error": "no such resource"})
+
+    def _addresses(self) -> list[str]:
+        ready = [
+            known.instance.front_address
+            for known in self._port.fleet.live(trio.current_time())
+            if known.state is InstanceState.READY
+        ]
+        if len(ready) > MAX_ADDRESSES:
+            return self.kernel.rng.sample(ready, MAX_ADDRESSES)
+        return ready
--- a/egretstack/services/dispatching.py
+++ b/egretstack/services/dispatching.py
@@ -10,7 +10,7 @@
 from egretstack.ids import RunnerId, WorkId
 from egretstack.kernel import Kernel, Service
 from egretstack.lengths import LengthSummary
-from egretstack.platform import ENTRY_SERVICE, MemberState
+from egretstack.objectapi import ENTRY_SERVICE, MemberState
 from egretstack.policy import (
     DEFAULT_POLICY,
     Action,
--- a/egretstack/services/duties.py
+++ b/egretstack/services/duties.py
@@ -22,7 +22,7 @@
 from egretstack.events import Event, log
 from egretstack.ids import DutyName, RunnerId, ServiceName
 from egretstack.kernel import Kernel, Service
-from egretstack.platform import ENTRY_SERVICE, Member, MemberState
+from egretstack.objectapi import ENTRY_SERVICE, Member, MemberState
 from egretstack.services.configuration import STEWARD_PORT, Configuration
 from egretstack.services.instances import Instances
 from egretstack.services.ledger_pruning import LedgerPruning
--- /dev/null
+++ b/egretstack/services/fleet_port.py
@@ -0,0 +1,226 @@
+"""Datagrams between instances: who lives, which runners there are, and what the home decides."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+
+import msgpack
+import trio
+
+from egretstack.events import Event, log
+from egretstack.fleet import (
+    REPORT_PERIOD_S,
+    Fleet,
+    FleetNews,
+    FleetView,
+    Instance,
+    InstanceReport,
+    InstanceState,
+    KnownInstance,
+    RunnerTable,
+    instance_of,
+    instance_row,
+    rows_of,
+    runner_of,
+    runner_row,
+)
+from egretstack.ids import InstanceId
+from egretstack.kernel import Kernel, Service
+from egretstack.messages import Message, MessageError, decode, encode
+from egretstack.platform import NodeSettings
+
+MAX_DATAGRAM_BYTES = 65_000
+INCARNATION_BITS = 53
+Handler = Callable[[Message, tuple[str, int]], None]
+
+
+class FleetPort(Service):
+    """Tells peers of this instance and learns of them; the views that others read are here."""
+
+    name = "fleet_port"
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        node: NodeSettings = kernel.settings
+        own = Instance(
+            node.instance, node.zone, node.front_address, f"{node.ip}:{node.first_peer_port}"
+        )
+        incarnation = kernel.rng.getrandbits(INCARNATION_BITS)
+        known = KnownInstance(own, incarnation, InstanceState.STARTING, True, 0)
+        self.fleet = Fleet(known, trio.current_time())
+        self.runners = RunnerTable()
+        self.runs: Callable[[], list] = list
+        """Gives the rows of the runs of this instance."""
+        self.loads: Callable[[], list] = list
+        """Gives the rows of the loads that the home tells."""
+        self.tell_now = trio.Event()
+        self._handler_by_kind: dict[type[Message], Handler] = {
+            InstanceReport: self._take_report,
+            FleetNews: self._take_news,
+            FleetView: self._take_view,
+        }
+        self._news_takers: list[Callable[[FleetNews], None]] = []
+        self._report_takers: list[Callable[[InstanceId, list], None]] = []
+        self._raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._raw.setblocking(False)
+
+    def handle(self, kind: type[Message], handler: Handler) -> None:
+        """Let `handler` take messages of a kind."""
+        self._handler_by_kind[kind] = handler
+
+    def on_news(self, taker: Callable[[FleetNews], None]) -> None:
+        """Let `taker` see the news of the home."""
+        self._news_takers.append(taker)
+
+    def on_report(self, taker: Callable[[InstanceId, list], None]) -> None:
+        """Let `taker` see the runs that an instance reports."""
+        self._report_takers.append(taker)
+
+    def describe(self, **changes: object) -> None:
+        """Change what this instance tells of itself."""
+        self.fleet.own = replace(self.fleet.own, **changes)
+
+    def is_home(self) -> bool:
+        """Tell whether this instance is the home."""
+        return self.fleet.is_home(trio.current_time())
+
+    def home_address(self) -> str | None:
+        """Give where the home hears; None if this instance is the home."""
+        home = self.fleet.home(trio.current_time())
+        return self.address_of(home)
+
+    def address_of(self, instance: InstanceId) -> str | None:
+        """Give where an instance hears; None for this one or one that is not known."""
+        for known in self.fleet.known():
+            if known.id == instance:
+                return known.peer_address
+        return None
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message; it may be lost, as any datagram may."""
+        host, _, port = address.rpartition(":")
+        data = encode(message)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            log(Event.DATAGRAM_TOO_LARGE, kind=type(message).__name__, size=len(data))
+            return
+        try:
+            self._raw.sendto(data, (host, int(port)))
+        except OSError as error:
+            log(Event.DATAGRAM_UNSENT, to=address, error=str(error))
+
+    def tell_soon(self) -> None:
+        """Report, and tell as the home, without waiting for the period's end."""
+        self.tell_now.set()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Send and receive."""
+        node: NodeSettings = self.kernel.settings
+        receiving = trio.socket.from_stdlib_socket(self._raw)
+        await receiving.bind((node.ip, node.first_peer_port))
+        self._greet(node)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive, receiving)
+            nursery.start_soon(self._tell)
+            task_status.started()
+
+    async def farewell(self) -> None:
+        """Tell the others that this instance ends."""
+        self._report()
+
+    def _greet(self, node: NodeSettings) -> None:
+        for seed in node.seeds:
+            host = seed.rpartition(":")[0]
+            if host != node.ip:
+                self.send(f"{host}:{node.first_peer_port}", self._own_report())
+
+    def greet_listed(self) -> None:
+        """Report to every instance that the store lists; one of them knows the home."""
+        report = self._own_report()
+        for known in self.fleet.known():
+            self.send(known.peer_address, report)
+
+    async def _tell(self) -> None:
+        while True:
+            with trio.move_on_after(REPORT_PERIOD_S):
+                await self.tell_now.wait()
+            self.tell_now = trio.Event()
+            self._report()
+            if self.is_home():
+                self._tell_news()
+
+    def _report(self) -> None:
+        report = self._own_report()
+        for target in self.fleet.report_targets(trio.current_time()):
+            self.send(target.peer_address, report)
+
+    def _own_report(self) -> InstanceReport:
+        home = self.fleet.home(trio.current_time())
+        return InstanceReport(
+            instance_row(self.fleet.own), home, self.runners.revision, self.runs()
+        )
+
+    def _tell_news(self) -> None:
+        now_s = trio.current_time()
+        own = self.fleet.own
+        others = self.fleet.others_heard(now_s)
+        age_s = min(self.runners.age_s(now_s), 3600.0)
+        news = FleetNews(
+            home=own.instance.id,
+            incarnation=own.incarnation,
+            instances=[instance_row(known) for known in (own, *others)],
+            runners_revision=self.runners.revision,
+            runners_age_ms=round(age_s * 1000),
+            runners=[runner_row(runner) for runner in self.runners.by_id.values()],
+            loads=self.loads(),
+        )
+        for known in others:
+            self.send(known.instance.peer_address, news)
+
+    async def _receive(self, receiving: trio.socket.SocketType) -> None:
+        while True:
+            try:
+                data, sender = await receiving.recvfrom(MAX_DATAGRAM_BYTES + 1)
+            except OSError as error:
+                log(Event.DATAGRAM_UNSENT, to="", error=str(error))
+                continue
+            try:
+                message = decode(msgpack.unpackb(data))
+                handler = self._handler_by_kind.get(type(message))
+                if handler is None:
+                    raise MessageError(f"no answer to {type(message).__name__}")
+                handler(message, sender)
+            except (ValueError, msgpack.UnpackException, MessageError) as error:
+                log(Event.PEER_REFUSED, sender=sender[0], error=str(error))
+
+    def _take_report(self, report: InstanceReport, sender: tuple[str, int]) -> None:
+        known = instance_of(report.sender)
+        now_s = trio.current_time()
+        self.fleet.heard(now_s, known)
+        for taker in self._report_takers:
+            taker(known.instance.id, report.runs)
+        home = self.fleet.home(now_s)
+        if home not in (report.home, self.fleet.own.instance.id):
+            rows = [instance_row(one) for one in self.fleet.live(now_s)]
+            self.send(known.instance.peer_address, FleetView(rows))
+
+    def _take_view(self, view: FleetView, sender: tuple[str, int]) -> None:
+        self.fleet.pointed(trio.current_time(), rows_of(view.instances, instance_of))
+
+    def _take_news(self, news: FleetNews, sender: tuple[str, int]) -> None:
+        now_s = trio.current_time()
+        home = InstanceId(news.home)
+        self.fleet.told(now_s, home, rows_of(news.instances, instance_of))
+        read_s = now_s - news.runners_age_ms / 1000
+        listed = rows_of(news.runners, runner_of)
+        self.take_runners(listed, news.runners_revision, read_s)
+        if home == self.fleet.home(now_s):
+            for taker in self._news_takers:
+                taker(news)
+
+    def take_runners(self, runners: list, revision: int, read_s: float) -> None:
+        """Take a reading of the list of runners, by this instance or by the home."""
+        stopped = self.runners.take(trio.current_time(), runners, revision, read_s)
+        for runner in stopped:
+            log(Event.RUNNER_LEAVES, runner=runner.id, service=runner.service, revision=revision)
+        if stopped and self.is_home():
+            self.tell_soon()
--- /dev/null
+++ b/egretstack/services/front_port.py
@@ -0,0 +1,233 @@
+"""The port on which clients connect and send their requests."""
+
+from collections.abc import Awaitable
+from functools import partial
+
+import trio
+
+from egretstack.errors import ErrorKind, problem_document
+from egretstack.events import Event, log
+from egretstack.http1 import (
+    BadRequest,
+    ClientConnection,
+    ClientGone,
+    RequestHead,
+    ResponseHead,
+    ServerLimits,
+    SlowSender,
+    open_listener,
+)
+from egretstack.kernel import Kernel, Service
+from egretstack.platform import NodeSettings, decode_request, json_answer
+from egretstack.relay import ClientStream, PlainRelay, RequestFailed, StreamRelay, WholeAnswer
+from egretstack.relay import Task as RelayTask
+from egretstack.routing import RouteKind
+from egretstack.services.relaying import Relaying
+from egretstack.services.store_reading import StoreReading
+from egretstack.traffic import ClientRequest
+
+LIMITS_AT_START = ServerLimits(16_384, 4_194_304, 3.0, 15.0)
+"""Until a configuration is known."""
+LOOK_S = 0.05
+STOP_MARGIN_S = 0.6
+"""Time before the end of the grace at which the process stops by itself."""
+_CLOSE = (b"connection", b"close")
+_KIND_BY_STATUS = {
+    413: ErrorKind.BODY_TOO_LARGE,
+    431: ErrorKind.HEADERS_TOO_LARGE,
+    501: ErrorKind.NOT_SUPPORTED,
+}
+
+
+class FrontPort(Service):
+    """Serves clients."""
+
+    name = "front_port"
+    requires = ("relaying", "store_reading", "fleet_port")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._relaying = kernel.get(Relaying)
+        self._store = kernel.get(StoreReading)
+        self._in_progress = 0
+        self._leaving = False
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        node: NodeSettings = self.kernel.settings
+        host, _, port = node.front_address.rpartition(":")
+        listener = await open_listener(host, int(port))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                partial(trio.serve_listeners, self._serve, [listener], handler_nursery=nursery)
+            )
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Serve those who still come by an older answer of the directory, until all is done."""
+        node: NodeSettings = self.kernel.settings
+        self._leaving = True
+        self._relaying.leave()
+        began_s = trio.current_time()
+        longest_s = node.bounds.grace_s - STOP_MARGIN_S
+        while trio.current_time() - began_s < longest_s:
+            await trio.sleep(LOOK_S)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = ClientConnection(stream, self._limits())
+        try:
+            while await self._serve_one(connection):
+                connection.limits = self._limits()
+        except ClientGone:
+            connection.abort()
+        finally:
+            connection.close()
+
+    async def _serve_one(self, connection: ClientConnection) -> bool:
+        """Serve one request; tell whether the connection may be kept."""
+        try:
+            head = await connection.read_head()
+            if head is None:
+                return False
+            began_s = trio.current_time()
+            self._in_progress += 1
+            try:
+                body = await connection.read_body()
+                await self._answer(connection, head, body, began_s)
+            finally:
+                self._in_progress -= 1
+        except BadRequest as error:
+            kind = _KIND_BY_STATUS.get(error.status, ErrorKind.BAD_REQUEST)
+            await self._refuse(connection, "", RequestFailed(kind, str(error)))
+            return False
+        except SlowSender as error:
+            await self._refuse(connection, "", RequestFailed(ErrorKind.SLOW_SENDER, str(error)))
+            return False
+        return connection.start_next()
+
+    async def _answer(
+        self, connection: ClientConnection, head: RequestHead, body: bytes, began_s: float
+    ) -> None:
+        request = decode_request(head, body)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, connection, request, nursery.cancel_scope)
+            await self._relay(connection, request, began_s)
+            nursery.cancel_scope.cancel()
+
+    @staticmethod
+    async def _watch(
+        connection: ClientConnection, request: ClientRequest, scope: trio.CancelScope
+    ) -> None:
+        await connection.wait_until_gone()
+        log(Event.CLIENT_LEFT, request=request.attempt_id)
+        scope.cancel()
+
+    async def _relay(
+        self, connection: ClientConnection, request: ClientRequest, began_s: float
+    ) -> None:
+        try:
+            task = self._relaying.task(request, began_s)
+            if task.route.kind is RouteKind.STREAM and task.service.engine is not None:
+                answer = await self._relay_stream(connection, task)
+            else:
+                answer = await self._relay_whole(task)
+        except RequestFailed as error:
+            await self._refuse(connection, request.attempt_id, error)
+            return
+        if answer is not None:
+            await self._send(connection, answer)
+            log(
+                Event.REQUEST_ANSWERED,
+                request=request.attempt_id,
+                route=task.route.name,
+                status=answer.head.status,
+                took_ms=round((trio.current_time() - began_s) * 1000),
+            )
+
+    async def _relay_whole(self, task: RelayTask) -> WholeAnswer:
+        with trio.move_on_at(task.deadline_s):
+            return await PlainRelay(self._relaying.tools).serve(task)
+        raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time")
+
+    async def _relay_stream(
+        self, connection: ClientConnection, task: RelayTask
+    ) -> WholeAnswer | None:
+        client = _FrontStream(connection, self._closing())
+        with trio.move_on_at(task.deadline_s):
+            return await StreamRelay(self._relaying.tools, task, client).serve()
+        if connection.can_start_answer():
+            raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time")
+        log(Event.STREAM_OUT_OF_TIME, request=task.request.attempt_id)
+        connection.abort()
+        return None
+
+    async def _refuse(
+        self, connection: ClientConnection, attempt: str, error: RequestFailed
+    ) -> None:
+        log(
+            Event.REQUEST_FAILED,
+            request=attempt,
+            kind=error.kind.value,
+            detail=error.detail,
+            retry_s=error.retry_after_s,
+        )
+        if not connection.can_start_answer():
+            connection.abort()
+            return
+        document = problem_document(error.kind, error.detail, None)
+        head, body = json_answer(error.status, document, error.retry_after_s)
+        await self._send(connection, WholeAnswer(head, body))
+
+    async def _send(self, connection: ClientConnection, answer: WholeAnswer) -> None:
+        head = answer.head
+        headers = (*head.headers, *self._closing())
+        try:
+            await connection.send_answer(
+                ResponseHead(head.status, head.reason, headers), answer.body
+            )
+        except ClientGone:
+            connection.abort()
+
+    def _closing(self) -> tuple[tuple[bytes, bytes], ...]:
+        return (_CLOSE,) if self._leaving else ()
+
+    def _limits(self) -> ServerLimits:
+        table = self._store.gate.table
+        return LIMITS_AT_START if table is None else table.configuration.limits
+
+
+class _FrontStream(ClientStream):
+    """A stream towards a client."""
+
+    def __init__(
+        self, connection: ClientConnection, closing: tuple[tuple[bytes, bytes], ...]
+    ) -> None:
+        self._connection = connection
+        self._closing = closing
+
+    async def start(self, head: ResponseHead) -> None:
+        """Send the head."""
+        headers = (*head.headers, *self._closing)
+        start = ResponseHead(head.status, head.reason, headers)
+        await self._unless_gone(self._connection.start_stream(start))
+
+    async def send(self, data: bytes) -> None:
+        """Send whole events."""
+        await self._unless_gone(self._connection.send_part(data))
+
+    async def finish(self) -> None:
+        """Send the proper end."""
+        await self._unless_gone(self._connection.finish_stream())
+
+    def abort(self) -> None:
+        """Break the answer off so that it cannot look complete."""
+        self._connection.abort()
+
+    @staticmethod
+    async def _unless_gone(sending: Awaitable[None]) -> None:
+        try:
+            await sending
+        except ClientGone:
+            # The watch on the connection sees the same and cancels the relay, which closes the
+            # runner's connection in turn.
+            await trio.sleep_forever()
--- a/egretstack/services/instances.py
+++ b/egretstack/services/instances.py
@@ -8,7 +8,7 @@
 from egretstack.ids import ServiceName
 from egretstack.kernel import Kernel, Service
 from egretstack.membership import ReadingPlan
-from egretstack.platform import ENTRY_SERVICE, Member, MemberState, PlatformAway
+from egretstack.objectapi import ENTRY_SERVICE, Member, MemberState, PlatformAway
 from egretstack.services.platform_access import PlatformAccess
 
 Reading = Callable[[list[Member]], Awaitable[None]]
--- a/egretstack/services/ledger_store.py
+++ b/egretstack/services/ledger_store.py
@@ -35,8 +35,8 @@
     take_tell,
     tell_of,
 )
+from egretstack.objectapi import ENTRY_SERVICE, MemberState
 from egretstack.peers import Message, Nothing, PeerGone, PeerRefused
-from egretstack.platform import ENTRY_SERVICE, MemberState
 from egretstack.services.instances import Instances
 from egretstack.services.peer_port import PeerPort
 from egretstack.services.platform_access import PlatformAccess
--- a/egretstack/services/length_sharing.py
+++ b/egretstack/services/length_sharing.py
@@ -13,8 +13,8 @@
     unpack_summary,
 )
 from egretstack.membership import rendezvous
+from egretstack.objectapi import ENTRY_SERVICE, Member, MemberState
 from egretstack.peers import Message, PeerGone, PeerRefused
-from egretstack.platform import ENTRY_SERVICE, Member, MemberState
 from egretstack.policy import LengthsLearned
 from egretstack.services.dispatching import Dispatching
 from egretstack.services.instances import Instances
--- a/egretstack/services/limits.py
+++ b/egretstack/services/limits.py
@@ -18,8 +18,8 @@
     LimitsAnswer,
     LimitsAsk,
 )
+from egretstack.objectapi import Member
 from egretstack.peers import Message, MessageError, Nothing, PeerGone, PeerRefused
-from egretstack.platform import Member
 from egretstack.services.configuration import Configuration
 from egretstack.services.membership import Membership
 from egretstack.services.peer_port import PeerPort
--- a/egretstack/services/membership.py
+++ b/egretstack/services/membership.py
@@ -21,8 +21,8 @@
     MembershipState,
     RowError,
 )
+from egretstack.objectapi import ENTRY_SERVICE, Member, MemberState
 from egretstack.peers import Message, PeerGone, PeerRefused
-from egretstack.platform import ENTRY_SERVICE, Member, MemberState
 from egretstack.services.instances import Instances
 from egretstack.services.peer_port import Lane, PeerPort
 
--- a/egretstack/services/platform_access.py
+++ b/egretstack/services/platform_access.py
@@ -20,8 +20,7 @@
 from egretstack.errors import UserError
 from egretstack.kernel import Kernel, Service
 from egretstack.metrics import Metrics
-from egretstack.peers import PeerKeys
-from egretstack.platform import (
+from egretstack.objectapi import (
     BudgetedObjectApi,
     HttpInstanceList,
     HttpObjectApi,
@@ -29,6 +28,7 @@
     Member,
     ObjectApi,
 )
+from egretstack.peers import PeerKeys
 from egretstack.upstreams import EngineClient, HttpEngine, HttpPlainService, PlainService
 
 CONNECT_TIMEOUT_S = 2.0
--- a/egretstack/services/runners.py
+++ b/egretstack/services/runners.py
@@ -16,7 +16,7 @@
     ReportTurns,
     RunnerWatch,
 )
-from egretstack.platform import Member, MemberState
+from egretstack.objectapi import Member, MemberState
 from egretstack.policy import PolicyEvent, RunnerInfo, RunnerLeft, RunnerReported, RunnerSeen
 from egretstack.services.configuration import Configuration
 from egretstack.services.instances import Instances
--- /dev/null
+++ b/egretstack/services/settings_file.py
@@ -0,0 +1,62 @@
+"""Reads the settings file again when it changes, with a signal or without one."""
+
+import os
+import signal
+from pathlib import Path
+
+import trio
+
+from egretstack.errors import UserError
+from egretstack.events import Event, log
+from egretstack.kernel import Kernel, Service
+from egretstack.platform import SETTINGS_VARIABLE, read_node_settings
+from egretstack.services.relaying import Relaying
+
+LOOK_S = 1.0
+"""How often the file is looked at for a change that came without a signal."""
+
+
+class SettingsFile(Service):
+    """Puts changed bounds in force; addresses stay until the process starts again."""
+
+    name = "settings_file"
+    requires = ("relaying",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+        self._seen = self._stamp()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Watch the file until cancelled."""
+        with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._look)
+                task_status.started()
+                async for _ in signals:
+                    self._read()
+
+    async def _look(self) -> None:
+        while True:
+            await trio.sleep(LOOK_S)
+            if self._stamp() != self._seen:
+                self._read()
+
+    def _stamp(self) -> tuple[int, int]:
+        try:
+            status = self._path.stat()
+        except OSError:
+            return (0, 0)  # Being written anew; the next look sees it.
+        return (status.st_mtime_ns, status.st_size)
+
+    def _read(self) -> None:
+        self._seen = self._stamp()
+        try:
+            settings = read_node_settings(self._path)
+        except UserError as error:
+            log(Event.SETTINGS_BAD, error=str(error))
+            return
+        changed = settings != self.kernel.settings
+        log(Event.SETTINGS_READ_AGAIN, changed=changed)
+        self.kernel.settings = settings
+        self.kernel.get(Relaying).tools.budget.bounds = settings.bounds
--- /dev/null
+++ b/egretstack/services/store_reading.py
@@ -0,0 +1,242 @@
+"""Reads the platform's store: the configuration, the runners, and which instances there are.
+
+Every instance watches the configuration, which costs one call for each change. The list of runners
+changes with each of their heartbeats, so the home alone reads it, paced, and tells the others; they
+read for themselves only while its news are old.
+"""
+
+import json
+
+import trio
+
+from egretstack.events import Event, log
+from egretstack.fleet import Instance, InstanceState, KnownInstance, Runner, fetch_text
+from egretstack.ids import InstanceId, RunnerId, ZoneName
+from egretstack.kernel import Kernel, Service
+from egretstack.platform import (
+    CONFIGURATION_NAME,
+    BadBody,
+    Change,
+    HistoryGone,
+    NodeSettings,
+    ObjectKind,
+    RevisionConflict,
+    Store,
+    StoreAway,
+    StoredObject,
+    decode_configuration,
+    decode_runner,
+    parse_object,
+)
+from egretstack.routing import VersionGate
+from egretstack.services.fleet_port import FleetPort
+
+CONFIG_WATCH_S = 4.0
+"""Length of one watch of the configuration; a silent connection hides a change for no longer, and
+peers tell of newer versions meanwhile."""
+RUNNER_PAUSE_S = 0.2
+"""Pause between two watches of the runners, whose heartbeats end each at once."""
+RUNNER_WATCH_S = 1.0
+OWN_READING_AGE_S = 0.8
+"""Age of the home's reading from which an instance reads for itself; notices of leaving runners
+have to be known everywhere within 2 s."""
+OWN_READING_PAUSE_S = 0.6
+LOOK_S = 0.1
+AWAY_PAUSE_S = 0.4
+"""Pause after a call that the store did not answer."""
+INSTANCES_PERIOD_S = 10.0
+
+
+class StoreReading(Service):
+    """Keeps the configuration and the list of runners up to date."""
+
+    name = "store_reading"
+    requires = ("fleet_port",)
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        node: NodeSettings = kernel.settings
+        self.gate = VersionGate()
+        self.configuration_text = b""
+        """The configuration in force, as the store gave it, for peers that cannot reach it."""
+        self._node = node
+        self._store = Store(node.store_address)
+        self._port = kernel.get(FleetPort)
+        self._reads = True
+        self._entry_by_id: dict[RunnerId, Runner] = {}
+        self._entries_revision: int | None = None
+        self._nudge = trio.Event()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Read until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_configuration)
+            nursery.start_soon(self._follow_runners)
+            nursery.start_soon(self._follow_instances)
+            nursery.start_soon(self._follow_peers)
+            task_status.started()
+
+    def is_informed(self) -> bool:
+        """Tell whether there is a configuration and a list of runners to work by."""
+        return self.gate.table is not None and bool(self._port.runners.by_id)
+
+    def take_configuration(self, spec: dict[str, object], source: str) -> None:
+        """Put a configuration in force if it is newer."""
+        try:
+            configuration = decode_configuration(spec)
+        except BadBody as error:
+            log(Event.CONFIG_BAD, source=source, error=str(error))
+            return
+        if not self.gate.offer(configuration):
+            return
+        self.configuration_text = json.dumps(spec).encode()
+        self._port.describe(config_version=configuration.version)
+        log(Event.CONFIG_IN_FORCE, version=configuration.version, source=source)
+
+    async def _follow_configuration(self) -> None:
+        revision: int | None = None
+        while True:
+            try:
+                if revision is None:
+                    revision = await self._read_configuration()
+                else:
+                    revision = await self._watch_configuration(revision)
+            except HistoryGone:
+                revision = None
+            except StoreAway as error:
+                self._away(error)
+                revision = None
+                await trio.sleep(AWAY_PAUSE_S)
+
+    async def _read_configuration(self) -> int | None:
+        listing = await self._store.list(ObjectKind.CONFIGURATION)
+        self._answered()
+        for one in listing.objects:
+            self._take_stored(one)
+        if self.gate.table is None:
+            await trio.sleep(AWAY_PAUSE_S)
+        return listing.revision
+
+    async def _watch_configuration(self, revision: int) -> int:
+        changes = await self._store.watch(ObjectKind.CONFIGURATION, revision, CONFIG_WATCH_S)
+        self._answered()
+        for change in changes.changes:
+            if not change.deleted:
+                self._take_stored(change.object)
+        return changes.revision
+
+    def _take_stored(self, stored: StoredObject) -> None:
+        if stored.name == CONFIGURATION_NAME:
+            self.take_configuration(stored.spec, "store")
+
+    async def _follow_runners(self) -> None:
+        while True:
+            home = self._port.is_home()
+            if not home and self._port.runners.age_s(trio.current_time()) < OWN_READING_AGE_S:
+                self._entries_revision = None
+                await trio.sleep(LOOK_S)
+                continue
+            try:
+                await self._read_runners()
+                await trio.sleep(RUNNER_PAUSE_S if home else OWN_READING_PAUSE_S)
+            except HistoryGone:
+                self._entries_revision = None
+            except StoreAway as error:
+                self._away(error)
+                self._entries_revision = None
+                await trio.sleep(AWAY_PAUSE_S)
+
+    async def _read_runners(self) -> None:
+        if self._entries_revision is None:
+            listing = await self._store.list(ObjectKind.RUNNER)
+            self._entry_by_id = {}
+            self._take_entries([Change(one, False) for one in listing.objects])
+            self._entries_revision = listing.revision
+        else:
+            changes = await self._store.watch(
+                ObjectKind.RUNNER, self._entries_revision, RUNNER_WATCH_S
+            )
+            self._take_entries(list(changes.changes))
+            self._entries_revision = changes.revision
+        self._answered()
+        self._port.take_runners(
+            list(self._entry_by_id.values()), self._entries_revision, trio.current_time()
+        )
+
+    def _take_entries(self, changes: list[Change]) -> None:
+        for change in changes:
+            runner_id = RunnerId(change.object.name)
+            if change.deleted:
+                self._entry_by_id.pop(runner_id, None)
+                continue
+            try:
+                self._entry_by_id[runner_id] = decode_runner(change.object)
+            except BadBody as error:
+                log(Event.RUNNER_UNREADABLE, runner=runner_id, error=str(error))
+
+    async def _follow_instances(self) -> None:
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._register()
+                    registered = True
+                listing = await self._store.list(ObjectKind.INSTANCE, allow_stale=True)
+                self._port.fleet.listed(trio.current_time(), map(_listed, listing.objects))
+                self._port.greet_listed()
+                await trio.sleep(INSTANCES_PERIOD_S)
+            except StoreAway as error:
+                self._away(error)
+                await trio.sleep(AWAY_PAUSE_S)
+
+    async def _register(self) -> None:
+        """Write where this instance is; a write without an answer is made again, to no harm."""
+        own = self._port.fleet.own.instance
+        spec = {"zone": own.zone, "front": own.front_address, "peer": own.peer_address}
+        if not await self._store.replace(ObjectKind.INSTANCE, own.id, spec):
+            try:
+                await self._store.create(ObjectKind.INSTANCE, own.id, spec)
+            except RevisionConflict:
+                log(Event.INSTANCE_REGISTERED, already=True)
+                return
+        log(Event.INSTANCE_REGISTERED, already=False)
+
+    async def _follow_peers(self) -> None:
+        """Fetch a newer configuration from a peer that has it."""
+        while True:
+            await trio.sleep(LOOK_S)
+            newer = self._port.fleet.newest_config(trio.current_time())
+            if newer is not None:
+                await self._fetch_from(newer.instance)
+
+    async def _fetch_from(self, instance: Instance) -> None:
+        try:
+            spec = parse_object(await fetch_text(instance.peer_address))
+        except (OSError, BadBody) as error:
+            log(Event.CONFIG_NOT_FETCHED, peer=instance.id, error=str(error))
+            await trio.sleep(AWAY_PAUSE_S)
+            return
+        self.take_configuration(spec, instance.id)
+
+    def _answered(self) -> None:
+        if not self._reads:
+            log(Event.STORE_BACK)
+        self._reads = True
+        self._port.describe(reads_store=True)
+
+    def _away(self, error: StoreAway) -> None:
+        if self._reads:
+            log(Event.STORE_AWAY, error=str(error))
+        self._reads = False
+        self._port.describe(reads_store=False)
+
+
+def _listed(stored: StoredObject) -> KnownInstance:
+    spec = stored.spec
+    instance = Instance(
+        InstanceId(stored.name),
+        ZoneName(str(spec.get("zone", ""))),
+        str(spec.get("front", "")),
+        str(spec.get("peer", "")),
+    )
+    return KnownInstance(instance, 0, InstanceState.STARTING, True, 0)
--- a/egretstack/sessions/_takeover.py
+++ b/egretstack/sessions/_takeover.py
@@ -8,8 +8,8 @@
 
 from egretstack.delivery import SessionReleased, SessionTaken
 from egretstack.ids import InstanceId
+from egretstack.objectapi import ENTRY_SERVICE, Member, MemberState
 from egretstack.peers import Message, PeerGone, PeerRefused
-from egretstack.platform import ENTRY_SERVICE, Member, MemberState
 
 FIRST_RETRY_S = 0.5
 LONGEST_RETRY_S = 2.0
--- /dev/null
+++ b/egretstack/traffic/__init__.py
@@ -0,0 +1,19 @@
+"""Requests, answers and reports as typed values, whatever the wire calls their parts."""
+
+from egretstack.traffic._report import MoveAnswer, MoveOutcome, RunnerReport, RunReport
+from egretstack.traffic._request import ClientRequest, Generation, PromptPart
+from egretstack.traffic._send import ContinueFrom, RunnerAnswer, RunnerLoad, SendTerms
+
+__all__ = [
+    "ClientRequest",
+    "ContinueFrom",
+    "Generation",
+    "MoveAnswer",
+    "MoveOutcome",
+    "PromptPart",
+    "RunReport",
+    "RunnerAnswer",
+    "RunnerLoad",
+    "RunnerReport",
+    "SendTerms",
+]
--- /dev/null
+++ b/egretstack/traffic/_request.py
@@ -0,0 +1,43 @@
+"""A client's request as the system sees it, whatever the wire calls its parts."""
+
+from dataclasses import dataclass
+
+from egretstack.http1 import RequestHead
+from egretstack.ids import ModelName
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other requests may share; the last one is the request's own."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Generation:
+    """What a request for a generation says of its size."""
+
+    model: ModelName
+    prompt_tokens: int
+    max_output_tokens: int
+    length_hint: int | None
+    """The client's own estimate of the output; right at the median, often far off."""
+    prompt_parts: tuple[PromptPart, ...]
+
+
+@dataclass(frozen=True)
+class ClientRequest:
+    """One attempt of a client, read whole."""
+
+    attempt_id: str
+    """Unique for each attempt, a client's retry included; empty if the client gave none."""
+    host: str
+    path: str
+    head: RequestHead
+    body: bytes
+    time_left_s: float | None
+    """How long the client said that it will wait, when its head was read."""
+    key: str | None
+    """Secret of the client account; never logged, never passed on."""
+    generation: Generation | None
--- a/scripts/slopes_ledger.py
+++ b/scripts/slopes_ledger.py
@@ -34,7 +34,7 @@
     key_id,
     shard_number,
 )
-from egretstack.platform import ObjectKind
+from egretstack.objectapi import ObjectKind
 from egretstack.upstreams import CallResponse
 from standins.object_store import InProcessObjectApi, ObjectStore
 
--- a/scripts/slopes_membership.py
+++ b/scripts/slopes_membership.py
@@ -21,7 +21,7 @@
 from egretstack.membership import Heartbeat, InstanceState, MembershipState, ReadingPlan
 from egretstack.membership._reading import ROW_BYTES
 from egretstack.membership._rows import FOR_GOOD, RunnerNotice, pack_row
-from egretstack.platform import Member, MemberState
+from egretstack.objectapi import Member, MemberState
 from tests.membership_fleet import EPOCH_S, Fleet, fleet_of, instance, runner
 
 SIZES = (5, 20, 80, 320)
--- a/scripts/slopes_runners.py
+++ b/scripts/slopes_runners.py
@@ -8,7 +8,7 @@
 
 from egretstack.ids import AccountId, ModelName, RunnerId, ServiceName, WorkId, ZoneName
 from egretstack.peers import PeerLink
-from egretstack.platform import HttpInstanceList
+from egretstack.objectapi import HttpInstanceList
 from egretstack.policy import (
     DEFAULT_POLICY,
     Arrived,
--- a/standins/access.py
+++ b/standins/access.py
@@ -12,7 +12,7 @@
 from egretstack.errors import NotRunProof
 from egretstack.ids import GenerationId, ModelName, RunnerId
 from egretstack.kernel import Kernel
-from egretstack.platform import InstanceList, Member
+from egretstack.objectapi import InstanceList, Member
 from egretstack.services.platform_access import PlatformAccess
 from egretstack.upstreams import (
     CacheEvent,
--- a/standins/gate.py
+++ b/standins/gate.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from egretstack.platform import WATCH_LIFE_S, ObjectApi, ObjectKind, StoredObject, WatchChange
+from egretstack.objectapi import WATCH_LIFE_S, ObjectApi, ObjectKind, StoredObject, WatchChange
 from standins.object_store import InProcessObjectApi, ObjectStore
 
 T = TypeVar("T")
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from egretstack.platform import (
+from egretstack.objectapi import (
     WATCH_LIFE_S,
     Conflict,
     ObjectApi,
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -8,7 +8,7 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from egretstack.platform import Conflict, ObjectKind, StoredObject, WatchChange, WatchLost
+from egretstack.objectapi import Conflict, ObjectKind, StoredObject, WatchChange, WatchLost
 from standins.object_store import Faults, ObjectStore
 
 _API = "/apis/egretstack.dev/v1/namespaces/<namespace>"
--- a/standins/world.py
+++ b/standins/world.py
@@ -11,7 +11,7 @@
 from egretstack.configuration import Change, ConfigurationStore
 from egretstack.ids import ChangeId, ModelName, ServiceName, ZoneName
 from egretstack.kernel import Kernel, load_services
-from egretstack.platform import ENTRY_SERVICE, InstanceList, Member, MemberState, PlatformAway
+from egretstack.objectapi import ENTRY_SERVICE, InstanceList, Member, MemberState, PlatformAway
 from egretstack.programs.entry import SERVICES as ENTRY_SERVICES
 from egretstack.programs.steward import SERVICES as STEWARD_SERVICES
 from egretstack.replay import EngineParameters
--- a/tests/ledger_site.py
+++ b/tests/ledger_site.py
@@ -7,7 +7,7 @@
 from egretstack.errors import ErrorKind
 from egretstack.ids import AccountId, IdempotencyKey, ServiceName
 from egretstack.ledger import Shard, key_id
-from egretstack.platform import ObjectKind
+from egretstack.objectapi import ObjectKind
 from egretstack.replay import EngineParameters
 from egretstack.services.caller_api import CallerApi
 from egretstack.services.configuration import Configuration
--- a/tests/ledger_support.py
+++ b/tests/ledger_support.py
@@ -22,7 +22,7 @@
     read_rows,
     rows_spec,
 )
-from egretstack.platform import (
+from egretstack.objectapi import (
     Conflict,
     ObjectKind,
     PlatformOutcomeUnknown,
--- a/tests/matrix/paths.py
+++ b/tests/matrix/paths.py
@@ -7,7 +7,7 @@
 
 from egretstack.duties import LEASE_LIFE_S
 from egretstack.ids import ServiceName
-from egretstack.platform import ObjectKind
+from egretstack.objectapi import ObjectKind
 from egretstack.services.duties import Duties, orders_of
 from standins.gate import Gate, Seam, Write
 from tests.matrix.faults import Fault, Target
--- a/tests/matrix/site.py
+++ b/tests/matrix/site.py
@@ -13,7 +13,7 @@
 
 from egretstack.configuration import ApplyConflict, ApplyUnknown, Change, ConfigurationStore
 from egretstack.ids import ChangeId
-from egretstack.platform import MemberState, ObjectKind, PlatformAway
+from egretstack.objectapi import MemberState, ObjectKind, PlatformAway
 from egretstack.replay import EngineParameters
 from egretstack.services.configuration import Configuration
 from egretstack.settings import Program
--- a/tests/matrix/test_switch_offs.py
+++ b/tests/matrix/test_switch_offs.py
@@ -15,7 +15,7 @@
 from egretstack.ids import InstanceId
 from egretstack.ledger import Intent, NextMove, OnceCall, SendHistory, _once
 from egretstack.membership import _runner_watch
-from egretstack.platform import ENTRY_SERVICE
+from egretstack.objectapi import ENTRY_SERVICE
 from egretstack.services.caller_api import CallerApi
 from egretstack.services.configuration import Configuration
 from egretstack.services.instances import Instances
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -5,7 +5,7 @@
 import trio
 
 from egretstack.configuration import watchers
-from egretstack.platform import ENTRY_SERVICE, ObjectKind
+from egretstack.objectapi import ENTRY_SERVICE, ObjectKind
 from egretstack.services.configuration import Configuration
 from egretstack.services.configuration_news import ConfigurationNews
 from egretstack.services.configuration_watch import ConfigurationWatch
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -20,7 +20,7 @@
 )
 from egretstack.configuration._model import RECENT_KEPT
 from egretstack.ids import InstanceId, ZoneName
-from egretstack.platform import ENTRY_SERVICE, Member, MemberState
+from egretstack.objectapi import ENTRY_SERVICE, Member, MemberState
 from tests.configuration_fixtures import snapshot_of
 from tests.support import check, tests_of
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from egretstack.platform import ObjectKind
+from egretstack.objectapi import ObjectKind
 from egretstack.replay import EngineParameters
 from egretstack.services.duties import Duties, orders_of
 from egretstack.settings import Program
--- a/tests/test_fleet_duties.py
+++ b/tests/test_fleet_duties.py
@@ -8,7 +8,7 @@
 from egretstack.duties import CALLS_PER_S, DutyEnded, PacedObjectApi
 from egretstack.ledger import SHARDS, CallState, LedgerPruner, Shard, head_name, rows_spec
 from egretstack.ledger._shard import Segment
-from egretstack.platform import Conflict, ObjectKind
+from egretstack.objectapi import Conflict, ObjectKind
 from egretstack.services.duties import Duties
 from egretstack.services.ledger_pruning import PRUNE_PERIOD_S, LedgerPruning
 from egretstack.settings import Program
--- a/tests/test_ledger_calls.py
+++ b/tests/test_ledger_calls.py
@@ -5,7 +5,7 @@
 from egretstack.errors import ErrorKind, NotRunProof, RunState
 from egretstack.ids import ServiceName
 from egretstack.ledger import SendHistory
-from egretstack.platform import ObjectKind
+from egretstack.objectapi import ObjectKind
 from egretstack.services.calls import Calls
 from egretstack.services.configuration import Configuration
 from egretstack.services.ledger_store import SEND_WITHIN_S
--- a/tests/test_ledger_shards.py
+++ b/tests/test_ledger_shards.py
@@ -23,7 +23,7 @@
     shard_number,
 )
 from egretstack.ledger._shard import MAX_HEAD_BYTES, MAX_SEGMENTS, Segment
-from egretstack.platform import Conflict, ObjectKind
+from egretstack.objectapi import Conflict, ObjectKind
 from egretstack.upstreams import CallResponse
 from standins.object_store import InProcessObjectApi, ObjectStore
 from tests.ledger_support import HEAD, SlowStore, begin, finish, key, row
--- a/tests/test_membership_services.py
+++ b/tests/test_membership_services.py
@@ -11,7 +11,7 @@
 from egretstack.kernel import Kernel
 from egretstack.membership import InstanceState
 from egretstack.peers import connect_peer
-from egretstack.platform import MemberState
+from egretstack.objectapi import MemberState
 from egretstack.replay import EngineParameters
 from egretstack.services.caller_api import LEAVING_KNOWN_S, CallerApi
 from egretstack.services.instances import Instances
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -6,7 +6,7 @@
 import trio
 
 from egretstack.metrics import Metrics
-from egretstack.platform import (
+from egretstack.objectapi import (
     Breaker,
     BreakerState,
     BudgetedObjectApi,
@@ -18,9 +18,9 @@
     WatchKind,
     WatchLost,
 )
-from egretstack.platform._breaker import FAILURES_TO_OPEN, LONGEST_OPEN_S
-from egretstack.platform._budget import FLEET_RATE_BY_CLASS, SHARE_HEADROOM
-from egretstack.platform._budgeted import WATCH_GRACE_S
+from egretstack.objectapi._breaker import FAILURES_TO_OPEN, LONGEST_OPEN_S
+from egretstack.objectapi._budget import FLEET_RATE_BY_CLASS, SHARE_HEADROOM
+from egretstack.objectapi._budgeted import WATCH_GRACE_S
 from standins.object_store import InProcessObjectApi, ObjectStore
 from tests.support import check, tests_of
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -17,7 +17,7 @@
     ServiceName,
     ZoneName,
 )
-from egretstack.platform import Member, MemberState
+from egretstack.objectapi import Member, MemberState
 from egretstack.services.accounts import Accounts
 from egretstack.services.platform_access import PlatformAccess
 from egretstack.services.session_host import SessionHost
