--- a/egretstack/relay/__init__.py
+++ b/egretstack/relay/__init__.py
@@ -1,7 +1,8 @@
 """Relays clients' requests to runners: what may be sent again, and what has to be said else."""
 
 from egretstack.relay._budget import RetryBudget
-from egretstack.relay._events import EventSplitter, StreamEvent
+from egretstack.relay._cursor import EventCursor, EventGap
+from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
 from egretstack.relay._knowledge import RequestFailed, RunKnowledge
 from egretstack.relay._plain import PlainRelay, WholeAnswer
 from egretstack.relay._stream import ClientStream, StreamRelay
@@ -10,7 +11,10 @@
 __all__ = [
     "ClientStream",
     "EnginePlacing",
+    "EventCursor",
+    "EventGap",
     "EventSplitter",
+    "EventTooLarge",
     "PlainRelay",
     "RelayTools",
     "RequestFailed",
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -21,6 +21,7 @@
 )
 from egretstack.placing import Run, Work
 from egretstack.platform import client_head, runner_answer, runner_request
+from egretstack.relay._cursor import EventCursor, EventGap
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
 from egretstack.relay._knowledge import RequestFailed, RunKnowledge
 from egretstack.relay._mover import Mover
@@ -83,7 +84,7 @@
         self._run: Run | None = None
         self._source: UpstreamConnection | None = None
         self._splitter = EventSplitter()
-        self._last_id = ""
+        self._cursor = EventCursor()
         self._events = 0
         self._mover: Mover | None = None
 
@@ -233,8 +234,14 @@
             else:
                 silent_since_s = trio.current_time()
                 try:
-                    await self._pass_on(self._splitter.feed(data))
-                except EventTooLarge:
+                    await self._pass_on(self._cursor.accept(self._splitter.feed(data)))
+                except (EventTooLarge, EventGap) as error:
+                    log(
+                        Event.ANSWER_SPOILT,
+                        request=self._task.request.attempt_id,
+                        runner=self._run.runner,
+                        detail=str(error),
+                    )
                     return _End.BROKEN
             if self._mover is None and not self._tools.runners.is_ready(self._run.runner):
                 return _End.LEAVING
@@ -250,7 +257,6 @@
             waited_s = trio.current_time() - self._task.began_s
             self._tools.placing.first_token(self._run.work.prompt_tokens, waited_s)
         self._events += len(events)
-        self._last_id = events[-1].id or self._last_id
         self._run.started = True
         self._run.made_tokens = self._events * self._task.service.engine.tokens_per_event
         await self._client.send(b"".join(event.data for event in events))
@@ -265,7 +271,7 @@
         backup = self._backup()
         if backup is None or not self._events:
             return False
-        origin = ContinueFrom(backup.address, self._task.request.attempt_id, self._last_id)
+        origin = ContinueFrom(backup.address, self._task.request.attempt_id, self._cursor.last_id)
         return await self._go_on_at(backup, origin)
 
     async def _go_on_elsewhere(self, end: _End) -> bool:
@@ -275,7 +281,7 @@
             self._mover = None
             if moved is not None:
                 destination = self._tools.runners.by_id.get(moved.destination)
-                origin = ContinueFrom(moved.source_address, moved.handle, self._last_id)
+                origin = ContinueFrom(moved.source_address, moved.handle, self._cursor.last_id)
                 if destination is not None and await self._go_on_at(destination, origin):
                     return True
         return await self._go_on_at_backup()
@@ -292,7 +298,7 @@
             request=self._task.request.attempt_id,
             source=before[0],
             runner=runner.id,
-            after=self._last_id,
+            after=self._cursor.last_id,
             took_ms=round((trio.current_time() - began_s) * 1000),
         )
         if connection is None:
--- a/scripts/slopes_configuration.py
+++ b/scripts/slopes_configuration.py
@@ -39,8 +39,8 @@
 )
 from egretstack.configuration._head_object import HeadObject
 from egretstack.ids import ChangeId, InstanceId, Revision, ZoneName
-from egretstack.peers import encode
 from egretstack.objectapi import ENTRY_SERVICE, Member, MemberState, PlatformAway
+from egretstack.peers import encode
 from standins.object_store import InProcessObjectApi, ObjectStore
 
 CONTRACTS = 700
--- a/scripts/slopes_runners.py
+++ b/scripts/slopes_runners.py
@@ -7,8 +7,8 @@
 import trio
 
 from egretstack.ids import AccountId, ModelName, RunnerId, ServiceName, WorkId, ZoneName
-from egretstack.peers import PeerLink
 from egretstack.objectapi import HttpInstanceList
+from egretstack.peers import PeerLink
 from egretstack.policy import (
     DEFAULT_POLICY,
     Arrived,
--- /dev/null
+++ b/tests/fleet_fixtures.py
@@ -0,0 +1,40 @@
+"""Instances, runners and works for tests of the fleet and of placing."""
+
+from egretstack.fleet import Instance, InstanceState, KnownInstance, Runner, RunnerState
+from egretstack.ids import InstanceId, RunnerId, ServiceName, ZoneName
+from egretstack.placing import Work
+from egretstack.routing import EnginePlan
+
+ENGINES = ServiceName("match-llm")
+PLAIN = ServiceName("desk-app")
+ENGINE = EnginePlan(
+    batch_slots=24,
+    kv_capacity_tokens=34_000,
+    kv_token_bytes=327_680,
+    link_mbps=47_000.0,
+    moves=True,
+    backups=True,
+    tokens_per_event=4,
+    copy_life_s=5.0,
+)
+
+
+def known(number, state=InstanceState.READY, *, reads_store=True, version=1):
+    """Give an instance as others know it."""
+    name = f"entry-{number}"
+    instance = Instance(
+        InstanceId(name), ZoneName("leon-a"), f"10.1.0.{number}:8740", f"10.1.0.{number}:7200"
+    )
+    return KnownInstance(instance, number, state, reads_store, version)
+
+
+def runner(name, service=ENGINES, state=RunnerState.READY, *, zone="leon-a", slots=24, cold_s=0.0):
+    """Give a runner."""
+    address = f"10.2.0.{sum(name.encode()) % 250}:8442"
+    return Runner(RunnerId(name), service, address, ZoneName(zone), slots, state, cold_s)
+
+
+def work(attempt, *, prompt=3_000, most=2_000, hint=900, rank=0, patience_s=7.0, excluded=()):
+    """Give a generation that wants an engine."""
+    names = tuple(RunnerId(one) for one in excluded)
+    return Work(attempt, ENGINES, prompt, most, hint, rank, patience_s, names)
--- a/tests/membership_fleet.py
+++ b/tests/membership_fleet.py
@@ -9,8 +9,8 @@
 
 from egretstack.ids import InstanceId, ServiceName, ZoneName
 from egretstack.membership import ANSWER_TIMEOUT_S, TICK_S, MembershipState, RowError
-from egretstack.peers import Message, decode, encode
 from egretstack.objectapi import ENTRY_SERVICE, Member, MemberState
+from egretstack.peers import Message, decode, encode
 
 DELAY_S = 0.005
 EPOCH_S = 1_700_000_000.0
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -11,8 +11,8 @@
 )
 from egretstack.errors import UserError
 from egretstack.ids import ChangeId, InstanceId, Revision
-from egretstack.operators import InstanceStatus, check_not_older
 from egretstack.objectapi import Conflict, ObjectKind, PlatformAway, PlatformOutcomeUnknown
+from egretstack.operators import InstanceStatus, check_not_older
 from standins.object_store import InProcessObjectApi, ObjectStore
 from tests.configuration_fixtures import change_of, contract
 from tests.support import check, tests_of
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,149 @@
+"""Who lives, who is home, and which runners there are."""
+
+from egretstack.fleet import Fleet, InstanceState, RunnerState, RunnerTable
+from egretstack.ids import InstanceId, RunnerId
+from tests.fleet_fixtures import ENGINES, known, runner
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+COUNT = 7
+
+
+def fleets(count=COUNT):
+    """Give the views of instances that have all heard each other at time 0."""
+    everyone = [known(number) for number in range(count)]
+    views = []
+    for own in everyone:
+        view = Fleet(own, 0.0)
+        for other in everyone:
+            if other is not own:
+                view.heard(0.0, other)
+        views.append(view)
+    return views
+
+
+def test_all_choose_the_same_home():
+    homes = {view.home(0.1) for view in fleets()}
+    check.assertEqual(len(homes), 1)
+
+
+def test_reports_go_to_a_fixed_number_whatever_the_size():
+    for count in (3, 7, 70):
+        check.assertEqual({len(view.report_targets(0.1)) for view in fleets(count)}, {2})
+
+
+def test_a_home_that_falls_silent():
+    # Clients see nothing but worse placing: the home is killed, its news stop, and the next in
+    # line, to which all have reported all along, is home within a second.
+    views = fleets()
+    home = {view.home(0.1) for view in views}.pop()
+    others = [view for view in views if view.own.instance.id != home]
+    later = {view.home(1.0) for view in others}
+    check.assertEqual(len(later), 1)
+    check.assertNotEqual(later, {home})
+
+
+def test_a_silent_home_that_comes_back():
+    view = fleets()[0]
+    home = view.home(0.1)
+    if home == view.own.instance.id:
+        view = fleets()[1]
+    check.assertNotEqual(view.home(1.0), home)
+    back = next(
+        one for one in (known(number) for number in range(COUNT)) if one.instance.id == home
+    )
+    view.heard(1.2, back)
+    check.assertEqual(view.home(1.3), home)
+
+
+def test_an_instance_without_the_store_is_not_home_while_another_has_it():
+    everyone = [known(number) for number in range(COUNT)]
+    home = fleets()[0].home(0.1)
+    view = Fleet(known(99), 0.0)
+    for one in everyone:
+        view.heard(0.0, known(one.incarnation, reads_store=one.instance.id != home))
+    check.assertNotEqual(view.home(0.1), home)
+
+
+def test_two_homes_do_not_keep_a_dead_instance_alive():
+    # Clients would be sent to a dead instance for ever: each of two homes vouched for it because
+    # the other did. A home vouches only by reports that came to itself.
+    first, second = fleets()[:2]
+    dead = known(5)
+    for moment in range(1, 40):
+        now_s = moment * 0.25
+        first.told(now_s, second.own.instance.id, second.others_heard(now_s))
+        second.told(now_s, first.own.instance.id, first.others_heard(now_s))
+    check.assertNotIn(dead.instance.id, {one.instance.id for one in first.live(10.0)})
+
+
+def test_a_leaving_instance_is_told_of_at_once():
+    view = fleets()[0]
+    view.heard(0.2, known(3, InstanceState.LEAVING))
+    states = {one.instance.id: one.state for one in view.live(0.3)}
+    check.assertIs(states[InstanceId("entry-3")], InstanceState.LEAVING)
+
+
+def test_a_newcomer_is_pointed_to_the_living():
+    view = Fleet(known(50), 0.0)
+    view.listed(0.0, [known(number) for number in range(COUNT)])
+    view.pointed(0.1, [known(2), known(3)])
+    check.assertIn(view.home(0.2), {f"entry-{n}" for n in (*range(COUNT), 50)})
+    check.assertEqual(
+        {one.instance.id for one in view.live(0.2)}, {"entry-50", "entry-2", "entry-3"}
+    )
+
+
+def test_the_newest_configuration_is_found():
+    view = Fleet(known(0, version=4), 0.0)
+    view.heard(0.0, known(1, version=7))
+    view.heard(0.0, known(2, version=5))
+    check.assertEqual(view.newest_config(0.1).instance.id, "entry-1")
+    view.heard(0.2, known(1, version=4))
+    view.heard(0.2, known(2, version=3))
+    check.assertIsNone(view.newest_config(0.3))
+
+
+def test_older_readings_of_the_runners_change_nothing():
+    table = RunnerTable()
+    table.take(0.0, [runner("a", state=RunnerState.LEAVING)], 20, 0.0)
+    check.assertEqual(table.take(0.1, [runner("a")], 19, 0.1), [])
+    check.assertFalse(table.is_ready(RunnerId("a")))
+
+
+def test_a_notice_is_never_taken_back():
+    # A request would reach a runner after its notice: the runner itself told of it, and a reading
+    # of the store from just before still calls it ready.
+    table = RunnerTable()
+    table.take(0.0, [runner("a"), runner("b")], 20, 0.0)
+    check.assertTrue(table.notice(0.1, RunnerId("a")))
+    check.assertFalse(table.notice(0.2, RunnerId("a")))
+    table.take(0.3, [runner("a"), runner("b")], 21, 0.3)
+    check.assertEqual([one.id for one in table.ready(ENGINES)], ["b"])
+
+
+def test_a_removed_runner_gets_no_work_and_is_remembered():
+    table = RunnerTable()
+    table.take(0.0, [runner("a"), runner("b")], 20, 0.0)
+    stopped = table.take(0.3, [runner("b")], 21, 0.3)
+    check.assertEqual([one.id for one in stopped], ["a"])
+    check.assertEqual(table.by_id[RunnerId("a")].state, RunnerState.LEAVING)
+    table.take(0.6, [runner("b")], 22, 0.6)
+    for second in range(1, 50):
+        table.take(second, [runner("b")], 22 + second, second)
+    check.assertNotIn(RunnerId("a"), table.by_id)
+
+
+def test_entries_that_lapsed_while_the_store_was_away():
+    # All requests would be refused for two seconds: the store comes back without the entries of
+    # runners that live, since their heartbeats found no store. Within the grace a missing entry
+    # counts as living; after it, as gone.
+    table = RunnerTable()
+    table.take(0.0, [runner("a"), runner("b")], 20, 0.0)
+    check.assertEqual(table.take(6.0, [], 21, 6.0), [])
+    check.assertEqual(len(table.ready(ENGINES)), 2)
+    table.take(7.0, [runner("a")], 22, 7.0)
+    check.assertEqual(len(table.ready(ENGINES)), 2)
+    stopped = table.take(8.5, [runner("a")], 23, 8.5)
+    check.assertEqual([one.id for one in stopped], ["b"])
--- a/tests/test_limits_world.py
+++ b/tests/test_limits_world.py
@@ -5,8 +5,8 @@
 from egretstack.errors import EgretError, ErrorKind
 from egretstack.ids import AccountId, InstanceId
 from egretstack.limits import LIFE_S, WARM_UP_S, AskRow, Share, make_ask
-from egretstack.peers import Nothing
 from egretstack.objectapi import MemberState
+from egretstack.peers import Nothing
 from egretstack.services.accounts import Accounts
 from egretstack.services.configuration import Configuration
 from egretstack.services.limits import Limits
--- a/tests/test_membership_services.py
+++ b/tests/test_membership_services.py
@@ -10,8 +10,8 @@
 from egretstack.ids import InstanceId, ModelName, Revision, RunnerId
 from egretstack.kernel import Kernel
 from egretstack.membership import InstanceState
-from egretstack.peers import connect_peer
 from egretstack.objectapi import MemberState
+from egretstack.peers import connect_peer
 from egretstack.replay import EngineParameters
 from egretstack.services.caller_api import LEAVING_KNOWN_S, CallerApi
 from egretstack.services.instances import Instances
--- a/tests/test_membership_state.py
+++ b/tests/test_membership_state.py
@@ -17,8 +17,8 @@
 from egretstack.membership._table import Table
 from egretstack.membership._twin import ANSWERS
 from egretstack.membership._views import Views
-from egretstack.peers import encode
 from egretstack.objectapi import MemberState
+from egretstack.peers import encode
 from tests.membership_fleet import EPOCH_S, fleet_of, instance, runner
 from tests.support import check, tests_of
 
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,202 @@
+"""Where generations and calls run."""
+
+import random
+
+from egretstack.fleet import RunnerTable
+from egretstack.ids import InstanceId, RunnerId, ZoneName
+from egretstack.placing import (
+    MoveTurns,
+    Placement,
+    Placer,
+    PlaceRefused,
+    PlainBalancer,
+    Run,
+    run_of,
+    run_row,
+    work_of,
+    work_row,
+)
+from egretstack.traffic import RunnerLoad
+from tests.fleet_fixtures import ENGINE, PLAIN, runner, work
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+OWN = InstanceId("entry-1")
+
+
+def placer(*names):
+    """Give a placer and its runners."""
+    table = RunnerTable()
+    table.take(0.0, [runner(name) for name in names], 1, 0.0)
+    return Placer(table, random.Random(1)), table
+
+
+def place(one, attempt, now_s=0.0, **more):
+    return one.place(now_s, work(attempt, **more), ENGINE, whole=True)
+
+
+def test_prompts_are_spread_before_any_is_read():
+    # First tokens would come late: prompts that arrive together on one engine are read one after
+    # the other, while other engines have nothing to read.
+    one, _ = placer("a", "b", "c")
+    places = [place(one, f"w{number}", short_gap(number)) for number in range(6)]
+    by_runner = {name: [p.runner for p in places].count(name) for name in "abc"}
+    check.assertEqual(by_runner, {"a": 2, "b": 2, "c": 2})
+
+
+def short_gap(number):
+    return number * 0.001
+
+
+def test_a_copy_goes_to_another_engine():
+    one, _ = placer("a", "b")
+    placed = place(one, "w1")
+    check.assertIsNotNone(placed.backup)
+    check.assertNotEqual(placed.runner, placed.backup)
+
+
+def test_a_short_generation_gets_no_copy():
+    one, _ = placer("a", "b")
+    check.assertIsNone(place(one, "w1", most=40, hint=12).backup)
+
+
+def test_a_question_asked_twice_gets_one_answer():
+    # A run would be counted twice: the first answer was lost on its way, and the same question
+    # came again.
+    one, _ = placer("a", "b", "c")
+    check.assertEqual(place(one, "w1"), place(one, "w1", 0.05))
+
+
+def test_leaving_and_excluded_engines_get_nothing():
+    one, table = placer("a", "b", "c")
+    table.notice(0.0, RunnerId("a"))
+    for number in range(5):
+        check.assertEqual(place(one, f"w{number}", excluded=("b",)).runner, "c")
+
+
+def test_no_engine_means_a_refusal_with_a_time():
+    one, _ = placer()
+    refused = place(one, "w1")
+    check.assertIsInstance(refused, PlaceRefused)
+    check.assertGreater(refused.retry_after_s, 0)
+
+
+def test_a_full_engine_gets_no_more_runs():
+    # A stream that someone reads would be preempted: forecast peaks beyond the memory.
+    one, _ = placer("a")
+    runs = [Run(work(f"r{n}"), RunnerId("a"), None, 100, True) for n in range(8)]
+    one.reported(OWN, runs)
+    check.assertIsInstance(place(one, "w1"), PlaceRefused)
+    one.reported(OWN, runs[:3])
+    check.assertIsInstance(place(one, "w1"), Placement)
+
+
+def test_copies_yield_to_runs():
+    # Work would be refused for the sake of copies, which engines drop when room runs out.
+    one, _ = placer("a", "b")
+    runs = [Run(work(f"r{n}"), RunnerId("b"), RunnerId("a"), 100, True) for n in range(7)]
+    one.reported(OWN, runs)
+    placed = place(one, "w1")
+    check.assertEqual((placed.runner, placed.backup), ("a", None))
+
+
+def test_what_cannot_start_in_time_is_refused_at_once():
+    one, _ = placer("a")
+    for number in range(12):
+        place(one, f"w{number}", prompt=1_000, hint=10, most=40)
+    check.assertIsInstance(place(one, "late", patience_s=0.5), PlaceRefused)
+    check.assertIsInstance(place(one, "patient", patience_s=5.0), Placement)
+
+
+def test_runs_of_dead_instances_are_forgotten():
+    one, _ = placer("a")
+    one.reported(OWN, [Run(work(f"r{n}"), RunnerId("a"), None, 0, True) for n in range(9)])
+    one.gone([InstanceId("entry-2")])
+    check.assertIsInstance(place(one, "w1"), Placement)
+
+
+def test_loads_that_the_home_told_count_where_runs_are_not_known():
+    one, table = placer("a", "b")
+    one.reported(OWN, [Run(work(f"r{n}"), RunnerId("a"), None, 0, True) for n in range(6)])
+    rows = one.load_rows(0.0)
+    other = Placer(table, random.Random(2))
+    other.told(0.0, rows)
+    check.assertEqual(other.place(0.0, work("w1"), ENGINE, whole=False).runner, "b")
+
+
+def test_rows_of_works_and_runs_come_back():
+    run = Run(work("w1", excluded=("x",)), RunnerId("a"), RunnerId("b"), 44, True)
+    check.assertEqual(run_of(run_row(run)), run)
+    check.assertEqual(work_of(work_row(run.work)), run.work)
+
+
+def test_one_copy_at_a_time_leaves_an_engine():
+    # A reader would see a pause of several hundred ms: the last part of one run's copy waits
+    # behind the first parts of the others on the engine's link.
+    turns = MoveTurns()
+    source = RunnerId("a")
+    check.assertTrue(turns.ask(0.0, source, "low", 5.0))
+    check.assertFalse(turns.ask(0.1, source, "urgent", 1.0))
+    check.assertFalse(turns.ask(0.1, source, "later", 3.0))
+    turns.done(source, "low")
+    check.assertFalse(turns.ask(0.2, source, "later", 3.0))
+    check.assertTrue(turns.ask(0.2, source, "urgent", 1.0))
+
+
+def test_a_turn_that_hangs_ends():
+    turns = MoveTurns()
+    source = RunnerId("a")
+    check.assertTrue(turns.ask(0.0, source, "hangs", 1.0))
+    check.assertFalse(turns.ask(1.1, source, "next", 2.0))
+    check.assertTrue(turns.ask(1.3, source, "next", 2.0))
+
+
+def test_those_that_stopped_asking_are_passed_over():
+    turns = MoveTurns()
+    source = RunnerId("a")
+    turns.ask(0.0, source, "first", 1.0)
+    turns.ask(0.0, source, "gone", 0.0)
+    turns.done(source, "first")
+    check.assertTrue(turns.ask(0.6, source, "here", 9.0))
+
+
+def balancer(*names):
+    runners = [runner(name, PLAIN, slots=6) for name in names]
+    return PlainBalancer(ZoneName("leon-a"), random.Random(3)), runners
+
+
+def test_calls_go_where_the_least_is_in_flight():
+    one, runners = balancer("a", "b", "c")
+    for _ in range(9):
+        one.sent(one.choose(0.0, runners).id)
+    counts = [one.choose(0.0, [it]) and it.id for it in runners]
+    check.assertEqual(len(set(counts)), 3)
+    one.ended(0.0, RunnerId("b"), failed=False)
+    check.assertEqual(one.choose(0.0, runners).id, "b")
+
+
+def test_a_runner_that_fails_is_left_alone_and_tried_again():
+    # Clients would see failures for as long as the runner is ill: it answers at once, so it always
+    # looks idle, and its health check is good.
+    one, runners = balancer("a", "b")
+    for _ in range(4):
+        one.sent(RunnerId("a"))
+        one.ended(0.0, RunnerId("a"), failed=True)
+    check.assertEqual({one.choose(0.1, runners).id for _ in range(20)}, {"b"})
+    check.assertIn("a", {one.choose(9.0, runners).id for _ in range(40)})
+
+
+def test_a_slow_runner_is_left_alone():
+    one, runners = balancer("a", "b", "c")
+    for name, latency_s in (("a", 0.4), ("b", 0.05), ("c", 0.05)) * 4:
+        one.sent(RunnerId(name))
+        one.ended(0.0, RunnerId(name), failed=False, latency_s=latency_s)
+    check.assertNotIn("a", {one.choose(0.1, runners).id for _ in range(20)})
+
+
+def test_a_runner_that_tells_of_load_from_others_is_avoided():
+    one, runners = balancer("a", "b")
+    one.sent(RunnerId("a"))
+    one.ended(0.0, RunnerId("a"), failed=False, latency_s=0.05, load=RunnerLoad(5, 0, 6))
+    check.assertEqual(one.choose(0.5, runners).id, "b")
