Guard copies for runs that lost their backup, reports of engines read by the home, placing again when an engine does not connect

The turns of moves and the pause of 0.7 s before a backup is used keep first copies from queueing on the links.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -153,6 +153,8 @@
     STREAM_NOT_CONTINUED = (433, Level.WARNING, "A stream could not go on at another runner.")
     STREAM_LOST = (434, Level.ERROR, "A stream ended before its end, and the client was told.")
     STREAM_OUT_OF_TIME = (435, Level.WARNING, "A stream was broken off at its deadline.")
+    RUNNERS_SILENT = (437, Level.WARNING, "These runners do not answer the home; no new work.")
+    REPORT_UNREADABLE = (438, Level.WARNING, "An engine gave no report that can be read.")
     MOVE_ENDED = (436, Level.INFO, "A run's memory was copied to another runner, or was not.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
--- a/egretstack/fleet/__init__.py
+++ b/egretstack/fleet/__init__.py
@@ -20,6 +20,7 @@
 )
 from egretstack.fleet._runner import Runner, RunnerState
 from egretstack.fleet._runner_table import RunnerTable
+from egretstack.fleet._silence import Silence
 
 __all__ = [
     "REPORT_PERIOD_S",
@@ -38,6 +39,7 @@
     "Runner",
     "RunnerState",
     "RunnerTable",
+    "Silence",
     "fetch_text",
     "give_text",
     "instance_of",
--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -40,6 +40,8 @@
     runners_revision: int
     runners_age_ms: int
     runners: list
+    silent: list
+    """Ids of the runners that do not answer the home."""
     loads: list
 
 
--- a/egretstack/fleet/_runner_table.py
+++ b/egretstack/fleet/_runner_table.py
@@ -33,6 +33,8 @@
         self.revision = 0
         self.read_s = float("-inf")
         """When the store was last read, by whomever, on this process's clock."""
+        self.silent: frozenset[RunnerId] = frozenset()
+        """Runners that do not answer the home; they get no new work until they do."""
         self._grace_until_s = float("-inf")
         self._removed_s_by_id: dict[RunnerId, float] = {}
 
@@ -65,13 +67,15 @@
         return [
             runner
             for runner in self.by_id.values()
-            if runner.service == service and runner.state is RunnerState.READY
+            if runner.service == service and self.is_ready(runner.id)
         ]
 
     def is_ready(self, runner_id: RunnerId) -> bool:
         """Tell whether a runner may get work."""
         runner = self.by_id.get(runner_id)
-        return runner is not None and runner.state is RunnerState.READY
+        if runner is None or runner_id in self.silent:
+            return False
+        return runner.state is RunnerState.READY
 
     def age_s(self, now_s: float) -> float:
         """Give how old the last reading is."""
--- /dev/null
+++ b/egretstack/fleet/_silence.py
@@ -0,0 +1,35 @@
+"""Which runners answer the home's questions; pure."""
+
+from egretstack.ids import RunnerId
+
+SILENT_AFTER = 2
+"""Questions in a row without an answer: one may be lost with its connection."""
+OWN_FAULT_SHARE = 0.5
+"""Share of silent runners above which the fault is taken to be this instance's own.
+
+An instance that is cut off from the runners would else keep the whole fleet from using any.
+"""
+
+
+class Silence:
+    """Counts unanswered questions for each runner."""
+
+    def __init__(self) -> None:
+        self._missed_by_id: dict[RunnerId, int] = {}
+
+    def answered(self, runner_id: RunnerId) -> None:
+        """Note an answer."""
+        self._missed_by_id.pop(runner_id, None)
+
+    def missed(self, runner_id: RunnerId) -> None:
+        """Note a question without an answer."""
+        self._missed_by_id[runner_id] = self._missed_by_id.get(runner_id, 0) + 1
+
+    def silent(self, asked: set[RunnerId]) -> frozenset[RunnerId]:
+        """Give the silent ones among the runners asked; none if too many are."""
+        for runner_id in set(self._missed_by_id) - asked:
+            del self._missed_by_id[runner_id]
+        silent = {one for one, missed in self._missed_by_id.items() if missed >= SILENT_AFTER}
+        if len(silent) > OWN_FAULT_SHARE * len(asked):
+            return frozenset()
+        return frozenset(silent)
--- a/egretstack/placing/_placer.py
+++ b/egretstack/placing/_placer.py
@@ -35,6 +35,9 @@
 """What a runner that has just started counts for, likewise."""
 NEAR_S = 0.02
 """Choices whose scores differ by less are equal, and one is drawn."""
+OTHER_ZONE_SHARE = 0.12
+"""What another availability zone counts for where a copy goes, as a share of an engine's memory:
+a copy across zones takes twice as long."""
 RETRY_LEAST_S = 0.3
 RETRY_MOST_S = 2.0
 
@@ -159,8 +162,13 @@
     ) -> RunnerId | None:
         """Choose an engine to which a run can be copied, or None."""
         loads = self.loads(now_s, whole=whole)
+        source = self._runners.by_id.get(run.runner)
         rooms = [
-            (loads[runner.id].filled(engine.kv_capacity_tokens), self._rng.random(), runner.id)
+            (
+                loads[runner.id].filled(engine.kv_capacity_tokens) + _distance(source, runner),
+                self._rng.random(),
+                runner.id,
+            )
             for runner in self._runners.ready(run.work.service)
             if runner.id != run.runner
             and loads[runner.id].runs < engine.batch_slots
@@ -229,7 +237,8 @@
             load = loads[runner.id]
             taken = load.peak_tokens + load.copy_tokens
             if runner.id != chosen.id and taken + need <= COPY_SHARE * capacity:
-                rooms.append((taken / capacity, self._rng.random(), runner))
+                cost = taken / capacity + _distance(chosen, runner)
+                rooms.append((cost, self._rng.random(), runner))
         return min(rooms, key=lambda room: room[:2])[2] if rooms else None
 
     def _note(self, now_s: float, work: Work, chosen: Runner, backup: Runner | None) -> None:
@@ -264,3 +273,7 @@
         ]
         for attempt in old:
             del self._pending[attempt]
+
+
+def _distance(source: Runner | None, runner: Runner) -> float:
+    return 0.0 if source is None or source.zone == runner.zone else OTHER_ZONE_SHARE
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -13,6 +13,7 @@
     "fleet_port",
     "store_reading",
     "configuration_relay",
+    "engine_reports",
     "engine_placing",
     "relaying",
     "settings_file",
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -1,7 +1,12 @@
-"""Copies one run's memory off its runner while the run goes on, then stops it there."""
+"""Keeps a copy of one run's memory at another engine, and stops the run when its runner leaves.
 
+A run whose backup copy is gone is copied anew while it goes on, and the copy is renewed, so that
+a runner that dies without notice does not take the run with it. When its runner leaves, what the
+copy lacks is sent after it and the run stops there, to go on at the copy.
+"""
+
+from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 
 import trio
 
@@ -10,100 +15,175 @@
 from egretstack.http1 import ConnectFailed, UpstreamBroken, connect_upstream, exchange
 from egretstack.ids import RunnerId
 from egretstack.placing import Run
-from egretstack.platform import BadBody, move_answer, move_request
+from egretstack.platform import BadBody, free_copy_request, move_answer, move_request
 from egretstack.relay._tools import CONNECT_TIMEOUT_S, RelayTools, Task
 from egretstack.traffic import MoveAnswer, MoveOutcome
 
 COPY_TIMEOUT_S = 1.5
 """Time for one copy: some 0.2 s in a zone and twice that across, for a long prompt."""
+FREE_TIMEOUT_S = 0.3
 MOST_ANSWER_BYTES = 65_536
-MAX_TRIES = 3
-
-
-class MoverState(Enum):
-    """How far a move is."""
-
-    WAITING = "waiting"
-    COPYING = "copying"
-    DONE = "done"
-    FAILED = "failed"
+RENEW_SHARE = 0.6
+"""Part of a copy's life after which it is renewed."""
+LOOK_S = 0.05
+RETRY_S = 0.2
+"""Pause after a copy that failed, for the engines' loads to become known."""
 
 
 @dataclass(frozen=True, slots=True)
-class Moved:
-    """A copy that is whole; the run has stopped at its source."""
+class SavedCopy:
+    """Where a run can go on."""
 
-    source_address: str
-    handle: str
-    destination: RunnerId
+    runner: RunnerId
+    origin_address: str
+    """The engine that the copy is named by."""
+    copy_id: str
 
 
 class Mover:
-    """Moves one run; `run` works beside the stream, which ends without its end when it stops."""
+    """Copies one run off one runner; works beside the run's stream until cancelled."""
 
-    def __init__(self, tools: RelayTools, task: Task, run: Run) -> None:
-        self.state = MoverState.WAITING
+    def __init__(
+        self, tools: RelayTools, task: Task, run: Run, saved: Callable[[SavedCopy], None]
+    ) -> None:
         self._tools = tools
         self._task = task
         self._run = run
-        self._moved: Moved | None = None
+        self._saved = saved
+        self._copy_at: Runner | None = None
+        self._handle = ""
+        self._stopping = False
         self._over = trio.Event()
+        self.scope = trio.CancelScope()
+
+    @property
+    def has_copy(self) -> bool:
+        """Whether a copy stands at another engine."""
+        return bool(self._handle)
 
-    async def result(self) -> Moved | None:
-        """Wait for the end of the move, if it has begun; None if there is no copy."""
-        if self.state is MoverState.WAITING:
-            return None
-        with trio.move_on_after(COPY_TIMEOUT_S):
-            await self._over.wait()
-        return self._moved
+    async def wait_if_stopping(self) -> None:
+        """Wait for the last part of the copy, if it is under way."""
+        if self._stopping:
+            with trio.move_on_after(COPY_TIMEOUT_S):
+                await self._over.wait()
 
     async def run(self) -> None:
-        """Wait for this run's turn, copy, and stop it at its source."""
+        """Copy, renew the copy, and stop the run once its runner leaves."""
         source = self._tools.runners.by_id.get(self._run.runner)
         if source is None:
             return
+        with self.scope:
+            try:
+                while not await self._keep_copied(source):
+                    await trio.sleep(RETRY_S)
+            finally:
+                self._over.set()
+                self._done(source)
+
+    async def free(self) -> None:
+        """Free the copy, which nobody will continue."""
+        source = self._tools.runners.by_id.get(self._run.runner)
+        if source is None or not self._handle:
+            return
+        head = free_copy_request(source.address, self._handle)
+        try:
+            connection = await connect_upstream(source.address, FREE_TIMEOUT_S)
+        except ConnectFailed:
+            return  # Copies that nobody frees end by themselves after a few seconds.
         try:
-            for _ in range(MAX_TRIES):
-                destination_id = await self._tools.placing.move_turn(
-                    self._run, self._task.service.engine
-                )
-                destination = self._tools.runners.by_id.get(destination_id)
-                if destination is not None and await self._move(source, destination):
-                    return
-            self.state = MoverState.FAILED
+            with trio.move_on_after(FREE_TIMEOUT_S):
+                await exchange(connection, head, b"", MOST_ANSWER_BYTES)
+        except UpstreamBroken as error:
+            log(Event.UPSTREAM_BROKEN, request=self._attempt, error=repr(error))
         finally:
-            self._over.set()
-            self._tools.placing.move_done(self._task.request.attempt_id, source.id)
+            connection.close()
+
+    @property
+    def _attempt(self) -> str:
+        return self._task.request.attempt_id
+
+    async def _keep_copied(self, source: Runner) -> bool:
+        """Copy and renew until the run has stopped here; False if the copy was lost."""
+        engine = self._task.service.engine
+        destination = await self._turn()
+        if not await self._copied(source, destination):
+            self._done(source)
+            return False
+        while not self._is_leaving(source):
+            self._done(source)
+            if not await self._wait(source, destination, engine.copy_life_s * RENEW_SHARE):
+                return False
+            if self._is_leaving(source):
+                await self._turn()
+            elif not await self._copied(source, destination):
+                return False
+        return await self._stop(source, destination)
+
+    async def _turn(self) -> Runner:
+        while True:
+            destination_id = await self._tools.placing.move_turn(
+                self._run, self._task.service.engine
+            )
+            destination = self._tools.runners.by_id.get(destination_id)
+            if destination is not None:
+                return destination
+
+    async def _wait(self, source: Runner, destination: Runner, longest_s: float) -> bool:
+        """Wait until the copy has to be renewed or stopped; False if its engine is gone."""
+        until_s = trio.current_time() + longest_s
+        while trio.current_time() < until_s and not self._is_leaving(source):
+            if not self._tools.runners.is_ready(destination.id):
+                self._handle = ""
+                return False
+            await trio.sleep(LOOK_S)
+        return True
+
+    def _is_leaving(self, source: Runner) -> bool:
+        return not self._tools.runners.is_ready(source.id)
+
+    def _done(self, source: Runner) -> None:
+        self._tools.placing.move_done(self._attempt, source.id)
+
+    async def _copied(self, source: Runner, destination: Runner) -> bool:
+        began_s = trio.current_time()
+        answer = await self._order(source, destination, stop=False)
+        self._told(source, destination, answer, began_s, stop=False)
+        if answer.outcome is not MoveOutcome.COPIED or not answer.handle:
+            self._handle = ""
+            return False
+        self._keep(source, destination, answer.handle)
+        return True
 
-    async def _move(self, source: Runner, destination: Runner) -> bool:
-        self.state = MoverState.COPYING
+    async def _stop(self, source: Runner, destination: Runner) -> bool:
+        self._stopping = True
         began_s = trio.current_time()
-        copied = await self._copy(source, destination, stop=False)
-        stopped = None
-        if copied.outcome is MoveOutcome.COPIED:
-            copied_s = trio.current_time()
-            stopped = await self._copy(source, destination, stop=True)
+        answer = await self._order(source, destination, stop=True)
+        self._told(source, destination, answer, began_s, stop=True)
+        if answer.handle:
+            # Without room for the last part the source keeps the memory, and the run goes on there.
+            where = destination if answer.outcome is MoveOutcome.COPIED else source
+            self._keep(source, where, answer.handle)
+        return True
+
+    def _keep(self, source: Runner, where: Runner, handle: str) -> None:
+        self._handle = handle
+        self._saved(SavedCopy(where.id, source.address, handle))
+
+    def _told(
+        self, source: Runner, destination: Runner, answer: MoveAnswer, began_s: float, *, stop: bool
+    ) -> None:
         log(
             Event.MOVE_ENDED,
-            request=self._task.request.attempt_id,
+            request=self._attempt,
             source=source.id,
             destination=destination.id,
-            outcome=(stopped or copied).outcome.value,
-            copy_ms=round(((copied_s if stopped else trio.current_time()) - began_s) * 1000),
-            stop_ms=round((trio.current_time() - copied_s) * 1000) if stopped else None,
+            stop=stop,
+            outcome=answer.outcome.value,
+            took_ms=round((trio.current_time() - began_s) * 1000),
         )
-        if stopped is None or not stopped.handle:
-            return copied.outcome is MoveOutcome.NO_SUCH_RUN
-        # Without room for the last part the source keeps the memory, and the run goes on there.
-        where = destination if stopped.outcome is MoveOutcome.COPIED else source
-        self._moved = Moved(source.address, stopped.handle, where.id)
-        self.state = MoverState.DONE
-        return True
 
-    async def _copy(self, source: Runner, destination: Runner, *, stop: bool) -> MoveAnswer:
-        head, body = move_request(
-            source.address, self._task.request.attempt_id, destination.address, stop=stop
-        )
+    async def _order(self, source: Runner, destination: Runner, *, stop: bool) -> MoveAnswer:
+        head, body = move_request(source.address, self._attempt, destination.address, stop=stop)
         try:
             connection = await connect_upstream(source.address, CONNECT_TIMEOUT_S)
         except ConnectFailed:
@@ -113,7 +193,7 @@
                 answer, data = await exchange(connection, head, body, MOST_ANSWER_BYTES)
             return move_answer(answer.status, data)
         except (UpstreamBroken, trio.TooSlowError, BadBody) as error:
-            log(Event.UPSTREAM_BROKEN, request=self._task.request.attempt_id, error=repr(error))
+            log(Event.UPSTREAM_BROKEN, request=self._attempt, error=repr(error))
             return MoveAnswer(MoveOutcome.FAILED, "", 0)
         finally:
             connection.close()
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -19,12 +19,13 @@
     UpstreamConnection,
     connect_upstream,
 )
+from egretstack.ids import RunnerId
 from egretstack.placing import Run, Work
 from egretstack.platform import client_head, runner_answer, runner_request
 from egretstack.relay._cursor import EventCursor, EventGap
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
-from egretstack.relay._knowledge import RequestFailed, RunKnowledge
-from egretstack.relay._mover import Mover
+from egretstack.relay._knowledge import RequestFailed
+from egretstack.relay._mover import Mover, SavedCopy
 from egretstack.relay._plain import MAX_ANSWER_BYTES, WholeAnswer, promises_not_run
 from egretstack.relay._tools import CONNECT_TIMEOUT_S, RelayTools, Task
 from egretstack.traffic import ContinueFrom
@@ -42,6 +43,16 @@
 FIRST_TOKEN_PATIENCE = 4.0
 """Times the target latency that a client waits for the first event before it gives up."""
 REFUSED_RETRY_S = 0.4
+MAX_PLACES = 3
+"""Engines that are tried for a connection; a dead one is known to all within a second or so."""
+SWITCH_DELAY_S = 0.7
+"""How long a run with a copy stays at a runner that leaves, whose notice is some 1.5 to 2 s.
+
+Where it goes on it is copied anew, whole. Those copies would share the links with the runs that
+have none yet, which have to be off their runner before it ends.
+"""
+COPY_LEAST_TOKENS = 120
+"""Output still expected from which a run that lost its copy gets another: about a second's."""
 
 
 class ClientStream(ABC):
@@ -80,30 +91,32 @@
         self._tools = tools
         self._task = task
         self._client = client
-        self._knowledge = RunKnowledge()
         self._run: Run | None = None
         self._source: UpstreamConnection | None = None
         self._splitter = EventSplitter()
         self._cursor = EventCursor()
         self._events = 0
+        self._saved: SavedCopy | None = None
+        """Where the run can go on if its runner leaves or dies."""
+        self._leaving_since_s: float | None = None
         self._mover: Mover | None = None
+        self._nursery: trio.Nursery | None = None
 
     async def serve(self) -> WholeAnswer | None:
         """Relay; give a runner's whole answer if it was no stream, else None once it is over.
 
         Raises RequestFailed while the client has seen nothing.
         """
-        placement = await self._tools.placing.place(self._work(), self._task.service.engine)
-        self._run = Run(self._work(), placement.runner, placement.backup)
-        self._tools.placing.begin(self._run)
         try:
-            return await self._serve_placed()
+            head = await self._first_head()
+            return await self._relay(head)
         finally:
-            self._tools.placing.end(self._run)
+            if self._run is not None:
+                self._tools.placing.end(self._run)
             if self._source is not None:
                 self._source.close()
 
-    def _work(self) -> Work:
+    def _work(self, excluded: tuple[RunnerId, ...]) -> Work:
         wants = self._task.request.generation
         waited_s = trio.current_time() - self._task.began_s
         patience_s = FIRST_TOKEN_PATIENCE * self._task.route.target_latency_s
@@ -115,39 +128,31 @@
             length_hint=wants.length_hint if wants else None,
             rank=self._task.rank,
             patience_s=max(0.0, min(patience_s, self._task.time_left_s()) - waited_s),
+            excluded=excluded,
         )
 
-    async def _serve_placed(self) -> WholeAnswer | None:
-        head = await self._first_head()
+    async def _relay(self, head: ResponseHead) -> WholeAnswer | None:
         answer = runner_answer(head)
-        if answer.attempt_id != self._task.request.attempt_id and not answer.rejected:
-            raise self._spoilt("another request's answer")
-        if answer.rejected:
+        if answer.rejected and answer.attempt_id in ("", self._task.request.attempt_id):
             raise RequestFailed(
                 ErrorKind.ENGINES_FULL, "rejected by the engine", retry_after_s=REFUSED_RETRY_S
             )
+        if answer.attempt_id != self._task.request.attempt_id:
+            raise self._spoilt("another request's answer")
         if not answer.sealed or answer.encoded or promises_not_run(head.status):
             raise self._spoilt("not an answer of the runner")
         if head.status != 200:
-            self._knowledge.unknown()
             return WholeAnswer(client_head(answer), await self._whole_body())
         await self._client.start(client_head(answer))
         async with trio.open_nursery() as nursery:
-            await self._relay_events(nursery)
+            self._nursery = nursery
+            await self._relay_events()
             nursery.cancel_scope.cancel()
         return None
 
     async def _first_head(self) -> ResponseHead:
-        runner = self._tools.runners.by_id.get(self._run.runner)
-        if runner is None:
-            raise RequestFailed(ErrorKind.NO_RUNNER, "the runner is gone", retry_after_s=0.1)
-        try:
-            self._source = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
-        except ConnectFailed as error:
-            log(Event.CONNECT_FAILED, request=self._task.request.attempt_id, error=str(error))
-            raise RequestFailed(
-                ErrorKind.NO_RUNNER, "the runner does not answer", retry_after_s=0.1
-            ) from error
+        """Send the request to an engine, and read the head of its answer."""
+        runner = await self._connect()
         try:
             with trio.fail_after(max(0.0, self._task.time_left_s())):
                 return await self._ask(self._source, runner, None)
@@ -156,6 +161,37 @@
         except trio.TooSlowError as error:
             raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time") from error
 
+    async def _connect(self) -> Runner:
+        """Connect to the engine that the request is placed at; to another if it is gone."""
+        excluded: tuple[RunnerId, ...] = ()
+        for _ in range(MAX_PLACES):
+            work = self._work(excluded)
+            placement = await self._tools.placing.place(work, self._task.service.engine)
+            runner = self._tools.runners.by_id.get(placement.runner)
+            try:
+                if runner is not None:
+                    self._source = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
+                    self._begin(Run(work, placement.runner, placement.backup))
+                    return runner
+            except ConnectFailed as error:
+                log(Event.CONNECT_FAILED, request=work.attempt, error=str(error))
+            excluded = (*excluded, placement.runner)
+        raise RequestFailed(
+            ErrorKind.NO_RUNNER, "engines do not answer", retry_after_s=REFUSED_RETRY_S
+        )
+
+    def _begin(self, run: Run) -> None:
+        self._run = run
+        self._tools.placing.begin(run)
+        self._note_backup()
+
+    def _note_backup(self) -> None:
+        backup = self._tools.runners.by_id.get(self._run.backup) if self._run.backup else None
+        self._saved = None
+        if backup is not None:
+            attempt = self._task.request.attempt_id
+            self._saved = SavedCopy(backup.id, backup.address, attempt)
+
     async def _ask(
         self, connection: UpstreamConnection, runner: Runner, origin: ContinueFrom | None
     ) -> ResponseHead:
@@ -181,7 +217,6 @@
         return bytes(body)
 
     def _spoilt(self, detail: str) -> RequestFailed:
-        self._knowledge.unknown()
         log(
             Event.ANSWER_SPOILT,
             request=self._task.request.attempt_id,
@@ -190,34 +225,42 @@
         )
         return RequestFailed(ErrorKind.OUTCOME_UNKNOWN, detail)
 
-    async def _relay_events(self, nursery: trio.Nursery) -> None:
+    async def _relay_events(self) -> None:
         """Pass events on to the end, from one engine after another if need be."""
         while True:
             end = await self._read_events()
             if end is _End.WHOLE:
                 await self._client.finish()
+                log(Event.STREAM_ENDED, request=self._attempt, events=self._events)
+                if self._mover is not None:
+                    await self._mover.free()
                 return
             log(
                 Event.STREAM_HALTED,
-                request=self._task.request.attempt_id,
+                request=self._attempt,
                 runner=self._run.runner,
-                backup=self._run.backup,
+                copy=self._saved.runner if self._saved else None,
                 events=self._events,
                 why=end.value,
             )
-            if end is _End.LEAVING:
-                if not await self._go_on_at_backup():
-                    self._start_mover(nursery)
-            elif not await self._go_on_elsewhere(end):
+            if self._mover is not None:
+                await self._mover.wait_if_stopping()
+            if await self._go_on_at_copy():
+                continue
+            if end is not _End.LEAVING:
                 log(
                     Event.STREAM_LOST,
-                    request=self._task.request.attempt_id,
+                    request=self._attempt,
                     runner=self._run.runner,
                     events=self._events,
                 )
                 self._client.abort()
                 return
 
+    @property
+    def _attempt(self) -> str:
+        return self._task.request.attempt_id
+
     async def _read_events(self) -> _End:
         silent_since_s = trio.current_time()
         while True:
@@ -233,22 +276,51 @@
                 return _End.WHOLE if not self._splitter.rest else _End.BROKEN
             else:
                 silent_since_s = trio.current_time()
-                try:
-                    await self._pass_on(self._cursor.accept(self._splitter.feed(data)))
-                except (EventTooLarge, EventGap) as error:
-                    log(
-                        Event.ANSWER_SPOILT,
-                        request=self._task.request.attempt_id,
-                        runner=self._run.runner,
-                        detail=str(error),
-                    )
+                if not await self._take(data):
                     return _End.BROKEN
-            if self._mover is None and not self._tools.runners.is_ready(self._run.runner):
+            if self._events and self._has_to_leave():
                 return _End.LEAVING
 
+    async def _take(self, data: bytes) -> bool:
+        """Pass on the events in some bytes; False if they are no part of this stream."""
+        try:
+            await self._pass_on(self._cursor.accept(self._splitter.feed(data)))
+        except (EventTooLarge, EventGap) as error:
+            log(
+                Event.ANSWER_SPOILT,
+                request=self._attempt,
+                runner=self._run.runner,
+                detail=str(error),
+            )
+            return False
+        return True
+
     def _may_switch(self, silent_since_s: float) -> bool:
         silent_s = trio.current_time() - silent_since_s
-        return silent_s > SILENT_S and self._events > 0 and self._backup() is not None
+        return silent_s > SILENT_S and self._events > 0 and self._has_copy()
+
+    def _has_copy(self) -> bool:
+        return self._saved is not None and self._tools.runners.is_ready(self._saved.runner)
+
+    def _has_to_leave(self) -> bool:
+        """See to a copy where one is needed; tell whether to go on at it now."""
+        now_s = trio.current_time()
+        leaving = not self._tools.runners.is_ready(self._run.runner)
+        if not leaving:
+            self._leaving_since_s = None
+        elif self._leaving_since_s is None:
+            self._leaving_since_s = now_s
+        if self._mover is not None:
+            return False
+        if not self._has_copy():
+            if leaving or self._is_long():
+                self._start_mover()
+            return False
+        return leaving and now_s - self._leaving_since_s >= SWITCH_DELAY_S
+
+    def _is_long(self) -> bool:
+        left = self._run.peak_tokens() - self._run.work.prompt_tokens - self._run.made_tokens
+        return left >= COPY_LEAST_TOKENS
 
     async def _pass_on(self, events: list[StreamEvent]) -> None:
         if not events:
@@ -261,55 +333,49 @@
         self._run.made_tokens = self._events * self._task.service.engine.tokens_per_event
         await self._client.send(b"".join(event.data for event in events))
 
-    def _backup(self) -> Runner | None:
-        backup = self._run.backup
-        if backup is None or not self._tools.runners.is_ready(backup):
-            return None
-        return self._tools.runners.by_id[backup]
-
-    async def _go_on_at_backup(self) -> bool:
-        backup = self._backup()
-        if backup is None or not self._events:
+    def _start_mover(self) -> None:
+        if not self._task.service.engine.moves:
+            return
+        self._mover = Mover(self._tools, self._task, self._run, self._take_copy)
+        self._nursery.start_soon(self._mover.run)
+
+    def _take_copy(self, saved: SavedCopy) -> None:
+        self._saved = saved
+        if saved.runner != self._run.runner:
+            self._run.backup = saved.runner
+
+    async def _go_on_at_copy(self) -> bool:
+        """Continue the run where its copy is; on failure the present source is left as it is."""
+        saved = self._saved
+        runner = self._tools.runners.by_id.get(saved.runner) if saved else None
+        if runner is None or not self._events:
             return False
-        origin = ContinueFrom(backup.address, self._task.request.attempt_id, self._cursor.last_id)
-        return await self._go_on_at(backup, origin)
-
-    async def _go_on_elsewhere(self, end: _End) -> bool:
-        """Go on where a copy is; the runner before is lost, or stopped for the copy."""
-        if self._mover is not None:
-            moved = await self._mover.result()
-            self._mover = None
-            if moved is not None:
-                destination = self._tools.runners.by_id.get(moved.destination)
-                origin = ContinueFrom(moved.source_address, moved.handle, self._cursor.last_id)
-                if destination is not None and await self._go_on_at(destination, origin):
-                    return True
-        return await self._go_on_at_backup()
-
-    async def _go_on_at(self, runner: Runner, origin: ContinueFrom) -> bool:
-        """Continue the run at another engine; on failure the present source is left as it is."""
-        before = self._run.runner, self._run.backup
+        origin = ContinueFrom(saved.origin_address, saved.copy_id, self._cursor.last_id)
+        before = self._run.runner
         self._run.runner = runner.id
         self._run.backup = self._tools.placing.backup_for(self._run, self._task.service.engine)
         began_s = trio.current_time()
         connection = await self._continued(runner, origin)
         log(
             Event.STREAM_CONTINUED if connection else Event.STREAM_NOT_CONTINUED,
-            request=self._task.request.attempt_id,
-            source=before[0],
+            request=self._attempt,
+            source=before,
             runner=runner.id,
-            after=self._cursor.last_id,
+            after=origin.last_event_id,
             took_ms=round((trio.current_time() - began_s) * 1000),
         )
         if connection is None:
-            self._run.runner, self._run.backup = before
-            if self._run.backup == runner.id:
-                self._run.backup = None
+            self._run.runner, self._run.backup, self._saved = before, None, None
             return False
         # The runner before may not work on beside the new one.
         self._source.close()
         self._source = connection
         self._splitter = EventSplitter()
+        self._leaving_since_s = None
+        if self._mover is not None:
+            self._mover.scope.cancel()
+            self._mover = None
+        self._note_backup()
         return True
 
     async def _continued(self, runner: Runner, origin: ContinueFrom) -> UpstreamConnection | None:
@@ -330,14 +396,10 @@
         sound = (
             answer is not None
             and answer.head.status == 200
-            and answer.attempt_id == self._task.request.attempt_id
+            and answer.attempt_id == self._attempt
             and not answer.rejected
         )
         if not sound:
             connection.close()
             return None
         return connection
-
-    def _start_mover(self, nursery: trio.Nursery) -> None:
-        self._mover = Mover(self._tools, self._task, self._run)
-        nursery.start_soon(self._mover.run)
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -42,6 +42,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
+        self._store = kernel.get(StoreReading)
         self._placer = Placer(self._port.runners, kernel.rng)
         self._turns = MoveTurns()
         self._run_by_attempt: dict[str, Run] = {}
@@ -85,6 +86,10 @@
             runner=decided.runner,
             backup=decided.backup,
             by="home" if answer else "self",
+            prompt=work.prompt_tokens,
+            most=work.max_output_tokens,
+            hint=work.length_hint,
+            rank=work.rank,
             runners_age_s=round(self._port.runners.age_s(trio.current_time()), 3),
         )
         return decided
@@ -186,15 +191,10 @@
     def _take_news(self, news: FleetNews) -> None:
         self._placer.told(trio.current_time(), news.loads)
 
-    def _engine(self, run_service: str) -> EnginePlan | None:
-        table = self.kernel.get(StoreReading).gate.table
-        service = None if table is None else table.service(run_service)
-        return None if service is None else service.engine
-
     def _answer_place(self, ask: PlaceAsk, sender: tuple[str, int]) -> None:
         work = work_of(ask.work)
         address = self._port.address_of(InstanceId(ask.sender))
-        engine = self._engine(work.service)
+        engine = self._store.engine(work.service)
         if address is None or engine is None:
             return  # The asker places by its own view.
         self._report_own_runs()
@@ -215,7 +215,7 @@
     def _answer_move(self, ask: MoveAsk, sender: tuple[str, int]) -> None:
         address = self._port.address_of(InstanceId(ask.sender))
         run = self._placer.run(ask.attempt)
-        engine = None if run is None else self._engine(run.work.service)
+        engine = None if run is None else self._store.engine(run.work.service)
         if address is None or engine is None:
             return  # Asked again soon; the run's report may have been lost.
         destination = self._turn(ask.attempt, RunnerId(ask.source), ask.order, run, engine)
--- /dev/null
+++ b/egretstack/services/engine_reports.py
@@ -0,0 +1,104 @@
+"""Asks engines for their own reports, as the home, for the whole fleet.
+
+Reports tell of a leaving or dead engine while the store cannot, and sooner. One reader keeps their
+number independent of the number of instances.
+"""
+
+import trio
+
+from egretstack.events import Event, log
+from egretstack.fleet import Runner, RunnerState, Silence
+from egretstack.http1 import ConnectFailed, ConnectionPool, UpstreamBroken, exchange
+from egretstack.kernel import Kernel, Service
+from egretstack.platform import BadBody, report_request, runner_report
+from egretstack.services.fleet_port import FleetPort
+from egretstack.services.store_reading import StoreReading
+from egretstack.traffic import RunnerReport
+
+LOOK_S = 0.1
+PERIOD_S = 1.0
+"""Each report costs a call; with the store there, its list tells of leaving runners sooner."""
+STORE_AWAY_S = 1.0
+"""Age of the list of runners from which reports stand in for it."""
+STORE_AWAY_PERIOD_S = 0.25
+"""Runners are gone some 1.5 s after their notice: a run needs the better part of that to move."""
+TIMEOUT_S = 0.5
+MAX_REPORT_BYTES = 1_048_576
+
+
+class EngineReports(Service):
+    """Learns from engines whether they leave or are silent."""
+
+    name = "engine_reports"
+    requires = ("fleet_port", "store_reading")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._port = kernel.get(FleetPort)
+        self._store = kernel.get(StoreReading)
+        self._pool = ConnectionPool(max_idle=1)
+        self._silence = Silence()
+        self._asked_s = float("-inf")
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Ask while this instance is the home."""
+        task_status.started()
+        try:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    await trio.sleep(LOOK_S)
+                    if self._port.is_home() and self._is_due():
+                        self._ask_all(nursery)
+        finally:
+            self._pool.close()
+
+    def _is_due(self) -> bool:
+        now_s = trio.current_time()
+        away = self._port.runners.age_s(now_s) > STORE_AWAY_S
+        return now_s - self._asked_s >= (STORE_AWAY_PERIOD_S if away else PERIOD_S)
+
+    def _ask_all(self, nursery: trio.Nursery) -> None:
+        self._asked_s = trio.current_time()
+        engines = [
+            runner
+            for runner in self._port.runners.by_id.values()
+            if runner.state is RunnerState.READY and self._store.engine(runner.service)
+        ]
+        silent = self._silence.silent({runner.id for runner in engines})
+        if silent != self._port.runners.silent:
+            log(Event.RUNNERS_SILENT, runners=",".join(sorted(silent)))
+            self._port.runners.silent = silent
+            self._port.tell_soon()
+        for runner in engines:
+            nursery.start_soon(self._ask, runner)
+
+    async def _ask(self, runner: Runner) -> None:
+        report = await self._report(runner)
+        if report is None:
+            self._silence.missed(runner.id)
+            return
+        self._silence.answered(runner.id)
+        if report.leaving or report.leaves_in_s is not None:
+            self._port.notice(runner.id)
+
+    async def _report(self, runner: Runner) -> RunnerReport | None:
+        """Ask one engine; None if it gives no report that can be read."""
+        try:
+            connection = await self._pool.take(runner.address, TIMEOUT_S)
+        except ConnectFailed:
+            return None
+        try:
+            with trio.fail_after(TIMEOUT_S):
+                head, body = await exchange(
+                    connection, report_request(runner.address), b"", MAX_REPORT_BYTES
+                )
+            report = runner_report(body) if head.status == 200 else None
+        except (UpstreamBroken, trio.TooSlowError, BadBody) as error:
+            connection.close()
+            log(Event.REPORT_UNREADABLE, runner=runner.id, error=repr(error))
+            return None
+        except BaseException:
+            connection.close()
+            raise
+        self._pool.give_back(connection)
+        return report
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -24,7 +24,7 @@
     runner_of,
     runner_row,
 )
-from egretstack.ids import InstanceId
+from egretstack.ids import InstanceId, RunnerId
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import Message, MessageError, decode, encode
 from egretstack.platform import NodeSettings
@@ -171,6 +171,7 @@
             runners_revision=self.runners.revision,
             runners_age_ms=round(age_s * 1000),
             runners=[runner_row(runner) for runner in self.runners.by_id.values()],
+            silent=sorted(self.runners.silent),
             loads=self.loads(),
         )
         for known in others:
@@ -214,6 +215,7 @@
         listed = rows_of(news.runners, runner_of)
         self.take_runners(listed, news.runners_revision, read_s)
         if home == self.fleet.home(now_s):
+            self.runners.silent = frozenset(RunnerId(str(one)) for one in news.silent)
             for taker in self._news_takers:
                 taker(news)
 
@@ -224,3 +226,9 @@
             log(Event.RUNNER_LEAVES, runner=runner.id, service=runner.service, revision=revision)
         if stopped and self.is_home():
             self.tell_soon()
+
+    def notice(self, runner: RunnerId) -> None:
+        """Take a runner's own word that it leaves."""
+        if self.runners.notice(trio.current_time(), runner):
+            log(Event.RUNNER_LEAVES, runner=runner, by="itself")
+            self.tell_soon()
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -11,7 +11,7 @@
 
 from egretstack.events import Event, log
 from egretstack.fleet import Instance, InstanceState, KnownInstance, Runner, fetch_text
-from egretstack.ids import InstanceId, RunnerId, ZoneName
+from egretstack.ids import InstanceId, RunnerId, ServiceName, ZoneName
 from egretstack.kernel import Kernel, Service
 from egretstack.platform import (
     CONFIGURATION_NAME,
@@ -28,7 +28,7 @@
     decode_runner,
     parse_object,
 )
-from egretstack.routing import VersionGate
+from egretstack.routing import EnginePlan, VersionGate
 from egretstack.services.fleet_port import FleetPort
 
 CONFIG_WATCH_S = 4.0
@@ -80,6 +80,11 @@
         """Tell whether there is a configuration and a list of runners to work by."""
         return self.gate.table is not None and bool(self._port.runners.by_id)
 
+    def engine(self, service: ServiceName) -> EnginePlan | None:
+        """Give what is common to the engines of a service; None if it has none."""
+        plan = None if self.gate.table is None else self.gate.table.service(service)
+        return None if plan is None else plan.engine
+
     def take_configuration(self, spec: dict[str, object], source: str) -> None:
         """Put a configuration in force if it is newer."""
         try:
