--- a/egretstack/fleet/__init__.py
+++ b/egretstack/fleet/__init__.py
@@ -4,6 +4,8 @@
 from egretstack.fleet._fleet import REPORT_PERIOD_S, Fleet
 from egretstack.fleet._instance import Instance, InstanceState, KnownInstance
 from egretstack.fleet._messages import (
+    BackupAnswer,
+    BackupAsk,
     FleetNews,
     FleetView,
     InstanceReport,
@@ -24,6 +26,8 @@
 
 __all__ = [
     "REPORT_PERIOD_S",
+    "BackupAnswer",
+    "BackupAsk",
     "Fleet",
     "FleetNews",
     "FleetView",
--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -35,7 +35,8 @@
 
     number: ClassVar[int] = 71
     home: str
-    incarnation: int
+    whole: bool
+    """Whether the rows are here; otherwise it only says that they still hold."""
     instances: list
     runners_revision: int
     runners_age_ms: int
@@ -70,9 +71,31 @@
     attempt: str
     runner: str
     backup: str
+    spare: bool
+    """Whether the engine had no room; the run takes none from others."""
     retry_after_ms: int
 
 
+@dataclass(frozen=True)
+class BackupAsk(Message):
+    """Asks the home where a run that goes on at another runner is copied from now on."""
+
+    number: ClassVar[int] = 78
+    sender: str
+    attempt: str
+    runner: str
+    """Where the run goes on."""
+
+
+@dataclass(frozen=True)
+class BackupAnswer(Message):
+    """The runner for the copy; empty if there is no room."""
+
+    number: ClassVar[int] = 79
+    attempt: str
+    backup: str
+
+
 @dataclass(frozen=True)
 class MoveAsk(Message):
     """Asks the home for this run's turn to be copied off its runner."""
--- a/egretstack/fleet/_runner_table.py
+++ b/egretstack/fleet/_runner_table.py
@@ -54,6 +54,11 @@
         self.read_s = max(self.read_s, read_s)
         return self._replace(now_s, {runner.id: runner for runner in runners})
 
+    def still_holds(self, revision: int, read_s: float) -> None:
+        """Note that the reading of a revision was found unchanged."""
+        if revision == self.revision:
+            self.read_s = max(self.read_s, read_s)
+
     def notice(self, now_s: float, runner_id: RunnerId) -> bool:
         """Note that a runner itself said that it leaves; tell whether that is news."""
         runner = self.by_id.get(runner_id)
--- a/egretstack/placing/_loads.py
+++ b/egretstack/placing/_loads.py
@@ -11,31 +11,31 @@
     """What one engine has to do."""
 
     runs: int = 0
-    peak_tokens: float = 0.0
-    """Memory to reckon with for its runs."""
+    held_tokens: float = 0.0
+    """Memory that its runs take now or soon."""
     copy_tokens: float = 0.0
-    """Memory to reckon with for backup copies of runs elsewhere."""
+    """Memory that copies of runs elsewhere take now or soon."""
     unread: dict[str, float] = field(default_factory=dict)
     """Prompt tokens of each run that waits for its first token, by attempt."""
     unread_until_s: float = 0.0
     """When all prompts sent so far are forecast to have been read."""
 
     def filled(self, capacity: int) -> float:
-        """Give the share of memory that runs and copies are forecast to take."""
-        return (self.peak_tokens + self.copy_tokens) / max(1, capacity)
+        """Give the share of memory that runs and copies take."""
+        return (self.held_tokens + self.copy_tokens) / max(1, capacity)
 
 
 def load_row(runner: RunnerId, load: EngineLoad, now_s: float) -> list:
     """Give the row of a load for a message."""
     wait_ms = max(0, round((load.unread_until_s - now_s) * 1000))
-    return [runner, load.runs, round(load.peak_tokens), round(load.copy_tokens), wait_ms]
+    return [runner, load.runs, round(load.held_tokens), round(load.copy_tokens), wait_ms]
 
 
 def load_of(row: object, now_s: float) -> tuple[RunnerId, EngineLoad]:
     """Read the row of a load. Raises MessageError."""
     try:
-        runner, runs, peak, copies, wait_ms = row
-        load = EngineLoad(int(runs), float(peak), float(copies))
+        runner, runs, held, copies, wait_ms = row
+        load = EngineLoad(int(runs), float(held), float(copies))
         load.unread_until_s = now_s + int(wait_ms) / 1000
         return RunnerId(str(runner)), load
     except (TypeError, ValueError) as error:
--- a/egretstack/placing/_move_turns.py
+++ b/egretstack/placing/_move_turns.py
@@ -35,13 +35,21 @@
         holder = self._holder_by_source.get(source)
         if holder is not None and now_s - holder[1] < TURN_S:
             return holder[0] == attempt
+        return self.grant(now_s, source) == attempt
+
+    def grant(self, now_s: float, source: RunnerId) -> str | None:
+        """Give the turn to the first of those that ask, if nobody has it; None if nobody asks."""
+        holder = self._holder_by_source.get(source)
+        if holder is not None and now_s - holder[1] < TURN_S:
+            return None
+        asking = self._asking_by_source.get(source, {})
         for name in [one for one, it in asking.items() if now_s - it.asked_s > ASKING_S]:
             del asking[name]
+        if not asking:
+            return None
         first = min(asking, key=lambda name: asking[name].order)
-        if first != attempt:
-            return False
-        self._holder_by_source[source] = (attempt, now_s)
-        return True
+        self._holder_by_source[source] = (first, now_s)
+        return first
 
     def done(self, source: RunnerId, attempt: str) -> None:
         """Note that a turn is over."""
--- a/egretstack/placing/_placer.py
+++ b/egretstack/placing/_placer.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass
 
 from egretstack.fleet import Runner, RunnerTable
-from egretstack.ids import InstanceId, RunnerId
+from egretstack.ids import InstanceId, RunnerId, ServiceName
 from egretstack.messages import MessageError
+from egretstack.placing._lengths import LengthForecast
 from egretstack.placing._loads import EngineLoad, load_of, load_row
 from egretstack.placing._run import Run, Work
 from egretstack.routing import EnginePlan
@@ -21,10 +22,23 @@
 """Rate at which an engine is taken to read prompts before any first token was timed."""
 PREFILL_MEMORY = 0.9
 """Weight of what was learned in each update of that rate."""
-FULL_SHARE = 0.92
-"""Part of an engine's memory that forecast peaks of runs may fill; lengths are estimates."""
-COPY_SHARE = 0.85
+GROWTH_TOKENS = 150
+"""What a run is reckoned to grow by before another one on its engine ends."""
+FULL_SHARE = 0.95
+"""Part of an engine's memory that runs and copies may take; an engine that fills up preempts the
+newest of its least urgent runs, in the middle of its stream."""
+MEASURED_LIFE_S = 2.5
+"""How long an engine's own figure counts: two readings and a half."""
+WAITING_S = 0.3
+"""How long work that waits counts after its last question; it asks every tenth of a second."""
+COPY_SHARE = 0.65
 """Part of an engine's memory that runs and copies together may fill when a copy is added."""
+COPIES_SHARE = 0.4
+"""Part of an engine's memory that copies alone may take: on an engine that has just started, and
+looks emptiest to all, they would leave no room for work."""
+FLEET_COPY_SHARE = 0.6
+"""Part of all engines' memory that runs and copies may take when a copy is added: what is left
+is for new work, and for the runs of an engine that leaves."""
 BACKUP_LEAST_TOKENS = 64
 """Expected output from which a backup copy pays: a shorter run ends before it could move."""
 MEMORY_WEIGHT_S = 0.6
@@ -48,21 +62,33 @@
 
     runner: RunnerId
     backup: RunnerId | None
+    spare: bool = False
+    """No engine had room: it may not take any from the runs that had."""
 
 
 @dataclass(frozen=True, slots=True)
 class PlaceRefused:
-    """No engine can start the generation in time; when to come back."""
+    """No engine has room for the generation now, or others go first."""
 
     retry_after_s: float
+    """Forecast of when there is room."""
 
 
 @dataclass(slots=True)
 class _Pending:
     run: Run
+    placement: Placement
     placed_s: float
 
 
+@dataclass(slots=True)
+class _Waiting:
+    order: tuple[bool, int, float]
+    """Whether it is late already, its rank, then the time of the first question."""
+    service: ServiceName
+    asked_s: float
+
+
 class Placer:
     """The runs of the fleet by engine, and the choice of the next engine."""
 
@@ -71,13 +97,25 @@
         self._rng = rng
         self._runs_by_instance: dict[InstanceId, list[Run]] = {}
         self._pending: dict[str, _Pending] = {}
+        self._waiting: dict[str, _Waiting] = {}
+        self._booked_by_id: dict[RunnerId, float] = {}
+        """What the book said when each engine was last measured."""
+        self._unbooked_by_id: dict[RunnerId, tuple[float, float]] = {}
         self._told: dict[RunnerId, EngineLoad] = {}
         """Loads that another home told; used while the runs of others are not known here."""
         self._unread_until_s: dict[RunnerId, float] = {}
         self._prefill_per_s = PREFILL_TOKENS_PER_S
+        self._lengths = LengthForecast()
 
     def reported(self, instance: InstanceId, runs: list[Run]) -> None:
         """Take what an instance runs, in place of its earlier report."""
+        going_on = {run.work.attempt for run in runs}
+        for run in self._runs_by_instance.get(instance, ()):
+            if run.work.attempt not in going_on and run.started:
+                work = run.work
+                self._lengths.finished(
+                    work.service, work.max_output_tokens, work.length_hint, run.made_tokens
+                )
         self._runs_by_instance[instance] = runs
         for run in runs:
             self._pending.pop(run.work.attempt, None)
@@ -103,8 +141,24 @@
         except TypeError as error:
             raise MessageError(f"not loads: {error}") from error
 
+    def measured(self, now_s: float, runner_id: RunnerId, used_tokens: int) -> None:
+        """Take what an engine itself says is in use, as of a moment ago.
+
+        Copies stay for seconds after their run has moved on or was broken off. The book knows
+        nothing of them, and an engine that looks free by the book lets what is sent there wait.
+        """
+        load = self.loads(now_s, whole=True).get(runner_id)
+        if load is None:
+            return
+        booked = load.held_tokens + load.copy_tokens
+        before = self._booked_by_id.get(runner_id, booked)
+        self._booked_by_id[runner_id] = booked
+        unbooked = max(0.0, used_tokens - max(booked, before))
+        self._unbooked_by_id[runner_id] = (unbooked, now_s)
+
     def ended(self, attempt: str) -> None:
         """Note that a placement led to nothing, or is over."""
+        self._waiting.pop(attempt, None)
         self._pending.pop(attempt, None)
 
     def first_token(self, prompt_tokens: int, waited_s: float) -> None:
@@ -122,11 +176,14 @@
             told = self._told.get(runner_id)
             start = EngineLoad() if whole or told is None else told
             loads[runner_id] = EngineLoad(
-                start.runs, start.peak_tokens, start.copy_tokens, {}, start.unread_until_s
+                start.runs, start.held_tokens, start.copy_tokens, {}, start.unread_until_s
             )
         for run in self._known_runs(whole):
             self._add(loads, run)
         for runner_id, load in loads.items():
+            unbooked, measured_s = self._unbooked_by_id.get(runner_id, (0.0, now_s))
+            if whole and now_s - measured_s < MEASURED_LIFE_S:
+                load.copy_tokens += unbooked
             until_s = self._unread_until_s.get(runner_id, 0.0)
             if load.unread or not whole:
                 load.unread_until_s = max(load.unread_until_s, until_s)
@@ -142,25 +199,49 @@
     ) -> Placement | PlaceRefused:
         """Choose an engine for a generation, and note it as placed."""
         asked_before = self._pending.get(work.attempt)
-        if asked_before is not None:
-            return Placement(asked_before.run.runner, asked_before.run.backup)
+        if asked_before is not None and asked_before.run.runner not in work.excluded:
+            return asked_before.placement
         loads = self.loads(now_s, whole=whole)
         candidates = [
             runner
             for runner in self._runners.ready(work.service)
             if runner.id not in work.excluded and runner.id in loads
         ]
-        chosen = self._choose(now_s, work, engine, candidates, loads)
-        if isinstance(chosen, PlaceRefused):
-            return chosen
-        backup = self._backup(work, engine, chosen, candidates, loads)
-        self._note(now_s, work, chosen, backup)
-        return Placement(chosen.id, None if backup is None else backup.id)
+        turn = self._is_turn(now_s, work) or self._is_short(work)
+        fitting = self._fitting(now_s, work, engine, candidates, loads) if turn else []
+        if not fitting and not (work.must_place and candidates):
+            return PlaceRefused(self._room_after_s(now_s, candidates, loads))
+        self._waiting.pop(work.attempt, None)
+        if fitting:
+            chosen = self._best(now_s, engine, fitting, loads)
+            backup = self._backup(work, engine, chosen, candidates, loads)
+            return self._note(now_s, work, chosen, backup, spare=False)
+        chosen = min(candidates, key=lambda runner: self._taken(loads[runner.id], copies=True))
+        return self._note(now_s, work, chosen, None, spare=True)
+
+    def soon_tokens(self, run: Run) -> float:
+        """Give the memory that a run takes now or soon.
+
+        Runs end as others grow: memory summed over an engine's runs is highest about now, as long
+        as nothing is added. What each may grow by before the next one ends is counted.
+        """
+        growth = min(GROWTH_TOKENS, self.tokens_left(run))
+        return run.work.prompt_tokens + run.made_tokens + growth
+
+    def tokens_left(self, run: Run) -> float:
+        """Give the output that a run is still expected to make."""
+        return self._expected(run.work, run.made_tokens) - run.made_tokens
 
     def destination(
         self, now_s: float, run: Run, engine: EnginePlan, *, whole: bool
     ) -> RunnerId | None:
-        """Choose an engine to which a run can be copied, or None."""
+        """Choose an engine to which a run can be copied, or None.
+
+        A run whose runner leaves may take any room that runs leave; a copy that is only kept in
+        case has to leave more.
+        """
+        leaving = not self._runners.is_ready(run.runner)
+        limit = engine.kv_capacity_tokens * (1.0 if leaving else COPY_SHARE)
         loads = self.loads(now_s, whole=whole)
         source = self._runners.by_id.get(run.runner)
         rooms = [
@@ -172,47 +253,97 @@
             for runner in self._runners.ready(run.work.service)
             if runner.id != run.runner
             and loads[runner.id].runs < engine.batch_slots
-            and loads[runner.id].peak_tokens + run.peak_tokens() < engine.kv_capacity_tokens
+            and self._taken(loads[runner.id], copies=not leaving) + self.soon_tokens(run) < limit
         ]
         return min(rooms)[2] if rooms else None
 
-    def backup_for(
-        self, now_s: float, run: Run, engine: EnginePlan, *, whole: bool
+    def move_run(
+        self, now_s: float, attempt: str, runner_id: RunnerId, engine: EnginePlan
     ) -> RunnerId | None:
-        """Choose where a run that moved is copied from now on, or None."""
-        loads = self.loads(now_s, whole=whole)
+        """Note that a run goes on at another engine; choose where it is copied from now on."""
+        run = self.run(attempt)
+        runner = self._runners.by_id.get(runner_id)
+        if run is None or runner is None:
+            return None
+        run.runner, run.backup = runner_id, None
+        loads = self.loads(now_s, whole=True)
         ready = self._runners.ready(run.work.service)
-        own = self._runners.by_id.get(run.runner)
-        backup = self._backup(run.work, engine, own, ready, loads) if own else None
-        return None if backup is None else backup.id
-
-    def _choose(
+        backup = self._backup(run.work, engine, runner, ready, loads)
+        run.backup = None if backup is None else backup.id
+        return run.backup
+
+    def copying(self, attempt: str, destination: RunnerId) -> None:
+        """Note that a run is being copied to an engine."""
+        run = self.run(attempt)
+        if run is not None:
+            run.backup = destination
+
+    def _is_turn(self, now_s: float, work: Work) -> bool:
+        """Tell whether no other work that waits goes first."""
+        for attempt in [one for one, it in self._waiting.items() if now_s - it.asked_s > WAITING_S]:
+            del self._waiting[attempt]
+        known = self._waiting.get(work.attempt)
+        # Those whose first token can still be in time go first: a late one can as well be later.
+        late = work.patience_s <= 0
+        order = (late, work.rank, now_s if known is None else known.order[2])
+        self._waiting[work.attempt] = _Waiting(order, work.service, now_s)
+        return all(
+            order <= other.order
+            for other in self._waiting.values()
+            if other.service == work.service
+        )
+
+    def _is_short(self, work: Work) -> bool:
+        """Tell whether work is over before it could matter that others wait."""
+        return self._expected(work, 0) < BACKUP_LEAST_TOKENS
+
+    def _fitting(
         self,
         now_s: float,
         work: Work,
         engine: EnginePlan,
         candidates: list[Runner],
         loads: dict[RunnerId, EngineLoad],
-    ) -> Runner | PlaceRefused:
-        scored = []
-        soonest_s = RETRY_MOST_S
+    ) -> list[Runner]:
+        """Give the engines with a free slot, room, and time to read the prompt."""
+        need = work.prompt_tokens + min(GROWTH_TOKENS, self._expected(work, 0))
+        fitting = []
         for runner in candidates:
             load = loads[runner.id]
-            wait_s = max(0.0, load.unread_until_s - now_s)
-            soonest_s = min(soonest_s, wait_s)
             if load.runs >= min(engine.batch_slots, runner.slots):
                 continue
-            need = work.prompt_tokens + work.expected_output()
-            if load.runs and load.peak_tokens + need > FULL_SHARE * engine.kv_capacity_tokens:
+            taken = self._taken(load, copies=True)
+            if load.runs and taken + need > FULL_SHARE * engine.kv_capacity_tokens:
                 continue
-            if wait_s + work.prompt_tokens / self._prefill_per_s > work.patience_s:
+            wait_s = max(0.0, load.unread_until_s - now_s)
+            read_s = wait_s + work.prompt_tokens / self._prefill_per_s
+            if work.patience_s > 0 and read_s > work.patience_s:
                 continue
+            fitting.append(runner)
+        return fitting
+
+    def _best(
+        self,
+        now_s: float,
+        engine: EnginePlan,
+        fitting: list[Runner],
+        loads: dict[RunnerId, EngineLoad],
+    ) -> Runner:
+        scored = []
+        for runner in fitting:
+            load = loads[runner.id]
+            wait_s = max(0.0, load.unread_until_s - now_s)
             scored.append((self._score_s(engine, runner, load, wait_s), runner))
-        if not scored:
-            return PlaceRefused(min(RETRY_MOST_S, max(RETRY_LEAST_S, soonest_s)))
         best_s = min(score_s for score_s, _ in scored)
         return self._rng.choice([one for score_s, one in scored if score_s <= best_s + NEAR_S])
 
+    @staticmethod
+    def _room_after_s(
+        now_s: float, candidates: list[Runner], loads: dict[RunnerId, EngineLoad]
+    ) -> float:
+        waits = [max(0.0, loads[runner.id].unread_until_s - now_s) for runner in candidates]
+        return min(RETRY_MOST_S, max(RETRY_LEAST_S, min(waits, default=RETRY_MOST_S)))
+
     @staticmethod
     def _score_s(engine: EnginePlan, runner: Runner, load: EngineLoad, wait_s: float) -> float:
         memory_s = MEMORY_WEIGHT_S * load.filled(engine.kv_capacity_tokens)
@@ -228,24 +359,44 @@
         candidates: list[Runner],
         loads: dict[RunnerId, EngineLoad],
     ) -> Runner | None:
-        if not engine.backups or work.expected_output() < BACKUP_LEAST_TOKENS:
+        expected = self._expected(work, 0)
+        if not engine.backups or expected < BACKUP_LEAST_TOKENS:
             return None
-        need = work.prompt_tokens + work.expected_output()
+        need = work.prompt_tokens + expected
         capacity = engine.kv_capacity_tokens
+        if not self._may_copy(engine, candidates, loads, need):
+            return None
         rooms = []
         for runner in candidates:
             load = loads[runner.id]
-            taken = load.peak_tokens + load.copy_tokens
-            if runner.id != chosen.id and taken + need <= COPY_SHARE * capacity:
+            taken = self._taken(load, copies=True)
+            if runner.id == chosen.id or load.copy_tokens + need > COPIES_SHARE * capacity:
+                continue
+            if taken + need <= COPY_SHARE * capacity:
                 cost = taken / capacity + _distance(chosen, runner)
                 rooms.append((cost, self._rng.random(), runner))
         return min(rooms, key=lambda room: room[:2])[2] if rooms else None
 
-    def _note(self, now_s: float, work: Work, chosen: Runner, backup: Runner | None) -> None:
-        run = Run(work, chosen.id, None if backup is None else backup.id)
-        self._pending[work.attempt] = _Pending(run, now_s)
+    def _may_copy(
+        self,
+        engine: EnginePlan,
+        candidates: list[Runner],
+        loads: dict[RunnerId, EngineLoad],
+        need: float,
+    ) -> bool:
+        """Tell whether memory is free enough, over all engines, to keep one more copy in case."""
+        taken = sum(self._taken(loads[runner.id], copies=True) for runner in candidates)
+        return taken + need <= FLEET_COPY_SHARE * engine.kv_capacity_tokens * len(candidates)
+
+    def _note(
+        self, now_s: float, work: Work, chosen: Runner, backup: Runner | None, *, spare: bool
+    ) -> Placement:
+        placement = Placement(chosen.id, None if backup is None else backup.id, spare)
+        run = Run(work, placement.runner, placement.backup)
+        self._pending[work.attempt] = _Pending(run, placement, now_s)
         begins_s = max(now_s, self._unread_until_s.get(chosen.id, 0.0))
         self._unread_until_s[chosen.id] = begins_s + work.prompt_tokens / self._prefill_per_s
+        return placement
 
     def _known_runs(self, whole: bool) -> Iterable[Run]:
         if whole:
@@ -254,18 +405,26 @@
         for pending in self._pending.values():
             yield pending.run
 
+    def _expected(self, work: Work, made_tokens: int) -> float:
+        return self._lengths.expected(
+            work.service, work.max_output_tokens, work.length_hint, made_tokens
+        )
+
     @staticmethod
-    def _add(loads: dict[RunnerId, EngineLoad], run: Run) -> None:
-        peak = run.peak_tokens()
+    def _taken(load: EngineLoad, *, copies: bool) -> float:
+        return load.held_tokens + (load.copy_tokens if copies else 0.0)
+
+    def _add(self, loads: dict[RunnerId, EngineLoad], run: Run) -> None:
+        soon = self.soon_tokens(run)
         load = loads.get(run.runner)
         if load is not None:
             load.runs += 1
-            load.peak_tokens += peak
+            load.held_tokens += soon
             if not run.started:
                 load.unread[run.work.attempt] = run.work.prompt_tokens
         copy = None if run.backup is None else loads.get(run.backup)
         if copy is not None:
-            copy.copy_tokens += peak
+            copy.copy_tokens += soon
 
     def _drop_old(self, now_s: float) -> None:
         old = [
--- a/egretstack/placing/_run.py
+++ b/egretstack/placing/_run.py
@@ -5,13 +5,6 @@
 from egretstack.ids import RunnerId, ServiceName
 from egretstack.messages import MessageError
 
-HINT_MARGIN = 1.25
-"""A client's estimate of the length is right at the median only; this covers most of its error."""
-UNKNOWN_SHARE = 0.5
-"""Part of the most output that is expected where the client gives no estimate."""
-OVERRUN_SHARE = 0.25
-"""What a run that passed its expected length is expected to go on for, as part of that length."""
-
 
 @dataclass(frozen=True, slots=True)
 class Work:
@@ -25,15 +18,11 @@
     rank: int
     """0 is the most urgent."""
     patience_s: float
-    """Longest wait for the first token that is of use to the caller."""
+    """Time left until the first token comes late for the caller."""
+    must_place: bool = False
+    """It has waited long enough: the least bad engine is better than none."""
     excluded: tuple[RunnerId, ...] = ()
 
-    def expected_output(self) -> float:
-        """Give the output tokens to reckon with before any is made."""
-        if self.length_hint is None:
-            return self.max_output_tokens * UNKNOWN_SHARE
-        return min(self.max_output_tokens, self.length_hint * HINT_MARGIN)
-
 
 @dataclass(slots=True)
 class Run:
@@ -46,13 +35,6 @@
     started: bool = False
     """Whether its first token came."""
 
-    def peak_tokens(self) -> float:
-        """Give the memory to reckon with at its end."""
-        expected = self.work.expected_output()
-        if self.made_tokens >= expected:
-            expected = self.made_tokens + expected * OVERRUN_SHARE
-        return self.work.prompt_tokens + min(expected, self.work.max_output_tokens)
-
 
 def work_row(work: Work) -> list:
     """Give the row of a work for a message."""
@@ -64,6 +46,7 @@
         work.length_hint,
         work.rank,
         round(work.patience_s * 1000),
+        work.must_place,
         list(work.excluded),
     ]
 
@@ -71,7 +54,7 @@
 def work_of(row: object) -> Work:
     """Read the row of a work. Raises MessageError."""
     try:
-        attempt, service, prompt, most, hint, rank, patience_ms, excluded = row
+        attempt, service, prompt, most, hint, rank, patience_ms, must_place, excluded = row
         return Work(
             str(attempt),
             ServiceName(str(service)),
@@ -80,6 +63,7 @@
             None if hint is None else int(hint),
             int(rank),
             int(patience_ms) / 1000,
+            bool(must_place),
             tuple(RunnerId(str(one)) for one in excluded),
         )
     except (TypeError, ValueError) as error:
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -40,8 +40,8 @@
 """
 RESUME_TIMEOUT_S = 1.0
 """Time for the first sign of a continued run: what its copy lacks has to be read again."""
-FIRST_TOKEN_PATIENCE = 4.0
-"""Times the target latency that a client waits for the first event before it gives up."""
+SPARE_PRIORITY = 9
+"""The last to be admitted by an engine, and the first to yield."""
 REFUSED_RETRY_S = 0.4
 MAX_PLACES = 3
 """Engines that are tried for a connection; a dead one is known to all within a second or so."""
@@ -96,6 +96,7 @@
         self._splitter = EventSplitter()
         self._cursor = EventCursor()
         self._events = 0
+        self._spare = False
         self._saved: SavedCopy | None = None
         """Where the run can go on if its runner leaves or dies."""
         self._leaving_since_s: float | None = None
@@ -119,7 +120,6 @@
     def _work(self, excluded: tuple[RunnerId, ...]) -> Work:
         wants = self._task.request.generation
         waited_s = trio.current_time() - self._task.began_s
-        patience_s = FIRST_TOKEN_PATIENCE * self._task.route.target_latency_s
         return Work(
             attempt=self._task.request.attempt_id,
             service=self._task.service.name,
@@ -127,7 +127,7 @@
             max_output_tokens=wants.max_output_tokens if wants else 0,
             length_hint=wants.length_hint if wants else None,
             rank=self._task.rank,
-            patience_s=max(0.0, min(patience_s, self._task.time_left_s()) - waited_s),
+            patience_s=max(0.0, self._task.route.target_latency_s - waited_s),
             excluded=excluded,
         )
 
@@ -167,6 +167,7 @@
         for _ in range(MAX_PLACES):
             work = self._work(excluded)
             placement = await self._tools.placing.place(work, self._task.service.engine)
+            self._spare = placement.spare
             runner = self._tools.runners.by_id.get(placement.runner)
             try:
                 if runner is not None:
@@ -198,7 +199,7 @@
         backup = self._tools.runners.by_id.get(self._run.backup) if self._run.backup else None
         terms = self._task.terms(
             runner,
-            priority=self._task.rank,
+            priority=SPARE_PRIORITY if self._spare else self._task.priority,
             backup_address=None if backup is None else backup.address,
             continue_from=origin,
         )
@@ -319,8 +320,7 @@
         return leaving and now_s - self._leaving_since_s >= SWITCH_DELAY_S
 
     def _is_long(self) -> bool:
-        left = self._run.peak_tokens() - self._run.work.prompt_tokens - self._run.made_tokens
-        return left >= COPY_LEAST_TOKENS
+        return self._tools.placing.tokens_left(self._run) >= COPY_LEAST_TOKENS
 
     async def _pass_on(self, events: list[StreamEvent]) -> None:
         if not events:
@@ -353,7 +353,9 @@
         origin = ContinueFrom(saved.origin_address, saved.copy_id, self._cursor.last_id)
         before = self._run.runner
         self._run.runner = runner.id
-        self._run.backup = self._tools.placing.backup_for(self._run, self._task.service.engine)
+        self._run.backup = await self._tools.placing.backup_for(
+            self._run, self._task.service.engine
+        )
         began_s = trio.current_time()
         connection = await self._continued(runner, origin)
         log(
--- a/egretstack/relay/_tools.py
+++ b/egretstack/relay/_tools.py
@@ -13,6 +13,10 @@
 from egretstack.routing import ClientAccount, EnginePlan, Route, ServicePlan
 from egretstack.traffic import ClientRequest, SendTerms
 
+RANKS = 100
+"""Ranks of routes that are told apart within one rank of client accounts."""
+ENGINE_RANKS = 3
+"""The same for an engine: it knows ten priorities, and most accounts have one of three ranks."""
 CONNECT_TIMEOUT_S = 0.3
 """Time for a connection to a runner: it takes a few milliseconds unless the runner is gone."""
 
@@ -37,7 +41,11 @@
         """Note how long a run waited for its first token."""
 
     @abstractmethod
-    def backup_for(self, run: Run, engine: EnginePlan) -> RunnerId | None:
+    def tokens_left(self, run: Run) -> float:
+        """Give the output that a run is still expected to make."""
+
+    @abstractmethod
+    async def backup_for(self, run: Run, engine: EnginePlan) -> RunnerId | None:
         """Choose where the memory of a run that moved is copied from now on."""
 
     @abstractmethod
@@ -78,10 +86,16 @@
 
     @property
     def rank(self) -> int:
-        """Its rank: the client account's, if it has one, goes before the route's."""
-        if self.account is None or self.account.rank is None:
-            return self.route.rank
-        return self.account.rank
+        """Its place among all that wait: the client account's rank goes before the route's."""
+        return self._account_rank() * RANKS + min(RANKS - 1, self.route.rank)
+
+    @property
+    def priority(self) -> int:
+        """The same for an engine, which knows few priorities."""
+        return self._account_rank() * ENGINE_RANKS + min(ENGINE_RANKS - 1, self.route.rank)
+
+    def _account_rank(self) -> int:
+        return self.account.rank or 0 if self.account is not None else 0
 
     def terms(self, runner: Runner, **more: object) -> SendTerms:
         """Give the terms of a send to a runner."""
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -1,12 +1,24 @@
 """Where generations run: asked of the home, or decided here while the home is silent."""
 
+from dataclasses import replace
+
 import trio
 
 from egretstack.errors import ErrorKind
 from egretstack.events import Event, log
-from egretstack.fleet import FleetNews, MoveAsk, MoveDone, MoveTurn, PlaceAnswer, PlaceAsk
+from egretstack.fleet import (
+    BackupAnswer,
+    BackupAsk,
+    FleetNews,
+    MoveAsk,
+    MoveDone,
+    MoveTurn,
+    PlaceAnswer,
+    PlaceAsk,
+)
 from egretstack.ids import InstanceId, RunnerId
 from egretstack.kernel import Kernel, Service
+from egretstack.messages import Message
 from egretstack.placing import (
     MoveTurns,
     Placement,
@@ -21,12 +33,19 @@
 )
 from egretstack.relay import EnginePlacing, RequestFailed
 from egretstack.routing import EnginePlan
+from egretstack.services.engine_reports import EngineReports
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
+from egretstack.traffic import RunnerReport
 
 ASK_S = 0.04
 """Time for the home's answer, which takes some 2 ms; then the question is sent once more."""
 ASK_TIMES = 2
+ASK_AGAIN_S = 0.1
+"""How often a generation that found no room asks again."""
+WAIT_TIMES = 2.0
+"""How long a generation waits for room, in times of what its first token may take to be in time.
+A client gives up after four times that."""
 MOVE_ASK_S = 0.08
 """How often a run that has to move asks whether it is its turn."""
 RANK_STEP = 1e6
@@ -37,7 +56,7 @@
     """The placer of this instance, and the way to the home's."""
 
     name = "engine_placing"
-    requires = ("fleet_port", "store_reading")
+    requires = ("engine_reports", "fleet_port", "store_reading")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -46,9 +65,13 @@
         self._placer = Placer(self._port.runners, kernel.rng)
         self._turns = MoveTurns()
         self._run_by_attempt: dict[str, Run] = {}
-        self._answer_by_attempt: dict[str, PlaceAnswer] = {}
+        self._answer_by_attempt: dict[str, Message] = {}
         self._asked_by_attempt: dict[str, trio.Event] = {}
+        self._turn_by_attempt: dict[str, trio.Event] = {}
         self._destination_by_attempt: dict[str, str] = {}
+        self._asker_by_attempt: dict[str, str] = {}
+        """Where the instance of each run hears that asks this home for a turn; empty for this
+        instance itself."""
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Answer peers until cancelled."""
@@ -57,42 +80,70 @@
         self._port.on_news(self._take_news)
         self._port.on_report(self._take_runs)
         self._port.handle(PlaceAsk, self._answer_place)
-        self._port.handle(PlaceAnswer, self._take_place)
+        self._port.handle(PlaceAnswer, self._take_answer)
+        self._port.handle(BackupAsk, self._answer_backup)
+        self._port.handle(BackupAnswer, self._take_answer)
         self._port.handle(MoveAsk, self._answer_move)
         self._port.handle(MoveTurn, self._take_turn)
         self._port.handle(MoveDone, self._take_done)
+        self.kernel.get(EngineReports).on_report(self._take_measure)
         task_status.started()
         await trio.sleep_forever()
 
     async def place(self, work: Work, engine: EnginePlan) -> Placement:
-        """Give the place of a generation. Raises RequestFailed."""
+        """Give the place of a generation, once there is room. Raises RequestFailed.
+
+        A generation waits here for room, behind those that can still be in time once it cannot.
+        At last it goes to the least bad engine, as the first to yield there: late is better for
+        its caller than not at all.
+        """
+        began_s = trio.current_time()
+        wait_s = work.patience_s * WAIT_TIMES
+        try:
+            while True:
+                waited_s = trio.current_time() - began_s
+                patience_s = max(0.0, work.patience_s - waited_s)
+                asked = replace(work, patience_s=patience_s, must_place=waited_s >= wait_s)
+                decided = await self._decide(asked, engine)
+                if isinstance(decided, Placement):
+                    self._log_placed(asked, decided, waited_s)
+                    return decided
+                if asked.must_place:
+                    break
+                await trio.sleep(ASK_AGAIN_S)
+        except trio.Cancelled:
+            self._placer.ended(work.attempt)
+            raise
+        log(Event.PLACE_REFUSED, request=work.attempt, retry_s=decided.retry_after_s)
+        raise RequestFailed(
+            ErrorKind.ENGINES_FULL, "no engine is free", retry_after_s=decided.retry_after_s
+        )
+
+    async def _decide(self, work: Work, engine: EnginePlan) -> Placement | PlaceRefused:
         answer = await self._ask_home(work)
         if answer is None:
             whole = self._port.is_home()
-            decided = self._placer.place(trio.current_time(), work, engine, whole=whole)
-        elif answer.runner:
-            backup = RunnerId(answer.backup) if answer.backup else None
-            decided = Placement(RunnerId(answer.runner), backup)
-        else:
-            decided = PlaceRefused(answer.retry_after_ms / 1000)
-        if isinstance(decided, PlaceRefused):
-            log(Event.PLACE_REFUSED, request=work.attempt, retry_s=decided.retry_after_s)
-            raise RequestFailed(
-                ErrorKind.ENGINES_FULL, "no engine is free", retry_after_s=decided.retry_after_s
-            )
+            return self._placer.place(trio.current_time(), work, engine, whole=whole)
+        if not answer.runner:
+            return PlaceRefused(answer.retry_after_ms / 1000)
+        backup = RunnerId(answer.backup) if answer.backup else None
+        return Placement(RunnerId(answer.runner), backup, answer.spare)
+
+    def _log_placed(self, work: Work, placed: Placement, waited_s: float) -> None:
         log(
             Event.PLACED,
             request=work.attempt,
-            runner=decided.runner,
-            backup=decided.backup,
-            by="home" if answer else "self",
+            runner=placed.runner,
+            backup=placed.backup,
+            spare=placed.spare,
+            waited_ms=round(waited_s * 1000),
             prompt=work.prompt_tokens,
             most=work.max_output_tokens,
             hint=work.length_hint,
             rank=work.rank,
+            home=self._port.fleet.home(trio.current_time()),
             runners_age_s=round(self._port.runners.age_s(trio.current_time()), 3),
         )
-        return decided
 
     def begin(self, run: Run) -> None:
         """Note a run that goes out."""
@@ -107,70 +158,109 @@
         """Note how long a run waited for its first token."""
         self._placer.first_token(prompt_tokens, waited_s)
 
-    def backup_for(self, run: Run, engine: EnginePlan) -> RunnerId | None:
+    async def backup_for(self, run: Run, engine: EnginePlan) -> RunnerId | None:
         """Choose where the memory of a run that moved is copied from now on."""
+        attempt = run.work.attempt
+        ask = BackupAsk(self.kernel.settings.instance, attempt, run.runner)
+        answer = await self._ask(attempt, ask, times=1)
+        if isinstance(answer, BackupAnswer):
+            return RunnerId(answer.backup) if answer.backup else None
+        if not self._port.is_home():
+            # Each instance by its own view would choose the engine that looks emptiest to all.
+            return None
         self._report_own_runs()
-        whole = self._port.is_home()
-        return self._placer.backup_for(trio.current_time(), run, engine, whole=whole)
+        return self._placer.move_run(trio.current_time(), attempt, run.runner, engine)
 
     async def move_turn(self, run: Run, engine: EnginePlan) -> RunnerId:
         """Wait until it is a run's turn to be copied off its runner; give the destination."""
         attempt = run.work.attempt
-        while True:
-            destination = self._destination_by_attempt.pop(attempt, "") or self._ask_turn(
-                run, engine
-            )
-            if destination:
-                return RunnerId(destination)
-            await trio.sleep(MOVE_ASK_S)
+        turn = self._turn_by_attempt[attempt] = trio.Event()
+        try:
+            while True:
+                self._ask_turn(run, engine)
+                with trio.move_on_after(MOVE_ASK_S):
+                    await turn.wait()
+                    return RunnerId(self._destination_by_attempt.pop(attempt))
+        finally:
+            self._turn_by_attempt.pop(attempt, None)
 
     def move_done(self, attempt: str, source: RunnerId) -> None:
         """Give the turn up."""
         self._destination_by_attempt.pop(attempt, None)
         address = self._port.home_address()
         if address is None:
-            self._turns.done(source, attempt)
+            self._end_turn(attempt, source)
         else:
             self._port.send(address, MoveDone(self.kernel.settings.instance, attempt, source))
 
     async def _ask_home(self, work: Work) -> PlaceAnswer | None:
+        ask = PlaceAsk(self.kernel.settings.instance, work_row(work))
+        answer = await self._ask(work.attempt, ask, times=ASK_TIMES)
+        return answer if isinstance(answer, PlaceAnswer) else None
+
+    async def _ask(self, attempt: str, ask: Message, times: int) -> Message | None:
+        """Ask the home; None if this instance is the home, or the home is silent."""
         address = self._port.home_address()
         if address is None:
             self._report_own_runs()
             return None
-        asked = self._asked_by_attempt[work.attempt] = trio.Event()
-        ask = PlaceAsk(self.kernel.settings.instance, work_row(work))
+        asked = self._asked_by_attempt[attempt] = trio.Event()
         try:
-            for _ in range(ASK_TIMES):
+            for _ in range(times):
                 self._port.send(address, ask)
                 with trio.move_on_after(ASK_S):
                     await asked.wait()
-                    return self._answer_by_attempt.pop(work.attempt, None)
+                    return self._answer_by_attempt.pop(attempt, None)
         finally:
-            self._asked_by_attempt.pop(work.attempt, None)
-            self._answer_by_attempt.pop(work.attempt, None)
-        log(Event.HOME_SILENT, request=work.attempt, address=address)
+            self._asked_by_attempt.pop(attempt, None)
+            self._answer_by_attempt.pop(attempt, None)
+        log(Event.HOME_SILENT, request=attempt, address=address)
         return None
 
-    def _ask_turn(self, run: Run, engine: EnginePlan) -> str:
-        attempt, source = run.work.attempt, run.runner
+    def _ask_turn(self, run: Run, engine: EnginePlan) -> None:
+        attempt, source, order = run.work.attempt, run.runner, self._move_order(run)
         address = self._port.home_address()
         if address is not None:
-            order = _move_order(run)
             own = self.kernel.settings.instance
             self._port.send(address, MoveAsk(own, attempt, source, order))
-            return ""
-        return self._turn(attempt, source, _move_order(run), run, engine)
-
-    def _turn(
-        self, attempt: str, source: RunnerId, order: float, run: Run, engine: EnginePlan
-    ) -> str:
-        if not self._turns.ask(trio.current_time(), source, attempt, order):
-            return ""
-        destination = self._placer.destination(trio.current_time(), run, engine, whole=True)
+            return
+        self._report_own_runs()
+        self._asker_by_attempt[attempt] = ""
+        if self._turns.ask(trio.current_time(), source, attempt, order):
+            self._give_turn(attempt, source)
+
+    def _give_turn(self, attempt: str, source: RunnerId) -> None:
+        """Tell the instance of a run where to copy it; give the turn up if there is no room."""
+        run = self._placer.run(attempt)
+        engine = None if run is None else self._store.engine(run.work.service)
+        destination = None
+        if engine is not None:
+            destination = self._placer.destination(trio.current_time(), run, engine, whole=True)
         if destination is None:
             self._turns.done(source, attempt)
-        return destination or ""
+            return
+        self._placer.copying(attempt, destination)
+        turn = MoveTurn(attempt, destination)
+        address = self._asker_by_attempt.get(attempt, "")
+        if address:
+            self._port.send(address, turn)
+        else:
+            self._take_turn(turn, ("", 0))
+
+    def _end_turn(self, attempt: str, source: RunnerId) -> None:
+        self._turns.done(source, attempt)
+        self._asker_by_attempt.pop(attempt, None)
+        following = self._turns.grant(trio.current_time(), source)
+        if following is not None:
+            self._give_turn(following, source)
+
+    def _move_order(self, run: Run) -> float:
+        """Give the order of moves off one runner: urgent first, then those with most to lose."""
+        return RANK_STEP * run.work.rank - self.tokens_left(run)
+
+    def tokens_left(self, run: Run) -> float:
+        """Give the output that a run is still expected to make."""
+        return self._placer.tokens_left(run)
 
     def _run_rows(self) -> list:
         return [run_row(run) for run in self._run_by_attempt.values()]
@@ -188,6 +278,10 @@
     def _take_runs(self, instance: InstanceId, rows: list) -> None:
         self._placer.reported(instance, [run_of(row) for row in rows])
 
+    def _take_measure(self, runner: RunnerId, report: RunnerReport) -> None:
+        self._report_own_runs()
+        self._placer.measured(trio.current_time(), runner, report.kv_used_tokens)
+
     def _take_news(self, news: FleetNews) -> None:
         self._placer.told(trio.current_time(), news.loads)
 
@@ -201,36 +295,42 @@
         decided = self._placer.place(trio.current_time(), work, engine, whole=True)
         if isinstance(decided, PlaceRefused):
             retry_ms = round(decided.retry_after_s * 1000)
-            answer = PlaceAnswer(work.attempt, "", "", retry_ms)
+            answer = PlaceAnswer(work.attempt, "", "", False, retry_ms)
         else:
-            answer = PlaceAnswer(work.attempt, decided.runner, decided.backup or "", 0)
+            backup = decided.backup or ""
+            answer = PlaceAnswer(work.attempt, decided.runner, backup, decided.spare, 0)
         self._port.send(address, answer)
 
-    def _take_place(self, answer: PlaceAnswer, sender: tuple[str, int]) -> None:
+    def _take_answer(self, answer: PlaceAnswer | BackupAnswer, sender: tuple[str, int]) -> None:
         asked = self._asked_by_attempt.get(answer.attempt)
         if asked is not None:
             self._answer_by_attempt[answer.attempt] = answer
             asked.set()
 
-    def _answer_move(self, ask: MoveAsk, sender: tuple[str, int]) -> None:
-        address = self._port.address_of(InstanceId(ask.sender))
+    def _answer_backup(self, ask: BackupAsk, sender: tuple[str, int]) -> None:
         run = self._placer.run(ask.attempt)
         engine = None if run is None else self._store.engine(run.work.service)
+        address = self._port.address_of(InstanceId(ask.sender))
         if address is None or engine is None:
+            return  # The asker goes on without a copy.
+        now_s = trio.current_time()
+        backup = self._placer.move_run(now_s, ask.attempt, RunnerId(ask.runner), engine)
+        self._port.send(address, BackupAnswer(ask.attempt, backup or ""))
+
+    def _answer_move(self, ask: MoveAsk, sender: tuple[str, int]) -> None:
+        address = self._port.address_of(InstanceId(ask.sender))
+        if address is None or self._placer.run(ask.attempt) is None:
             return  # Asked again soon; the run's report may have been lost.
-        destination = self._turn(ask.attempt, RunnerId(ask.source), ask.order, run, engine)
-        if destination:
-            self._port.send(address, MoveTurn(ask.attempt, destination))
+        self._asker_by_attempt[ask.attempt] = address
+        source = RunnerId(ask.source)
+        if self._turns.ask(trio.current_time(), source, ask.attempt, ask.order):
+            self._give_turn(ask.attempt, source)
 
     def _take_turn(self, turn: MoveTurn, sender: tuple[str, int]) -> None:
-        if turn.attempt in self._run_by_attempt:
+        waiting = self._turn_by_attempt.get(turn.attempt)
+        if waiting is not None:
             self._destination_by_attempt[turn.attempt] = turn.destination
+            waiting.set()
 
     def _take_done(self, done: MoveDone, sender: tuple[str, int]) -> None:
-        self._turns.done(RunnerId(done.source), done.attempt)
-
-
-def _move_order(run: Run) -> float:
-    """Give the order of moves off one runner: urgent first, then those with the most to lose."""
-    left = run.peak_tokens() - run.work.prompt_tokens - run.made_tokens
-    return RANK_STEP * run.work.rank - left
+        self._end_turn(done.attempt, RunnerId(done.source))
--- a/egretstack/services/engine_reports.py
+++ b/egretstack/services/engine_reports.py
@@ -4,11 +4,14 @@
 number independent of the number of instances.
 """
 
+from collections.abc import Callable
+
 import trio
 
 from egretstack.events import Event, log
 from egretstack.fleet import Runner, RunnerState, Silence
 from egretstack.http1 import ConnectFailed, ConnectionPool, UpstreamBroken, exchange
+from egretstack.ids import RunnerId
 from egretstack.kernel import Kernel, Service
 from egretstack.platform import BadBody, report_request, runner_report
 from egretstack.services.fleet_port import FleetPort
@@ -39,6 +42,11 @@
         self._pool = ConnectionPool(max_idle=1)
         self._silence = Silence()
         self._asked_s = float("-inf")
+        self._takers: list[Callable[[RunnerId, RunnerReport], None]] = []
+
+    def on_report(self, taker: Callable[[RunnerId, RunnerReport], None]) -> None:
+        """Let `taker` see each report."""
+        self._takers.append(taker)
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Ask while this instance is the home."""
@@ -78,6 +86,8 @@
             self._silence.missed(runner.id)
             return
         self._silence.answered(runner.id)
+        for taker in self._takers:
+            taker(runner.id, report)
         if report.leaving or report.leaves_in_s is not None:
             self._port.notice(runner.id)
 
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -29,6 +29,8 @@
 from egretstack.messages import Message, MessageError, decode, encode
 from egretstack.platform import NodeSettings
 
+WHOLE_NEWS_S = 0.75
+"""How often the home tells everything though nothing changed, for those that missed it."""
 MAX_DATAGRAM_BYTES = 65_000
 INCARNATION_BITS = 53
 Handler = Callable[[Message, tuple[str, int]], None]
@@ -59,6 +61,8 @@
             FleetNews: self._take_news,
             FleetView: self._take_view,
         }
+        self._told_before: tuple = ()
+        self._told_whole_s = float("-inf")
         self._news_takers: list[Callable[[FleetNews], None]] = []
         self._report_takers: list[Callable[[InstanceId, list], None]] = []
         self._raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -164,19 +168,30 @@
         own = self.fleet.own
         others = self.fleet.others_heard(now_s)
         age_s = min(self.runners.age_s(now_s), 3600.0)
+        loads = self.loads()
+        told = self._told(others)
+        whole = told != self._told_before or now_s - self._told_whole_s >= WHOLE_NEWS_S
+        if whole:
+            self._told_before, self._told_whole_s = told, now_s
         news = FleetNews(
             home=own.instance.id,
-            incarnation=own.incarnation,
-            instances=[instance_row(known) for known in (own, *others)],
+            whole=whole,
+            instances=[instance_row(known) for known in (own, *others)] if whole else [],
             runners_revision=self.runners.revision,
             runners_age_ms=round(age_s * 1000),
-            runners=[runner_row(runner) for runner in self.runners.by_id.values()],
-            silent=sorted(self.runners.silent),
-            loads=self.loads(),
+            runners=[runner_row(one) for one in self.runners.by_id.values()] if whole else [],
+            silent=sorted(self.runners.silent) if whole else [],
+            loads=loads if whole else [],
         )
         for known in others:
             self.send(known.instance.peer_address, news)
 
+    def _told(self, others: list[KnownInstance]) -> tuple:
+        """Give what all have to hear of at once when it changes."""
+        states = {known.instance.id: known.state for known in others}
+        runners = {runner.id: runner.state for runner in self.runners.by_id.values()}
+        return states, runners, self.runners.silent, self.fleet.own.state
+
     async def _receive(self, receiving: trio.socket.SocketType) -> None:
         while True:
             try:
@@ -212,6 +227,9 @@
         home = InstanceId(news.home)
         self.fleet.told(now_s, home, rows_of(news.instances, instance_of))
         read_s = now_s - news.runners_age_ms / 1000
+        if not news.whole:
+            self.runners.still_holds(news.runners_revision, read_s)
+            return
         listed = rows_of(news.runners, runner_of)
         self.take_runners(listed, news.runners_revision, read_s)
         if home == self.fleet.home(now_s):
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -31,15 +31,15 @@
 from egretstack.routing import EnginePlan, VersionGate
 from egretstack.services.fleet_port import FleetPort
 
-CONFIG_WATCH_S = 4.0
-"""Length of one watch of the configuration; a silent connection hides a change for no longer, and
-peers tell of newer versions meanwhile."""
-RUNNER_PAUSE_S = 0.2
-"""Pause between two watches of the runners, whose heartbeats end each at once."""
-RUNNER_WATCH_S = 1.0
-OWN_READING_AGE_S = 0.8
-"""Age of the home's reading from which an instance reads for itself; notices of leaving runners
-have to be known everywhere within 2 s."""
+CONFIG_WATCH_S = 10.0
+"""Length of one watch of the configuration: each costs a call. While a silent connection hides a
+change, peers tell of the newer version within a period of theirs."""
+RUNNER_PAUSE_S = 0.1
+"""Pause between two watches of the runners, which end at each change."""
+RUNNER_WATCH_S = 0.6
+OWN_READING_SHARE = 0.6
+"""Part of the time in which a runner's notice has to be known everywhere, after which an instance
+without news from the home reads for itself; one reading takes some 10 ms."""
 OWN_READING_PAUSE_S = 0.6
 LOOK_S = 0.1
 AWAY_PAUSE_S = 0.4
@@ -113,13 +113,11 @@
                 revision = None
                 await trio.sleep(AWAY_PAUSE_S)
 
-    async def _read_configuration(self) -> int | None:
+    async def _read_configuration(self) -> int:
         listing = await self._store.list(ObjectKind.CONFIGURATION)
         self._answered()
         for one in listing.objects:
             self._take_stored(one)
-        if self.gate.table is None:
-            await trio.sleep(AWAY_PAUSE_S)
         return listing.revision
 
     async def _watch_configuration(self, revision: int) -> int:
@@ -137,7 +135,8 @@
     async def _follow_runners(self) -> None:
         while True:
             home = self._port.is_home()
-            if not home and self._port.runners.age_s(trio.current_time()) < OWN_READING_AGE_S:
+            old_s = self.kernel.settings.bounds.runner_drain_s * OWN_READING_SHARE
+            if not home and self._port.runners.age_s(trio.current_time()) < old_s:
                 self._entries_revision = None
                 await trio.sleep(LOOK_S)
                 continue
