Copies of memory wait for links that are free, and are given time to end

The home's book against the engines' own reports showed up to 20 k tokens in use that no run explained: several copies to the engine that had just started met on its link, were given up after 1.5 s, and their memory stayed taken for seconds while they were tried again. Ruled out: wrong lengths (the book agreed within 10% elsewhere), copies of ended runs (freed at once). Now the home forecasts each engine's link, begins copies that are only kept in case on free links, and a copy has 4 s.

--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -71,8 +71,6 @@
     attempt: str
     runner: str
     backup: str
-    spare: bool
-    """Whether the engine had no room; the run takes none from others."""
     retry_after_ms: int
 
 
--- a/egretstack/placing/__init__.py
+++ b/egretstack/placing/__init__.py
@@ -1,13 +1,17 @@
 """Where generations and calls run: decisions without I/O, with the time passed in."""
 
 from egretstack.placing._balancer import PlainBalancer
+from egretstack.placing._lengths import LengthForecast
+from egretstack.placing._links import CopyLinks
 from egretstack.placing._loads import EngineLoad
 from egretstack.placing._move_turns import MoveTurns
 from egretstack.placing._placer import Placement, Placer, PlaceRefused
 from egretstack.placing._run import Run, Work, run_of, run_row, work_of, work_row
 
 __all__ = [
+    "CopyLinks",
     "EngineLoad",
+    "LengthForecast",
     "MoveTurns",
     "PlaceRefused",
     "Placement",
--- /dev/null
+++ b/egretstack/placing/_links.py
@@ -0,0 +1,47 @@
+"""When engines' links are free for copies of memory; forecasts, with the time passed in.
+
+An engine sends its copies one after another, and takes them in one after another. Copies that meet
+at one engine wait there for seconds; whoever gives up on one then leaves its memory taken behind.
+"""
+
+from egretstack.fleet import Runner
+from egretstack.ids import RunnerId
+from egretstack.routing import EnginePlan
+
+BITS = 8
+MEGA = 1e6
+OTHER_ZONE_TIMES = 2.0
+"""A copy to another availability zone takes so many times as long."""
+
+
+class CopyLinks:
+    """The copies under way, by the engines at both ends."""
+
+    def __init__(self) -> None:
+        self._out_until_s: dict[RunnerId, float] = {}
+        self._in_until_s: dict[RunnerId, float] = {}
+
+    def wait_s(self, now_s: float, source: RunnerId, destination: RunnerId) -> float:
+        """Give how long a copy would wait before it begins."""
+        until_s = max(
+            self._out_until_s.get(source, now_s), self._in_until_s.get(destination, now_s)
+        )
+        return max(0.0, until_s - now_s)
+
+    def begin(
+        self, now_s: float, engine: EnginePlan, source: Runner, destination: Runner, tokens: float
+    ) -> None:
+        """Note a copy of so many tokens."""
+        if engine.link_mbps <= 0:
+            return
+        copy_s = tokens * engine.kv_token_bytes * BITS / (engine.link_mbps * MEGA)
+        if source.zone != destination.zone:
+            copy_s *= OTHER_ZONE_TIMES
+        until_s = now_s + self.wait_s(now_s, source.id, destination.id) + copy_s
+        self._out_until_s[source.id] = self._in_until_s[destination.id] = until_s
+
+    def forget(self, kept: set[RunnerId]) -> None:
+        """Forget engines that are not among those kept."""
+        for until_s in (self._out_until_s, self._in_until_s):
+            for runner_id in set(until_s) - kept:
+                del until_s[runner_id]
--- a/egretstack/placing/_move_turns.py
+++ b/egretstack/placing/_move_turns.py
@@ -9,7 +9,7 @@
 
 from egretstack.ids import RunnerId
 
-TURN_S = 1.2
+TURN_S = 2.5
 """Longest turn; a copy takes some 0.2 to 0.4 s, and one that hangs must not hold up the rest."""
 ASKING_S = 0.4
 """An instance asks again every tenth of a second; one that stopped asking has given up."""
--- a/egretstack/placing/_placer.py
+++ b/egretstack/placing/_placer.py
@@ -12,6 +12,7 @@
 from egretstack.ids import InstanceId, RunnerId, ServiceName
 from egretstack.messages import MessageError
 from egretstack.placing._lengths import LengthForecast
+from egretstack.placing._links import CopyLinks
 from egretstack.placing._loads import EngineLoad, load_of, load_row
 from egretstack.placing._run import Run, Work
 from egretstack.routing import EnginePlan
@@ -52,6 +53,10 @@
 OTHER_ZONE_SHARE = 0.12
 """What another availability zone counts for where a copy goes, as a share of an engine's memory:
 a copy across zones takes twice as long."""
+LINK_WEIGHT = 0.5
+"""What a second of waiting for a link counts for, likewise."""
+LINK_FREE_S = 0.05
+"""Wait for a link up to which a copy that is only kept in case may begin."""
 RETRY_LEAST_S = 0.3
 RETRY_MOST_S = 2.0
 
@@ -62,8 +67,6 @@
 
     runner: RunnerId
     backup: RunnerId | None
-    spare: bool = False
-    """No engine had room: it may not take any from the runs that had."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,8 +86,8 @@
 
 @dataclass(slots=True)
 class _Waiting:
-    order: tuple[bool, int, float]
-    """Whether it is late already, its rank, then the time of the first question."""
+    order: tuple[int, float]
+    """Rank, then the time of the first question."""
     service: ServiceName
     asked_s: float
 
@@ -106,6 +109,7 @@
         self._unread_until_s: dict[RunnerId, float] = {}
         self._prefill_per_s = PREFILL_TOKENS_PER_S
         self._lengths = LengthForecast()
+        self._links = CopyLinks()
 
     def reported(self, instance: InstanceId, runs: list[Run]) -> None:
         """Take what an instance runs, in place of its earlier report."""
@@ -133,6 +137,7 @@
         kept = set(live)
         for instance in [one for one in self._runs_by_instance if one not in kept]:
             del self._runs_by_instance[instance]
+        self._links.forget(set(self._runners.by_id))
 
     def told(self, now_s: float, rows: Iterable[object]) -> None:
         """Take the loads that the home tells. Raises MessageError."""
@@ -209,15 +214,12 @@
         ]
         turn = self._is_turn(now_s, work) or self._is_short(work)
         fitting = self._fitting(now_s, work, engine, candidates, loads) if turn else []
-        if not fitting and not (work.must_place and candidates):
+        if not fitting:
             return PlaceRefused(self._room_after_s(now_s, candidates, loads))
         self._waiting.pop(work.attempt, None)
-        if fitting:
-            chosen = self._best(now_s, engine, fitting, loads)
-            backup = self._backup(work, engine, chosen, candidates, loads)
-            return self._note(now_s, work, chosen, backup, spare=False)
-        chosen = min(candidates, key=lambda runner: self._taken(loads[runner.id], copies=True))
-        return self._note(now_s, work, chosen, None, spare=True)
+        chosen = self._best(now_s, engine, fitting, loads)
+        backup = self._backup(now_s, work, engine, chosen, candidates, loads)
+        return self._note(now_s, work, chosen, backup)
 
     def soon_tokens(self, run: Run) -> float:
         """Give the memory that a run takes now or soon.
@@ -237,26 +239,34 @@
     ) -> RunnerId | None:
         """Choose an engine to which a run can be copied, or None.
 
-        A run whose runner leaves may take any room that runs leave; a copy that is only kept in
-        case has to leave more.
+        A run whose runner leaves may take all the room there is; a copy that is only kept in case
+        has to leave some.
         """
         leaving = not self._runners.is_ready(run.runner)
-        limit = engine.kv_capacity_tokens * (1.0 if leaving else COPY_SHARE)
+        limit = engine.kv_capacity_tokens * (FULL_SHARE if leaving else COPY_SHARE)
         loads = self.loads(now_s, whole=whole)
         source = self._runners.by_id.get(run.runner)
-        rooms = [
-            (
-                loads[runner.id].filled(engine.kv_capacity_tokens) + _distance(source, runner),
-                self._rng.random(),
-                runner.id,
-            )
-            for runner in self._runners.ready(run.work.service)
-            if runner.id != run.runner
-            and loads[runner.id].runs < engine.batch_slots
-            and self._taken(loads[runner.id], copies=not leaving) + self.soon_tokens(run) < limit
-        ]
+        rooms = []
+        for runner in self._runners.ready(run.work.service):
+            load = loads[runner.id]
+            wait_s = self._links.wait_s(now_s, run.runner, runner.id)
+            if runner.id == run.runner or load.runs >= engine.batch_slots:
+                continue
+            if self._taken(load) + self.soon_tokens(run) >= limit:
+                continue
+            if leaving or wait_s <= LINK_FREE_S:
+                cost = self._copy_cost(engine, source, runner, load, wait_s)
+                rooms.append((cost, self._rng.random(), runner.id))
         return min(rooms)[2] if rooms else None
 
+    @staticmethod
+    def _copy_cost(
+        engine: EnginePlan, source: Runner | None, runner: Runner, load: EngineLoad, wait_s: float
+    ) -> float:
+        apart = source is not None and source.zone != runner.zone
+        filled = load.filled(engine.kv_capacity_tokens)
+        return filled + LINK_WEIGHT * wait_s + (OTHER_ZONE_SHARE if apart else 0.0)
+
     def move_run(
         self, now_s: float, attempt: str, runner_id: RunnerId, engine: EnginePlan
     ) -> RunnerId | None:
@@ -268,24 +278,30 @@
         run.runner, run.backup = runner_id, None
         loads = self.loads(now_s, whole=True)
         ready = self._runners.ready(run.work.service)
-        backup = self._backup(run.work, engine, runner, ready, loads)
+        backup = self._backup(now_s, run.work, engine, runner, ready, loads)
         run.backup = None if backup is None else backup.id
         return run.backup
 
-    def copying(self, attempt: str, destination: RunnerId) -> None:
+    def copying(
+        self, now_s: float, attempt: str, destination_id: RunnerId, engine: EnginePlan
+    ) -> None:
         """Note that a run is being copied to an engine."""
         run = self.run(attempt)
-        if run is not None:
-            run.backup = destination
+        source = None if run is None else self._runners.by_id.get(run.runner)
+        destination = self._runners.by_id.get(destination_id)
+        if source is None or destination is None:
+            return
+        if run.backup != destination_id:
+            tokens = run.work.prompt_tokens + run.made_tokens
+            self._links.begin(now_s, engine, source, destination, tokens)
+        run.backup = destination_id
 
     def _is_turn(self, now_s: float, work: Work) -> bool:
         """Tell whether no other work that waits goes first."""
         for attempt in [one for one, it in self._waiting.items() if now_s - it.asked_s > WAITING_S]:
             del self._waiting[attempt]
         known = self._waiting.get(work.attempt)
-        # Those whose first token can still be in time go first: a late one can as well be later.
-        late = work.patience_s <= 0
-        order = (late, work.rank, now_s if known is None else known.order[2])
+        order = (work.rank, now_s) if known is None else known.order
         self._waiting[work.attempt] = _Waiting(order, work.service, now_s)
         return all(
             order <= other.order
@@ -312,12 +328,12 @@
             load = loads[runner.id]
             if load.runs >= min(engine.batch_slots, runner.slots):
                 continue
-            taken = self._taken(load, copies=True)
-            if load.runs and taken + need > FULL_SHARE * engine.kv_capacity_tokens:
+            taken = self._taken(load)
+            if taken and taken + need > FULL_SHARE * engine.kv_capacity_tokens:
                 continue
             wait_s = max(0.0, load.unread_until_s - now_s)
             read_s = wait_s + work.prompt_tokens / self._prefill_per_s
-            if work.patience_s > 0 and read_s > work.patience_s:
+            if read_s > work.patience_s:
                 continue
             fitting.append(runner)
         return fitting
@@ -353,6 +369,7 @@
 
     def _backup(
         self,
+        now_s: float,
         work: Work,
         engine: EnginePlan,
         chosen: Runner,
@@ -369,13 +386,18 @@
         rooms = []
         for runner in candidates:
             load = loads[runner.id]
-            taken = self._taken(load, copies=True)
+            taken = self._taken(load)
             if runner.id == chosen.id or load.copy_tokens + need > COPIES_SHARE * capacity:
                 continue
             if taken + need <= COPY_SHARE * capacity:
-                cost = taken / capacity + _distance(chosen, runner)
+                wait_s = self._links.wait_s(now_s, chosen.id, runner.id)
+                cost = self._copy_cost(engine, chosen, runner, load, wait_s)
                 rooms.append((cost, self._rng.random(), runner))
-        return min(rooms, key=lambda room: room[:2])[2] if rooms else None
+        if not rooms:
+            return None
+        backup = min(rooms, key=lambda room: room[:2])[2]
+        self._links.begin(now_s, engine, chosen, backup, work.prompt_tokens)
+        return backup
 
     def _may_copy(
         self,
@@ -385,13 +407,11 @@
         need: float,
     ) -> bool:
         """Tell whether memory is free enough, over all engines, to keep one more copy in case."""
-        taken = sum(self._taken(loads[runner.id], copies=True) for runner in candidates)
+        taken = sum(self._taken(loads[runner.id]) for runner in candidates)
         return taken + need <= FLEET_COPY_SHARE * engine.kv_capacity_tokens * len(candidates)
 
-    def _note(
-        self, now_s: float, work: Work, chosen: Runner, backup: Runner | None, *, spare: bool
-    ) -> Placement:
-        placement = Placement(chosen.id, None if backup is None else backup.id, spare)
+    def _note(self, now_s: float, work: Work, chosen: Runner, backup: Runner | None) -> Placement:
+        placement = Placement(chosen.id, None if backup is None else backup.id)
         run = Run(work, placement.runner, placement.backup)
         self._pending[work.attempt] = _Pending(run, placement, now_s)
         begins_s = max(now_s, self._unread_until_s.get(chosen.id, 0.0))
@@ -411,8 +431,8 @@
         )
 
     @staticmethod
-    def _taken(load: EngineLoad, *, copies: bool) -> float:
-        return load.held_tokens + (load.copy_tokens if copies else 0.0)
+    def _taken(load: EngineLoad) -> float:
+        return load.held_tokens + load.copy_tokens
 
     def _add(self, loads: dict[RunnerId, EngineLoad], run: Run) -> None:
         soon = self.soon_tokens(run)
@@ -432,7 +452,3 @@
         ]
         for attempt in old:
             del self._pending[attempt]
-
-
-def _distance(source: Runner | None, runner: Runner) -> float:
-    return 0.0 if source is None or source.zone == runner.zone else OTHER_ZONE_SHARE
--- a/egretstack/placing/_run.py
+++ b/egretstack/placing/_run.py
@@ -19,8 +19,6 @@
     """0 is the most urgent."""
     patience_s: float
     """Time left until the first token comes late for the caller."""
-    must_place: bool = False
-    """It has waited long enough: the least bad engine is better than none."""
     excluded: tuple[RunnerId, ...] = ()
 
 
@@ -46,7 +44,6 @@
         work.length_hint,
         work.rank,
         round(work.patience_s * 1000),
-        work.must_place,
         list(work.excluded),
     ]
 
@@ -54,7 +51,7 @@
 def work_of(row: object) -> Work:
     """Read the row of a work. Raises MessageError."""
     try:
-        attempt, service, prompt, most, hint, rank, patience_ms, must_place, excluded = row
+        attempt, service, prompt, most, hint, rank, patience_ms, excluded = row
         return Work(
             str(attempt),
             ServiceName(str(service)),
@@ -63,7 +60,6 @@
             None if hint is None else int(hint),
             int(rank),
             int(patience_ms) / 1000,
-            bool(must_place),
             tuple(RunnerId(str(one)) for one in excluded),
         )
     except (TypeError, ValueError) as error:
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -19,8 +19,12 @@
 from egretstack.relay._tools import CONNECT_TIMEOUT_S, RelayTools, Task
 from egretstack.traffic import MoveAnswer, MoveOutcome
 
-COPY_TIMEOUT_S = 1.5
-"""Time for one copy: some 0.2 s in a zone and twice that across, for a long prompt."""
+COPY_TIMEOUT_S = 4.0
+"""Time for one copy: some 0.2 s in a zone and twice that across, for a long prompt, behind others.
+
+A copy that is given up goes on all the same, and its memory stays taken for seconds."""
+STOP_TIMEOUT_S = 1.5
+"""Time for the last part of a copy, while the stream stands still."""
 FREE_TIMEOUT_S = 0.3
 MOST_ANSWER_BYTES = 65_536
 RENEW_SHARE = 0.6
@@ -64,7 +68,7 @@
     async def wait_if_stopping(self) -> None:
         """Wait for the last part of the copy, if it is under way."""
         if self._stopping:
-            with trio.move_on_after(COPY_TIMEOUT_S):
+            with trio.move_on_after(STOP_TIMEOUT_S):
                 await self._over.wait()
 
     async def run(self) -> None:
@@ -189,7 +193,7 @@
         except ConnectFailed:
             return MoveAnswer(MoveOutcome.FAILED, "", 0)
         try:
-            with trio.fail_after(COPY_TIMEOUT_S):
+            with trio.fail_after(STOP_TIMEOUT_S if stop else COPY_TIMEOUT_S):
                 answer, data = await exchange(connection, head, body, MOST_ANSWER_BYTES)
             return move_answer(answer.status, data)
         except (UpstreamBroken, trio.TooSlowError, BadBody) as error:
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -40,8 +40,6 @@
 """
 RESUME_TIMEOUT_S = 1.0
 """Time for the first sign of a continued run: what its copy lacks has to be read again."""
-SPARE_PRIORITY = 9
-"""The last to be admitted by an engine, and the first to yield."""
 REFUSED_RETRY_S = 0.4
 MAX_PLACES = 3
 """Engines that are tried for a connection; a dead one is known to all within a second or so."""
@@ -96,7 +94,6 @@
         self._splitter = EventSplitter()
         self._cursor = EventCursor()
         self._events = 0
-        self._spare = False
         self._saved: SavedCopy | None = None
         """Where the run can go on if its runner leaves or dies."""
         self._leaving_since_s: float | None = None
@@ -167,7 +164,6 @@
         for _ in range(MAX_PLACES):
             work = self._work(excluded)
             placement = await self._tools.placing.place(work, self._task.service.engine)
-            self._spare = placement.spare
             runner = self._tools.runners.by_id.get(placement.runner)
             try:
                 if runner is not None:
@@ -199,7 +195,7 @@
         backup = self._tools.runners.by_id.get(self._run.backup) if self._run.backup else None
         terms = self._task.terms(
             runner,
-            priority=SPARE_PRIORITY if self._spare else self._task.priority,
+            priority=self._task.priority,
             backup_address=None if backup is None else backup.address,
             continue_from=origin,
         )
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -43,9 +43,9 @@
 ASK_TIMES = 2
 ASK_AGAIN_S = 0.1
 """How often a generation that found no room asks again."""
-WAIT_TIMES = 2.0
-"""How long a generation waits for room, in times of what its first token may take to be in time.
-A client gives up after four times that."""
+WAIT_SHARE = 0.6
+"""Part of the time until its first token is late that a generation waits for room; reading its
+prompt takes the rest."""
 MOVE_ASK_S = 0.08
 """How often a run that has to move asks whether it is its turn."""
 RANK_STEP = 1e6
@@ -93,28 +93,32 @@
     async def place(self, work: Work, engine: EnginePlan) -> Placement:
         """Give the place of a generation, once there is room. Raises RequestFailed.
 
-        A generation waits here for room, behind those that can still be in time once it cannot.
-        At last it goes to the least bad engine, as the first to yield there: late is better for
-        its caller than not at all.
+        It waits here while its first token can still be in time; then it is refused, since on
+        engines that are full it would be late and make others late.
         """
         began_s = trio.current_time()
-        wait_s = work.patience_s * WAIT_TIMES
+        wait_s = work.patience_s * WAIT_SHARE
         try:
             while True:
                 waited_s = trio.current_time() - began_s
-                patience_s = max(0.0, work.patience_s - waited_s)
-                asked = replace(work, patience_s=patience_s, must_place=waited_s >= wait_s)
+                asked = replace(work, patience_s=max(0.0, work.patience_s - waited_s))
                 decided = await self._decide(asked, engine)
                 if isinstance(decided, Placement):
                     self._log_placed(asked, decided, waited_s)
                     return decided
-                if asked.must_place:
+                if waited_s >= wait_s:
                     break
                 await trio.sleep(ASK_AGAIN_S)
         except trio.Cancelled:
             self._placer.ended(work.attempt)
             raise
-        log(Event.PLACE_REFUSED, request=work.attempt, retry_s=decided.retry_after_s)
+        self._placer.ended(work.attempt)
+        log(
+            Event.PLACE_REFUSED,
+            request=work.attempt,
+            retry_s=decided.retry_after_s,
+            waited_ms=round(waited_s * 1000),
+        )
         raise RequestFailed(
             ErrorKind.ENGINES_FULL, "no engine is free", retry_after_s=decided.retry_after_s
         )
@@ -127,7 +131,7 @@
         if not answer.runner:
             return PlaceRefused(answer.retry_after_ms / 1000)
         backup = RunnerId(answer.backup) if answer.backup else None
-        return Placement(RunnerId(answer.runner), backup, answer.spare)
+        return Placement(RunnerId(answer.runner), backup)
 
     def _log_placed(self, work: Work, placed: Placement, waited_s: float) -> None:
         log(
@@ -135,7 +139,6 @@
             request=work.attempt,
             runner=placed.runner,
             backup=placed.backup,
-            spare=placed.spare,
             waited_ms=round(waited_s * 1000),
             prompt=work.prompt_tokens,
             most=work.max_output_tokens,
@@ -239,7 +242,7 @@
         if destination is None:
             self._turns.done(source, attempt)
             return
-        self._placer.copying(attempt, destination)
+        self._placer.copying(trio.current_time(), attempt, destination, engine)
         turn = MoveTurn(attempt, destination)
         address = self._asker_by_attempt.get(attempt, "")
         if address:
@@ -295,10 +298,10 @@
         decided = self._placer.place(trio.current_time(), work, engine, whole=True)
         if isinstance(decided, PlaceRefused):
             retry_ms = round(decided.retry_after_s * 1000)
-            answer = PlaceAnswer(work.attempt, "", "", False, retry_ms)
+            answer = PlaceAnswer(work.attempt, "", "", retry_ms)
         else:
             backup = decided.backup or ""
-            answer = PlaceAnswer(work.attempt, decided.runner, backup, decided.spare, 0)
+            answer = PlaceAnswer(work.attempt, decided.runner, backup, 0)
         self._port.send(address, answer)
 
     def _take_answer(self, answer: PlaceAnswer | BackupAnswer, sender: tuple[str, int]) -> None:
