The home keeps the order of what waits and gives room out when it comes; copies beside recent demand; the strong are home

Now the strong are home, copies fill only what runs have not needed lately, and the home holds the queue.

--- a/egretstack/fleet/_fleet.py
+++ b/egretstack/fleet/_fleet.py
@@ -161,12 +161,13 @@
             if now_s - record.heard_s < SILENT_AFTER_S + LISTED_HOPE_S:
                 rows.append(self._rank(record.known))
         rows.sort()
-        return [row[2] for row in rows]
+        return [row[3] for row in rows]
 
     @staticmethod
-    def _rank(known: KnownInstance) -> tuple[int, bytes, InstanceId]:
+    def _rank(known: KnownInstance) -> tuple[int, int, bytes, InstanceId]:
         # An instance that leaves or does not reach the store can be home, but is the last choice.
         handicap = 0 if known.reads_store else 1
         handicap += {InstanceState.READY: 0, InstanceState.STARTING: 1}.get(known.state, 2)
         digest = blake2b(known.instance.id.encode(), digest_size=8).digest()
-        return handicap, digest, known.instance.id
+        # The home talks to everyone: on the slowest links of a mixed fleet it would choke.
+        return handicap, -known.instance.strength, digest, known.instance.id
--- a/egretstack/fleet/_instance.py
+++ b/egretstack/fleet/_instance.py
@@ -24,6 +24,8 @@
     zone: ZoneName
     front_address: str
     peer_address: str
+    strength: int = 0
+    """How much it can carry, in doublings: of instances of different sizes, the strong decide."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -1,4 +1,4 @@
-"""What instances tell and ask each other in datagrams; numbers 70 to 79.
+"""What instances tell and ask each other in datagrams; numbers 70 to 89.
 
 Rows are lists, in the order of the fields that the functions here name. Whatever is lost is told
 again within a period, or asked again; nothing that callers were promised rests on any of it.
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True)
 class PlaceAnswer(Message):
-    """The runner, or when to come back. An empty runner is a refusal."""
+    """The runner; without one the work waits at the home, and this forecasts for how long."""
 
     number: ClassVar[int] = 73
     attempt: str
@@ -74,6 +74,14 @@
     retry_after_ms: int
 
 
+@dataclass(frozen=True)
+class PlaceDrop(Message):
+    """Nobody waits for this place any more."""
+
+    number: ClassVar[int] = 80
+    attempt: str
+
+
 @dataclass(frozen=True)
 class BackupAsk(Message):
     """Asks the home where a run that goes on at another runner is copied from now on."""
@@ -133,6 +141,7 @@
         one.zone,
         one.front_address,
         one.peer_address,
+        one.strength,
         known.incarnation,
         known.state.value,
         known.reads_store,
@@ -143,8 +152,10 @@
 def instance_of(row: object) -> KnownInstance:
     """Read the row of an instance. Raises MessageError."""
     try:
-        name, zone, front, peer, incarnation, state, reads_store, version = row
-        instance = Instance(InstanceId(str(name)), ZoneName(str(zone)), str(front), str(peer))
+        name, zone, front, peer, strength, incarnation, state, reads_store, version = row
+        instance = Instance(
+            InstanceId(str(name)), ZoneName(str(zone)), str(front), str(peer), int(strength)
+        )
         return KnownInstance(
             instance, int(incarnation), InstanceState(state), bool(reads_store), int(version)
         )
--- a/egretstack/placing/__init__.py
+++ b/egretstack/placing/__init__.py
@@ -5,8 +5,8 @@
 from egretstack.placing._links import CopyLinks
 from egretstack.placing._loads import EngineLoad
 from egretstack.placing._move_turns import MoveTurns
-from egretstack.placing._placer import Placement, Placer, PlaceRefused
-from egretstack.placing._run import Run, Work, run_of, run_row, work_of, work_row
+from egretstack.placing._placer import Placed, Placer, PlaceRefused
+from egretstack.placing._run import Placement, Run, Work, run_of, run_row, work_of, work_row
 
 __all__ = [
     "CopyLinks",
@@ -14,6 +14,7 @@
     "LengthForecast",
     "MoveTurns",
     "PlaceRefused",
+    "Placed",
     "Placement",
     "Placer",
     "PlainBalancer",
--- /dev/null
+++ b/egretstack/placing/_book.py
@@ -0,0 +1,202 @@
+"""The runs of the fleet by engine, and the load that follows from them.
+
+The home knows every run by the reports of all instances, and what it has just placed. Any other
+instance knows its own, on top of the loads that the home last told.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from egretstack.fleet import RunnerTable
+from egretstack.ids import InstanceId, RunnerId
+from egretstack.messages import MessageError
+from egretstack.placing._lengths import LengthForecast
+from egretstack.placing._loads import EngineLoad, load_of, load_row
+from egretstack.placing._run import Placement, Run, Work
+
+PENDING_S = 1.0
+"""How long a placement counts before its instance reports the run: several report periods."""
+MEASURED_LIFE_S = 2.5
+"""How long an engine's own figure counts: two readings and a half."""
+GROWTH_TOKENS = 150
+"""What a run is reckoned to grow by before another one on its engine ends."""
+PREFILL_TOKENS_PER_S = 7_000.0
+"""Rate at which an engine is taken to read prompts before any first token was timed."""
+PREFILL_MEMORY = 0.9
+"""Weight of what was learned in each update of that rate."""
+LEAST_TIMED_TOKENS = 500
+"""Prompts from which the rate is learned; the overhead of shorter ones hides it."""
+
+Loads = dict[RunnerId, EngineLoad]
+
+
+@dataclass(slots=True)
+class _Pending:
+    run: Run
+    placement: Placement
+    placed_s: float
+
+
+class RunBook:
+    """What runs where."""
+
+    def __init__(self, runners: RunnerTable) -> None:
+        self.lengths = LengthForecast()
+        self.prefill_per_s = PREFILL_TOKENS_PER_S
+        self._runners = runners
+        self._runs_by_instance: dict[InstanceId, list[Run]] = {}
+        self._pending_by_attempt: dict[str, _Pending] = {}
+        self._booked_by_id: dict[RunnerId, float] = {}
+        """What the book said when each engine was last measured."""
+        self._unbooked_by_id: dict[RunnerId, tuple[float, float]] = {}
+        """Memory in use that the book did not explain, and when."""
+        self._told: Loads = {}
+        self._unread_until_s: dict[RunnerId, float] = {}
+
+    def reported(self, instance: InstanceId, runs: list[Run]) -> None:
+        """Take what an instance runs, in place of its earlier report."""
+        going_on = {run.work.attempt for run in runs}
+        for run in self._runs_by_instance.get(instance, ()):
+            if run.work.attempt not in going_on and run.started:
+                work = run.work
+                self.lengths.finished(
+                    work.service, work.max_output_tokens, work.length_hint, run.made_tokens
+                )
+        self._runs_by_instance[instance] = runs
+        for run in runs:
+            self._pending_by_attempt.pop(run.work.attempt, None)
+
+    def gone(self, live: Iterable[InstanceId]) -> None:
+        """Forget the runs of instances that are not among the living."""
+        kept = set(live)
+        for instance in [one for one in self._runs_by_instance if one not in kept]:
+            del self._runs_by_instance[instance]
+
+    def told(self, now_s: float, rows: Iterable[object]) -> None:
+        """Take the loads that the home tells. Raises MessageError."""
+        try:
+            self._told = dict(load_of(row, now_s) for row in rows)
+        except TypeError as error:
+            raise MessageError(f"not loads: {error}") from error
+
+    def measured(self, now_s: float, runner_id: RunnerId, used_tokens: int) -> None:
+        """Take what an engine itself says is in use, as of a moment ago.
+
+        Copies stay for seconds after their run has moved on or was broken off. The book knows
+        nothing of them, and an engine that looks free by the book lets what is sent there wait.
+        """
+        load = self.loads(now_s, whole=True).get(runner_id)
+        if load is None:
+            return
+        booked = load.held_tokens + load.copy_tokens
+        before = self._booked_by_id.get(runner_id, booked)
+        self._booked_by_id[runner_id] = booked
+        unbooked = max(0.0, used_tokens - max(booked, before))
+        self._unbooked_by_id[runner_id] = (unbooked, now_s)
+
+    def first_token(self, prompt_tokens: int, waited_s: float) -> None:
+        """Learn how fast prompts are read."""
+        if prompt_tokens < LEAST_TIMED_TOKENS or waited_s <= 0:
+            return
+        rate = prompt_tokens / waited_s
+        self.prefill_per_s = PREFILL_MEMORY * self.prefill_per_s + (1 - PREFILL_MEMORY) * rate
+
+    def run(self, attempt: str) -> Run | None:
+        """Give a run that some instance reported."""
+        for runs in self._runs_by_instance.values():
+            for run in runs:
+                if run.work.attempt == attempt:
+                    return run
+        return None
+
+    def placement(self, work: Work) -> Placement | None:
+        """Give what was decided on a work a moment ago, unless that engine failed it since."""
+        pending = self._pending_by_attempt.get(work.attempt)
+        if pending is None or pending.run.runner in work.excluded:
+            return None
+        return pending.placement
+
+    def place(self, now_s: float, work: Work, placement: Placement, loads: Loads) -> None:
+        """Note a placement, in the loads too."""
+        run = Run(work, placement.runner, placement.backup)
+        self._pending_by_attempt[work.attempt] = _Pending(run, placement, now_s)
+        begins_s = max(now_s, self._unread_until_s.get(placement.runner, 0.0))
+        until_s = begins_s + work.prompt_tokens / self.prefill_per_s
+        self._unread_until_s[placement.runner] = until_s
+        self._add(loads, run)
+        loads[placement.runner].unread_until_s = until_s
+
+    def ended(self, attempt: str) -> None:
+        """Note that a placement led to nothing, or is over."""
+        self._pending_by_attempt.pop(attempt, None)
+
+    def loads(self, now_s: float, *, whole: bool) -> Loads:
+        """Give the load of each engine; `whole` if the runs of all instances are known here."""
+        self._drop_old(now_s)
+        loads = {
+            runner_id: EngineLoad() if whole else self._told_load(runner_id)
+            for runner_id in self._runners.by_id
+        }
+        for run in self._known_runs(whole):
+            self._add(loads, run)
+        for runner_id, load in loads.items():
+            unbooked, measured_s = self._unbooked_by_id.get(runner_id, (0.0, now_s))
+            if whole and now_s - measured_s < MEASURED_LIFE_S:
+                load.copy_tokens += unbooked
+            if load.unread or not whole:
+                until_s = self._unread_until_s.get(runner_id, 0.0)
+                load.unread_until_s = max(load.unread_until_s, until_s)
+        return loads
+
+    def load_rows(self, now_s: float) -> list[list]:
+        """Give the loads for a message to all."""
+        loads = self.loads(now_s, whole=True)
+        return [load_row(runner_id, load, now_s) for runner_id, load in loads.items()]
+
+    def expected_output(self, work: Work, made_tokens: int = 0) -> float:
+        """Give the output to reckon with, in all."""
+        return self.lengths.expected(
+            work.service, work.max_output_tokens, work.length_hint, made_tokens
+        )
+
+    def tokens_left(self, run: Run) -> float:
+        """Give the output that a run is still expected to make."""
+        return self.expected_output(run.work, run.made_tokens) - run.made_tokens
+
+    def soon_tokens(self, run: Run) -> float:
+        """Give the memory that a run takes now or soon.
+
+        Runs end as others grow: memory summed over an engine's runs is highest about now, as long
+        as nothing is added. What each may grow by before the next one ends is counted.
+        """
+        growth = min(GROWTH_TOKENS, self.tokens_left(run))
+        return run.work.prompt_tokens + run.made_tokens + growth
+
+    def _told_load(self, runner_id: RunnerId) -> EngineLoad:
+        told = self._told.get(runner_id)
+        if told is None:
+            return EngineLoad()
+        return EngineLoad(told.runs, told.held_tokens, told.copy_tokens, 0, told.unread_until_s)
+
+    def _known_runs(self, whole: bool) -> Iterator[Run]:
+        if whole:
+            for runs in self._runs_by_instance.values():
+                yield from runs
+        for pending in self._pending_by_attempt.values():
+            yield pending.run
+
+    def _add(self, loads: Loads, run: Run) -> None:
+        soon = self.soon_tokens(run)
+        load = loads.get(run.runner)
+        if load is not None:
+            load.runs += 1
+            load.held_tokens += soon
+            load.unread += not run.started
+        copy = None if run.backup is None else loads.get(run.backup)
+        if copy is not None:
+            copy.copy_tokens += soon
+
+    def _drop_old(self, now_s: float) -> None:
+        pending = self._pending_by_attempt
+        for attempt in [one for one, it in pending.items() if now_s - it.placed_s > PENDING_S]:
+            del pending[attempt]
--- a/egretstack/placing/_loads.py
+++ b/egretstack/placing/_loads.py
@@ -1,6 +1,6 @@
 """The load of one engine, from the runs that are known to be on it."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from egretstack.ids import RunnerId
 from egretstack.messages import MessageError
@@ -15,19 +15,24 @@
     """Memory that its runs take now or soon."""
     copy_tokens: float = 0.0
     """Memory that copies of runs elsewhere take now or soon."""
-    unread: dict[str, float] = field(default_factory=dict)
-    """Prompt tokens of each run that waits for its first token, by attempt."""
+    unread: int = 0
+    """Runs that wait for their first token."""
     unread_until_s: float = 0.0
     """When all prompts sent so far are forecast to have been read."""
 
-    def filled(self, capacity: int) -> float:
-        """Give the share of memory that runs and copies take."""
-        return (self.held_tokens + self.copy_tokens) / max(1, capacity)
+    @property
+    def taken_tokens(self) -> float:
+        """Memory that runs and copies take."""
+        return self.held_tokens + self.copy_tokens
+
+    def wait_s(self, now_s: float) -> float:
+        """Give how long a prompt sent now waits before it is read."""
+        return max(0.0, self.unread_until_s - now_s)
 
 
 def load_row(runner: RunnerId, load: EngineLoad, now_s: float) -> list:
     """Give the row of a load for a message."""
-    wait_ms = max(0, round((load.unread_until_s - now_s) * 1000))
+    wait_ms = round(load.wait_s(now_s) * 1000)
     return [runner, load.runs, round(load.held_tokens), round(load.copy_tokens), wait_ms]
 
 
--- a/egretstack/placing/_run.py
+++ b/egretstack/placing/_run.py
@@ -22,6 +22,14 @@
     excluded: tuple[RunnerId, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a generation runs, and where its memory is copied meanwhile."""
+
+    runner: RunnerId
+    backup: RunnerId | None
+
+
 @dataclass(slots=True)
 class Run:
     """A generation on an engine, as its instance last told of it."""
--- a/egretstack/platform/_node_settings.py
+++ b/egretstack/platform/_node_settings.py
@@ -61,6 +61,7 @@
     seeds: tuple[str, ...]
     """Control addresses of a few instances, which may be gone."""
     store_address: str
+    link_mbps: float
     memory_mb: int
     max_descriptors: int
     bounds: Bounds
@@ -108,6 +109,7 @@
             last_peer_port=last,
             seeds=tuple(one for one in self._values.get("seeds", "").split(",") if one)[:MAX_SEEDS],
             store_address=self._address("platform.address"),
+            link_mbps=self._number("limits.link-mbps", 1000),
             memory_mb=int(self._number("limits.memory-mb", 128)),
             max_descriptors=int(self._number("limits.max-fds", 1024)),
             bounds=self._bounds(),
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -1,7 +1,5 @@
 """Where generations run: asked of the home, or decided here while the home is silent."""
 
-from dataclasses import replace
-
 import trio
 
 from egretstack.errors import ErrorKind
@@ -15,6 +13,7 @@
     MoveTurn,
     PlaceAnswer,
     PlaceAsk,
+    PlaceDrop,
 )
 from egretstack.ids import InstanceId, RunnerId
 from egretstack.kernel import Kernel, Service
@@ -23,7 +22,6 @@
     MoveTurns,
     Placement,
     Placer,
-    PlaceRefused,
     Run,
     Work,
     run_of,
@@ -41,8 +39,11 @@
 ASK_S = 0.04
 """Time for the home's answer, which takes some 2 ms; then the question is sent once more."""
 ASK_TIMES = 2
-ASK_AGAIN_S = 0.1
-"""How often a generation that found no room asks again."""
+ASK_AGAIN_S = 0.25
+"""How often a generation that waits at the home tells that it still does."""
+SETTLE_S = 0.05
+"""How often the home looks for room for what waits, besides whenever something is asked."""
+REFUSED_RETRY_S = 0.5
 WAIT_SHARE = 0.6
 """Part of the time until its first token is late that a generation waits for room; reading its
 prompt takes the rest."""
@@ -69,9 +70,8 @@
         self._asked_by_attempt: dict[str, trio.Event] = {}
         self._turn_by_attempt: dict[str, trio.Event] = {}
         self._destination_by_attempt: dict[str, str] = {}
-        self._asker_by_attempt: dict[str, str] = {}
-        """Where the instance of each run hears that asks this home for a turn; empty for this
-        instance itself."""
+        self._asker_by_attempt: dict[str, InstanceId] = {}
+        """Who asked this home for a place or a turn."""
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Answer peers until cancelled."""
@@ -81,6 +81,7 @@
         self._port.on_report(self._take_runs)
         self._port.handle(PlaceAsk, self._answer_place)
         self._port.handle(PlaceAnswer, self._take_answer)
+        self._port.handle(PlaceDrop, self._take_drop)
         self._port.handle(BackupAsk, self._answer_backup)
         self._port.handle(BackupAnswer, self._take_answer)
         self._port.handle(MoveAsk, self._answer_move)
@@ -88,50 +89,92 @@
         self._port.handle(MoveDone, self._take_done)
         self.kernel.get(EngineReports).on_report(self._take_measure)
         task_status.started()
-        await trio.sleep_forever()
+        while True:
+            await trio.sleep(SETTLE_S)
+            if self._port.is_home():
+                self._settle(trio.current_time())
 
     async def place(self, work: Work, engine: EnginePlan) -> Placement:
         """Give the place of a generation, once there is room. Raises RequestFailed.
 
-        It waits here while its first token can still be in time; then it is refused, since on
-        engines that are full it would be late and make others late.
+        It waits at the home while its first token can still be in time; then it is refused, since
+        on engines that are full it would be late and make others late.
         """
         began_s = trio.current_time()
-        wait_s = work.patience_s * WAIT_SHARE
+        placed = None
+        retry_s = REFUSED_RETRY_S
         try:
-            while True:
-                waited_s = trio.current_time() - began_s
-                asked = replace(work, patience_s=max(0.0, work.patience_s - waited_s))
-                decided = await self._decide(asked, engine)
-                if isinstance(decided, Placement):
-                    self._log_placed(asked, decided, waited_s)
-                    return decided
-                if waited_s >= wait_s:
+            with trio.move_on_after(work.patience_s * WAIT_SHARE):
+                while placed is None:
+                    answer = await self._ask_place(work)
+                    if answer is None:
+                        placed = self._place_alone(work, engine)
+                        await trio.sleep(0 if placed else ASK_AGAIN_S)
+                    elif answer.runner:
+                        placed = _placement(answer)
+                    else:
+                        retry_s = answer.retry_after_ms / 1000
+        finally:
+            if placed is None:
+                self._drop(work.attempt)
+        waited_s = trio.current_time() - began_s
+        if placed is None:
+            log(
+                Event.PLACE_REFUSED,
+                request=work.attempt,
+                retry_s=retry_s,
+                waited_ms=round(waited_s * 1000),
+            )
+            raise RequestFailed(ErrorKind.ENGINES_FULL, "no engine is free", retry_after_s=retry_s)
+        self._log_placed(work, placed, waited_s)
+        return placed
+
+    async def _ask_place(self, work: Work) -> PlaceAnswer | None:
+        """Ask the home, and wait there for a place; None if the home is silent.
+
+        An answer without a runner tells that the home is there and no place came yet.
+        """
+        asked = self._asked_by_attempt[work.attempt] = trio.Event()
+        try:
+            for _ in range(ASK_TIMES):
+                self._send_ask(work)
+                with trio.move_on_after(ASK_S):
+                    await asked.wait()
                     break
-                await trio.sleep(ASK_AGAIN_S)
-        except trio.Cancelled:
-            self._placer.ended(work.attempt)
-            raise
-        self._placer.ended(work.attempt)
-        log(
-            Event.PLACE_REFUSED,
-            request=work.attempt,
-            retry_s=decided.retry_after_s,
-            waited_ms=round(waited_s * 1000),
-        )
-        raise RequestFailed(
-            ErrorKind.ENGINES_FULL, "no engine is free", retry_after_s=decided.retry_after_s
-        )
+            first = self._answer_by_attempt.pop(work.attempt, None)
+            if not isinstance(first, PlaceAnswer):
+                log(Event.HOME_SILENT, request=work.attempt)
+                return None
+            if first.runner:
+                return first
+            placed = self._asked_by_attempt[work.attempt] = trio.Event()
+            with trio.move_on_after(ASK_AGAIN_S):
+                await placed.wait()
+            later = self._answer_by_attempt.pop(work.attempt, None)
+            return later if isinstance(later, PlaceAnswer) else first
+        finally:
+            self._asked_by_attempt.pop(work.attempt, None)
+            self._answer_by_attempt.pop(work.attempt, None)
+
+    def _send_ask(self, work: Work) -> None:
+        own = self.kernel.settings.instance
+        ask = PlaceAsk(own, work_row(work))
+        address = self._port.home_address()
+        if address is None:
+            self._answer_place(ask, ("", 0))
+        else:
+            self._port.send(address, ask)
 
-    async def _decide(self, work: Work, engine: EnginePlan) -> Placement | PlaceRefused:
-        answer = await self._ask_home(work)
-        if answer is None:
-            whole = self._port.is_home()
-            return self._placer.place(trio.current_time(), work, engine, whole=whole)
-        if not answer.runner:
-            return PlaceRefused(answer.retry_after_ms / 1000)
-        backup = RunnerId(answer.backup) if answer.backup else None
-        return Placement(RunnerId(answer.runner), backup)
+    def _place_alone(self, work: Work, engine: EnginePlan) -> Placement | None:
+        now_s = trio.current_time()
+        decided = self._placer.place(now_s, work, engine, whole=self._port.is_home())
+        return decided if isinstance(decided, Placement) else None
+
+    def _drop(self, attempt: str) -> None:
+        self._placer.ended(attempt)
+        address = self._port.home_address()
+        if address is not None:
+            self._port.send(address, PlaceDrop(attempt))
 
     def _log_placed(self, work: Work, placed: Placement, waited_s: float) -> None:
         log(
@@ -159,7 +202,7 @@
 
     def first_token(self, prompt_tokens: int, waited_s: float) -> None:
         """Note how long a run waited for its first token."""
-        self._placer.first_token(prompt_tokens, waited_s)
+        self._placer.book.first_token(prompt_tokens, waited_s)
 
     async def backup_for(self, run: Run, engine: EnginePlan) -> RunnerId | None:
         """Choose where the memory of a run that moved is copied from now on."""
@@ -196,11 +239,6 @@
         else:
             self._port.send(address, MoveDone(self.kernel.settings.instance, attempt, source))
 
-    async def _ask_home(self, work: Work) -> PlaceAnswer | None:
-        ask = PlaceAsk(self.kernel.settings.instance, work_row(work))
-        answer = await self._ask(work.attempt, ask, times=ASK_TIMES)
-        return answer if isinstance(answer, PlaceAnswer) else None
-
     async def _ask(self, attempt: str, ask: Message, times: int) -> Message | None:
         """Ask the home; None if this instance is the home, or the home is silent."""
         address = self._port.home_address()
@@ -228,27 +266,22 @@
             self._port.send(address, MoveAsk(own, attempt, source, order))
             return
         self._report_own_runs()
-        self._asker_by_attempt[attempt] = ""
+        self._asker_by_attempt[attempt] = self.kernel.settings.instance
         if self._turns.ask(trio.current_time(), source, attempt, order):
             self._give_turn(attempt, source)
 
     def _give_turn(self, attempt: str, source: RunnerId) -> None:
         """Tell the instance of a run where to copy it; give the turn up if there is no room."""
-        run = self._placer.run(attempt)
+        run = self._placer.book.run(attempt)
         engine = None if run is None else self._store.engine(run.work.service)
         destination = None
         if engine is not None:
-            destination = self._placer.destination(trio.current_time(), run, engine, whole=True)
-        if destination is None:
+            destination = self._placer.begin_copy(trio.current_time(), run, engine)
+        asker = self._asker_by_attempt.get(attempt)
+        if destination is None or asker is None:
             self._turns.done(source, attempt)
-            return
-        self._placer.copying(trio.current_time(), attempt, destination, engine)
-        turn = MoveTurn(attempt, destination)
-        address = self._asker_by_attempt.get(attempt, "")
-        if address:
-            self._port.send(address, turn)
         else:
-            self._take_turn(turn, ("", 0))
+            self._answer(asker, MoveTurn(attempt, destination))
 
     def _end_turn(self, attempt: str, source: RunnerId) -> None:
         self._turns.done(source, attempt)
@@ -263,46 +296,73 @@
 
     def tokens_left(self, run: Run) -> float:
         """Give the output that a run is still expected to make."""
-        return self._placer.tokens_left(run)
+        return self._placer.book.tokens_left(run)
 
     def _run_rows(self) -> list:
         return [run_row(run) for run in self._run_by_attempt.values()]
 
     def _report_own_runs(self) -> None:
         own = self.kernel.settings.instance
-        self._placer.reported(own, list(self._run_by_attempt.values()))
+        self._placer.book.reported(own, list(self._run_by_attempt.values()))
 
     def _load_rows(self) -> list:
         self._report_own_runs()
         now_s = trio.current_time()
         self._placer.gone(known.instance.id for known in self._port.fleet.live(now_s))
-        return self._placer.load_rows(now_s)
+        return self._placer.book.load_rows(now_s)
 
     def _take_runs(self, instance: InstanceId, rows: list) -> None:
-        self._placer.reported(instance, [run_of(row) for row in rows])
+        self._placer.book.reported(instance, [run_of(row) for row in rows])
 
     def _take_measure(self, runner: RunnerId, report: RunnerReport) -> None:
         self._report_own_runs()
-        self._placer.measured(trio.current_time(), runner, report.kv_used_tokens)
+        self._placer.book.measured(trio.current_time(), runner, report.kv_used_tokens)
 
     def _take_news(self, news: FleetNews) -> None:
-        self._placer.told(trio.current_time(), news.loads)
+        self._placer.book.told(trio.current_time(), news.loads)
 
     def _answer_place(self, ask: PlaceAsk, sender: tuple[str, int]) -> None:
         work = work_of(ask.work)
-        address = self._port.address_of(InstanceId(ask.sender))
+        asker = InstanceId(ask.sender)
         engine = self._store.engine(work.service)
-        if address is None or engine is None:
+        if engine is None or not self._can_answer(asker):
             return  # The asker places by its own view.
+        now_s = trio.current_time()
+        self._asker_by_attempt[work.attempt] = asker
+        self._placer.wait(now_s, work, engine)
+        if self._settle(now_s, work.attempt):
+            return
+        retry_ms = round(self._placer.room_after_s(now_s, work) * 1000)
+        self._answer(asker, PlaceAnswer(work.attempt, "", "", retry_ms))
+
+    def _settle(self, now_s: float, asked: str = "") -> bool:
+        """Place what waits and tell those who asked; tell whether `asked` was among them."""
         self._report_own_runs()
-        decided = self._placer.place(trio.current_time(), work, engine, whole=True)
-        if isinstance(decided, PlaceRefused):
-            retry_ms = round(decided.retry_after_s * 1000)
-            answer = PlaceAnswer(work.attempt, "", "", retry_ms)
+        placed = self._placer.settle(now_s)
+        for one in placed:
+            asker = self._asker_by_attempt.pop(one.attempt, None)
+            if asker is not None:
+                backup = one.placement.backup or ""
+                self._answer(asker, PlaceAnswer(one.attempt, one.placement.runner, backup, 0))
+        return any(one.attempt == asked for one in placed)
+
+    def _can_answer(self, asker: InstanceId) -> bool:
+        own = self.kernel.settings.instance
+        return asker == own or self._port.address_of(asker) is not None
+
+    def _answer(self, asker: InstanceId, message: Message) -> None:
+        """Send an answer to an instance, this one perhaps."""
+        address = self._port.address_of(asker)
+        if address is not None:
+            self._port.send(address, message)
+        elif isinstance(message, MoveTurn):
+            self._take_turn(message, ("", 0))
         else:
-            backup = decided.backup or ""
-            answer = PlaceAnswer(work.attempt, decided.runner, backup, 0)
-        self._port.send(address, answer)
+            self._take_answer(message, ("", 0))
+
+    def _take_drop(self, drop: PlaceDrop, sender: tuple[str, int]) -> None:
+        self._placer.ended(drop.attempt)
+        self._asker_by_attempt.pop(drop.attempt, None)
 
     def _take_answer(self, answer: PlaceAnswer | BackupAnswer, sender: tuple[str, int]) -> None:
         asked = self._asked_by_attempt.get(answer.attempt)
@@ -311,7 +371,7 @@
             asked.set()
 
     def _answer_backup(self, ask: BackupAsk, sender: tuple[str, int]) -> None:
-        run = self._placer.run(ask.attempt)
+        run = self._placer.book.run(ask.attempt)
         engine = None if run is None else self._store.engine(run.work.service)
         address = self._port.address_of(InstanceId(ask.sender))
         if address is None or engine is None:
@@ -321,10 +381,10 @@
         self._port.send(address, BackupAnswer(ask.attempt, backup or ""))
 
     def _answer_move(self, ask: MoveAsk, sender: tuple[str, int]) -> None:
-        address = self._port.address_of(InstanceId(ask.sender))
-        if address is None or self._placer.run(ask.attempt) is None:
+        asker = InstanceId(ask.sender)
+        if not self._can_answer(asker) or self._placer.book.run(ask.attempt) is None:
             return  # Asked again soon; the run's report may have been lost.
-        self._asker_by_attempt[ask.attempt] = address
+        self._asker_by_attempt[ask.attempt] = asker
         source = RunnerId(ask.source)
         if self._turns.ask(trio.current_time(), source, ask.attempt, ask.order):
             self._give_turn(ask.attempt, source)
@@ -337,3 +397,8 @@
 
     def _take_done(self, done: MoveDone, sender: tuple[str, int]) -> None:
         self._end_turn(done.attempt, RunnerId(done.source))
+
+
+def _placement(answer: PlaceAnswer) -> Placement:
+    backup = RunnerId(answer.backup) if answer.backup else None
+    return Placement(RunnerId(answer.runner), backup)
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import replace
+from math import log2
 
 import msgpack
 import trio
@@ -45,7 +46,11 @@
         super().__init__(kernel)
         node: NodeSettings = kernel.settings
         own = Instance(
-            node.instance, node.zone, node.front_address, f"{node.ip}:{node.first_peer_port}"
+            node.instance,
+            node.zone,
+            node.front_address,
+            f"{node.ip}:{node.first_peer_port}",
+            strength=round(log2(max(1.0, node.link_mbps))),
         )
         incarnation = kernel.rng.getrandbits(INCARNATION_BITS)
         known = KnownInstance(own, incarnation, InstanceState.STARTING, True, 0)
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -196,7 +196,12 @@
     async def _register(self) -> None:
         """Write where this instance is; a write without an answer is made again, to no harm."""
         own = self._port.fleet.own.instance
-        spec = {"zone": own.zone, "front": own.front_address, "peer": own.peer_address}
+        spec = {
+            "zone": own.zone,
+            "front": own.front_address,
+            "peer": own.peer_address,
+            "strength": own.strength,
+        }
         if not await self._store.replace(ObjectKind.INSTANCE, own.id, spec):
             try:
                 await self._store.create(ObjectKind.INSTANCE, own.id, spec)
@@ -242,5 +247,6 @@
         ZoneName(str(spec.get("zone", ""))),
         str(spec.get("front", "")),
         str(spec.get("peer", "")),
+        strength if isinstance(strength := spec.get("strength"), int) else 0,
     )
     return KnownInstance(instance, 0, InstanceState.STARTING, True, 0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -147,3 +147,13 @@
     check.assertEqual(len(table.ready(ENGINES)), 2)
     stopped = table.take(8.5, [runner("a")], 23, 8.5)
     check.assertEqual([one.id for one in stopped], ["b"])
+
+
+def test_the_strong_are_home():
+    # Placing would stall for the whole fleet: the home was drawn among sixty instances on slow
+    # links, which its news to all filled; it looked dead, and the next one had the same fate.
+    view = Fleet(known(0), 0.0)
+    for number in range(1, 60):
+        view.heard(0.0, known(number, strength=10 if number in (7, 33) else 3))
+    check.assertIn(view.home(0.1), {"entry-7", "entry-33"})
+    check.assertEqual({one.id for one in view.report_targets(0.1)}, {"entry-7", "entry-33"})
