--- a/egretstack/http1/_server.py
+++ b/egretstack/http1/_server.py
@@ -140,6 +140,10 @@
         """Send the proper end of an answer's body. Raises ClientGone."""
         await self._send(self._http.send(h11.EndOfMessage()))
 
+    async def send_raw(self, data: bytes) -> None:
+        """Send bytes as they are, for stand-ins of servers that break the protocol."""
+        await self._send(data)
+
     def abort(self) -> None:
         """Reset the connection: an answer that ends early must not look complete."""
         reset_on_close(self._stream)
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -14,6 +14,7 @@
     "store_reading",
     "configuration_relay",
     "engine_reports",
+    "placing_home",
     "engine_placing",
     "relaying",
     "settings_file",
--- a/egretstack/services/directory_port.py
+++ b/egretstack/services/directory_port.py
@@ -103,7 +103,7 @@
         if is_ready_question(head):
             return json_answer(200 if self.is_ready() else 503, {"ready": self.is_ready()})
         if is_directory_question(head):
-            addresses = self._addresses()
+            addresses = self.ready_addresses()
             if not addresses:
                 return json_answer(503, {"error": "no instance is ready"}, ANSWER_LIFE_S)
             grace_s = self.kernel.settings.bounds.grace_s
@@ -113,7 +113,8 @@
             return directory_answer(addresses, life_s)
         return json_answer(404, {"error": "no such resource"})
 
-    def _addresses(self) -> list[str]:
+    def ready_addresses(self) -> list[str]:
+        """Give where clients may connect; no more than they use of one answer."""
         ready = [
             known.instance.front_address
             for known in self._port.fleet.live(trio.current_time())
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -124,13 +124,13 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Send and receive."""
         node: NodeSettings = self.kernel.settings
-        receiving = trio.socket.from_stdlib_socket(self._raw)
-        await receiving.bind((node.ip, node.first_peer_port))
-        self._greet(node)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive, receiving)
-            nursery.start_soon(self._tell)
-            task_status.started()
+        with trio.socket.from_stdlib_socket(self._raw) as receiving:
+            await receiving.bind((node.ip, node.first_peer_port))
+            self._greet(node)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive, receiving)
+                nursery.start_soon(self._tell)
+                task_status.started()
 
     async def farewell(self) -> None:
         """Tell the others that this instance ends."""
--- /dev/null
+++ b/egretstack/services/placing_home.py
@@ -0,0 +1,185 @@
+"""The home's side of placing: it keeps the book of all runs, and answers for the whole fleet.
+
+Every instance runs it, and learns all it needs in case it becomes home; while it is not, nobody
+asks it.
+"""
+
+from collections.abc import Callable
+
+import trio
+
+from egretstack.fleet import (
+    BackupAnswer,
+    BackupAsk,
+    FleetNews,
+    MoveAsk,
+    MoveDone,
+    MoveTurn,
+    PlaceAnswer,
+    PlaceAsk,
+    PlaceDrop,
+)
+from egretstack.ids import InstanceId, RunnerId
+from egretstack.kernel import Kernel, Service
+from egretstack.messages import Message
+from egretstack.placing import MoveTurns, Placer, Run, run_of, run_row, work_of
+from egretstack.services.engine_reports import EngineReports
+from egretstack.services.fleet_port import FleetPort
+from egretstack.services.store_reading import StoreReading
+from egretstack.traffic import RunnerReport
+
+SETTLE_S = 0.05
+"""How often the home looks for room for what waits, besides whenever something is asked."""
+
+
+class PlacingHome(Service):
+    """The placer of this instance, which is the fleet's while this instance is home."""
+
+    name = "placing_home"
+    requires = ("engine_reports", "fleet_port", "store_reading")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._port = kernel.get(FleetPort)
+        self._store = kernel.get(StoreReading)
+        self.placer = Placer(self._port.runners, kernel.rng)
+        self.own_runs: Callable[[], list[Run]] = list
+        """Gives the runs of this instance."""
+        self.answer_here: Callable[[Message], None] = lambda message: None
+        """Takes answers to this instance's own questions."""
+        self._turns = MoveTurns()
+        self._asker_by_attempt: dict[str, InstanceId] = {}
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Answer peers until cancelled."""
+        self._port.runs = lambda: [run_row(run) for run in self.own_runs()]
+        self._port.loads = self._load_rows
+        self._port.on_news(self._take_news)
+        self._port.on_report(self._take_runs)
+        self._port.handle(PlaceAsk, self._answer_peer)
+        self._port.handle(PlaceDrop, self._answer_peer)
+        self._port.handle(BackupAsk, self._answer_peer)
+        self._port.handle(MoveAsk, self._answer_peer)
+        self._port.handle(MoveDone, self._answer_peer)
+        self.kernel.get(EngineReports).on_report(self._take_measure)
+        task_status.started()
+        while True:
+            await trio.sleep(SETTLE_S)
+            if self._port.is_home():
+                self._settle()
+
+    def ask(self, message: Message) -> None:
+        """Take a question of any instance, this one too; what can't be answered is left alone."""
+        if isinstance(message, PlaceAsk):
+            self._place(message)
+        elif isinstance(message, PlaceDrop):
+            self._drop(message)
+        elif isinstance(message, BackupAsk):
+            self._choose_backup(message)
+        elif isinstance(message, MoveAsk):
+            self._take_turn_ask(message)
+        elif isinstance(message, MoveDone):
+            self._end_turn(message.attempt, RunnerId(message.source))
+
+    def refresh(self) -> None:
+        """Bring the runs of this instance in the book up to date."""
+        self.placer.book.reported(self.kernel.settings.instance, list(self.own_runs()))
+
+    def _answer_peer(self, message: Message, sender: tuple[str, int]) -> None:
+        self.ask(message)
+
+    def _place(self, ask: PlaceAsk) -> None:
+        work = work_of(ask.work)
+        asker = InstanceId(ask.sender)
+        engine = self._store.engine(work.service)
+        if engine is None or not self._can_answer(asker):
+            return  # The asker places by its own view.
+        self._asker_by_attempt[work.attempt] = asker
+        self.placer.wait(trio.current_time(), work, engine)
+        if work.attempt in self._settle():
+            return
+        retry_ms = round(self.placer.room_after_s(trio.current_time(), work) * 1000)
+        self._answer(asker, PlaceAnswer(work.attempt, "", "", retry_ms))
+
+    def _settle(self) -> set[str]:
+        """Place what waits and tell those who asked; give the attempts that have a place now."""
+        self.refresh()
+        placed = self.placer.settle(trio.current_time())
+        for one in placed:
+            asker = self._asker_by_attempt.pop(one.attempt, None)
+            if asker is not None:
+                backup = one.placement.backup or ""
+                self._answer(asker, PlaceAnswer(one.attempt, one.placement.runner, backup, 0))
+        return {one.attempt for one in placed}
+
+    def _drop(self, drop: PlaceDrop) -> None:
+        self.placer.ended(drop.attempt)
+        self._asker_by_attempt.pop(drop.attempt, None)
+
+    def _choose_backup(self, ask: BackupAsk) -> None:
+        asker = InstanceId(ask.sender)
+        self.refresh()
+        run = self.placer.book.run(ask.attempt)
+        engine = None if run is None else self._store.engine(run.work.service)
+        if engine is None or not self._can_answer(asker):
+            return  # The asker goes on without a copy.
+        runner = RunnerId(ask.runner)
+        backup = self.placer.move_run(trio.current_time(), ask.attempt, runner, engine)
+        self._answer(asker, BackupAnswer(ask.attempt, backup or ""))
+
+    def _take_turn_ask(self, ask: MoveAsk) -> None:
+        asker = InstanceId(ask.sender)
+        self.refresh()
+        if not self._can_answer(asker) or self.placer.book.run(ask.attempt) is None:
+            return  # Asked again soon; the run's report may have been lost.
+        self._asker_by_attempt[ask.attempt] = asker
+        source = RunnerId(ask.source)
+        if self._turns.ask(trio.current_time(), source, ask.attempt, ask.order):
+            self._give_turn(ask.attempt, source)
+
+    def _give_turn(self, attempt: str, source: RunnerId) -> None:
+        """Tell the instance of a run where to copy it; give the turn up if there is no room."""
+        run = self.placer.book.run(attempt)
+        engine = None if run is None else self._store.engine(run.work.service)
+        asker = self._asker_by_attempt.get(attempt)
+        destination = None
+        if engine is not None and asker is not None:
+            destination = self.placer.begin_copy(trio.current_time(), run, engine)
+        if destination is None:
+            self._turns.done(source, attempt)
+        else:
+            self._answer(asker, MoveTurn(attempt, destination))
+
+    def _end_turn(self, attempt: str, source: RunnerId) -> None:
+        self._turns.done(source, attempt)
+        self._asker_by_attempt.pop(attempt, None)
+        following = self._turns.grant(trio.current_time(), source)
+        if following is not None:
+            self._give_turn(following, source)
+
+    def _can_answer(self, asker: InstanceId) -> bool:
+        own = self.kernel.settings.instance
+        return asker == own or self._port.address_of(asker) is not None
+
+    def _answer(self, asker: InstanceId, message: Message) -> None:
+        address = self._port.address_of(asker)
+        if address is None:
+            self.answer_here(message)
+        else:
+            self._port.send(address, message)
+
+    def _load_rows(self) -> list:
+        self.refresh()
+        now_s = trio.current_time()
+        self.placer.gone(known.instance.id for known in self._port.fleet.live(now_s))
+        return self.placer.book.load_rows(now_s)
+
+    def _take_runs(self, instance: InstanceId, rows: list) -> None:
+        self.placer.book.reported(instance, [run_of(row) for row in rows])
+
+    def _take_measure(self, runner: RunnerId, report: RunnerReport) -> None:
+        self.refresh()
+        self.placer.book.measured(trio.current_time(), runner, report.kv_used_tokens)
+
+    def _take_news(self, news: FleetNews) -> None:
+        self.placer.book.told(trio.current_time(), news.loads)
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,17 @@
+"""The users' platform in small: its store, plain runners and engines, over HTTP on loopback."""
+
+from standins.platform._engine import EngineFault, EngineStandIn
+from standins.platform._http import StandInServer, json_body
+from standins.platform._plain import PlainFault, PlainStandIn
+from standins.platform._store import StoreFault, StoreStandIn
+
+__all__ = [
+    "EngineFault",
+    "EngineStandIn",
+    "PlainFault",
+    "PlainStandIn",
+    "StandInServer",
+    "StoreFault",
+    "StoreStandIn",
+    "json_body",
+]
--- /dev/null
+++ b/standins/platform/_http.py
@@ -0,0 +1,93 @@
+"""What every stand-in of the platform shares: a small HTTP server on a loopback address."""
+
+import json
+from abc import ABC, abstractmethod
+from functools import partial
+
+import trio
+
+from egretstack.http1 import (
+    BadRequest,
+    ClientConnection,
+    ClientGone,
+    Header,
+    RequestHead,
+    ResponseHead,
+    ServerLimits,
+    SlowSender,
+    open_listener,
+)
+
+LIMITS = ServerLimits(65_536, 8_388_608, 10.0, 60.0)
+
+
+def json_body(document: object) -> bytes:
+    """Give a document as JSON."""
+    return json.dumps(document).encode()
+
+
+class StandInServer(ABC):
+    """Serves requests one after another on each connection."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.connections = 0
+        self._scope = trio.CancelScope()
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until stopped or cancelled."""
+        host, _, port = self.address.rpartition(":")
+        with self._scope:
+            listener = await open_listener(host, int(port))
+            async with trio.open_nursery() as nursery:
+                serve = partial(trio.serve_listeners, self._serve, [listener])
+                await nursery.start(serve)
+                task_status.started()
+
+    def stop(self) -> None:
+        """End at once: every connection breaks."""
+        self._scope.cancel()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        connection = ClientConnection(stream, LIMITS)
+        try:
+            while (head := await connection.read_head()) is not None:
+                body = await connection.read_body()
+                await self._answer_while_there(connection, head, body)
+                if not connection.start_next():
+                    return
+        except (BadRequest, ClientGone, SlowSender):
+            return
+        finally:
+            connection.close()
+
+    async def _answer_while_there(
+        self, connection: ClientConnection, head: RequestHead, body: bytes
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def watch() -> None:
+                await connection.wait_until_gone()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch)
+            try:
+                await self.answer(connection, head, body)
+            except ClientGone:
+                connection.close()
+            nursery.cancel_scope.cancel()
+
+    @abstractmethod
+    async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
+        """Answer one request."""
+
+
+async def send(
+    connection: ClientConnection,
+    status: int,
+    body: bytes = b"",
+    headers: tuple[Header, ...] = (),
+) -> None:
+    """Send a whole answer."""
+    await connection.send_answer(ResponseHead(status, b"", headers), body)
--- /dev/null
+++ b/standins/platform/_plain.py
@@ -0,0 +1,99 @@
+"""A runner of a plain service."""
+
+from collections import Counter
+from enum import Enum
+
+import trio
+
+from egretstack.http1 import ClientConnection, Header, RequestHead, ResponseHead, first_value
+from standins.platform._http import StandInServer, json_body, send
+
+
+class PlainFault(Enum):
+    """How the runner is ill, for one request at a time."""
+
+    NONE = "none"
+    FAILS = "fails"
+    """It runs the request and answers 500."""
+    FULL = "full"
+    """It rejects the request, and says so."""
+    BUSY_UNSAID = "busy-unsaid"
+    """It answers 503 without saying whether it ran the request."""
+    BREAKS = "breaks"
+    """It runs the request and breaks off within the answer."""
+    SILENT = "silent"
+    CROSSED = "crossed"
+    """It answers with what belongs to another request."""
+    UNSEALED = "unsealed"
+    ENCODED = "encoded"
+    EXTRA = "extra"
+    """It sends a second answer behind the right one."""
+
+
+class PlainStandIn(StandInServer):
+    """Answers with what it was asked, and counts what it ran."""
+
+    def __init__(self, address: str, runner_id: str, delay_s: float = 0.0) -> None:
+        super().__init__(address)
+        self.runner_id = runner_id
+        self.delay_s = delay_s
+        self.faults: list[PlainFault] = []
+        """What goes wrong with the next requests, in turn."""
+        self.runs_by_attempt: Counter[str] = Counter()
+        self.heads: list[RequestHead] = []
+        self.broken_off = 0
+        """Requests whose caller left while they ran."""
+
+    async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
+        """Answer one request."""
+        fault = self.faults.pop(0) if self.faults else PlainFault.NONE
+        if first_value(head.headers, b"expect-runner") not in (None, self.runner_id.encode()):
+            await send(connection, 421, headers=((b"runner-id", self.runner_id.encode()),))
+            return
+        if fault is PlainFault.FULL:
+            await send(connection, 503, headers=((b"not-executed", b"1"),))
+            return
+        self.heads.append(head)
+        attempt = (first_value(head.headers, b"attempt-id") or b"").decode()
+        self.runs_by_attempt[attempt] += 1
+        try:
+            await trio.sleep(self.delay_s)
+        except trio.Cancelled:
+            self.broken_off += 1
+            raise
+        await self._answer_run(connection, head, body, attempt, fault)
+
+    async def _answer_run(
+        self,
+        connection: ClientConnection,
+        head: RequestHead,
+        body: bytes,
+        attempt: str,
+        fault: PlainFault,
+    ) -> None:
+        if fault is PlainFault.SILENT:
+            await trio.sleep_forever()
+        document = json_body(
+            {"runner": self.runner_id, "target": head.target.decode(), "size": len(body)}
+        )
+        headers = self._headers(attempt, fault)
+        if fault is PlainFault.BREAKS:
+            await connection.start_stream(ResponseHead(200, b"", headers), document[:5])
+            connection.abort()
+            return
+        status = {PlainFault.FAILS: 500, PlainFault.BUSY_UNSAID: 503}.get(fault, 200)
+        await send(connection, status, document, headers)
+        if fault is PlainFault.EXTRA:
+            await connection.send_raw(
+                b"HTTP/1.1 200 OK\r\nattempt-id: other\r\nrunner-seal: x\r\n"
+                b"content-length: 5\r\n\r\nextra"
+            )
+
+    def _headers(self, attempt: str, fault: PlainFault) -> tuple[Header, ...]:
+        told = b"another" if fault is PlainFault.CROSSED else attempt.encode()
+        headers: list[Header] = [(b"attempt-id", told), (b"runner-load", b"1,0,6")]
+        if fault is not PlainFault.UNSEALED:
+            headers.append((b"runner-seal", b"seal." + self.runner_id.encode()))
+        if fault is PlainFault.ENCODED:
+            headers.append((b"content-encoding", b"gzip"))
+        return tuple(headers)
--- /dev/null
+++ b/standins/platform/_store.py
@@ -0,0 +1,129 @@
+"""The platform's store: objects by kind and name, with revisions, lists and watches."""
+
+import json
+from enum import Enum
+from urllib.parse import parse_qs, urlsplit
+
+import trio
+
+from egretstack.http1 import ClientConnection, RequestHead
+from standins.platform._http import StandInServer, json_body, send
+
+PREFIX = "/egretstack/objects/"
+
+
+class StoreFault(Enum):
+    """How the store is ill."""
+
+    NONE = "none"
+    BUSY = "busy"
+    """It answers 503: nothing was done."""
+    SILENT = "silent"
+    LOST = "lost"
+    """Writes are done, and not answered."""
+
+
+class StoreStandIn(StandInServer):
+    """Holds objects in memory and keeps its whole history."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(address)
+        self.fault = StoreFault.NONE
+        self.calls: list[tuple[str, str]] = []
+        self.oldest = 0
+        """Watches from before this revision are told that the history is gone."""
+        self._revision = 1
+        self._objects: dict[tuple[str, str], dict] = {}
+        self._history: list[tuple[int, str, dict, bool]] = []
+        self._changed = trio.Event()
+
+    def put(self, kind: str, name: str, spec: dict) -> int:
+        """Write an object as an operator or a runner does; give its revision."""
+        self._revision += 1
+        metadata = {"name": name, "revision": self._revision, "created": 1, "finalizers": []}
+        stored = {"metadata": metadata, "spec": spec, "status": None}
+        self._objects[(kind, name)] = stored
+        self._note(kind, stored, deleted=False)
+        return self._revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        stored = self._objects.pop((kind, name), None)
+        if stored is not None:
+            self._revision += 1
+            self._note(kind, stored, deleted=True)
+
+    def spec(self, kind: str, name: str) -> dict | None:
+        """Give what was written last."""
+        stored = self._objects.get((kind, name))
+        return None if stored is None else stored["spec"]
+
+    def forget_history(self) -> None:
+        """Drop all history, so that every watch has to list again."""
+        self._revision += 1
+        self.oldest = self._revision
+        self._wake()
+
+    async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
+        """Answer one call."""
+        url = urlsplit(head.target.decode())
+        self.calls.append((head.method.decode(), url.path))
+        if self.fault is StoreFault.SILENT:
+            await trio.sleep_forever()
+        if self.fault is StoreFault.BUSY:
+            await send(connection, 503)
+            return
+        kind, _, name = url.path.removeprefix(PREFIX).partition("/")
+        status, document = await self._call(head.method, kind, name, parse_qs(url.query), body)
+        if self.fault is StoreFault.LOST and head.method != b"GET" and status < 300:
+            await trio.sleep_forever()
+        await send(connection, status, json_body(document))
+
+    async def _call(
+        self, method: bytes, kind: str, name: str, query: dict[str, list[str]], body: bytes
+    ) -> tuple[int, object]:
+        if method == b"GET" and name:
+            stored = self._objects.get((kind, name))
+            return (404, {}) if stored is None else (200, stored)
+        if method == b"GET" and "watch" in query:
+            return await self._watch(kind, int(query["watch"][0]), int(query["wait-ms"][0]))
+        if method == b"GET":
+            items = [stored for (one, _), stored in self._objects.items() if one == kind]
+            return 200, {"items": items, "has-more": False, "as-of": self._revision}
+        document = json.loads(body) if body else {}
+        return self._write(method, kind, name or document["metadata"]["name"], document)
+
+    def _write(self, method: bytes, kind: str, name: str, document: dict) -> tuple[int, object]:
+        known = self._objects.get((kind, name))
+        if method == b"POST" and known is not None:
+            return 409, known
+        if method in (b"PUT", b"DELETE") and known is None:
+            return 404, {}
+        if method == b"DELETE":
+            self.remove(kind, name)
+            return 200, {}
+        self.put(kind, name, document["spec"])
+        return 200, self._objects[(kind, name)]
+
+    async def _watch(self, kind: str, since: int, wait_ms: int) -> tuple[int, object]:
+        with trio.move_on_after(wait_ms / 1000):
+            while since >= self.oldest and not self._changes(kind, since):
+                await self._changed.wait()
+        if since < self.oldest:
+            return 410, {}
+        return 200, {"events": self._changes(kind, since), "as-of": self._revision}
+
+    def _changes(self, kind: str, since: int) -> list[dict]:
+        return [
+            {"deleted": deleted, "object": stored}
+            for revision, one, stored, deleted in self._history
+            if one == kind and revision > since
+        ]
+
+    def _note(self, kind: str, stored: dict, *, deleted: bool) -> None:
+        self._history.append((self._revision, kind, stored, deleted))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,280 @@
+"""Whole entries on the platform's stand-ins, in one process, over loopback sockets."""
+
+import json
+import socket
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import trio
+
+from egretstack.http1 import RequestHead, ResponseHead, connect_upstream, exchange
+from egretstack.ids import InstanceId, ZoneName
+from egretstack.kernel import Kernel, load_services
+from egretstack.platform import Bounds, NodeSettings
+from egretstack.programs.platform_entry import SERVICES
+from egretstack.services.directory_port import DirectoryPort
+from standins.platform import EngineStandIn, PlainStandIn, StoreStandIn
+
+HOST = "ficu.example"
+KEY = "key-of-nineras"
+ACCOUNT = "nineras"
+WAIT_S = 20.0
+"""Bound on waiting for something that has to happen; no test depends on how long it takes."""
+MAX_ANSWER = 1_000_000
+BOUNDS = Bounds(
+    runner_drain_s=2,
+    grace_s=3,
+    config_apply_s=2,
+    stable_window_s=3,
+    directory_life_s=5,
+    event_pass_s=0.12,
+    address_reuse_s=2,
+    retry_ratio=0.2,
+    retry_window_s=10,
+    retry_slack=50,
+)
+
+
+@dataclass
+class Site:
+    """The stand-ins and the entries."""
+
+    nursery: trio.Nursery
+    store: StoreStandIn
+    plain: list[PlainStandIn] = field(default_factory=list)
+    engines: list[EngineStandIn] = field(default_factory=list)
+    kernels: list[Kernel] = field(default_factory=list)
+    routes: list[dict] = field(default_factory=list)
+    version: int = 0
+    scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
+    """Ends an entry at once, as a kill does."""
+
+    def settings(self, number: int) -> NodeSettings:
+        """Give the settings of an entry."""
+        return self.kernels[number].settings
+
+    def register(self, runner_id: str, service: str, address: str, state: str = "ready") -> None:
+        """Write a runner's entry, as the runner does."""
+        self.store.put(
+            "servers",
+            runner_id,
+            {
+                "service": service,
+                "address": address,
+                "zone": "leon-a",
+                "slots": 24,
+                "state": state,
+                "cold-remaining-ms": 0,
+                "seq-no": 1,
+            },
+        )
+
+    def configure(self, *, keys: tuple[str, ...] = (KEY,)) -> int:
+        """Write the next version of the configuration."""
+        self.version += 1
+        self.store.put("config", "main", configuration(self.version, self.routes, keys))
+        return self.version
+
+    async def until(self, condition) -> None:
+        """Wait until something holds."""
+        with trio.fail_after(WAIT_S):
+            while not condition():
+                await trio.sleep(0.01)
+
+    async def start_entry(self, number: int, *, store: str | None = None) -> Kernel:
+        """Start an entry and wait until its services are up."""
+        kernel = Kernel(node_settings(number, store or self.store.address, self.kernels))
+        load_services(kernel, tuple(one for one in SERVICES if one != "settings_file"))
+        self.kernels.append(kernel)
+        scope = self.scopes[kernel.settings.instance] = trio.CancelScope()
+
+        async def run(task_status: trio.TaskStatus[None]) -> None:
+            with scope:
+                await kernel.run(task_status)
+
+        await self.nursery.start(run)
+        return kernel
+
+    async def until_ready(self) -> None:
+        """Wait until every entry serves."""
+        await self.until(lambda: all(one.get(DirectoryPort).is_ready() for one in self.kernels))
+
+    async def resolve(self, directory: str) -> list[str]:
+        """Ask a directory which entries to use."""
+        connection = await connect_upstream(directory, WAIT_S)
+        target = f"/egretstack/resolve?name={HOST}&region=bajio&zone=leon-a".encode()
+        try:
+            head = RequestHead(b"GET", target, ((b"host", b"directory"),))
+            _, body = await exchange(connection, head, b"", MAX_ANSWER)
+            return json.loads(body)["addresses"]
+        finally:
+            connection.close()
+
+    async def call(
+        self, path: str, attempt: str, *, entry: int = 0, method: bytes = b"GET", **more
+    ) -> tuple[ResponseHead, bytes]:
+        """Make one request as a client, and read its answer whole."""
+        address = self.settings(entry).front_address
+        connection = await connect_upstream(address, WAIT_S)
+        try:
+            head, body = client_request(path, attempt, method=method, **more)
+            with trio.fail_after(WAIT_S):
+                return await exchange(connection, head, body, MAX_ANSWER)
+        finally:
+            connection.close()
+
+
+def client_request(
+    path: str,
+    attempt: str,
+    *,
+    method: bytes = b"GET",
+    body: bytes = b"",
+    key: str | None = KEY,
+    deadline_ms: int = 10_000,
+    headers: tuple = (),
+) -> tuple[RequestHead, bytes]:
+    """Give a client's request."""
+    lines = [
+        (b"host", HOST.encode()),
+        (b"attempt-id", attempt.encode()),
+        (b"deadline-ms", b"%d" % deadline_ms),
+    ]
+    if key is not None:
+        lines.append((b"authorization", f"Bearer {key}".encode()))
+    if body:
+        lines.append((b"content-length", b"%d" % len(body)))
+    return RequestHead(method, path.encode(), (*lines, *headers)), body
+
+
+GENERATION = (
+    (b"model", b"m"),
+    (b"token-count", b"1460,400"),
+    (b"prompt-prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    (b"length-hint", b"120"),
+)
+"""Headers of a request for a generation."""
+
+
+def route(name: str, kind: str, service: str, **more) -> dict:
+    """Give a route as the operator writes it."""
+    row = {
+        "name": name,
+        "host": HOST,
+        "path-prefix": f"/{name}/",
+        "route-type": kind,
+        "timeout-ms": 5_000,
+        "target-latency-ms": 1_500,
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2 if kind == "idempotent" else 1,
+        "allow-anonymous": False,
+    }
+    return row | more
+
+
+def configuration(version: int, routes: list[dict], keys: tuple[str, ...]) -> dict:
+    """Give a configuration as the operator writes it."""
+    engine = {
+        "slots": 24,
+        "kv-capacity-tokens": 34_000,
+        "kv-token-bytes": 327_680,
+        "link-mbps": 47_000.0,
+        "moves": True,
+        "backups": True,
+        "stride": 4,
+        "handle-s": 5.0,
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "llm", "health-path": "/health", "max-conns": 200, "engine": engine},
+            {"name": "desk", "health-path": "/health", "max-conns": 100},
+        ],
+        "limits": {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 100_000,
+            "header-timeout-ms": 500,
+            "idle-timeout-ms": 15_000,
+        },
+        "tenants": [{"name": ACCOUNT, "api-keys": list(keys), "priority": 1}],
+    }
+
+
+def node_settings(number: int, store: str, others: list[Kernel]) -> NodeSettings:
+    """Give the settings of an entry on its own loopback address."""
+    ip = f"127.{free_net()}.1.{number + 1}"
+    return NodeSettings(
+        instance=InstanceId(f"entry-{number}"),
+        zone=ZoneName("leon-a"),
+        region="bajio",
+        ip=ip,
+        front_address=f"{ip}:8740",
+        ready_address=f"{ip}:8749",
+        directory_address=f"{ip}:8746",
+        control_address=f"{ip}:8748",
+        first_peer_port=7200,
+        last_peer_port=7215,
+        seeds=tuple(f"{one.settings.ip}:8748" for one in others[:3]),
+        store_address=store,
+        link_mbps=1000.0,
+        memory_mb=150,
+        max_descriptors=4100,
+        bounds=BOUNDS,
+    )
+
+
+_net: int | None = None
+
+
+def free_net() -> int:
+    """Give the second number of loopback addresses that no other test process uses."""
+    global _net
+    if _net is None:
+        for net in range(20, 250):
+            guard = socket.socket()
+            try:
+                guard.bind((f"127.{net}.0.1", 8999))
+            except OSError:
+                guard.close()
+                continue
+            _guards.append(guard)
+            _net = net
+            break
+    return _net
+
+
+_guards: list[socket.socket] = []
+
+
+@asynccontextmanager
+async def platform_site(*, entries: int = 1, plain: int = 2, engines: int = 0):
+    """Give a site with the store, runners and ready entries."""
+    EngineStandIn.peers_by_address.clear()
+    net = free_net()
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery, StoreStandIn(f"127.{net}.0.10:8742"))
+        await nursery.start(site.store.run)
+        for number in range(plain):
+            one = PlainStandIn(f"127.{net}.2.{number + 1}:8080", f"i-desk-{number}")
+            site.plain.append(one)
+            await nursery.start(one.run)
+            site.register(one.runner_id, "desk", one.address)
+        for number in range(engines):
+            engine = EngineStandIn(f"127.{net}.3.{number + 1}:8080", f"i-llm-{number}")
+            site.engines.append(engine)
+            await nursery.start(engine.run)
+            site.register(engine.runner_id, "llm", engine.address)
+        site.routes = [
+            route("notes", "idempotent", "desk"),
+            route("holds", "non_idempotent", "desk"),
+            route("plans", "streaming", "llm"),
+            route("open", "idempotent", "desk", **{"allow-anonymous": True}),
+        ]
+        site.configure()
+        for number in range(entries):
+            await site.start_entry(number)
+        await site.until_ready()
+        yield site
+        nursery.cancel_scope.cancel()
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -253,7 +253,7 @@
     one, _ = placer("a")
     full = [Run(work(f"r{n}"), RunnerId("a"), None, 100, True) for n in range(10)]
     one.book.reported(OWN, full)
-    one.wait(0.0, work("low", rank=5), ENGINE)
+    one.wait(0.0, work("low", prompt=4_000, rank=5), ENGINE)
     one.wait(0.05, work("high", rank=0), ENGINE)
     check.assertEqual(one.settle(0.1), [])
     one.book.reported(OWN, full[:8])
--- /dev/null
+++ b/tests/test_platform_plain.py
@@ -0,0 +1,216 @@
+"""Requests whose answer is read whole, through a whole entry on the platform's stand-ins."""
+
+import json
+
+import trio
+
+from egretstack.http1 import first_value
+from egretstack.services.fleet_port import FleetPort
+from egretstack.services.store_reading import StoreReading
+from standins.platform import PlainFault, StoreFault
+from tests.platform_site import ACCOUNT, KEY, platform_site, route
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+
+def runs(site, attempt):
+    """Count how often an attempt ran, over all runners."""
+    return sum(one.runs_by_attempt[attempt] for one in site.plain)
+
+
+@on_real_clock
+async def test_an_answer_goes_through_unchanged():
+    async with platform_site() as site:
+        head, body = await site.call(
+            "/notes/7?x=1%20y", "a-1", method=b"POST", body=b"{}", headers=((b"tenant", b"forged"),)
+        )
+        check.assertEqual(head.status, 200)
+        check.assertEqual(json.loads(body)["target"], "/notes/7?x=1%20y")
+        check.assertEqual(json.loads(body)["size"], 2)
+        check.assertIsNotNone(first_value(head.headers, b"runner-seal"))
+        seen = next(one.heads[0] for one in site.plain if one.heads)
+        check.assertEqual(first_value(seen.headers, b"tenant"), ACCOUNT.encode())
+        check.assertIsNone(first_value(seen.headers, b"authorization"))
+        check.assertLessEqual(int(first_value(seen.headers, b"deadline-ms")), 5_000)
+
+
+@on_real_clock
+async def test_what_no_route_or_key_allows_never_reaches_a_runner():
+    async with platform_site() as site:
+        for path, key, status in (
+            ("/nowhere/1", KEY, 404),
+            ("/notes/1", "wrong", 401),
+            ("/notes/1", None, 401),
+            ("/open/1", None, 200),
+        ):
+            head, _ = await site.call(path, f"a-{path}-{key}", key=key)
+            check.assertEqual(head.status, status, (path, key))
+        check.assertEqual(sum(len(one.heads) for one in site.plain), 1)
+
+
+@on_real_clock
+async def test_an_idempotent_request_is_sent_again():
+    # The client sees one good answer, whatever the first runner made of it.
+    faults = (
+        PlainFault.FAILS,
+        PlainFault.FULL,
+        PlainFault.BUSY_UNSAID,
+        PlainFault.BREAKS,
+        PlainFault.CROSSED,
+        PlainFault.UNSEALED,
+        PlainFault.ENCODED,
+    )
+    async with platform_site() as site:
+        for fault in faults:
+            for one in site.plain:
+                one.faults = []
+            site.plain[0].faults = [fault]
+            site.plain[1].faults = []
+            site.plain[1].delay_s = 0.0
+            head, _ = await site.call("/notes/1", f"a-{fault.value}")
+            check.assertEqual(head.status, 200, fault)
+
+
+@on_real_clock
+async def test_a_non_idempotent_request_runs_once_and_is_never_called_not_run():
+    # Two riders are promised the same seat: the runner ran the hold, its answer was lost or
+    # spoilt, and the client, told "not run" or served by a second send, made another. Whatever
+    # may have run gets an answer that promises nothing.
+    expected = {
+        PlainFault.FAILS: 500,
+        PlainFault.BUSY_UNSAID: 502,
+        PlainFault.BREAKS: 502,
+        PlainFault.CROSSED: 502,
+        PlainFault.UNSEALED: 502,
+        PlainFault.ENCODED: 502,
+    }
+    async with platform_site(plain=1) as site:
+        for fault, status in expected.items():
+            site.plain[0].faults = [fault]
+            head, _ = await site.call("/holds/1", f"a-{fault.value}", method=b"POST")
+            check.assertEqual(head.status, status, fault)
+            check.assertEqual(runs(site, f"a-{fault.value}"), 1, fault)
+
+
+@on_real_clock
+async def test_a_rejected_request_is_called_not_run_with_a_time_to_come_back():
+    async with platform_site(plain=1) as site:
+        site.plain[0].faults = [PlainFault.FULL]
+        head, _ = await site.call("/holds/1", "a-1", method=b"POST")
+        check.assertEqual(head.status, 503)
+        check.assertGreater(float(first_value(head.headers, b"retry-after")), 0)
+        check.assertEqual(runs(site, "a-1"), 0)
+
+
+@on_real_clock
+async def test_a_silent_runner_is_given_up_on_at_the_routes_timeout():
+    async with platform_site(plain=1) as site:
+        site.routes[1]["timeout-ms"] = 300
+        site.version += 1
+        site.configure()
+        await site.until(lambda: _version(site) == site.version)
+        site.plain[0].faults = [PlainFault.SILENT]
+        head, _ = await site.call("/holds/1", "a-1", method=b"POST")
+        check.assertEqual(head.status, 504)
+
+
+def _version(site):
+    return site.kernels[0].get(StoreReading).gate.version
+
+
+@on_real_clock
+async def test_a_second_answer_on_a_kept_connection_goes_to_nobody():
+    # The next client would get an answer to another request: the runner sent one too many, and
+    # its connection was kept for the next request.
+    async with platform_site(plain=1) as site:
+        site.plain[0].faults = [PlainFault.EXTRA]
+        for number in range(5):
+            head, body = await site.call(f"/notes/{number}", f"a-{number}")
+            check.assertEqual(head.status, 200)
+            check.assertEqual(json.loads(body)["target"], f"/notes/{number}")
+
+
+@on_real_clock
+async def test_a_client_that_leaves_stops_its_runner():
+    async with platform_site(plain=1) as site:
+        site.plain[0].delay_s = 30.0
+        with trio.move_on_after(0.3):
+            await site.call("/notes/1", "a-1")
+        await site.until(lambda: site.plain[0].broken_off == 1)
+
+
+@on_real_clock
+async def test_a_runner_that_leaves_gets_nothing_more():
+    async with platform_site() as site:
+        first, second = site.plain
+        site.register(first.runner_id, "desk", first.address, state="draining")
+        runners = _runners(site)
+        await site.until(lambda: not runners.is_ready(first.runner_id))
+        for number in range(6):
+            await site.call("/notes/1", f"a-{number}")
+        check.assertEqual((len(first.heads), len(second.heads)), (0, 6))
+
+
+@on_real_clock
+async def test_an_address_that_belongs_to_another_runner_now():
+    # A request would be run by a service that its route never names: the runner is gone, and its
+    # address is another's. The request names whom it expects, and the other one turns it away.
+    async with platform_site(plain=1) as site:
+        site.plain[0].runner_id = "i-someone-else"
+        head, _ = await site.call("/notes/1", "a-1")
+        check.assertEqual(head.status, 503)
+        check.assertEqual(site.plain[0].heads, [])
+
+
+def _runners(site):
+    return site.kernels[0].get(FleetPort).runners
+
+
+@on_real_clock
+async def test_service_goes_on_while_the_store_is_away():
+    async with platform_site() as site:
+        for fault in (StoreFault.BUSY, StoreFault.SILENT):
+            site.store.fault = fault
+            await trio.sleep(0.8)
+            head, _ = await site.call("/notes/1", f"a-{fault.value}")
+            check.assertEqual(head.status, 200, fault)
+
+
+@on_real_clock
+async def test_history_that_is_gone_is_listed_anew():
+    # A revoked key would serve on for ever: the store dropped the change before the watch saw it.
+    async with platform_site() as site:
+        site.store.forget_history()
+        site.routes.append(route("late", "idempotent", "desk"))
+        site.configure(keys=("another",))
+        await site.until(lambda: _version(site) == site.version)
+        head, _ = await site.call("/late/1", "a-1", key="another")
+        check.assertEqual(head.status, 200)
+        head, _ = await site.call("/late/1", "a-2", key=KEY)
+        check.assertEqual(head.status, 401)
+
+
+@on_real_clock
+async def test_a_configuration_never_goes_back():
+    async with platform_site() as site:
+        newest = site.configure()
+        await site.until(lambda: _version(site) == newest)
+        site.version = newest - 2
+        site.configure(keys=())
+        await trio.sleep(0.3)
+        head, _ = await site.call("/notes/1", "a-1")
+        check.assertEqual(head.status, 200)
+        check.assertEqual(_version(site), newest)
+
+
+@on_real_clock
+async def test_a_write_whose_answer_is_lost_is_made_again_to_no_harm():
+    async with platform_site(entries=0) as site:
+        site.store.fault = StoreFault.LOST
+        await site.start_entry(0)
+        await site.until(lambda: site.store.spec("egret-instances", "entry-0") is not None)
+        site.store.fault = StoreFault.NONE
+        await site.until_ready()
+        spec = site.store.spec("egret-instances", "entry-0")
+        check.assertEqual(spec["front"], site.settings(0).front_address)
