--- a/egretstack/events/__init__.py
+++ b/egretstack/events/__init__.py
@@ -2,7 +2,7 @@
 
 from egretstack.events._catalogue import Event, Level, catalogue_page
 from egretstack.events._line_writer import LineWriter
-from egretstack.events._log import LogForm, log, set_up_line_logs, set_up_logs
+from egretstack.events._log import LogForm, count_events, log, set_up_line_logs, set_up_logs
 
 __all__ = [
     "Event",
@@ -10,6 +10,7 @@
     "LineWriter",
     "LogForm",
     "catalogue_page",
+    "count_events",
     "log",
     "set_up_line_logs",
     "set_up_logs",
--- a/egretstack/events/_log.py
+++ b/egretstack/events/_log.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+from collections.abc import Callable
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,14 @@
 _SECRET_FIELDS = frozenset({"key", "token", "authorization", "secret"})
 
 
+_counters: list[Callable[[Event], None]] = []
+
+
+def count_events(counter: Callable[[Event], None]) -> None:
+    """Let `counter` see each event, also those whose lines are dropped or below the level."""
+    _counters.append(counter)
+
+
 class LogForm(Enum):
     """How log lines look."""
 
@@ -36,10 +45,16 @@
         logger.add(sys.stderr, level=level.value, format=_HUMAN)
 
 
-def set_up_line_logs(level: Level, lines: LineWriter) -> None:
-    """Send log lines as JSON to a writer that never waits for its reader."""
+def set_up_line_logs(level: Level, lines: LineWriter, **every_line: object) -> None:
+    """Send log lines as JSON, each with the fields given, to a writer that never waits."""
+
+    def write(message: Message) -> None:
+        urgent = message.record["level"].no >= logger.level(Level.WARNING.value).no
+        lines.write(_json_line(message), urgent=urgent)
+
     logger.remove()
-    logger.add(lambda message: lines.write(_json_line(message)), level=level.value)
+    logger.configure(extra=every_line)
+    logger.add(write, level=level.value)
 
 
 def _write_json(message: Message) -> None:
@@ -61,4 +76,6 @@
     leaked = _SECRET_FIELDS & fields.keys()
     if leaked:
         raise ValueError(f"secret log fields: {sorted(leaked)}")
+    for count in _counters:
+        count(event)
     logger.bind(event=event.number, **fields).log(event.level.value, event.name.lower())
--- a/egretstack/platform/_node_settings.py
+++ b/egretstack/platform/_node_settings.py
@@ -60,6 +60,8 @@
     last_peer_port: int
     seeds: tuple[str, ...]
     """Control addresses of a few instances, which may be gone."""
+    metrics_address: str
+    """Where metrics are served: the second of the ports between instances."""
     store_address: str
     link_mbps: float
     memory_mb: int
@@ -108,6 +110,7 @@
             first_peer_port=first,
             last_peer_port=last,
             seeds=tuple(one for one in self._values.get("seeds", "").split(",") if one)[:MAX_SEEDS],
+            metrics_address=f"{self._text('ip')}:{min(first + 1, last)}",
             store_address=self._address("platform.address"),
             link_mbps=self._number("limits.link-mbps", 1000),
             memory_mb=int(self._number("limits.memory-mb", 128)),
--- a/egretstack/programs/ctl.py
+++ b/egretstack/programs/ctl.py
@@ -21,8 +21,10 @@
     new_session_key,
     snapshot_in_force,
 )
+from egretstack.platform import read_node_settings
 from egretstack.programs._ctl_common import Namespace, PlatformUrl, open_platform, run_command
 from egretstack.programs._ctl_parts import add_part_commands
+from egretstack.programs._explain import add_explain_command
 from egretstack.programs._replay import add_replay_command
 from egretstack.programs._running import ExitCode, exit_with
 from egretstack.settings import Program, read_settings, settings_page
@@ -39,6 +41,7 @@
 service = App(name="service", help="Descriptions of upstream services.")
 app.command(contract)
 app.command(service)
+add_explain_command(app)
 add_replay_command(app)
 
 
@@ -57,6 +60,21 @@
     print(f"{file}: good settings for {program.value}")
 
 
+@app.command
+def check_node(file: Path) -> None:
+    """Check a settings file that the users' platform wrote for an instance.
+
+    Example: `egretctl check-node /etc/egretstack/node.conf`
+
+    Parameters
+    ----------
+    file
+        The settings file.
+    """
+    exit_with(lambda: read_node_settings(file))
+    print(f"{file}: good settings for an instance of the platform")
+
+
 @app.command
 def make_key(*, json_output: Annotated[bool, Parameter(name="--json")] = False) -> None:
     """Make a key for a client account and the digest its contract holds."""
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -4,12 +4,15 @@
 import sys
 from pathlib import Path
 
+import trio
+
 from egretstack.errors import UserError
 from egretstack.events import Event, Level, LineWriter, log, set_up_line_logs
 from egretstack.platform import SETTINGS_VARIABLE, NodeSettings, read_node_settings
 from egretstack.programs._running import run_services
 
 SERVICES = (
+    "relay_metrics",
     "fleet_port",
     "store_reading",
     "configuration_relay",
@@ -32,12 +35,13 @@
 
 
 def _start() -> NodeSettings:
-    set_up_line_logs(Level.INFO, LineWriter(sys.stdout.fileno()))
     path = os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
         raise UserError(f"{SETTINGS_VARIABLE} does not name a settings file")
     settings = read_node_settings(Path(path))
-    log(Event.RELAY_STARTED, instance=settings.instance, zone=settings.zone)
+    lines = LineWriter(sys.stdout.fileno(), trio.current_time)
+    set_up_line_logs(Level.INFO, lines, instance=settings.instance)
+    log(Event.RELAY_STARTED, zone=settings.zone)
     return settings
 
 
--- a/egretstack/reports/__init__.py
+++ b/egretstack/reports/__init__.py
@@ -8,6 +8,7 @@
     WindowBurn,
     burns_of,
 )
+from egretstack.reports._explain import Explanation, LogLine, explain, read_log
 from egretstack.reports._forms import json_report, text_report
 from egretstack.reports._samples import sessions_by_account
 from egretstack.reports._snapshots import Snapshot, read_samples, read_snapshots
@@ -15,12 +16,16 @@
 __all__ = [
     "BUDGET_WINDOW",
     "Alert",
+    "Explanation",
     "LevelBurn",
+    "LogLine",
     "Snapshot",
     "Window",
     "WindowBurn",
     "burns_of",
+    "explain",
     "json_report",
+    "read_log",
     "read_samples",
     "read_snapshots",
     "sessions_by_account",
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -19,9 +19,10 @@
 from egretstack.messages import Message
 from egretstack.placing import Placement, Run, Work, work_row
 from egretstack.relay import EnginePlacing, RequestFailed
-from egretstack.routing import EnginePlan
+from egretstack.routing import EnginePlan, RouteKind
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
+from egretstack.services.relay_metrics import RelayMetrics
 
 ASK_S = 0.04
 """Time for the home's answer, which takes some 2 ms; then the question is sent once more."""
@@ -42,12 +43,15 @@
     """Asks for places, backups and turns, and keeps the runs of this instance."""
 
     name = "engine_placing"
-    requires = ("fleet_port", "placing_home")
+    requires = ("fleet_port", "placing_home", "relay_metrics")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
         self._home = kernel.get(PlacingHome)
+        self._metrics = kernel.get(RelayMetrics)
+        running = self._metrics.gauge("egret_relay_runs", "Generations in progress here.")
+        running.set_function(lambda: len(self._run_by_attempt))
         self._run_by_attempt: dict[str, Run] = {}
         self._answer_by_attempt: dict[str, Message] = {}
         self._asked_by_attempt: dict[str, trio.Event] = {}
@@ -105,6 +109,7 @@
 
     def first_token(self, prompt_tokens: int, waited_s: float) -> None:
         """Note how long a run waited for its first token."""
+        self._metrics.answered(RouteKind.STREAM, waited_s)
         self._home.placer.book.first_token(prompt_tokens, waited_s)
 
     def tokens_left(self, run: Run) -> float:
--- a/egretstack/services/front_port.py
+++ b/egretstack/services/front_port.py
@@ -22,6 +22,7 @@
 from egretstack.relay import ClientStream, PlainRelay, RequestFailed, StreamRelay, WholeAnswer
 from egretstack.relay import Task as RelayTask
 from egretstack.routing import RouteKind
+from egretstack.services.relay_metrics import RelayMetrics
 from egretstack.services.relaying import Relaying
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import ClientRequest
@@ -43,13 +44,16 @@
     """Serves clients."""
 
     name = "front_port"
-    requires = ("relaying", "store_reading", "fleet_port")
+    requires = ("relaying", "store_reading", "fleet_port", "relay_metrics")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._relaying = kernel.get(Relaying)
         self._store = kernel.get(StoreReading)
+        self._metrics = kernel.get(RelayMetrics)
         self._in_progress = 0
+        gauge = self._metrics.gauge("egret_relay_in_progress", "Requests in progress.")
+        gauge.set_function(lambda: self._in_progress)
         self._leaving = False
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
@@ -125,16 +129,21 @@
     async def _relay(
         self, connection: ClientConnection, request: ClientRequest, began_s: float
     ) -> None:
+        kind = None
         try:
             task = self._relaying.task(request, began_s)
+            kind = task.route.kind
             if task.route.kind is RouteKind.STREAM and task.service.engine is not None:
                 answer = await self._relay_stream(connection, task)
             else:
                 answer = await self._relay_whole(task)
         except RequestFailed as error:
+            self._metrics.ended(kind, error.kind.value)
             await self._refuse(connection, request.attempt_id, error)
             return
+        self._metrics.ended(kind, "stream" if answer is None else f"{answer.head.status // 100}xx")
         if answer is not None:
+            self._metrics.answered(kind, trio.current_time() - began_s)
             await self._send(connection, answer)
             log(
                 Event.REQUEST_ANSWERED,
--- /dev/null
+++ b/egretstack/services/relay_metrics.py
@@ -0,0 +1,86 @@
+"""Counts what the relay does, and serves the counts as Prometheus text."""
+
+from functools import partial
+
+import trio
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from egretstack.events import count_events
+from egretstack.http1 import (
+    BadRequest,
+    ClientConnection,
+    ClientGone,
+    ResponseHead,
+    ServerLimits,
+    SlowSender,
+    open_listener,
+)
+from egretstack.kernel import Kernel, Service
+from egretstack.platform import NodeSettings
+from egretstack.routing import RouteKind
+
+LIMITS = ServerLimits(header_bytes=8_192, body_bytes=1_024, header_timeout_s=2, idle_timeout_s=60)
+BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 2.5, 4.0, 8.0, 20.0, 40.0)
+"""Around the targets of both users: 125 and 200 ms for calls, 1.5 and 1.8 s for first tokens."""
+
+
+class RelayMetrics(Service):
+    """The metrics of one process; all label values come from closed lists."""
+
+    name = "relay_metrics"
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.registry = CollectorRegistry()
+        self._requests = Counter(
+            "egret_relay_requests",
+            "Requests by kind of route and how they ended.",
+            ["kind", "outcome"],
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            "egret_relay_seconds",
+            "Time to the whole answer, or to a stream's first event.",
+            ["kind"],
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+        self._events = Counter(
+            "egret_log_events", "Events by name, as logged.", ["event"], registry=self.registry
+        )
+        count_events(lambda event: self._events.labels(event.name.lower()).inc())
+
+    def gauge(self, name: str, meaning: str) -> Gauge:
+        """Add a gauge of another service's."""
+        return Gauge(name, meaning, registry=self.registry)
+
+    def ended(self, kind: RouteKind | None, outcome: str) -> None:
+        """Count a request; the kind is None where no route was found."""
+        self._requests.labels("none" if kind is None else kind.value, outcome).inc()
+
+    def answered(self, kind: RouteKind, seconds: float) -> None:
+        """Note the time to an answer or a first event."""
+        self._seconds.labels(kind.value).observe(seconds)
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Serve until cancelled."""
+        node: NodeSettings = self.kernel.settings
+        host, _, port = node.metrics_address.rpartition(":")
+        listener = await open_listener(host, int(port))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(partial(trio.serve_listeners, self._serve, [listener]))
+            task_status.started()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = ClientConnection(stream, LIMITS)
+        head = ResponseHead(200, b"OK", ((b"content-type", b"text/plain; version=0.0.4"),))
+        try:
+            while await connection.read_head() is not None:
+                await connection.read_body()
+                await connection.send_answer(head, generate_latest(self.registry))
+                if not connection.start_next():
+                    return
+        except (BadRequest, SlowSender, ClientGone):
+            return  # Whoever reads metrics asks again.
+        finally:
+            connection.close()
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -30,6 +30,7 @@
 )
 from egretstack.routing import EnginePlan, VersionGate
 from egretstack.services.fleet_port import FleetPort
+from egretstack.services.relay_metrics import RelayMetrics
 
 CONFIG_WATCH_S = 10.0
 """Length of one watch of the configuration: each costs a call. While a silent connection hides a
@@ -51,7 +52,7 @@
     """Keeps the configuration and the list of runners up to date."""
 
     name = "store_reading"
-    requires = ("fleet_port",)
+    requires = ("fleet_port", "relay_metrics")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -63,10 +64,21 @@
         self._store = Store(node.store_address)
         self._port = kernel.get(FleetPort)
         self._reads = True
+        self._add_gauges(kernel.get(RelayMetrics))
         self._entry_by_id: dict[RunnerId, Runner] = {}
         self._entries_revision: int | None = None
         self._nudge = trio.Event()
 
+    def _add_gauges(self, metrics: RelayMetrics) -> None:
+        version = metrics.gauge("egret_relay_config_version", "Configuration in force here.")
+        version.set_function(lambda: self.gate.version)
+        age = metrics.gauge("egret_relay_runners_age_seconds", "Age of the list of runners.")
+        age.set_function(lambda: self._port.runners.age_s(trio.current_time()))
+        live = metrics.gauge("egret_relay_instances", "Instances that live, as seen here.")
+        live.set_function(lambda: len(self._port.fleet.live(trio.current_time())))
+        calls = metrics.gauge("egret_relay_store_calls", "Calls to the store since the start.")
+        calls.set_function(lambda: self._store.calls)
+
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Read until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -217,6 +217,7 @@
         first_peer_port=7200,
         last_peer_port=7215,
         seeds=tuple(f"{one.settings.ip}:8748" for one in others[:3]),
+        metrics_address=f"{ip}:7201",
         store_address=store,
         link_mbps=1000.0,
         memory_mb=150,
--- /dev/null
+++ b/tests/test_platform_decoding.py
@@ -0,0 +1,251 @@
+"""What the platform writes, decoded into the product's types; what is wrong with it, told."""
+
+import tempfile
+from pathlib import Path
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from egretstack.errors import UserError
+from egretstack.fleet import RunnerState
+from egretstack.http1 import RequestHead, ResponseHead
+from egretstack.ids import AccountId, RunnerId
+from egretstack.platform import (
+    BadBody,
+    StoredObject,
+    client_head,
+    decode_configuration,
+    decode_request,
+    decode_runner,
+    move_answer,
+    parse_object,
+    read_node_settings,
+    runner_answer,
+    runner_report,
+    runner_request,
+)
+from egretstack.routing import RouteKind, RoutingTable
+from egretstack.traffic import ContinueFrom, MoveOutcome, SendTerms
+from tests.platform_site import KEY, configuration, route
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+NODE = """node-name=edge-leon-a-1
+role=entry
+ip=10.1.0.19
+zone=leon-a
+region=bajio
+listen.front=10.1.0.19:8740
+listen.ready-address=10.1.0.19:8749
+listen.directory=10.1.0.19:8746
+internal-ports=7200,7215
+seeds=10.1.0.19:8748,10.2.0.13:8748
+limits.memory-mb=150
+bounds.drain-ms=2500
+platform.address=10.200.1.7:8742
+a-field-of-next-year=whatever
+"""
+
+
+def read(text):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "node.conf"
+        path.write_text(text)
+        return read_node_settings(path)
+
+
+def test_a_settings_file_is_read_and_unknown_fields_are_left_alone():
+    settings = read(NODE)
+    check.assertEqual(settings.instance, "edge-leon-a-1")
+    check.assertEqual(settings.bounds.runner_drain_s, 2.5)
+    check.assertEqual(settings.bounds.grace_s, 8)
+    check.assertEqual((settings.first_peer_port, settings.last_peer_port), (7200, 7215))
+    check.assertEqual(settings.metrics_address, "10.1.0.19:7201")
+    check.assertEqual(settings.seeds, ("10.1.0.19:8748", "10.2.0.13:8748"))
+
+
+def test_each_fault_of_a_settings_file_is_named_by_file_and_key():
+    for change, word in (
+        ("node-name=edge-leon-a-1", "node-name"),
+        ("listen.front=10.1.0.19:8740", "listen.front"),
+        ("internal-ports=7200,7215", "internal-ports"),
+        ("platform.address=10.200.1.7:8742", "platform.address"),
+    ):
+        key = change.partition("=")[0]
+        for bad in ("", f"{key}=", f"{key}=nonsense"):
+            text = NODE.replace(change, bad)
+            if key == "node-name" and bad.endswith("nonsense"):
+                continue
+            with check.assertRaises(UserError) as caught:
+                read(text)
+            check.assertIn(word, str(caught.exception))
+            check.assertIn("node.conf", str(caught.exception))
+    with check.assertRaises(UserError):
+        read(NODE.replace("drain-ms=2500", "drain-ms=-1"))
+
+
+def test_a_missing_file_is_one_clear_error():
+    with check.assertRaises(UserError) as caught:
+        read_node_settings(Path("nowhere/node.conf"))
+    check.assertIn("nowhere/node.conf", str(caught.exception))
+
+
+def table(**more):
+    spec = configuration(
+        7,
+        [
+            route("a", "idempotent", "desk"),
+            route("a-b", "non_idempotent", "desk", **{"path-prefix": "/a/b/"}),
+            route("s", "streaming", "llm", **{"traffic-split": [{"service": "llm", "weight": 9}]}),
+        ],
+        (KEY,),
+    )
+    return RoutingTable(decode_configuration(spec | more))
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    found = table()
+    check.assertIs(found.route("ficu.example", "/a/x").kind, RouteKind.IDEMPOTENT)
+    check.assertIs(found.route("FICU.example:8740", "/a/b/x").kind, RouteKind.NON_IDEMPOTENT)
+    check.assertIsNone(found.route("ficu.example", "/a"))
+    check.assertIsNone(found.route("other.example", "/a/x"))
+
+
+def test_keys_are_kept_as_digests_only():
+    found = table()
+    check.assertEqual(found.account(KEY).name, "nineras")
+    check.assertIsNone(found.account("wrong"))
+    check.assertNotIn(KEY, repr(found.configuration))
+
+
+def test_a_configuration_that_cannot_be_read_is_refused_whole():
+    good = configuration(1, [route("a", "idempotent", "desk")], (KEY,))
+    for spoil in (
+        {"version": "x"},
+        {"routes": [{"name": "a"}]},
+        {"routes": "x"},
+        {"services": [{"name": 3}]},
+        {"tenants": [{"name": "a", "api-keys": "x"}]},
+    ):
+        with check.assertRaises(BadBody):
+            decode_configuration(good | spoil)
+
+
+def test_a_runners_entry():
+    spec = {"service": "llm", "address": "10.1.1.1:80", "zone": "b", "slots": 24}
+    ready = decode_runner(StoredObject("i-1", 3, spec))
+    leaving = decode_runner(StoredObject("i-1", 4, spec | {"state": "draining"}))
+    check.assertEqual((ready.state, leaving.state), (RunnerState.READY, RunnerState.LEAVING))
+    with check.assertRaises(BadBody):
+        decode_runner(StoredObject("i-1", 3, {"service": "llm"}))
+
+
+def request(*headers):
+    return decode_request(
+        RequestHead(b"POST", b"/a/1?q=1", ((b"host", b"h"), (b"attempt-id", b"x1"), *headers)),
+        b"{}",
+    )
+
+
+def test_what_only_the_system_may_say_is_never_passed_on():
+    # A client that sets them itself would jump the queue, pin memory, or act as another account.
+    forged = [
+        (name, b"forged")
+        for name in (
+            b"tenant",
+            b"expect-runner",
+            b"request-priority",
+            b"hold",
+            b"pin-ms",
+            b"kv-backup",
+            b"kv-from",
+            b"kv-fetch",
+            b"expect-version",
+            b"last-event-id",
+            b"authorization",
+            b"x-hop",
+        )
+    ]
+    sent = runner_request(
+        request(*forged, (b"connection", b"x-hop"), (b"x-kept", b"yes")),
+        SendTerms(RunnerId("i-1"), 1.5, AccountId("nineras")),
+    )
+    values = dict(sent.headers)
+    check.assertNotIn(b"forged", values.values())
+    check.assertEqual(values[b"tenant"], b"nineras")
+    check.assertEqual(values[b"expect-runner"], b"i-1")
+    check.assertEqual(values[b"deadline-ms"], b"1500")
+    check.assertEqual(values[b"x-kept"], b"yes")
+    check.assertEqual(sent.target, b"/a/1?q=1")
+
+
+def test_a_continued_run_names_its_copy_and_the_last_event():
+    terms = SendTerms(
+        RunnerId("i-2"), 3.0, None, 4, "10.1.1.3:80", ContinueFrom("10.1.1.1:80", "h-9", "12")
+    )
+    values = dict(runner_request(request(), terms).headers)
+    check.assertEqual(values[b"kv-from"], b"10.1.1.1:80/h-9")
+    check.assertEqual(values[b"last-event-id"], b"12")
+    check.assertEqual(values[b"kv-backup"], b"10.1.1.3:80")
+    check.assertEqual(values[b"request-priority"], b"4")
+
+
+def test_hints_that_cannot_be_read_count_as_not_given():
+    odd = request((b"deadline-ms", b"soon"), (b"token-count", b"many"), (b"length-hint", b"-4"))
+    check.assertIsNone(odd.time_left_s)
+    check.assertIsNone(odd.generation)
+    sized = request((b"token-count", b"10,20"), (b"prompt-prefix", b"a:7,bad,b:x"))
+    check.assertEqual(sized.generation.max_output_tokens, 20)
+    check.assertEqual([part.id for part in sized.generation.prompt_parts], ["a"])
+
+
+def test_an_answer_says_what_it_is_worth():
+    def head(status, *headers):
+        return runner_answer(ResponseHead(status, b"", headers))
+
+    check.assertTrue(head(421).rejected)
+    check.assertTrue(head(503, (b"not-executed", b"1")).rejected)
+    check.assertFalse(head(503).rejected)
+    check.assertTrue(head(200, (b"runner-seal", b"x")).sealed)
+    check.assertIsNone(head(200, (b"runner-load", b"1,x,2")).load)
+    passed = client_head(head(200, (b"runner-seal", b"x"), (b"runner-load", b"1,2,3")))
+    check.assertEqual(passed.headers, ((b"runner-seal", b"x"),))
+
+
+def test_answers_to_copies():
+    check.assertIs(move_answer(200, b'{"handle": "h"}').outcome, MoveOutcome.COPIED)
+    check.assertEqual(move_answer(503, b'{"handle": "h"}').handle, "h")
+    check.assertIs(move_answer(404, b"").outcome, MoveOutcome.NO_SUCH_RUN)
+    check.assertIs(move_answer(500, b"").outcome, MoveOutcome.FAILED)
+    with check.assertRaises(BadBody):
+        move_answer(200, b"[]")
+
+
+@settings(deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@given(st.binary(max_size=200))
+def test_no_bytes_of_the_platform_break_the_reader(data):
+    for decode in (parse_object, runner_report):
+        try:
+            decode(data)
+        except BadBody:
+            continue
+
+
+_json = st.recursive(
+    st.none() | st.booleans() | st.integers(-5, 5) | st.text(max_size=4),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.text(max_size=6), inner, max_size=3),
+    max_leaves=8,
+)
+
+
+@settings(deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@given(
+    st.dictionaries(st.sampled_from(["version", "routes", "services", "limits", "tenants"]), _json)
+)
+def test_no_shape_of_a_configuration_breaks_the_reader(spec):
+    try:
+        decode_configuration(spec)
+    except BadBody:
+        return
