--- a/egretstack/placing/_book.py
+++ b/egretstack/placing/_book.py
@@ -22,8 +22,10 @@
 """What a run is reckoned to grow by before another one on its engine ends."""
 PREFILL_TOKENS_PER_S = 7_000.0
 """Rate at which an engine is taken to read prompts before any first token was timed."""
-PREFILL_MEMORY = 0.9
-"""Weight of what was learned in each update of that rate."""
+PREFILL_FASTER = 0.3
+PREFILL_SLOWER = 0.03
+"""How far one first token moves that rate. What waited behind others tells of a rate that is too
+low; one that did not, of the rate itself."""
 LEAST_TIMED_TOKENS = 500
 """Prompts from which the rate is learned; the overhead of shorter ones hides it."""
 
@@ -95,11 +97,12 @@
         self._unbooked_by_id[runner_id] = (unbooked, now_s)
 
     def first_token(self, prompt_tokens: int, waited_s: float) -> None:
-        """Learn how fast prompts are read."""
+        """Learn how fast prompts are read, from the time between a send and its first token."""
         if prompt_tokens < LEAST_TIMED_TOKENS or waited_s <= 0:
             return
         rate = prompt_tokens / waited_s
-        self.prefill_per_s = PREFILL_MEMORY * self.prefill_per_s + (1 - PREFILL_MEMORY) * rate
+        step = PREFILL_FASTER if rate > self.prefill_per_s else PREFILL_SLOWER
+        self.prefill_per_s += step * (rate - self.prefill_per_s)
 
     def run(self, attempt: str) -> Run | None:
         """Give a run that some instance reported."""
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -94,6 +94,10 @@
         self._splitter = EventSplitter()
         self._cursor = EventCursor()
         self._events = 0
+        self._sent_s = 0.0
+        self._first_s = 0.0
+        self._last_event_s = 0.0
+        self._longest_gap_s = 0.0
         self._saved: SavedCopy | None = None
         """Where the run can go on if its runner leaves or dies."""
         self._leaving_since_s: float | None = None
@@ -150,6 +154,7 @@
     async def _first_head(self) -> ResponseHead:
         """Send the request to an engine, and read the head of its answer."""
         runner = await self._connect()
+        self._sent_s = trio.current_time()
         try:
             with trio.fail_after(max(0.0, self._task.time_left_s())):
                 return await self._ask(self._source, runner, None)
@@ -228,7 +233,7 @@
             end = await self._read_events()
             if end is _End.WHOLE:
                 await self._client.finish()
-                log(Event.STREAM_ENDED, request=self._attempt, events=self._events)
+                self._log_ended()
                 if self._mover is not None:
                     await self._mover.free()
                 return
@@ -254,6 +259,16 @@
                 self._client.abort()
                 return
 
+    def _log_ended(self) -> None:
+        log(
+            Event.STREAM_ENDED,
+            request=self._attempt,
+            events=self._events,
+            first_ms=round((self._first_s - self._task.began_s) * 1000),
+            read_ms=round((self._first_s - self._sent_s) * 1000),
+            longest_gap_ms=round(self._longest_gap_s * 1000),
+        )
+
     @property
     def _attempt(self) -> str:
         return self._task.request.attempt_id
@@ -321,9 +336,15 @@
     async def _pass_on(self, events: list[StreamEvent]) -> None:
         if not events:
             return
+        now_s = trio.current_time()
         if not self._events:
-            waited_s = trio.current_time() - self._task.began_s
-            self._tools.placing.first_token(self._run.work.prompt_tokens, waited_s)
+            self._first_s = now_s
+            self._tools.placing.first_token(
+                self._run, now_s - self._sent_s, now_s - self._task.began_s
+            )
+        else:
+            self._longest_gap_s = max(self._longest_gap_s, now_s - self._last_event_s)
+        self._last_event_s = now_s
         self._events += len(events)
         self._run.started = True
         self._run.made_tokens = self._events * self._task.service.engine.tokens_per_event
--- a/egretstack/relay/_tools.py
+++ b/egretstack/relay/_tools.py
@@ -38,8 +38,8 @@
         """Note that a run is over here."""
 
     @abstractmethod
-    def first_token(self, prompt_tokens: int, waited_s: float) -> None:
-        """Note how long a run waited for its first token."""
+    def first_token(self, run: Run, read_s: float, waited_s: float) -> None:
+        """Note a first token: `read_s` after the send, and `waited_s` after the request came."""
 
     @abstractmethod
     def tokens_left(self, run: Run) -> float:
--- a/egretstack/reports/_explain.py
+++ b/egretstack/reports/_explain.py
@@ -88,9 +88,16 @@
         )
         if about_runner and line.instance in instances:
             found.append(line)
-        then = first <= line.time and (line.time <= last or line.name == "relay_started")
-        if line.name in _ABOUT_INSTANCE and line.instance in instances and then:
+        within = first <= line.time <= last
+        if line.name in _ABOUT_INSTANCE and line.instance in instances and within:
             found.append(line)
+    after = [
+        line
+        for line in ordered
+        if line.name == "relay_started" and line.time > last and line.instance == own[-1].instance
+    ]
+    if own[-1].name not in _LAST_WORDS:
+        found.extend(after[:1])
     return found
 
 
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -107,10 +107,10 @@
         self._run_by_attempt.pop(run.work.attempt, None)
         self._home.placer.ended(run.work.attempt)
 
-    def first_token(self, prompt_tokens: int, waited_s: float) -> None:
-        """Note how long a run waited for its first token."""
+    def first_token(self, run: Run, read_s: float, waited_s: float) -> None:
+        """Note a first token: `read_s` after the send, and `waited_s` after the request came."""
         self._metrics.answered(RouteKind.STREAM, waited_s)
-        self._home.placer.book.first_token(prompt_tokens, waited_s)
+        self._home.placer.book.first_token(run.work.prompt_tokens, read_s)
 
     def tokens_left(self, run: Run) -> float:
         """Give the output that a run is still expected to make."""
