A fault soak: real entries as processes, harmed links, signals and changes in series, promises checked

Three entries, seven runners and the store behind a proxy that delays, resets, silences, cuts one way or both; SIGSTOP, SIGKILL, SIGTERM, SIGHUP; store faults; runners that leave, crash and come back under another id; configurations in series. Checked from what clients and runners saw: at most once, not run said truthfully, answers to their own requests, streams in order and without a false end, service after the last fault.

--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -40,6 +40,7 @@
     events: int
     made: int = 0
     stop: trio.Event = field(default_factory=trio.Event)
+    crashed: bool = False
 
 
 class EngineStandIn(StandInServer):
@@ -67,6 +68,13 @@
         self._run_by_attempt: dict[str, _Run] = {}
         EngineStandIn.peers_by_address[address] = self
 
+    def crash(self) -> None:
+        """End every run at once, as a process that restarts does."""
+        for run in self._run_by_attempt.values():
+            run.crashed = True
+            run.stop.set()
+        self.copies.clear()
+
     async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
         """Answer one request."""
         if head.target == REPORT:
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,42 @@
+"""Plays many seeds by hand and prints what broke."""
+
+import random
+from pathlib import Path
+
+from cyclopts import App
+
+from tests.soak.play import play_seed
+
+app = App(help="Play seeds of the fault soak.")
+
+
+@app.default
+def soak(*, seeds: int = 50, first: int | None = None, seconds: float = 15.0, keep: Path) -> None:
+    """Play seeds one after another; logs of each that breaks a promise go to a folder.
+
+    Parameters
+    ----------
+    seeds
+        How many.
+    first
+        The first seed; drawn if not given, and printed.
+    seconds
+        How long faults come in each.
+    keep
+        Folder for the logs.
+    """
+    start = random.SystemRandom().randrange(10**6) if first is None else first
+    bad = 0
+    for seed in range(start, start + seeds):
+        outcome = play_seed(seed, seconds)
+        print(f"seed {seed}: {outcome.checked} requests, {len(outcome.broken)} broken", flush=True)
+        if outcome.broken:
+            bad += 1
+            keep.mkdir(parents=True, exist_ok=True)
+            text = "\n".join((*outcome.broken, *outcome.logs))
+            (keep / f"seed-{seed}.log").write_text(text)
+            print("\n".join(outcome.broken[:5]), flush=True)
+    print(f"{seeds - bad} passed, {bad} failed")
+
+
+app()
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,112 @@
+"""Clients of the soak, and the promises that they and the runners check."""
+
+import json
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+import trio
+
+from egretstack.http1 import ConnectFailed, UpstreamBroken, connect_upstream, exchange, first_value
+from standins.platform import EngineStandIn, PlainStandIn
+from tests.platform_site import GENERATION, client_request
+
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+TIMEOUT_S = 6.0
+MAX_ANSWER = 1_000_000
+
+
+class Kind(Enum):
+    """What a client asks for; the values are the routes."""
+
+    NOTES = "notes"
+    HOLDS = "holds"
+    PLANS = "plans"
+
+
+@dataclass
+class Record:
+    """What came of one attempt, as its client saw it."""
+
+    attempt: str
+    kind: Kind
+    entry: str
+    status: int | None = None
+    whole: bool = False
+    target: str = ""
+    ids: list[int] = field(default_factory=list)
+
+
+async def attempt(record: Record, front: str, key: str, rng: random.Random) -> None:
+    """Make one request and fill its record; what breaks leaves it as far as it got."""
+    path = f"/{record.kind.value}/{record.attempt}"
+    method = b"GET" if record.kind is Kind.NOTES else b"POST"
+    headers = GENERATION if record.kind is Kind.PLANS else ()
+    head, body = client_request(path, record.attempt, method=method, key=key, headers=headers)
+    patience_s = rng.choice((TIMEOUT_S, TIMEOUT_S, rng.uniform(0.02, 1.0)))
+    try:
+        connection = await connect_upstream(front, 1.0)
+    except ConnectFailed:
+        return
+    try:
+        with trio.move_on_after(patience_s):
+            if record.kind is Kind.PLANS:
+                await _read_stream(connection, head, body, record)
+            else:
+                answer, data = await exchange(connection, head, body, MAX_ANSWER)
+                record.status, record.whole = answer.status, True
+                if answer.status == 200 and first_value(answer.headers, b"runner-seal"):
+                    record.target = json.loads(data)["target"]
+    except UpstreamBroken:
+        return
+    finally:
+        connection.close()
+
+
+async def _read_stream(connection, head, body, record: Record) -> None:
+    await connection.send(head, body)
+    record.status = (await connection.read_head()).status
+    rest = b""
+    while (data := await connection.read_body()) is not None:
+        rest += data
+        while b"\n\n" in rest:
+            event, _, rest = rest.partition(b"\n\n")
+            if event.startswith(b"id: "):
+                record.ids.append(int(event.split()[1]))
+    record.whole = True
+
+
+class Promises:
+    """Checks records against what the runners did."""
+
+    def __init__(self, plain: list[PlainStandIn], engines: list[EngineStandIn]) -> None:
+        self._plain = plain
+        self._engines = engines
+        self.broken: list[str] = []
+        self.checked = 0
+
+    def check(self, record: Record) -> None:
+        """Check one attempt that is over for its client."""
+        self.checked += 1
+        runs = sum(one.runs_by_attempt[record.attempt] for one in (*self._plain, *self._engines))
+        if record.kind is not Kind.NOTES and runs > 1:
+            self._break(record, f"ran {runs} times")
+        if record.kind is not Kind.NOTES and record.status in PROMISES_NOT_RUN and runs:
+            self._break(record, f"answered {record.status} and ran")
+        expected = f"/{record.kind.value}/{record.attempt}"
+        if record.target not in ("", expected):
+            self._break(record, f"got the answer to {record.target}")
+        if record.status is not None and record.status in (400, 404):
+            self._break(record, f"was refused with {record.status}")
+        if record.kind is Kind.PLANS:
+            self._check_stream(record)
+
+    def _check_stream(self, record: Record) -> None:
+        if record.ids != list(range(1, len(record.ids) + 1)):
+            self._break(record, f"events out of order: {record.ids}")
+        complete = {one.events for one in self._engines}
+        if record.whole and record.status == 200 and len(record.ids) not in complete:
+            self._break(record, f"looked complete after {len(record.ids)} events")
+
+    def _break(self, record: Record, what: str) -> None:
+        self.broken.append(f"{record.kind.value} {record.attempt} at {record.entry}: {what}")
--- /dev/null
+++ b/tests/soak/play.py
@@ -0,0 +1,236 @@
+"""Plays one seed: a site, clients, and faults that come in series and overlap."""
+
+import random
+import signal
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+
+from standins.platform import EngineStandIn, PlainStandIn, StoreFault, StoreStandIn
+from tests.platform_site import KEY, configuration, free_net, route
+from tests.soak.clients import Kind, Promises, Record, attempt
+from tests.soak.entries import EntryProcess
+from tests.soak.proxy import LinkFault, Proxy
+
+ENTRIES = 3
+REQUESTS_PER_S = 25.0
+FAULT_GAP_S = 0.8
+LONGEST_FAULT_S = 3.0
+START_S = 20.0
+"""Bound on the wait for entries that serve, at the start and after the last fault."""
+SETTLE_S = 8.0
+"""Calm after the last fault, in which everything has to serve again."""
+EVENTS = 60
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What a seed showed."""
+
+    seed: int
+    checked: int
+    broken: tuple[str, ...]
+    logs: tuple[str, ...] = ()
+
+
+class Soak:
+    """One seed's site."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.rng = random.Random(seed)
+        net = free_net()
+        EngineStandIn.peers_by_address.clear()
+        self.store = StoreStandIn(f"127.{net}.0.10:8742")
+        self.plain = [PlainStandIn(f"127.{net}.2.{n}:8080", f"i-desk-{n}", 0.02) for n in (1, 2, 3)]
+        self.engines = [EngineStandIn(f"127.{net}.3.{n}:8080", f"i-llm-{n}") for n in (1, 2, 3, 4)]
+        for engine in self.engines:
+            engine.events = EVENTS
+        self.proxies: dict[str, Proxy] = {}
+        for number, server in enumerate((self.store, *self.plain, *self.engines)):
+            address = f"127.{net}.4.{number + 1}:8080"
+            self.proxies[server.address] = Proxy(address, server.address, self.rng)
+        for engine in self.engines:
+            # Engines reach each other, and entries reach them, at the addresses that are told.
+            told = self.proxies[engine.address].address
+            EngineStandIn.peers_by_address[told] = engine
+        first = f"127.{net}.1.1:8748"
+        self.entries = [
+            EntryProcess(
+                f"entry-{n}",
+                f"127.{net}.1.{n + 1}",
+                self.proxies[self.store.address].address,
+                first,
+                folder,
+            )
+            for n in range(ENTRIES)
+        ]
+        self.version = 0
+        self.promises = Promises(self.plain, self.engines)
+        self.open: list[Record] = []
+        self.done: list[Record] = []
+
+    async def play(self, seconds: float) -> list[str]:
+        """Play; give the broken promises."""
+        async with trio.open_nursery() as nursery:
+            for server in (self.store, *self.plain, *self.engines):
+                await nursery.start(server.run)
+            for proxy in self.proxies.values():
+                await nursery.start(proxy.run)
+            self._describe()
+            try:
+                for entry in self.entries:
+                    entry.start()
+                await self._until_served(nursery)
+                nursery.start_soon(self._keep_running)
+                nursery.start_soon(self._ask, nursery)
+                with trio.move_on_after(seconds):
+                    await self._harm(nursery)
+                await self._heal()
+                await self._until_served(nursery)
+            finally:
+                for entry in self.entries:
+                    entry.end()
+            nursery.cancel_scope.cancel()
+        for record in (*self.done, *self.open):
+            self.promises.check(record)
+        return self.promises.broken
+
+    def _describe(self) -> None:
+        for one in (*self.plain, *self.engines):
+            self._register(one, "ready")
+        self._configure()
+
+    def _register(self, server: PlainStandIn | EngineStandIn, state: str) -> None:
+        service = "llm" if isinstance(server, EngineStandIn) else "desk"
+        spec = {
+            "service": service,
+            "address": self.proxies[server.address].address,
+            "zone": "leon-a",
+            "slots": 24,
+            "state": state,
+            "cold-remaining-ms": 0,
+            "seq-no": self.rng.randrange(10**6),
+        }
+        self.store.put("servers", server.runner_id, spec)
+
+    def _configure(self) -> None:
+        self.version += self.rng.randint(1, 3)
+        routes = [
+            route("notes", "idempotent", "desk"),
+            route("holds", "non_idempotent", "desk"),
+            route("plans", "streaming", "llm"),
+            route(f"idle-{self.version}", "idempotent", "desk"),
+        ]
+        self.store.put("config", "main", configuration(self.version, routes, (KEY,)))
+
+    async def _until_served(self, nursery: trio.Nursery) -> None:
+        with trio.move_on_after(START_S) as scope:
+            for entry in self.entries:
+                for kind in Kind:
+                    await self._until_one(entry, kind)
+        if scope.cancelled_caught:
+            self.promises.broken.append("requests were not served in calm")
+
+    async def _until_one(self, entry: EntryProcess, kind: Kind) -> None:
+        while True:
+            record = self._new(entry, kind)
+            await attempt(record, entry.front, KEY, random.Random(1))
+            if record.status == 200 and record.whole:
+                return
+            await trio.sleep(0.2)
+
+    def _new(self, entry: EntryProcess, kind: Kind) -> Record:
+        record = Record(f"a{len(self.done) + len(self.open)}", kind, entry.name)
+        self.open.append(record)
+        return record
+
+    async def _ask(self, nursery: trio.Nursery) -> None:
+        while True:
+            await trio.sleep(self.rng.expovariate(REQUESTS_PER_S))
+            entry = self.rng.choice(self.entries)
+            nursery.start_soon(self._one, self._new(entry, self.rng.choice(list(Kind))), entry)
+
+    async def _one(self, record: Record, entry: EntryProcess) -> None:
+        await attempt(record, entry.front, KEY, self.rng)
+        self.open.remove(record)
+        self.done.append(record)
+
+    async def _keep_running(self) -> None:
+        """Start processes that ended again, as the platform does."""
+        while True:
+            await trio.sleep(0.3)
+            for entry in self.entries:
+                entry.start()
+
+    async def _harm(self, nursery: trio.Nursery) -> None:
+        while True:
+            await trio.sleep(self.rng.expovariate(1 / FAULT_GAP_S))
+            nursery.start_soon(self.rng.choice(self._faults()))
+
+    def _faults(self) -> list:
+        return [self._harm_link, self._harm_link, self._signal, self._signal, self._harm_store] + [
+            self._move_runner,
+            self._change,
+            self._crash_engine,
+        ]
+
+    def _length_s(self) -> float:
+        return self.rng.uniform(0.2, LONGEST_FAULT_S)
+
+    async def _harm_link(self) -> None:
+        proxy = self.rng.choice(list(self.proxies.values()))
+        proxy.harm(self.rng.choice(list(LinkFault)))
+        await trio.sleep(self._length_s())
+        proxy.harm(LinkFault.NONE)
+
+    async def _signal(self) -> None:
+        entry = self.rng.choice(self.entries)
+        which = self.rng.choice((signal.SIGSTOP, signal.SIGKILL, signal.SIGTERM, signal.SIGHUP))
+        entry.send(which)
+        if which is signal.SIGSTOP:
+            await trio.sleep(self._length_s())
+            entry.send(signal.SIGCONT)
+
+    async def _harm_store(self) -> None:
+        self.store.fault = self.rng.choice(list(StoreFault))
+        await trio.sleep(self._length_s())
+        self.store.fault = StoreFault.NONE
+
+    async def _move_runner(self) -> None:
+        server = self.rng.choice((*self.plain, *self.engines))
+        self._register(server, "draining")
+        await trio.sleep(self._length_s())
+        # A runner that comes back does so as another one.
+        self.store.remove("servers", server.runner_id)
+        server.runner_id = f"{server.runner_id}x"
+        self._register(server, "ready")
+
+    async def _change(self) -> None:
+        for _ in range(self.rng.randint(1, 4)):
+            self._configure()
+            await trio.sleep(self.rng.uniform(0.0, 0.3))
+
+    async def _crash_engine(self) -> None:
+        engine = self.rng.choice(self.engines)
+        engine.crash()
+
+    async def _heal(self) -> None:
+        for proxy in self.proxies.values():
+            proxy.harm(LinkFault.NONE)
+        self.store.fault = StoreFault.NONE
+        for entry in self.entries:
+            entry.send(signal.SIGCONT)
+        await trio.sleep(SETTLE_S)
+
+
+def play_seed(seed: int, seconds: float) -> Outcome:
+    """Play one seed; keep the ends of the logs if a promise broke."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, Path(folder))
+        broken = trio.run(soak.play, seconds)
+        logs = ()
+        if broken:
+            logs = tuple(entry.log.read_text(errors="replace")[-20_000:] for entry in soak.entries)
+        return Outcome(seed, soak.promises.checked, tuple(broken), logs)
