--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -142,3 +142,6 @@
 say "graceful shutdown"
 "$BIN/egretctl" drain entry-a --platform "$PLATFORM"
 wait "${PID_OF[entry-a]}" && echo "entry-a stopped with status 0"
+
+say "the users' platform"
+DEMO_NET="$NET" PYTHONPATH=. "$BIN/python" scripts/demo_platform.py
--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -2,10 +2,28 @@
 
 from standins.platform._engine import EngineFault, EngineStandIn
 from standins.platform._http import StandInServer, json_body
+from standins.platform._operator import (
+    ACCOUNT,
+    GENERATION,
+    HOST,
+    KEY,
+    client_request,
+    configuration,
+    route,
+    runner_spec,
+)
 from standins.platform._plain import PlainFault, PlainStandIn
 from standins.platform._store import StoreFault, StoreStandIn
 
 __all__ = [
+    "ACCOUNT",
+    "GENERATION",
+    "HOST",
+    "KEY",
+    "client_request",
+    "configuration",
+    "route",
+    "runner_spec",
     "EngineFault",
     "EngineStandIn",
     "PlainFault",
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -8,8 +8,7 @@
 import trio
 
 from egretstack.http1 import ConnectFailed, UpstreamBroken, connect_upstream, exchange, first_value
-from standins.platform import EngineStandIn, PlainStandIn
-from tests.platform_site import GENERATION, client_request
+from standins.platform import GENERATION, EngineStandIn, PlainStandIn, client_request
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 TIMEOUT_S = 6.0
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -26,7 +26,7 @@
 )
 from egretstack.routing import RouteKind, RoutingTable
 from egretstack.traffic import ContinueFrom, MoveOutcome, SendTerms
-from tests.platform_site import KEY, configuration, route
+from standins.platform import KEY, configuration, route
 from tests.support import check, tests_of
 
 load_tests = tests_of(globals())
--- a/tests/test_platform_plain.py
+++ b/tests/test_platform_plain.py
@@ -7,8 +7,8 @@
 from egretstack.http1 import first_value
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
-from standins.platform import PlainFault, StoreFault
-from tests.platform_site import ACCOUNT, KEY, platform_site, route
+from standins.platform import ACCOUNT, KEY, PlainFault, StoreFault, route
+from tests.platform_site import platform_site
 from tests.support import check, on_real_clock, tests_of
 
 load_tests = tests_of(globals())
--- a/tests/test_platform_streams.py
+++ b/tests/test_platform_streams.py
@@ -5,8 +5,8 @@
 from egretstack.http1 import UpstreamBroken, connect_upstream
 from egretstack.services.directory_port import DirectoryPort
 from egretstack.services.fleet_port import FleetPort
-from standins.platform import EngineFault
-from tests.platform_site import GENERATION, WAIT_S, client_request, platform_site
+from standins.platform import GENERATION, EngineFault, client_request
+from tests.platform_site import WAIT_S, platform_site
 from tests.support import check, on_real_clock, tests_of
 
 load_tests = tests_of(globals())
