--- a/egretstack/relay/__init__.py
+++ b/egretstack/relay/__init__.py
@@ -1,11 +1,12 @@
 """Relays clients' requests to runners: what may be sent again, and what has to be said else."""
 
 from egretstack.relay._budget import RetryBudget
+from egretstack.relay._client_stream import ClientStream
 from egretstack.relay._cursor import EventCursor, EventGap
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
 from egretstack.relay._knowledge import RequestFailed, RunKnowledge
 from egretstack.relay._plain import PlainRelay, WholeAnswer
-from egretstack.relay._stream import ClientStream, StreamRelay
+from egretstack.relay._stream import StreamRelay
 from egretstack.relay._tools import EnginePlacing, RelayTools, Task
 
 __all__ = [
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -4,14 +4,12 @@
 continues from a copy of that run's memory, after the last event that the client has.
 """
 
-from abc import ABC, abstractmethod
 from enum import Enum
 
 import trio
 
 from egretstack.errors import ErrorKind
 from egretstack.events import Event, log
-from egretstack.fleet import Runner
 from egretstack.http1 import (
     ConnectFailed,
     ResponseHead,
@@ -21,11 +19,14 @@
 )
 from egretstack.ids import RunnerId
 from egretstack.placing import Run, Work
-from egretstack.platform import client_head, runner_answer, runner_request
+from egretstack.platform import client_head, runner_answer
+from egretstack.relay._client_stream import ClientStream
 from egretstack.relay._cursor import EventCursor, EventGap
+from egretstack.relay._engine_calls import ask_engine, continue_at
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
 from egretstack.relay._knowledge import RequestFailed
 from egretstack.relay._mover import Mover, SavedCopy
+from egretstack.relay._pace import StreamPace
 from egretstack.relay._plain import MAX_ANSWER_BYTES, WholeAnswer, promises_not_run
 from egretstack.relay._tools import CONNECT_TIMEOUT_S, RelayTools, Task
 from egretstack.traffic import ContinueFrom
@@ -38,8 +39,6 @@
 Events come some 40 to 70 ms apart; a reader's limit is some 0.2 s, so the stream is late by then,
 and a runner that stopped gives no other sign.
 """
-RESUME_TIMEOUT_S = 1.0
-"""Time for the first sign of a continued run: what its copy lacks has to be read again."""
 REFUSED_RETRY_S = 0.4
 MAX_PLACES = 3
 """Engines that are tried for a connection; a dead one is known to all within a second or so."""
@@ -53,26 +52,6 @@
 """Output still expected from which a run that lost its copy gets another: about a second's."""
 
 
-class ClientStream(ABC):
-    """The client's side of a stream."""
-
-    @abstractmethod
-    async def start(self, head: ResponseHead) -> None:
-        """Send the head."""
-
-    @abstractmethod
-    async def send(self, data: bytes) -> None:
-        """Send whole events."""
-
-    @abstractmethod
-    async def finish(self) -> None:
-        """Send the proper end."""
-
-    @abstractmethod
-    def abort(self) -> None:
-        """Break the answer off so that it cannot look complete."""
-
-
 class _End(Enum):
     """Why reading from a runner stopped."""
 
@@ -93,11 +72,7 @@
         self._source: UpstreamConnection | None = None
         self._splitter = EventSplitter()
         self._cursor = EventCursor()
-        self._events = 0
-        self._sent_s = 0.0
-        self._first_s = 0.0
-        self._last_event_s = 0.0
-        self._longest_gap_s = 0.0
+        self._pace = StreamPace(task.began_s)
         self._saved: SavedCopy | None = None
         """Where the run can go on if its runner leaves or dies."""
         self._leaving_since_s: float | None = None
@@ -153,17 +128,17 @@
 
     async def _first_head(self) -> ResponseHead:
         """Send the request to an engine, and read the head of its answer."""
-        runner = await self._connect()
-        self._sent_s = trio.current_time()
+        await self._connect()
+        self._pace.sent()
         try:
             with trio.fail_after(max(0.0, self._task.time_left_s())):
-                return await self._ask(self._source, runner, None)
+                return await ask_engine(self._tools, self._task, self._run, self._source)
         except UpstreamBroken as error:
             raise self._spoilt(str(error)) from error
         except trio.TooSlowError as error:
             raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time") from error
 
-    async def _connect(self) -> Runner:
+    async def _connect(self) -> None:
         """Connect to the engine that the request is placed at; to another if it is gone."""
         excluded: tuple[RunnerId, ...] = ()
         for _ in range(MAX_PLACES):
@@ -174,7 +149,7 @@
                 if runner is not None:
                     self._source = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
                     self._begin(Run(work, placement.runner, placement.backup))
-                    return runner
+                    return
             except ConnectFailed as error:
                 log(Event.CONNECT_FAILED, request=work.attempt, error=str(error))
             excluded = (*excluded, placement.runner)
@@ -194,19 +169,6 @@
             attempt = self._task.request.attempt_id
             self._saved = SavedCopy(backup.id, backup.address, attempt)
 
-    async def _ask(
-        self, connection: UpstreamConnection, runner: Runner, origin: ContinueFrom | None
-    ) -> ResponseHead:
-        backup = self._tools.runners.by_id.get(self._run.backup) if self._run.backup else None
-        terms = self._task.terms(
-            runner,
-            priority=self._task.priority,
-            backup_address=None if backup is None else backup.address,
-            continue_from=origin,
-        )
-        await connection.send(runner_request(self._task.request, terms), self._task.request.body)
-        return await connection.read_head()
-
     async def _whole_body(self) -> bytes:
         body = bytearray()
         try:
@@ -242,7 +204,7 @@
                 request=self._attempt,
                 runner=self._run.runner,
                 copy=self._saved.runner if self._saved else None,
-                events=self._events,
+                events=self._pace.events,
                 why=end.value,
             )
             if self._mover is not None:
@@ -254,7 +216,7 @@
                     Event.STREAM_LOST,
                     request=self._attempt,
                     runner=self._run.runner,
-                    events=self._events,
+                    events=self._pace.events,
                 )
                 self._client.abort()
                 return
@@ -263,10 +225,10 @@
         log(
             Event.STREAM_ENDED,
             request=self._attempt,
-            events=self._events,
-            first_ms=round((self._first_s - self._task.began_s) * 1000),
-            read_ms=round((self._first_s - self._sent_s) * 1000),
-            longest_gap_ms=round(self._longest_gap_s * 1000),
+            events=self._pace.events,
+            first_ms=round(self._pace.first_s * 1000),
+            read_ms=round(self._pace.read_s * 1000),
+            longest_gap_ms=round(self._pace.longest_gap_s * 1000),
         )
 
     @property
@@ -290,7 +252,7 @@
                 silent_since_s = trio.current_time()
                 if not await self._take(data):
                     return _End.BROKEN
-            if self._events and self._has_to_leave():
+            if self._pace.events and self._has_to_leave():
                 return _End.LEAVING
 
     async def _take(self, data: bytes) -> bool:
@@ -309,7 +271,7 @@
 
     def _may_switch(self, silent_since_s: float) -> bool:
         silent_s = trio.current_time() - silent_since_s
-        return silent_s > SILENT_S and self._events > 0 and self._has_copy()
+        return silent_s > SILENT_S and self._pace.events > 0 and self._has_copy()
 
     def _has_copy(self) -> bool:
         return self._saved is not None and self._tools.runners.is_ready(self._saved.runner)
@@ -336,18 +298,10 @@
     async def _pass_on(self, events: list[StreamEvent]) -> None:
         if not events:
             return
-        now_s = trio.current_time()
-        if not self._events:
-            self._first_s = now_s
-            self._tools.placing.first_token(
-                self._run, now_s - self._sent_s, now_s - self._task.began_s
-            )
-        else:
-            self._longest_gap_s = max(self._longest_gap_s, now_s - self._last_event_s)
-        self._last_event_s = now_s
-        self._events += len(events)
+        if self._pace.passed(len(events)):
+            self._tools.placing.first_token(self._run, self._pace.read_s, self._pace.first_s)
         self._run.started = True
-        self._run.made_tokens = self._events * self._task.service.engine.tokens_per_event
+        self._run.made_tokens = self._pace.events * self._task.service.engine.tokens_per_event
         await self._client.send(b"".join(event.data for event in events))
 
     def _start_mover(self) -> None:
@@ -365,7 +319,7 @@
         """Continue the run where its copy is; on failure the present source is left as it is."""
         saved = self._saved
         runner = self._tools.runners.by_id.get(saved.runner) if saved else None
-        if runner is None or not self._events:
+        if runner is None or not self._pace.events:
             return False
         origin = ContinueFrom(saved.origin_address, saved.copy_id, self._cursor.last_id)
         before = self._run.runner
@@ -374,7 +328,7 @@
             self._run, self._task.service.engine
         )
         began_s = trio.current_time()
-        connection = await self._continued(runner, origin)
+        connection = await continue_at(self._tools, self._task, self._run, runner, origin)
         log(
             Event.STREAM_CONTINUED if connection else Event.STREAM_NOT_CONTINUED,
             request=self._attempt,
@@ -396,29 +350,3 @@
             self._mover = None
         self._note_backup()
         return True
-
-    async def _continued(self, runner: Runner, origin: ContinueFrom) -> UpstreamConnection | None:
-        try:
-            connection = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
-        except ConnectFailed:
-            return None
-        head = None
-        try:
-            with trio.move_on_after(RESUME_TIMEOUT_S):
-                head = await self._ask(connection, runner, origin)
-        except UpstreamBroken:
-            pass  # Told by the caller, as a run that could not be continued.
-        except BaseException:
-            connection.close()
-            raise
-        answer = None if head is None else runner_answer(head)
-        sound = (
-            answer is not None
-            and answer.head.status == 200
-            and answer.attempt_id == self._attempt
-            and not answer.rejected
-        )
-        if not sound:
-            connection.close()
-            return None
-        return connection
