Copies under way count from their first call; leaving runs go to the nearest room; two instances watch the configuration

Now the run tells of its copy at once; a leaving run goes where its copy is whole first; the home and the next in line watch the configuration, the others fetch it from a peer.

--- a/egretstack/fleet/_fleet.py
+++ b/egretstack/fleet/_fleet.py
@@ -100,6 +100,15 @@
         """Tell whether this instance is the home."""
         return self.home(now_s) == self.own.instance.id
 
+    def is_watcher(self, now_s: float) -> bool:
+        """Tell whether this instance is the home or next in line, or hears of no home.
+
+        These read what changes seldom; the others hear of it from them.
+        """
+        self.home(now_s)
+        silent = self._home != self.own.instance.id and now_s - self._told_s > HOME_SILENT_AFTER_S
+        return silent or self.own.instance.id in self._ranked(now_s)[:2]
+
     def report_targets(self, now_s: float) -> list[Instance]:
         """Give the home and the next in line, but for this instance itself."""
         self.home(now_s)
--- a/egretstack/placing/_copies.py
+++ b/egretstack/placing/_copies.py
@@ -29,6 +29,8 @@
 a copy across zones takes twice as long."""
 LINK_WEIGHT = 0.5
 """What a second of waiting for a link counts for, likewise."""
+FILLED_WEIGHT_S = 0.1
+"""What a full engine counts for where a run goes whose runner leaves, in seconds of its copy."""
 LINK_FREE_S = 0.05
 """Wait for a link up to which a copy that is only kept in case may begin."""
 
@@ -108,6 +110,8 @@
                 fits = free and self._has_room_in_case(engine, load, need)
             if fits:
                 cost = self._cost(now_s, engine, source, other, load)
+                if leaving:
+                    cost = self._time_cost_s(now_s, engine, source, other, load, need)
                 rooms.append((cost, self._rng.random(), other.id))
         return min(rooms)[2] if rooms else None
 
@@ -148,5 +152,24 @@
         apart = OTHER_ZONE_SHARE if source.zone != other.zone else 0.0
         return filled + apart + LINK_WEIGHT * self._links.wait_s(now_s, source.id, other.id)
 
+    def _time_cost_s(
+        self,
+        now_s: float,
+        engine: EnginePlan,
+        source: Runner,
+        other: Runner,
+        load: EngineLoad,
+        tokens: float,
+    ) -> float:
+        """Give when a copy off a leaving runner would be whole, with a little for its room.
+
+        Some five runs have to leave within some 1.5 s, one after another; in the same zone each
+        takes half the time.
+        """
+        filled = load.taken_tokens / max(1, engine.kv_capacity_tokens)
+        copy_s = self._links.copy_s(engine, source, other, tokens)
+        wait_s = self._links.wait_s(now_s, source.id, other.id)
+        return wait_s + copy_s + FILLED_WEIGHT_S * filled
+
     def _demand(self, service: ServiceName) -> RecentDemand:
         return self._demand_by_service.setdefault(service, RecentDemand())
--- a/egretstack/placing/_links.py
+++ b/egretstack/placing/_links.py
@@ -28,15 +28,19 @@
         )
         return max(0.0, until_s - now_s)
 
+    @staticmethod
+    def copy_s(engine: EnginePlan, source: Runner, destination: Runner, tokens: float) -> float:
+        """Give how long a copy of so many tokens takes by itself."""
+        if engine.link_mbps <= 0:
+            return 0.0
+        copy_s = tokens * engine.kv_token_bytes * BITS / (engine.link_mbps * MEGA)
+        return copy_s * (1.0 if source.zone == destination.zone else OTHER_ZONE_TIMES)
+
     def begin(
         self, now_s: float, engine: EnginePlan, source: Runner, destination: Runner, tokens: float
     ) -> None:
         """Note a copy of so many tokens."""
-        if engine.link_mbps <= 0:
-            return
-        copy_s = tokens * engine.kv_token_bytes * BITS / (engine.link_mbps * MEGA)
-        if source.zone != destination.zone:
-            copy_s *= OTHER_ZONE_TIMES
+        copy_s = self.copy_s(engine, source, destination, tokens)
         until_s = now_s + self.wait_s(now_s, source.id, destination.id) + copy_s
         self._out_until_s[source.id] = self._in_until_s[destination.id] = until_s
 
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -150,10 +150,13 @@
 
     async def _copied(self, source: Runner, destination: Runner) -> bool:
         began_s = trio.current_time()
+        # Told with the next report: the memory is taken from the first call on, and work placed
+        # there meanwhile would be preempted.
+        self._run.backup = destination.id
         answer = await self._order(source, destination, stop=False)
         self._told(source, destination, answer, began_s, stop=False)
         if answer.outcome is not MoveOutcome.COPIED or not answer.handle:
-            self._handle = ""
+            self._handle, self._run.backup = "", None
             return False
         self._keep(source, destination, answer.handle)
         return True
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -1,8 +1,8 @@
 """Reads the platform's store: the configuration, the runners, and which instances there are.
 
-Every instance watches the configuration, which costs one call for each change. The list of runners
-changes with each of their heartbeats, so the home alone reads it, paced, and tells the others; they
-read for themselves only while its news are old.
+The home and the next in line watch the configuration; the others hear of a newer version within a
+period and fetch it from a peer. The home alone reads the list of runners and tells the others. Any
+instance reads for itself while the home is silent. So calls do not grow with the fleet.
 """
 
 import json
@@ -32,9 +32,9 @@
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.relay_metrics import RelayMetrics
 
-CONFIG_WATCH_S = 10.0
-"""Length of one watch of the configuration: each costs a call. While a silent connection hides a
-change, peers tell of the newer version within a period of theirs."""
+CONFIG_WATCH_S = 1.2
+"""Length of one watch of the configuration, by the home and the next in line: a silent connection
+hides a change for no longer, and the leash, within the time in which it has to be in force."""
 RUNNER_PAUSE_S = 0.1
 """Pause between two watches of the runners, which end at each change."""
 RUNNER_WATCH_S = 0.6
@@ -116,6 +116,8 @@
             try:
                 if revision is None:
                     revision = await self._read_configuration()
+                elif not self._port.fleet.is_watcher(trio.current_time()):
+                    await trio.sleep(LOOK_S)
                 else:
                     revision = await self._watch_configuration(revision)
             except HistoryGone:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -157,3 +157,14 @@
         view.heard(0.0, known(number, strength=10 if number in (7, 33) else 3))
     check.assertIn(view.home(0.1), {"entry-7", "entry-33"})
     check.assertEqual({one.id for one in view.report_targets(0.1)}, {"entry-7", "entry-33"})
+
+
+def test_two_watch_for_all_and_everyone_does_where_the_home_is_silent():
+    # Calls to the store would grow with the fleet, and each change of the configuration would cost
+    # one for every instance. The home and the next in line watch; whoever hears no home does too.
+    views = fleets(9)
+    home = {view.home(0.1) for view in views}.pop()
+    for view in views:
+        view.told(0.2, home, [known(number) for number in range(9)])
+    check.assertEqual(sum(view.is_watcher(0.3) for view in views), 2)
+    check.assertTrue(all(view.is_watcher(2.0) for view in views))
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -2,7 +2,7 @@
 
 import random
 
-from egretstack.fleet import RunnerTable
+from egretstack.fleet import RunnerState, RunnerTable
 from egretstack.ids import InstanceId, RunnerId, ZoneName
 from egretstack.placing import (
     CopyLinks,
@@ -300,3 +300,15 @@
     one.unreachable(0.0, RunnerId("a"))
     check.assertEqual({one.choose(0.1, runners).id for _ in range(20)}, {"b"})
     check.assertIn("a", {one.choose(9.0, runners).id for _ in range(40)})
+
+
+def test_a_run_that_has_to_leave_goes_where_its_copy_is_whole_first():
+    # Half of an engine's runs would be lost with it: copies to another zone take twice as long, and
+    # the notice is enough for five in the same zone only.
+    table = RunnerTable()
+    leaving = runner("a", state=RunnerState.LEAVING)
+    table.take(0.0, [leaving, runner("near"), runner("far", zone="leon-b")], 1, 0.0)
+    one = Placer(table, random.Random(1))
+    on_near = [Run(work(f"n{n}"), RunnerId("near"), None, 100, True) for n in range(5)]
+    one.book.reported(OWN, [Run(work("r"), RunnerId("a"), None, 100, True), *on_near])
+    check.assertEqual(one.begin_copy(0.0, one.book.run("r"), ENGINE), "near")
