--- a/egretstack/callers/_app.py
+++ b/egretstack/callers/_app.py
@@ -86,6 +86,10 @@
     return app
 
 
+def _has_body() -> bool:
+    return bool(request.content_length) or "Transfer-Encoding" in request.headers
+
+
 def _contract(links: CallerLinks) -> Contract:
     return links.authenticate(request.headers.get("Authorization", ""))
 
@@ -142,7 +146,13 @@
     async def refused(error: EgretError) -> Response:
         links.count_refusal(error.kind)
         log(Event.REQUEST_REFUSED, kind=error.kind.value, path=request.path[:80])
-        return problem(error, keyed=KEY_HEADER in request.headers)
+        answer = problem(error, keyed=KEY_HEADER in request.headers)
+        if _has_body():
+            # The refusal may go out before the body came. The server then cannot tell where the
+            # next request begins, and closes; a caller that was not told would send its next
+            # request into that close and not know whether it ran.
+            answer.headers["Connection"] = "close"
+        return answer
 
     @app.errorhandler(RequestEntityTooLarge)
     async def too_large(error: RequestEntityTooLarge) -> Response:
--- a/tests/process/test_listening.py
+++ b/tests/process/test_listening.py
@@ -7,6 +7,8 @@
 import trio
 from quart_trio import QuartTrio
 
+from egretstack.callers import CallerLimits, CallerLinks, make_caller_app
+from egretstack.errors import EgretError, ErrorKind
 from egretstack.kernel import Kernel
 from egretstack.services.platform_access import PlatformAccess
 from egretstack.settings import Program, schema_of
@@ -68,3 +70,45 @@
                 check.assertEqual(packets_sent_again(caller), 0)
             stop.set()
             nursery.cancel_scope.cancel()
+
+
+class RefusingLinks(CallerLinks):
+    """An entry that takes no new work."""
+
+    def authenticate(self, authorization):
+        raise EgretError(ErrorKind.UNAUTHENTICATED, "no such key")
+
+    def check_open(self):
+        raise EgretError(ErrorKind.DRAINING, "ask which entry to use")
+
+    def entries(self, contract):
+        return {}
+
+    async def call(self, contract, service, call):
+        raise EgretError(ErrorKind.DRAINING, "ask which entry to use")
+
+    def count_refusal(self, kind):
+        return
+
+
+@on_real_clock
+async def test_a_refusal_before_the_body_came_says_that_the_connection_closes():
+    # The caller's next request would end without an answer, and it could not know whether it ran:
+    # the refusal goes out when the head has come and the body has not, and the server, which
+    # cannot tell where the next request begins, closes the connection without having said so.
+    access = KeyedAccess(Kernel(schema_of(Program.STEWARD).check("test", _SETTINGS)))
+    port = free_port()
+    stop = trio.Event()
+    app = make_caller_app(RefusingLinks(), None, CallerLimits(1_000_000, 5.0))
+    async with trio.open_nursery() as nursery:
+        await nursery.start(access.serve_http, app, f"{HOST}:{port}", stop)
+        caller = await trio.open_tcp_stream(HOST, port)
+        await caller.send_all(
+            b"POST /v1/responses HTTP/1.1\r\nHost: e\r\nContent-Length: 10\r\n"
+            b"Content-Type: application/json\r\n\r\n"
+        )
+        answer = await caller.receive_some(65_536)
+        check.assertIn(b" 401 ", answer.splitlines()[0] + b" ")
+        check.assertIn(b"connection: close", answer.lower())
+        stop.set()
+        nursery.cancel_scope.cancel()
