What nothing used is gone from the platform's path

Calls of the store that no service makes, settings that no service reads, and a property of the mover.

--- a/egretstack/platform/_node_settings.py
+++ b/egretstack/platform/_node_settings.py
@@ -25,15 +25,8 @@
     """From a runner's accepted notice to the last request that may reach it."""
     grace_s: float
     """From SIGTERM to SIGKILL."""
-    config_apply_s: float
-    """From an accepted configuration to its being in force everywhere."""
-    stable_window_s: float
     directory_life_s: float
     """Longest time that callers keep an answer of the directory."""
-    event_pass_s: float
-    """Longest time that a stream's event may take from its runner to the caller."""
-    address_reuse_s: float
-    """After a runner's end its address may belong to another service after this long."""
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
@@ -64,8 +57,6 @@
     """Where metrics are served: the second of the ports between instances."""
     store_address: str
     link_mbps: float
-    memory_mb: int
-    max_descriptors: int
     bounds: Bounds
 
 
@@ -113,8 +104,6 @@
             metrics_address=f"{self._text('ip')}:{min(first + 1, last)}",
             store_address=self._address("platform.address"),
             link_mbps=self._number("limits.link-mbps", 1000),
-            memory_mb=int(self._number("limits.memory-mb", 128)),
-            max_descriptors=int(self._number("limits.max-fds", 1024)),
             bounds=self._bounds(),
         )
 
@@ -122,11 +111,7 @@
         return Bounds(
             runner_drain_s=self._number("bounds.drain-ms", 2000) / 1000,
             grace_s=self._number("bounds.grace-s", 8),
-            config_apply_s=self._number("bounds.config-apply-ms", 2000) / 1000,
-            stable_window_s=self._number("bounds.stable-window-ms", 3000) / 1000,
             directory_life_s=self._number("bounds.ttl_max_s", 5),
-            event_pass_s=self._number("bounds.pass-ms", 120) / 1000,
-            address_reuse_s=self._number("bounds.reuse-after-s", 2),
             retry_ratio=self._number("bounds.retry-ratio", 0.2),
             retry_window_s=self._number("bounds.budget-window-s", 10),
             retry_slack=self._number("bounds.budget-slack", 10),
--- a/egretstack/platform/_store.py
+++ b/egretstack/platform/_store.py
@@ -101,13 +101,6 @@
         self._pool = ConnectionPool(max_idle=2)
         self.calls = 0
 
-    async def get(self, kind: ObjectKind, name: str) -> StoredObject | None:
-        """Read one object; None if there is none. Raises StoreAway."""
-        status, body = await self._call(b"GET", _path(kind, name), None, CALL_TIMEOUT_S)
-        if status == 404:
-            return None
-        return _read(body, status, _stored)
-
     async def list(self, kind: ObjectKind, *, allow_stale: bool = False) -> Listing:
         """Read all objects of a kind. Raises StoreAway.
 
@@ -148,10 +141,6 @@
         document = {"metadata": {"name": name}, "spec": spec}
         return await self._write(b"PUT", _path(kind, name), document)
 
-    async def delete(self, kind: ObjectKind, name: str) -> None:
-        """Delete an object, if it is there. Raises StoreAway, StoreOutcomeUnknown."""
-        await self._write(b"DELETE", _path(kind, name), None)
-
     def close(self) -> None:
         """Close all connections."""
         self._pool.close()
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -60,11 +60,6 @@
         self._over = trio.Event()
         self.scope = trio.CancelScope()
 
-    @property
-    def has_copy(self) -> bool:
-        """Whether a copy stands at another engine."""
-        return bool(self._handle)
-
     async def wait_if_stopping(self) -> None:
         """Wait for the last part of the copy, if it is under way."""
         if self._stopping:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -31,11 +31,7 @@
 BOUNDS = Bounds(
     runner_drain_s=2,
     grace_s=3,
-    config_apply_s=2,
-    stable_window_s=3,
     directory_life_s=5,
-    event_pass_s=0.12,
-    address_reuse_s=2,
     retry_ratio=0.2,
     retry_window_s=10,
     retry_slack=50,
@@ -137,8 +133,6 @@
         metrics_address=f"{ip}:7201",
         store_address=store,
         link_mbps=1000.0,
-        memory_mb=150,
-        max_descriptors=4100,
         bounds=BOUNDS,
     )
 
