A head over the limit is refused also when it comes whole; tests of bad input at the front and of hostile store answers

Found by the new test: a head of 20 kB in one packet was served where the limit is 16 kB, since h11 counts only a head that is not whole yet.

--- a/egretstack/http1/_server.py
+++ b/egretstack/http1/_server.py
@@ -18,6 +18,8 @@
 _TRANSFER_ENCODING = b"transfer-encoding"
 _CONTENT_LENGTH = b"content-length"
 _TOO_LARGE_HEAD = 431
+_LINE_EXTRA = 4
+"""Colon, space and line end of each header."""
 
 
 class BadRequest(Exception):
@@ -79,6 +81,7 @@
             tuple((bytes(name), bytes(value)) for name, value in event.headers),
         )
         _refuse_two_framings(head.headers)
+        _refuse_large(head, self.limits.header_bytes)
         return head
 
     async def read_body(self) -> bytes:
@@ -212,6 +215,14 @@
         raise BadRequest(400, "both a length and chunks")
 
 
+def _refuse_large(head: RequestHead, limit: int) -> None:
+    """Refuse a head over the limit that came whole; h11 counts only what is not whole yet."""
+    size = len(head.method) + len(head.target)
+    size += sum(len(name) + len(value) + _LINE_EXTRA for name, value in head.headers)
+    if size > limit:
+        raise BadRequest(_TOO_LARGE_HEAD, f"a head of more than {limit} bytes")
+
+
 def _bad_request(error: h11.RemoteProtocolError) -> BadRequest:
     status = error.error_status_hint
     return BadRequest(status if status in (400, _TOO_LARGE_HEAD, 501) else 400, str(error))
--- /dev/null
+++ b/tests/test_platform_bad_input.py
@@ -0,0 +1,118 @@
+"""What clients may send wrong at the front, and what the store may answer wrong."""
+
+import trio
+
+from egretstack.http1 import ClientConnection, RequestHead, ResponseHead
+from egretstack.platform import ObjectKind, Store, StoreAway
+from standins.platform import HOST, KEY, StandInServer
+from tests.platform_site import WAIT_S, free_net, platform_site
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+HEAD = f"host: {HOST}\r\nattempt-id: a-1\r\nauthorization: Bearer {KEY}\r\n".encode()
+
+
+async def raw(site, *parts, gap_s=0.0):
+    """Send bytes as they are, and give the status and whether the connection ended."""
+    host, _, port = site.settings(0).front_address.rpartition(":")
+    stream = await trio.open_tcp_stream(host, int(port))
+    async with stream:
+        with trio.fail_after(WAIT_S):
+            try:
+                for part in parts:
+                    await stream.send_all(part)
+                    await trio.sleep(gap_s)
+                data = b""
+                while more := await stream.receive_some(65_536):
+                    data += more
+            except trio.BrokenResourceError:
+                pass
+    return int(data.split()[1]) if data else None
+
+
+@on_real_clock
+async def test_bad_requests_get_a_clear_answer_and_nothing_is_passed_on():
+    # A second request hidden in the first would run under another client's name, and a client that
+    # sends slowly or too much would hold what others need.
+    async with platform_site() as site:
+        post = b"POST /holds/1 HTTP/1.1\r\n" + HEAD
+        cases = {
+            "no request": (400, (b"NONSENSE\r\n\r\n",)),
+            "no host": (400, (b"GET /notes/1 HTTP/1.1\r\n\r\n",)),
+            "two framings": (
+                400,
+                (
+                    post + b"content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n"
+                    b"0\r\n\r\nGET /notes/9 HTTP/1.1\r\n" + HEAD + b"\r\n",
+                ),
+            ),
+            "two lengths": (400, (post + b"content-length: 1\r\ncontent-length: 2\r\n\r\nxx",)),
+            "bad length": (400, (post + b"content-length: -1\r\n\r\n",)),
+            "unknown coding": (501, (post + b"transfer-encoding: gzip\r\n\r\n",)),
+            "head too large": (431, (post + b"x: " + b"y" * 20_000 + b"\r\n\r\n",)),
+            "body too large": (413, (post + b"content-length: 200000\r\n\r\n" + b"z" * 150_000,)),
+            "slow head": (408, (b"POST /holds/1 HTTP/1.1\r\nhost: x\r\n",)),
+            "slow body": (408, (post + b"content-length: 5\r\n\r\nab",)),
+        }
+        for name, (status, parts) in cases.items():
+            check.assertEqual(await raw(site, *parts), status, name)
+        check.assertEqual(sum(len(one.heads) for one in site.plain), 0)
+        head, _ = await site.call("/notes/1", "a-2")
+        check.assertEqual(head.status, 200)
+
+
+@on_real_clock
+async def test_requests_sent_ahead_get_their_answers_in_order():
+    async with platform_site() as site:
+        one = b"GET /notes/1 HTTP/1.1\r\n" + HEAD + b"\r\n"
+        two = b"GET /notes/2 HTTP/1.1\r\n" + HEAD + b"connection: close\r\n\r\n"
+        check.assertEqual(await raw(site, one + two), 200)
+        check.assertEqual(sum(len(one.heads) for one in site.plain), 2)
+
+
+class HostileStore(StandInServer):
+    """Answers with whatever it is told to."""
+
+    def __init__(self, address):
+        super().__init__(address)
+        self.status = 200
+        self.body = b""
+        self.cut = False
+
+    async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
+        if self.cut:
+            await connection.start_stream(ResponseHead(200, b"", ()), b'{"items": [')
+            connection.abort()
+            return
+        await connection.send_answer(ResponseHead(self.status, b"", ()), self.body)
+
+
+@on_real_clock
+async def test_hostile_answers_of_the_store_count_as_away():
+    async with trio.open_nursery() as nursery:
+        server = HostileStore(f"127.{free_net()}.5.1:8742")
+        await nursery.start(server.run)
+        store = Store(server.address)
+        for body in (
+            b"",
+            b"[]",
+            b"{}",
+            b'{"items": 3, "events": 3, "as-of": 1}',
+            b"\xff" * 100,
+            b"[" * 100_000,
+        ):
+            server.body = body
+            with check.assertRaises(StoreAway, msg=body[:20]):
+                await store.list(ObjectKind.RUNNER)
+            with check.assertRaises(StoreAway, msg=body[:20]):
+                await store.watch(ObjectKind.RUNNER, 1, 0.1)
+        for status in (429, 500, 503):
+            server.status = status
+            with check.assertRaises(StoreAway):
+                await store.list(ObjectKind.CONFIGURATION)
+        server.cut = True
+        with check.assertRaises(StoreAway):
+            await store.list(ObjectKind.CONFIGURATION)
+        store.close()
+        nursery.cancel_scope.cancel()
