--- a/egretstack/http1/_client.py
+++ b/egretstack/http1/_client.py
@@ -44,12 +44,16 @@
         self.requests += 1
         self._sending = True
         request = h11.Request(method=head.method, target=head.target, headers=list(head.headers))
-        parts = [self._http.send(request)]
-        if body:
-            parts.append(self._http.send(h11.Data(data=body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
         try:
+            # An upstream that closes at once may be seen by the reader before this runs; h11 then
+            # takes no request any more.
+            parts = [self._http.send(request)]
+            if body:
+                parts.append(self._http.send(h11.Data(data=body)))
+            parts.append(self._http.send(h11.EndOfMessage()))
             await self._stream.send_all(b"".join(parts))
+        except h11.LocalProtocolError as error:
+            raise UpstreamBroken(f"closed before the request: {error}") from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise UpstreamBroken(f"while sending: {error!r}") from error
         self._sending = False
