--- a/egretstack/events/_line_writer.py
+++ b/egretstack/events/_line_writer.py
@@ -10,7 +10,7 @@
 """
 LINES_PER_S = 200.0
 """Lines written for long: some four for each of the fifty requests a second that an instance of
-today's sizes sees at its peak. Each costs about 40 microseconds of processor time."""
+today's sizes sees at its peak."""
 BURST_LINES = 400.0
 KEPT_FOR_WARNINGS = 0.25
 """Part of the burst that only warnings and errors may use up."""
