Callers that come back late go behind those in time, and wait longer for room

A caller refused after 1.1 s came back with a new attempt id and queued as if it were fresh; its first token was late whatever happened, and it took the room of one that could be in time.

Ruled out: memory lost to leftover copies (unbooked memory 0.00 of each engine in the busy seconds), engines wrongly taken as silent (none), room that is free (ready engines 0.8 to 0.9 full while 10 to 20 waited; 14 or 15 of 22 engines ready as three are reclaimed every 3.3 s).

Change: the home knows a prompt again, of the same account only, and counts its first token from the first attempt. What can be in time goes first; what is late gets room up to 0.8 of an engine. The refusal itself stays immediate once the wait is over.

--- a/egretstack/placing/_placer.py
+++ b/egretstack/placing/_placer.py
@@ -14,7 +14,7 @@
 from egretstack.placing._copies import FULL_SHARE, SHORT_TOKENS, CopyPlanner
 from egretstack.placing._loads import EngineLoad
 from egretstack.placing._run import Placement, Run, Work
-from egretstack.placing._wait_list import WaitList
+from egretstack.placing._wait_list import Waiting, WaitList
 from egretstack.routing import EnginePlan
 
 MEMORY_WEIGHT_S = 0.6
@@ -27,6 +27,11 @@
 """Choices whose scores differ by less are equal, and one is drawn."""
 MAX_TRIED = 32
 """Works that are tried for room each time some may have come free."""
+LATE_FULL_SHARE = 0.8
+"""Part of an engine's memory up to which a generation that is late anyway is placed there; what is
+beyond it is for those that come in time meanwhile."""
+LATE_READ_S = 2.0
+"""Longest wait for its first token at which such a generation is placed all the same."""
 RETRY_LEAST_S = 0.3
 RETRY_MOST_S = 2.0
 
@@ -65,7 +70,7 @@
         if before is not None:
             return before
         loads = self.book.loads(now_s, whole=whole)
-        return self._place(now_s, work, engine, work.patience_s, loads)
+        return self._place(now_s, work, engine, work.patience_s, loads, FULL_SHARE)
 
     def wait(self, now_s: float, work: Work, engine: EnginePlan) -> None:
         """Let a work wait for room; `settle` tells when it has some."""
@@ -78,27 +83,26 @@
         placed = []
         loads = self.book.loads(now_s, whole=True)
         blocked = False
-        for tried, one in enumerate(self._waiting.in_order(now_s)):
+        in_order = self._waiting.in_order(now_s, self.book.prefill_per_s)
+        for tried, one in enumerate(in_order):
             if tried == 0:
                 self._copies.note_demand(
                     now_s, one.work.service, one.engine, loads, self._waiting.prompt_tokens()
                 )
             if tried >= MAX_TRIED:
                 break
+            late = one.is_late(now_s, one.work.prompt_tokens / self.book.prefill_per_s)
             # What follows may not take the room that the first in order waits for; what is short
             # gives it back before that matters.
-            if blocked and not self._is_short(one.work):
+            if blocked and (late or not self._is_short(one.work)):
                 continue
-            patience_s = one.in_time_until_s - now_s
-            decided = self.book.placement(one.work) or self._place(
-                now_s, one.work, one.engine, patience_s, loads
-            )
+            decided = self.book.placement(one.work) or self._place_waiting(now_s, one, late, loads)
             if isinstance(decided, Placement):
                 placed.append(Placed(one.work.attempt, decided))
             else:
                 blocked = True
         for one in placed:
-            self._waiting.drop(one.attempt)
+            self._waiting.placed(one.attempt)
         return placed
 
     def room_after_s(self, now_s: float, work: Work) -> float:
@@ -138,13 +142,27 @@
             self._copies.begin(now_s, run, destination, engine)
         return destination
 
+    def _place_waiting(
+        self, now_s: float, one: Waiting, late: bool, loads: Loads
+    ) -> Placement | PlaceRefused:
+        patience_s = LATE_READ_S if late else one.in_time_until_s - now_s
+        full_share = LATE_FULL_SHARE if late else FULL_SHARE
+        return self._place(now_s, one.work, one.engine, patience_s, loads, full_share)
+
     def _place(
-        self, now_s: float, work: Work, engine: EnginePlan, patience_s: float, loads: Loads
+        self,
+        now_s: float,
+        work: Work,
+        engine: EnginePlan,
+        patience_s: float,
+        loads: Loads,
+        full_share: float,
     ) -> Placement | PlaceRefused:
+        room = full_share * engine.kv_capacity_tokens
         fitting = [
             runner
             for runner in self._candidates(work, loads)
-            if self._fits(now_s, work, engine, patience_s, runner, loads[runner.id])
+            if self._fits(now_s, work, engine, patience_s, runner, loads[runner.id], room)
         ]
         if not fitting:
             return PlaceRefused(RETRY_LEAST_S)
@@ -172,13 +190,14 @@
         patience_s: float,
         runner: Runner,
         load: EngineLoad,
+        room: float,
     ) -> bool:
         """Tell whether an engine has a slot, room, and time to read the prompt."""
         if load.runs >= min(engine.batch_slots, runner.slots):
             return False
         need = work.prompt_tokens + min(GROWTH_TOKENS, self.book.expected_output(work))
         taken = load.taken_tokens
-        if taken and taken + need > FULL_SHARE * engine.kv_capacity_tokens:
+        if taken and taken + need > room:
             return False
         return load.wait_s(now_s) + work.prompt_tokens / self.book.prefill_per_s <= patience_s
 
--- a/egretstack/placing/_run.py
+++ b/egretstack/placing/_run.py
@@ -19,6 +19,10 @@
     """0 is the most urgent."""
     patience_s: float
     """Time left until the first token comes late for the caller."""
+    wait_s: float
+    """How long the caller may be kept waiting for room."""
+    prompt_id: str = ""
+    """The same for a caller that comes back after a refusal; empty if it can't be told."""
     excluded: tuple[RunnerId, ...] = ()
 
 
@@ -52,6 +56,8 @@
         work.length_hint,
         work.rank,
         round(work.patience_s * 1000),
+        round(work.wait_s * 1000),
+        work.prompt_id,
         list(work.excluded),
     ]
 
@@ -59,7 +65,7 @@
 def work_of(row: object) -> Work:
     """Read the row of a work. Raises MessageError."""
     try:
-        attempt, service, prompt, most, hint, rank, patience_ms, excluded = row
+        attempt, service, prompt, most, hint, rank, patience_ms, wait_ms, prompt_id, excluded = row
         return Work(
             str(attempt),
             ServiceName(str(service)),
@@ -68,6 +74,8 @@
             None if hint is None else int(hint),
             int(rank),
             int(patience_ms) / 1000,
+            int(wait_ms) / 1000,
+            str(prompt_id),
             tuple(RunnerId(str(one)) for one in excluded),
         )
     except (TypeError, ValueError) as error:
--- a/egretstack/placing/_wait_list.py
+++ b/egretstack/placing/_wait_list.py
@@ -1,4 +1,9 @@
-"""Generations that wait at the home for room, in the order in which they go."""
+"""Generations that wait at the home for room, in the order in which they go.
+
+What can still be in time goes first. A caller that was refused and comes back is late from its
+first attempt on; served before those that are in time, it makes the next one late, and on engines
+that stay full nobody is in time any more.
+"""
 
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -9,6 +14,8 @@
 FORGET_S = 0.8
 """How long a work waits after its last question; it asks again several times in that time."""
 MAX_WAITING = 4096
+REMEMBER_S = 40.0
+"""How long a caller that went away without a place is known again: a long request's deadline."""
 
 
 @dataclass(slots=True)
@@ -20,15 +27,21 @@
     order: tuple[int, float]
     """Rank, then the time of the first question."""
     in_time_until_s: float
-    """When its first token is late."""
+    """When its first token is late, counted from its caller's first attempt."""
     asked_s: float
 
+    def is_late(self, now_s: float, read_s: float) -> bool:
+        """Tell whether its first token comes late on any engine, if reading takes `read_s`."""
+        return now_s + read_s > self.in_time_until_s
+
 
 class WaitList:
     """Works by attempt."""
 
     def __init__(self) -> None:
         self._by_attempt: dict[str, Waiting] = {}
+        self._in_time_until_s_by_prompt: dict[str, float] = {}
+        """Of callers that wait or went away without a place, the first to ask first."""
 
     def __len__(self) -> int:
         return len(self._by_attempt)
@@ -39,22 +52,45 @@
         if known is not None:
             known.work, known.asked_s = work, now_s
         elif len(self._by_attempt) < MAX_WAITING:
+            until_s = self._in_time_until_s(now_s, work)
             self._by_attempt[work.attempt] = Waiting(
-                work, engine, (work.rank, now_s), now_s + work.patience_s, now_s
+                work, engine, (work.rank, now_s), until_s, now_s
             )
 
     def drop(self, attempt: str) -> None:
-        """Take a work out: it has a place, or nobody waits for one any more."""
+        """Take a work out for which nobody waits any more."""
         self._by_attempt.pop(attempt, None)
 
-    def in_order(self, now_s: float) -> Iterator[Waiting]:
+    def placed(self, attempt: str) -> None:
+        """Take a work out that has a place; its caller owes nothing to an earlier refusal."""
+        waiting = self._by_attempt.pop(attempt, None)
+        if waiting is not None:
+            self._in_time_until_s_by_prompt.pop(waiting.work.prompt_id, None)
+
+    def in_order(self, now_s: float, prefill_per_s: float) -> Iterator[Waiting]:
         """Give the works that still wait, the first to go first."""
         for attempt in [
             one for one, it in self._by_attempt.items() if now_s - it.asked_s > FORGET_S
         ]:
             del self._by_attempt[attempt]
-        yield from sorted(self._by_attempt.values(), key=lambda one: one.order)
+
+        def order(one: Waiting) -> tuple[bool, tuple[int, float]]:
+            return one.is_late(now_s, one.work.prompt_tokens / prefill_per_s), one.order
+
+        yield from sorted(self._by_attempt.values(), key=order)
 
     def prompt_tokens(self) -> float:
         """Give the prompts of all that wait, together."""
         return sum(one.work.prompt_tokens for one in self._by_attempt.values())
+
+    def _in_time_until_s(self, now_s: float, work: Work) -> float:
+        """Give when a work is late; a prompt that was here before keeps its first time."""
+        until_s = now_s + work.patience_s
+        if not work.prompt_id:
+            return until_s
+        known = self._in_time_until_s_by_prompt
+        for prompt_id in [one for one, it in known.items() if now_s - it > REMEMBER_S]:
+            del known[prompt_id]
+        if len(known) >= MAX_WAITING:
+            known.pop(next(iter(known)))
+        return known.setdefault(work.prompt_id, until_s)
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -30,9 +30,6 @@
 ASK_AGAIN_S = 0.25
 """How often a generation that waits at the home tells that it still does."""
 REFUSED_RETRY_S = 0.5
-WAIT_SHARE = 0.6
-"""Part of the time until its first token is late that a generation waits for room; reading its
-prompt takes the rest."""
 MOVE_ASK_S = 0.08
 """How often a run that has to move asks whether it is its turn."""
 RANK_STEP = 1e6
@@ -70,14 +67,13 @@
     async def place(self, work: Work, engine: EnginePlan) -> Placement:
         """Give the place of a generation, once there is room. Raises RequestFailed.
 
-        It waits at the home while its first token can still be in time; then it is refused, since
-        on engines that are full it would be late and make others late.
+        It waits at the home for as long as its caller can be expected to, and is then refused.
         """
         began_s = trio.current_time()
         placed = None
         retry_s = REFUSED_RETRY_S
         try:
-            with trio.move_on_after(work.patience_s * WAIT_SHARE):
+            with trio.move_on_after(work.wait_s):
                 while placed is None:
                     answer = await self._ask_place(work)
                     if answer is None:
--- a/egretstack/traffic/_request.py
+++ b/egretstack/traffic/_request.py
@@ -1,10 +1,14 @@
 """A client's request as the system sees it, whatever the wire calls its parts."""
 
 from dataclasses import dataclass
+from hashlib import blake2s
 
 from egretstack.http1 import RequestHead
 from egretstack.ids import ModelName
 
+PROMPT_ID_BYTES = 8
+"""Enough to tell apart the thousands of prompts of a minute."""
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -25,6 +29,17 @@
     """The client's own estimate of the output; right at the median, often far off."""
     prompt_parts: tuple[PromptPart, ...]
 
+    def prompt_id(self, account: str) -> str:
+        """Give what tells an account's prompt from others; empty if the client named no parts.
+
+        A client's retry has an attempt id of its own, and the same prompt.
+        """
+        if not self.prompt_parts:
+            return ""
+        parts = ",".join(f"{part.id}:{part.tokens}" for part in self.prompt_parts)
+        text = f"{account}/{self.model}/{self.prompt_tokens}/{parts}"
+        return blake2s(text.encode(), digest_size=PROMPT_ID_BYTES).hexdigest()
+
 
 @dataclass(frozen=True)
 class ClientRequest:
--- a/tests/fleet_fixtures.py
+++ b/tests/fleet_fixtures.py
@@ -38,7 +38,18 @@
     return Runner(RunnerId(name), service, address, ZoneName(zone), slots, state, cold_s)
 
 
-def work(attempt, *, prompt=3_000, most=2_000, hint=900, rank=0, patience_s=7.0, excluded=()):
+def work(
+    attempt,
+    *,
+    prompt=3_000,
+    most=2_000,
+    hint=900,
+    rank=0,
+    patience_s=7.0,
+    wait_s=4.0,
+    prompt_id="",
+    excluded=(),
+):
     """Give a generation that wants an engine."""
     names = tuple(RunnerId(one) for one in excluded)
-    return Work(attempt, ENGINES, prompt, most, hint, rank, patience_s, names)
+    return Work(attempt, ENGINES, prompt, most, hint, rank, patience_s, wait_s, prompt_id, names)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -263,6 +263,48 @@
     check.assertEqual(one.settle(0.4), [])
 
 
+def test_who_comes_back_late_goes_behind_those_in_time():
+    # On engines that stay full a caller is refused after a second and comes back; its first token
+    # is late whatever happens. Served in the order of asking, it makes the next caller late too,
+    # until every answer is.
+    one, _ = placer("a")
+    full = [Run(work(f"r{n}"), RunnerId("a"), None, 100, True) for n in range(10)]
+    one.book.reported(OWN, full)
+    one.wait(0.0, work("first", patience_s=1.8, prompt_id="p"), ENGINE)
+    one.settle(0.1)
+    one.ended("first")
+    one.wait(2.0, work("back", patience_s=1.8, prompt_id="p"), ENGINE)
+    one.wait(2.1, work("fresh", patience_s=1.8, prompt_id="q"), ENGINE)
+    one.book.reported(OWN, full[:8])
+    check.assertEqual([placed.attempt for placed in one.settle(2.2)], ["fresh"])
+
+
+def test_who_is_late_is_served_once_there_is_room_to_spare():
+    # Refused a second time, a caller gets nothing at all; a late answer is worth something to it.
+    # It may not take the last of an engine's memory, which the next caller needs to be in time.
+    one, _ = placer("a")
+    full = [Run(work(f"r{n}"), RunnerId("a"), None, 100, True) for n in range(8)]
+    one.book.reported(OWN, full)
+    one.wait(0.0, work("late", patience_s=0.0), ENGINE)
+    check.assertEqual(one.settle(0.1), [])
+    one.wait(0.1, work("late", patience_s=0.0), ENGINE)
+    one.book.reported(OWN, full[:5])
+    check.assertEqual([placed.attempt for placed in one.settle(0.2)], ["late"])
+
+
+def test_a_prompt_that_was_served_may_be_sent_anew():
+    # A session that asks the same again is no caller that comes back after a refusal.
+    one, _ = placer("a")
+    one.wait(0.0, work("first", patience_s=1.8, prompt_id="p"), ENGINE)
+    check.assertEqual([placed.attempt for placed in one.settle(0.1)], ["first"])
+    full = [Run(work(f"r{n}"), RunnerId("a"), None, 100, True) for n in range(10)]
+    one.book.reported(OWN, full)
+    one.wait(5.0, work("again", patience_s=1.8, prompt_id="p"), ENGINE)
+    one.wait(5.1, work("other", prompt=4_000, patience_s=1.8, prompt_id="q"), ENGINE)
+    one.book.reported(OWN, full[:8])
+    check.assertEqual([placed.attempt for placed in one.settle(5.2)], ["again"])
+
+
 def test_what_gave_up_does_not_hold_up_the_rest():
     # Nothing would be placed for a moment after each work that gave up: the first in order no
     # longer asks, and the room is kept for it.
