Copies are few until it is known what runs need

Cause: at the start no demand was seen, so copies of the first runs took up to 0.8 of the fleet's memory.

--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -1,6 +1,7 @@
 """Where generations and calls run."""
 
 import random
+from dataclasses import replace
 
 from egretstack.fleet import RunnerState, RunnerTable
 from egretstack.ids import InstanceId, RunnerId, ZoneName
@@ -305,6 +306,17 @@
     check.assertEqual([placed.attempt for placed in one.settle(5.2)], ["again"])
 
 
+def test_copies_are_few_until_it_is_known_what_runs_need():
+    # Engines are empty when traffic begins: copies of the first runs would fill them, and callers
+    # of the next seconds are refused for as long as those runs go on.
+    one, _ = placer("a", "b", "c", "d")
+    small = replace(ENGINE, kv_capacity_tokens=22_000)
+    placed = [one.place(0.0, work(f"w{n}", prompt=3_100), small, whole=True) for n in range(8)]
+    copies = sum(1 for placement in placed if placement.backup)
+    check.assertGreater(copies, 0)
+    check.assertLess(copies, 8)
+
+
 def test_what_gave_up_does_not_hold_up_the_rest():
     # Nothing would be placed for a moment after each work that gave up: the first in order no
     # longer asks, and the room is kept for it.
