--- /dev/null
+++ b/scripts/site_variants.py
@@ -0,0 +1,88 @@
+"""Writes variants of a site file: the same site with other bounds, machines, links or engines.
+
+    python scripts/site_variants.py SITE OUT
+
+No figure of the product may be tuned to one site. Days hunted on these variants show where one is:
+each changes one thing, far enough to matter and within what an operator might run.
+"""
+
+import re
+import shutil
+from collections.abc import Callable
+from pathlib import Path
+
+from cyclopts import App
+
+app = App(help=__doc__)
+
+BOUNDS = ("drain_ms", "config_ms", "grace_s", "touch_ms", "ack_ms")
+Edit = Callable[[str], str]
+
+
+class NothingChanged(Exception):
+    """A variant left the site as it was: the file names things otherwise than expected."""
+
+
+def scaled(names: tuple[str, ...], factor: float) -> Edit:
+    """Multiply each of some figures, wherever they stand."""
+    pattern = re.compile(rf"\b({'|'.join(names)}) = (\d+(?:\.\d+)?)")
+
+    def times(found: re.Match[str]) -> str:
+        whole = "." not in found[2]
+        value = float(found[2]) * factor
+        return f"{found[1]} = {max(1, round(value)) if whole else round(value, 4)}"
+
+    return lambda text: pattern.sub(times, text)
+
+
+def switched_off(*names: str) -> Edit:
+    """Set some switches to false."""
+    pattern = re.compile(rf"\b({'|'.join(names)}) = true")
+    return lambda text: pattern.sub(r"\1 = false", text)
+
+
+def one_machine_a_zone(text: str) -> str:
+    """Leave one machine in each zone, on the site and on each of its days."""
+    return re.sub(r'(class = "front".*?count = )\d+', r"\g<1>1", text)
+
+
+EDIT_BY_NAME: dict[str, Edit] = {
+    "bounds-halved": scaled(BOUNDS, 0.5),
+    "bounds-doubled": scaled(BOUNDS, 2.0),
+    "no-load-told": switched_off("load_header"),
+    "no-copies": switched_off("backups", "moves"),
+    "engines-half": scaled(("kv_tokens",), 0.5),
+    "zones-far": scaled(("cross_zone_ms", "client_ms"), 10.0),
+    "store-tight": scaled(("writes_per_s", "reads_per_s"), 0.25),
+    "machines-few": one_machine_a_zone,
+    "machines-weak": scaled(("cpu_share", "memory_mb"), 0.6),
+}
+
+
+@app.default
+def write(site: Path, out: Path) -> None:
+    """Write every variant of a site, with the files beside it that days need.
+
+    Parameters
+    ----------
+    site
+        Site file.
+    out
+        Folder for the variants; made if need be.
+    """
+    out.mkdir(parents=True, exist_ok=True)
+    for beside in site.parent.iterdir():
+        if beside.is_file() and beside.suffix != ".toml":
+            shutil.copyfile(beside, out / beside.name)
+    text = site.read_text()
+    for name, edit in EDIT_BY_NAME.items():
+        changed = edit(text)
+        if changed == text:
+            raise NothingChanged(f"{name}: {site}")
+        path = out / f"{site.stem}-{name}.toml"
+        path.write_text(changed)
+        print(path)
+
+
+if __name__ == "__main__":
+    app()
