Whole-entry test of a caller that waits for room

The only place is taken for 2 s, the caller has 39 s. The reader of the stream tests takes a deadline.

--- a/tests/test_platform_streams.py
+++ b/tests/test_platform_streams.py
@@ -5,7 +5,8 @@
 from egretstack.http1 import UpstreamBroken, connect_upstream
 from egretstack.services.directory_port import DirectoryPort
 from egretstack.services.fleet_port import FleetPort
-from standins.platform import GENERATION, EngineFault, client_request
+from egretstack.services.store_reading import StoreReading
+from standins.platform import GENERATION, EngineFault, client_request, route, runner_spec
 from tests.platform_site import WAIT_S, platform_site
 from tests.support import check, on_real_clock, tests_of
 
@@ -17,8 +18,9 @@
 class Reader:
     """A client that reads one stream."""
 
-    def __init__(self, site, attempt, entry=0):
+    def __init__(self, site, attempt, entry=0, deadline_ms=10_000):
         self.attempt = attempt
+        self.deadline_ms = deadline_ms
         self.ids = []
         self.status = None
         self.broken = False
@@ -30,7 +32,13 @@
     async def run(self):
         """Read to the end, whichever it is."""
         connection = await connect_upstream(self._address, WAIT_S)
-        head, body = client_request("/plans/1", self.attempt, method=b"POST", headers=GENERATION)
+        head, body = client_request(
+            "/plans/1",
+            self.attempt,
+            method=b"POST",
+            deadline_ms=self.deadline_ms,
+            headers=GENERATION,
+        )
         with self.scope:
             try:
                 await connection.send(head, body)
@@ -60,9 +68,9 @@
     check.assertEqual(reader.ids, list(range(1, events + 1)))
 
 
-async def read(site, attempt, until_id=0):
+async def read(site, attempt, until_id=0, **more):
     """Start a reader, and give it once it has seen an event of that id."""
-    reader = Reader(site, attempt)
+    reader = Reader(site, attempt, **more)
     site.nursery.start_soon(reader.run)
     await site.until(lambda: len(reader.ids) >= until_id or reader.ended.is_set())
     return reader
@@ -186,6 +194,28 @@
         check.assertEqual(sum(one.runs_by_attempt["s-1"] for one in site.engines), 0)
 
 
+@on_real_clock
+async def test_a_caller_with_time_waits_for_room():
+    # The only place is taken for 2 s, longer than a first token may take to be in time. The caller
+    # has 39 s: refused after one it would come back, late, and be refused for good.
+    async with platform_site(plain=0, engines=1) as site:
+        engine = site.engines[0]
+        engine.gap_s = 0.07
+        spec = runner_spec("llm", engine.address) | {"slots": 1}
+        site.store.put("servers", engine.runner_id, spec)
+        site.routes = [route("plans", "streaming", "llm", **{"timeout-ms": 39_000})]
+        version = site.configure()
+        reading = site.kernels[0].get(StoreReading)
+        await site.until(lambda: reading.gate.version == version)
+        table = site.kernels[0].get(FleetPort).runners
+        await site.until(lambda: table.by_id[engine.runner_id].slots == 1)
+        first = await read(site, "s-1", 1)
+        second = await read(site, "s-2", 1, deadline_ms=39_000)
+        check.assertTrue(first.ended.is_set())
+        await second.ended.wait()
+        check_whole(second)
+
+
 @on_real_clock
 async def test_an_engine_that_does_not_connect_is_passed_over():
     async with platform_site(plain=0, engines=2) as site:
