--- a/egretstack/reports/_explain.py
+++ b/egretstack/reports/_explain.py
@@ -134,8 +134,8 @@
     for line in own:
         if line.name == "place_refused":
             return (
-                f"{kind}: no engine had room in the {line.fields.get('waited_ms')} ms for which its "
-                f"caller could be kept waiting; told to come back in "
+                f"{kind}: no engine had room in the {line.fields.get('waited_ms')} ms "
+                f"for which its caller could be kept waiting; told to come back in "
                 f"{line.fields.get('retry_s')} s"
             )
     spoilt = [line for line in own if line.name in ("answer_spoilt", "upstream_broken")]
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,6 +1,8 @@
 """From a request's id to its cause, over saved logs."""
 
 import json
+import re
+from pathlib import Path
 
 from egretstack.reports import explain, read_log
 from tests.support import check, tests_of
@@ -8,6 +10,7 @@
 load_tests = tests_of(globals())
 
 ID = "9c41d07be2a35f68"
+ROOT = Path(__file__).parent.parent
 
 
 def line(second, instance, name, **fields):
@@ -79,3 +82,16 @@
         '  1.5 e-1 {"time": "t", "name": "stopped"}',
     ]
     check.assertEqual([one.name for one in read_log(text)], ["stopped"])
+
+
+def test_the_operators_page_shows_what_the_command_prints():
+    # An engineer compares a cause with the page word by word; a page that says something else sends
+    # them after another fault.
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    shown = re.findall(r"egretctl explain (\w+) (\S+)\n```\n(.*?)\n    cause: (.*?)\n", page, re.S)
+    check.assertEqual(len(shown), 3)
+    for request, file, lines, cause in shown:
+        found = explain(request, read_log((ROOT / file).read_text().splitlines()))
+        check.assertEqual(found.cause, cause)
+        names = [line.split()[2] for line in lines.splitlines() if line.strip()]
+        check.assertEqual([one.name for one in found.lines], names)
