Properties of the decisions behind the promises, over random histories

Readings late, twice and out of order, instances that fall silent, seven-fold bursts: the home by a kept ranking, versions, runners that were told to leave, what may be called not run, the fleet's budget for second sends, slots of engines.

--- /dev/null
+++ b/tests/test_promises_properties.py
@@ -0,0 +1,198 @@
+"""The decisions behind the promises, over random histories.
+
+Readings come late, twice and out of order, instances fall silent and come back, and a process may
+stand still between any two steps.
+"""
+
+import random
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from egretstack.errors import ErrorKind
+from egretstack.fleet import Fleet, InstanceState, RunnerState, RunnerTable
+from egretstack.ids import RunnerId, ServiceName
+from egretstack.placing import Placer, Run
+from egretstack.platform import Bounds
+from egretstack.relay import RetryBudget, RunKnowledge
+from egretstack.routing import RoutingConfiguration, VersionGate
+from tests.fleet_fixtures import ENGINE, ENGINES, known, runner, work
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+EXAMPLES = settings(max_examples=150, deadline=None, derandomize=True)
+PROMISING = (408, 421, 429, 503)
+SERVICE = ServiceName("desk-app")
+RUNNERS = ("a", "b", "c", "d")
+EMPTY = RoutingConfiguration(
+    version=1,
+    routes=(),
+    service_by_name={},
+    account_by_key_digest={},
+    limits=None,
+    has_accounts=False,
+)
+
+
+class RankingEachTime(Fleet):
+    """A fleet that keeps no ranking."""
+
+    def _ranked(self, now_s):
+        return self._rank_all(now_s)
+
+
+_other = st.builds(
+    known,
+    st.integers(1, 5),
+    st.sampled_from(InstanceState),
+    reads_store=st.booleans(),
+    strength=st.integers(0, 2),
+)
+_fleet_step = st.tuples(
+    st.sampled_from(("heard", "pointed", "told", "listed", "own")),
+    _other,
+    st.sampled_from((0.0, 0.0, 0.06, 0.3, 1.2, 4.0)),
+)
+
+
+@EXAMPLES
+@given(st.lists(_fleet_step, max_size=40))
+def test_a_kept_ranking_gives_the_same_home(steps):
+    # Questions would go to an instance that has left, for as long as the ranking is kept.
+    kept, fresh = Fleet(known(0), 0.0), RankingEachTime(known(0), 0.0)
+    now_s = 0.0
+    for kind, other, passed_s in steps:
+        now_s += passed_s
+        for view in (kept, fresh):
+            if kind == "heard":
+                view.heard(now_s, other)
+            elif kind == "own":
+                view.own = replace(view.own, reads_store=other.reads_store, state=other.state)
+            elif kind == "told":
+                view.told(now_s, other.instance.id, [other])
+            else:
+                getattr(view, kind)(now_s, [other])
+        check.assertEqual(kept.home(now_s), fresh.home(now_s))
+        check.assertEqual(kept.report_targets(now_s), fresh.report_targets(now_s))
+
+
+@EXAMPLES
+@given(st.lists(st.integers(1, 30), max_size=30))
+def test_a_version_is_never_taken_back(versions):
+    gate = VersionGate()
+    newest = 0
+    for version in versions:
+        offered = replace(EMPTY, version=version)
+        check.assertEqual(gate.offer(offered), version > newest)
+        newest = max(newest, version)
+        check.assertEqual(gate.version, newest)
+
+
+_reading = st.tuples(
+    st.integers(1, 9),
+    st.dictionaries(st.sampled_from(RUNNERS), st.sampled_from(RunnerState), max_size=4),
+)
+
+
+@EXAMPLES
+@given(st.lists(st.one_of(_reading, st.sampled_from(RUNNERS)), max_size=25))
+def test_a_runner_that_was_told_to_leave_gets_no_work_again(steps):
+    # A request reaches a runner that is gone, or a stranger at its address: a reading that was on
+    # its way while the runner told of its leaving itself would bring it back.
+    table = RunnerTable()
+    left = set()
+    for now_s, step in enumerate(steps):
+        if isinstance(step, str):
+            if step in table.by_id:
+                table.notice(float(now_s), RunnerId(step))
+                left.add(step)
+        else:
+            revision, states = step
+            listed = [runner(name, state=state) for name, state in states.items()]
+            taken = revision >= table.revision
+            table.take(float(now_s), listed, revision, float(now_s))
+            if taken:
+                left |= {name for name, state in states.items() if state is RunnerState.LEAVING}
+        check.assertFalse(left & {one.id for one in table.ready(ENGINES)})
+        check.assertFalse([name for name in left if table.is_ready(RunnerId(name))])
+
+
+@EXAMPLES
+@given(
+    st.lists(st.booleans(), max_size=6), st.sampled_from(ErrorKind), st.sampled_from((None, 0.4))
+)
+def test_not_run_is_never_said_once_it_may_have_run(sends, kind, retry_s):
+    knowledge = RunKnowledge()
+    for unknown in sends:
+        if unknown:
+            knowledge.unknown()
+        failure = knowledge.failure(kind, "x", retry_after_s=retry_s)
+        if knowledge.may_have_run:
+            check.assertNotIn(failure.status, PROMISING)
+    check.assertEqual(knowledge.may_have_run, any(sends))
+
+
+@EXAMPLES
+@given(
+    st.integers(1, 8),
+    st.lists(st.tuples(st.sampled_from((0, 20, 3_000)), st.integers(0, 7)), max_size=90),
+)
+def test_second_sends_of_all_instances_keep_within_the_budget(count, steps):
+    # Runners in trouble are buried: each instance keeps to a budget of its own and all of them
+    # together send several times as much.
+    bounds = Bounds(
+        runner_drain_s=2,
+        grace_s=8,
+        directory_life_s=5,
+        retry_ratio=0.2,
+        retry_window_s=10,
+        retry_slack=8,
+    )
+    budgets = [RetryBudget(bounds) for _ in range(count)]
+    now_s, requests, repeats = 0.0, [], []
+    for passed_ms, number in steps:
+        now_s += passed_ms / 1000
+        budget = budgets[number % count]
+        budget.instances = count
+        budget.requested(now_s, SERVICE)
+        requests.append(now_s)
+        while budget.allows(now_s, SERVICE):
+            budget.repeated(now_s, SERVICE)
+            repeats.append(now_s)
+        recent = [one for one in requests if now_s - one <= bounds.retry_window_s]
+        again = [one for one in repeats if now_s - one <= bounds.retry_window_s]
+        allowed = bounds.retry_ratio * len(recent) + bounds.retry_slack
+        check.assertLessEqual(len(again), allowed)
+
+
+_asking = st.tuples(
+    st.integers(0, 12),
+    st.sampled_from((800, 3_000, 6_000)),
+    st.integers(0, 3),
+    st.sampled_from((0.0, 1.0, 4.0)),
+    st.booleans(),
+)
+
+
+@EXAMPLES
+@given(st.lists(_asking, max_size=40), st.integers(0, 99))
+def test_no_work_is_placed_twice_or_beyond_an_engines_slots(steps, seed):
+    table = RunnerTable()
+    table.take(0.0, [runner(name, slots=3) for name in RUNNERS], 1, 0.0)
+    one = Placer(table, random.Random(seed))
+    places = {}
+    for number, (attempt, prompt, rank, patience_s, gives_up) in enumerate(steps):
+        name = f"w{attempt}"
+        if gives_up:
+            one.ended(name)
+            places.pop(name, None)
+        elif name not in places:
+            asked = work(name, prompt=prompt, rank=rank, patience_s=patience_s, prompt_id=name)
+            one.wait(number * 0.01, asked, ENGINE)
+        for placed in one.settle(number * 0.01):
+            check.assertNotIn(placed.attempt, places)
+            places[placed.attempt] = Run(work(placed.attempt), placed.placement.runner, None)
+        runs = [run.runner for run in places.values()]
+        check.assertLessEqual(max((runs.count(name) for name in RUNNERS), default=0), 3)
