egretctl check-configuration; errors of a configuration name their row; a route without a target

Cause: an operator who sees config_bad was told a field and not the row, of some dozens of routes. Rows are named now (routes[3]: route-type 'often' is not one of ...), in the log as well.

Found while reading for it: a stream's route without a target got a target of 0, so its callers were refused without a wait. The test of it failed before (0.0 against the timeout).

--- a/egretstack/platform/__init__.py
+++ b/egretstack/platform/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from egretstack.platform._bodies import BadBody, parse_object
-from egretstack.platform._configuration import decode_configuration
+from egretstack.platform._configuration import decode_configuration, read_configuration
 from egretstack.platform._entry_wire import (
     asked_zone,
     decode_request,
@@ -73,6 +73,7 @@
     "move_answer",
     "move_request",
     "parse_object",
+    "read_configuration",
     "read_node_settings",
     "report_request",
     "runner_answer",
--- a/egretstack/platform/_configuration.py
+++ b/egretstack/platform/_configuration.py
@@ -1,8 +1,22 @@
 """Decodes the operator's configuration, which the store holds as one object."""
 
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+from egretstack.errors import UserError
 from egretstack.http1 import ServerLimits
 from egretstack.ids import AccountId, ServiceName
-from egretstack.platform._bodies import BadBody, Body, flag, number, rows, text, whole
+from egretstack.platform._bodies import (
+    BadBody,
+    Body,
+    flag,
+    number,
+    parse_object,
+    rows,
+    text,
+    whole,
+)
 from egretstack.routing import (
     ClientAccount,
     EnginePlan,
@@ -14,6 +28,8 @@
     key_digest,
 )
 
+Part = TypeVar("Part")
+
 _KIND_BY_WORD = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -21,13 +37,39 @@
 }
 
 
+MAX_FILE_BYTES = 4_194_304
+"""Four times the largest object that a store takes."""
+
+
+def read_configuration(path: Path) -> RoutingConfiguration:
+    """Read a configuration from a file: the object as the store holds it, or its `spec` alone.
+
+    Raises UserError, which names the file and the field.
+    """
+    try:
+        with path.open("rb") as file:
+            data = file.read(MAX_FILE_BYTES + 1)
+    except OSError as error:
+        raise UserError(f"{path}: {error.strerror or error}") from error
+    if len(data) > MAX_FILE_BYTES:
+        raise UserError(f"{path}: larger than {MAX_FILE_BYTES} bytes")
+    try:
+        body = parse_object(data)
+        spec = body.get("spec", body)
+        if not isinstance(spec, dict):
+            raise BadBody("spec is not an object")
+        return decode_configuration(spec)
+    except BadBody as error:
+        raise UserError(f"{path}: {error}") from error
+
+
 def decode_configuration(spec: Body) -> RoutingConfiguration:
     """Decode a whole configuration. Raises BadBody."""
-    services = [_service(row) for row in rows(spec, "services")]
+    services = _decoded(spec, "services", _service)
     tenants = rows(spec, "tenants")
     return RoutingConfiguration(
         version=whole(spec, "version"),
-        routes=tuple(_route(row) for row in rows(spec, "routes")),
+        routes=tuple(_decoded(spec, "routes", _route)),
         service_by_name={service.name: service for service in services},
         account_by_key_digest=_accounts(tenants),
         limits=_limits(spec.get("limits")),
@@ -35,19 +77,32 @@
     )
 
 
+def _decoded(spec: Body, name: str, decode: Callable[[Body], Part]) -> list[Part]:
+    """Decode each row of a list; an error tells which row it is in."""
+    parts = []
+    for number_of_row, row in enumerate(rows(spec, name)):
+        try:
+            parts.append(decode(row))
+        except BadBody as error:
+            raise BadBody(f"{name}[{number_of_row}]: {error}") from error
+    return parts
+
+
 def _route(row: Body) -> Route:
     word = text(row, "route-type")
     if word not in _KIND_BY_WORD:
-        raise BadBody(f"route-type {word!r} is not known")
+        raise BadBody(f"route-type {word!r} is not one of {', '.join(_KIND_BY_WORD)}")
     gap_ms = number(row, "gap-target-ms", 0)
+    timeout_ms = number(row, "timeout-ms")
     return Route(
         name=text(row, "name"),
         host=text(row, "host"),
         path_prefix=text(row, "path-prefix"),
         kind=_KIND_BY_WORD[word],
         targets=_targets(row),
-        timeout_s=number(row, "timeout-ms") / 1000,
-        target_latency_s=number(row, "target-latency-ms", 0) / 1000,
+        timeout_s=timeout_ms / 1000,
+        # Without a target an answer is in time until the route's timeout.
+        target_latency_s=number(row, "target-latency-ms", timeout_ms) / 1000,
         rank=whole(row, "priority", 5),
         max_sends=max(1, whole(row, "max-attempts", 1)),
         anonymous=flag(row, "allow-anonymous"),
--- a/egretstack/programs/_running.py
+++ b/egretstack/programs/_running.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from enum import IntEnum
 from pathlib import Path
+from typing import TypeVar
 
 import trio
 
@@ -14,6 +15,8 @@
 from egretstack.kernel import Kernel, ServiceFailed, load_services
 from egretstack.settings import Program, Settings, read_settings
 
+Result = TypeVar("Result")
+
 COLLECT_EVERY_OBJECTS = 20_000
 """Objects made and not yet freed before the youngest are searched for cycles; 700 by default."""
 
@@ -61,10 +64,10 @@
     exit_with(lambda: trio.run(main))
 
 
-def exit_with(run: Callable[[], object]) -> None:
-    """Run and exit: user errors in plain words, failed services by name, bugs as tracebacks."""
+def exit_with(run: Callable[[], Result]) -> Result:
+    """Run, or exit: user errors in plain words, failed services by name, bugs as tracebacks."""
     try:
-        run()
+        return run()
     except* UserError as group:
         for error in _leaves(group):
             print(error, file=sys.stderr)
--- a/egretstack/programs/ctl.py
+++ b/egretstack/programs/ctl.py
@@ -21,7 +21,7 @@
     new_session_key,
     snapshot_in_force,
 )
-from egretstack.platform import read_node_settings
+from egretstack.platform import read_configuration, read_node_settings
 from egretstack.programs._ctl_common import Namespace, PlatformUrl, open_platform, run_command
 from egretstack.programs._ctl_parts import add_part_commands
 from egretstack.programs._explain import add_explain_command
@@ -75,6 +75,35 @@
     print(f"{file}: good settings for an instance of the platform")
 
 
+@app.command
+def check_configuration(
+    file: Path, *, json_output: Annotated[bool, Parameter(name="--json")] = False
+) -> None:
+    """Check a configuration as the users' platform stores it; a fault is named by its field.
+
+    Example: `egretctl check-configuration main.json`
+
+    Parameters
+    ----------
+    file
+        The stored object as JSON, or its `spec` alone.
+    json_output
+        Print what it holds as JSON.
+    """
+    found = exit_with(lambda: read_configuration(file))
+    counts = {
+        "version": found.version,
+        "routes": len(found.routes),
+        "services": len(found.service_by_name),
+        "accounts": len({one.name for one in found.account_by_key_digest.values()}),
+    }
+    if json_output:
+        print(json.dumps(counts))
+        return
+    listed = ", ".join(f"{name} {count}" for name, count in counts.items())
+    print(f"{file}: good configuration: {listed}")
+
+
 @app.command
 def make_key(*, json_output: Annotated[bool, Parameter(name="--json")] = False) -> None:
     """Make a key for a client account and the digest its contract holds."""
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -1,5 +1,6 @@
 """What the platform writes, decoded into the product's types; what is wrong with it, told."""
 
+import json
 import tempfile
 from pathlib import Path
 
@@ -19,6 +20,7 @@
     decode_runner,
     move_answer,
     parse_object,
+    read_configuration,
     read_node_settings,
     runner_answer,
     runner_report,
@@ -249,3 +251,30 @@
         decode_configuration(spec)
     except BadBody:
         return
+
+
+def test_a_route_without_a_target_is_in_time_until_its_timeout():
+    # Every stream of the route would be refused at once: no time at all was left to wait for room.
+    row = route("plans", "streaming", "llm")
+    del row["target-latency-ms"]
+    found = decode_configuration(configuration(1, [row], (KEY,)))
+    check.assertEqual(found.routes[0].target_latency_s, found.routes[0].timeout_s)
+
+
+def test_a_wrong_configuration_file_is_told_by_its_field():
+    good = configuration(1, [route("plans", "streaming", "llm")], (KEY,))
+    bad = configuration(1, [route("notes", "often", "desk")], (KEY,))
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "main.json"
+        for body in (good, {"metadata": {"name": "main"}, "spec": good}):
+            path.write_text(json.dumps(body))
+            check.assertEqual(read_configuration(path).version, 1)
+        for body in (bad, {"spec": 5}, {"version": "x"}):
+            path.write_text(json.dumps(body))
+            with check.assertRaises(UserError):
+                read_configuration(path)
+        path.write_text(json.dumps(bad))
+        with check.assertRaisesRegex(UserError, r"main.json: routes\[0\]: route-type 'often'"):
+            read_configuration(path)
+        with check.assertRaises(UserError):
+            read_configuration(Path(folder) / "none.json")
