The wait for room is a decision of its own

It stood in the stream relay, where no test reached it without a network. No change of what it gives; the figures of its test are those of the two users' routes.

--- a/egretstack/placing/__init__.py
+++ b/egretstack/placing/__init__.py
@@ -5,6 +5,7 @@
 from egretstack.placing._links import CopyLinks
 from egretstack.placing._loads import EngineLoad
 from egretstack.placing._move_turns import MoveTurns
+from egretstack.placing._patience import longest_wait_s
 from egretstack.placing._placer import Placed, Placer, PlaceRefused
 from egretstack.placing._run import Placement, Run, Work, run_of, run_row, work_of, work_row
 
@@ -20,6 +21,7 @@
     "PlainBalancer",
     "Run",
     "Work",
+    "longest_wait_s",
     "run_of",
     "run_row",
     "work_of",
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -18,7 +18,7 @@
     connect_upstream,
 )
 from egretstack.ids import RunnerId
-from egretstack.placing import Run, Work
+from egretstack.placing import Run, Work, longest_wait_s
 from egretstack.platform import client_head, runner_answer
 from egretstack.relay._client_stream import ClientStream
 from egretstack.relay._cursor import EventCursor, EventGap
@@ -48,15 +48,6 @@
 Where it goes on it is copied anew, whole. Those copies would share the links with the runs that
 have none yet, which have to be off their runner before it ends.
 """
-WAIT_SHARE = 0.6
-"""Part of the time until its first token is late that a generation waits for room; reading its
-prompt takes the rest."""
-LATE_WAIT_SHARE = 0.1
-"""Part of its caller's time that a generation waits for room, when it is late already: a caller
-that has 40 s is better off with a late answer than with a refusal after one."""
-MOST_WAIT_TARGETS = 2.0
-"""Longest wait for room, as a multiple of the target: readers give a stream up that has not begun
-after four."""
 COPY_LEAST_TOKENS = 120
 """Output still expected from which a run that lost its copy gets another: about a second's."""
 
@@ -106,8 +97,6 @@
         wants, account = self._task.request.generation, self._task.account
         waited_s = trio.current_time() - self._task.began_s
         target_s = self._task.route.target_latency_s
-        patience_s = max(0.0, target_s - waited_s)
-        late_s = min(MOST_WAIT_TARGETS * target_s, LATE_WAIT_SHARE * self._task.time_left_s())
         return Work(
             attempt=self._task.request.attempt_id,
             service=self._task.service.name,
@@ -115,8 +104,8 @@
             max_output_tokens=wants.max_output_tokens if wants else 0,
             length_hint=wants.length_hint if wants else None,
             rank=self._task.rank,
-            patience_s=patience_s,
-            wait_s=max(WAIT_SHARE * patience_s, late_s - waited_s),
+            patience_s=max(0.0, target_s - waited_s),
+            wait_s=longest_wait_s(target_s, waited_s, self._task.time_left_s()),
             prompt_id=wants.prompt_id(account.name if account else "") if wants else "",
             excluded=excluded,
         )
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -14,6 +14,7 @@
     PlaceRefused,
     PlainBalancer,
     Run,
+    longest_wait_s,
     run_of,
     run_row,
     work_of,
@@ -264,6 +265,16 @@
     check.assertEqual(one.settle(0.4), [])
 
 
+def test_callers_with_more_time_wait_longer():
+    # Refused after a second, a caller with 39 s comes back late and is refused for good; one with
+    # 6 s has to hear soon that it had better try elsewhere.
+    check.assertAlmostEqual(longest_wait_s(1.8, 0.0, 39.0), 3.6)
+    check.assertAlmostEqual(longest_wait_s(1.8, 0.0, 20.0), 2.0)
+    check.assertAlmostEqual(longest_wait_s(1.5, 0.0, 6.0), 0.9)
+    check.assertAlmostEqual(longest_wait_s(1.5, 1.0, 5.0), 0.3)
+    check.assertEqual(longest_wait_s(1.8, 4.0, 35.0), 0.0)
+
+
 def test_who_comes_back_late_goes_behind_those_in_time():
     # On engines that stay full a caller is refused after a second and comes back; its first token
     # is late whatever happens. Served in the order of asking, it makes the next caller late too,
