--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -273,6 +273,8 @@
     check.assertAlmostEqual(longest_wait_s(1.5, 0.0, 6.0), 0.9)
     check.assertAlmostEqual(longest_wait_s(1.5, 1.0, 5.0), 0.3)
     check.assertEqual(longest_wait_s(1.8, 4.0, 35.0), 0.0)
+    check.assertAlmostEqual(longest_wait_s(1.8, 0.0, 1.0), 0.6)
+    check.assertEqual(longest_wait_s(1.8, 2.0, -0.1), 0.0)
 
 
 def test_who_comes_back_late_goes_behind_those_in_time():
