--- a/scripts/_capacity_lines.py
+++ b/scripts/_capacity_lines.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from egretstack.fleet import REPORT_PERIOD_S
 from egretstack.membership import MAX_REPORTS, ReadingPlan
 from egretstack.services.peer_port import MAX_LINKS
+from scripts._capacity_platform import placing_home, platform_sentences
 from scripts._sheet import Line, Resource, Slopes, amount
 from scripts._target import BOUNDS, DAY_S, TARGET
 
@@ -241,38 +241,6 @@
     ]
 
 
-def placing_home(slopes: Slopes) -> list[Line]:
-    """Give what the one home of the users' platform costs, were it alone at the target."""
-    reports = TARGET.nodes / REPORT_PERIOD_S
-    sessions = TARGET.open_sessions
-    return [
-        Line(
-            "reports of all instances",
-            Resource.CPU,
-            ("fleet.home_report_cpu",),
-            f"{reports:,.0f} reports/s",
-            reports * slopes.at("fleet.home_report_cpu", TARGET.nodes),
-            "one home for the fleet",
-        ),
-        Line(
-            "places for all generations",
-            Resource.CPU,
-            ("fleet.place_cpu",),
-            f"{TARGET.requests:,} a second over {TARGET.runners:,} engines",
-            TARGET.requests * slopes.at("fleet.place_cpu", TARGET.runners),
-            "one home for the fleet",
-        ),
-        Line(
-            "an instance's report of its runs, to two",
-            Resource.TRAFFIC,
-            ("fleet.report_wire",),
-            f"{sessions:.0f} runs, {2 / REPORT_PERIOD_S:.0f} reports/s",
-            2 / REPORT_PERIOD_S * slopes.at("fleet.report_wire", sessions),
-            "whole reports, so that a new home knows everything at once",
-        ),
-    ]
-
-
 def relays(slopes: Slopes) -> list[Line]:
     """Give what the busiest steward sends while changes pass."""
     return [
@@ -392,14 +360,7 @@
             slopes.at("accounts.configuration_snapshot_wire", TARGET.parts), "bytes"
         ),
         "report_us": f"{report_us:,.0f}",
-        "whole_news": amount(
-            slopes.at("fleet.instance_news_wire", TARGET.nodes)
-            + slopes.at("fleet.runner_news_wire", TARGET.runners),
-            "bytes",
-        ),
-        "place_ms": f"{slopes.at('fleet.place_cpu', TARGET.runners) / 1000:.0f}",
-        "place_small_ms": f"{slopes.at('fleet.place_cpu', 24) / 1000:.2g}",
-    }
+    } | platform_sentences(slopes)
 
 
 TABLES: dict[str, Callable[[Slopes], list[Line]]] = {
--- /dev/null
+++ b/scripts/_capacity_platform.py
@@ -0,0 +1,53 @@
+"""The lines of the capacity page for the users' platform, from the kept slopes."""
+
+from egretstack.fleet import REPORT_PERIOD_S
+from scripts._sheet import Line, Resource, Slopes, amount
+from scripts._target import TARGET
+
+ENGINES_TODAY = 24
+"""Engines of the larger of the users' two sites after it has grown."""
+
+
+def placing_home(slopes: Slopes) -> list[Line]:
+    """Give what the one home of the users' platform costs, were it alone at the target."""
+    reports = TARGET.nodes / REPORT_PERIOD_S
+    sessions = TARGET.open_sessions
+    return [
+        Line(
+            "reports of all instances",
+            Resource.CPU,
+            ("fleet.home_report_cpu",),
+            f"{reports:,.0f} reports/s",
+            reports * slopes.at("fleet.home_report_cpu", TARGET.nodes),
+            "one home for the fleet",
+        ),
+        Line(
+            "places for all generations",
+            Resource.CPU,
+            ("fleet.place_cpu",),
+            f"{TARGET.requests:,} a second over {TARGET.runners:,} engines",
+            TARGET.requests * slopes.at("fleet.place_cpu", TARGET.runners),
+            "one home for the fleet",
+        ),
+        Line(
+            "an instance's report of its runs, to two",
+            Resource.TRAFFIC,
+            ("fleet.report_wire",),
+            f"{sessions:.0f} runs, {2 / REPORT_PERIOD_S:.0f} reports/s",
+            2 / REPORT_PERIOD_S * slopes.at("fleet.report_wire", sessions),
+            "whole reports, so that a new home knows everything at once",
+        ),
+    ]
+
+
+def platform_sentences(slopes: Slopes) -> dict[str, str]:
+    """Give the figures that the page's sentences on the platform name."""
+    return {
+        "whole_news": amount(
+            slopes.at("fleet.instance_news_wire", TARGET.nodes)
+            + slopes.at("fleet.runner_news_wire", TARGET.runners),
+            "bytes",
+        ),
+        "place_ms": f"{slopes.at('fleet.place_cpu', TARGET.runners) / 1000:.0f}",
+        "place_small_ms": f"{slopes.at('fleet.place_cpu', ENGINES_TODAY) / 1000:.2g}",
+    }
