Bodies in progress share a bound

Listed as open before: each body is bounded (4 MB by the operator's limit), all together were not, so thirty large ones would pass the 128 MB of the smallest instances, whose process is then killed with every stream on it. Bodies now share 24 MB; the request that finds no room is answered 503, instance-full, not run, come back in 0.2 s. The new test holds one body back and sends another: failing with the count taken out, passing with it.

--- a/egretstack/errors/_kinds.py
+++ b/egretstack/errors/_kinds.py
@@ -23,6 +23,7 @@
     OVER_CONCURRENCY = "over-concurrency"
     ENGINES_FULL = "engines-full"
     DEADLINE_TOO_SHORT = "deadline-too-short"
+    INSTANCE_FULL = "instance-full"
     NO_RUNNER = "no-runner"
     DRAINING = "draining"
     PLATFORM_AWAY = "platform-away"
--- a/egretstack/errors/_table.py
+++ b/egretstack/errors/_table.py
@@ -61,6 +61,7 @@
     ErrorKind.OVER_CONCURRENCY: _later(429, "The client account has too many open requests"),
     ErrorKind.ENGINES_FULL: _later(503, "The engines are full"),
     ErrorKind.DEADLINE_TOO_SHORT: _later(503, "The request would start after its deadline"),
+    ErrorKind.INSTANCE_FULL: _later(503, "This instance has no memory for the body now"),
     ErrorKind.NO_RUNNER: _later(503, "No runner serves this now"),
     ErrorKind.DRAINING: _later(503, "This instance is leaving"),
     ErrorKind.PLATFORM_AWAY: _later(503, "The platform's object API does not answer"),
--- a/egretstack/http1/__init__.py
+++ b/egretstack/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on trio streams with h11: the bytes, each close and each reuse are ours to decide."""
 
+from egretstack.http1._body_room import BodyRoom, NoRoomForBody
 from egretstack.http1._client import (
     ConnectFailed,
     UpstreamBroken,
@@ -28,12 +29,14 @@
 __all__ = [
     "AnswerTooLarge",
     "BadRequest",
+    "BodyRoom",
     "ClientConnection",
     "ClientGone",
     "ConnectFailed",
     "ConnectionPool",
     "Header",
     "Headers",
+    "NoRoomForBody",
     "RequestHead",
     "ResponseHead",
     "ServerLimits",
--- /dev/null
+++ b/egretstack/http1/_body_room.py
@@ -0,0 +1,33 @@
+"""Memory that the bodies of all requests in progress share."""
+
+
+class NoRoomForBody(Exception):
+    """Bodies of other requests fill the memory that is meant for them; nothing was passed on."""
+
+
+class BodyRoom:
+    """Counts bytes of bodies, up to a limit.
+
+    Each body is bounded, and some dozens of large ones at once would still pass an instance's
+    memory limit: the process is killed, and every stream that it holds ends with it. Refusing the
+    one that finds no room costs one caller a retry.
+    """
+
+    def __init__(self, most_bytes: int) -> None:
+        self._most_bytes = most_bytes
+        self._held_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held now."""
+        return self._held_bytes
+
+    def take(self, count: int) -> None:
+        """Count bytes that have arrived. Raises NoRoomForBody."""
+        if self._held_bytes + count > self._most_bytes:
+            raise NoRoomForBody(f"bodies of {self._held_bytes} bytes are in progress")
+        self._held_bytes += count
+
+    def give_back(self, count: int) -> None:
+        """Count bytes that are no longer held."""
+        self._held_bytes -= count
--- a/egretstack/http1/_server.py
+++ b/egretstack/http1/_server.py
@@ -5,6 +5,7 @@
 import h11
 import trio
 
+from egretstack.http1._body_room import BodyRoom
 from egretstack.http1._messages import Headers, RequestHead, ResponseHead
 from egretstack.http1._sockets import reset_on_close
 
@@ -53,8 +54,12 @@
 class ClientConnection:
     """Serves one request after another on one stream."""
 
-    def __init__(self, stream: trio.SocketStream, limits: ServerLimits) -> None:
+    def __init__(
+        self, stream: trio.SocketStream, limits: ServerLimits, room: BodyRoom | None = None
+    ) -> None:
         self.limits = limits
+        self._room = room or BodyRoom(limits.body_bytes)
+        self._body_bytes = 0
         self._stream = stream
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         self._ahead = 0
@@ -85,9 +90,9 @@
         return head
 
     async def read_body(self) -> bytes:
-        """Read the whole body of the request.
+        """Read the whole body of the request; it counts in the room until `release_body`.
 
-        Raises BadRequest, ClientGone, SlowSender.
+        Raises BadRequest, ClientGone, SlowSender, NoRoomForBody.
         """
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
@@ -103,9 +108,16 @@
                 return bytes(body)
             if not isinstance(event, h11.Data):
                 raise ClientGone("closed within a request")
-            body += event.data
-            if len(body) > self.limits.body_bytes:
+            if len(body) + len(event.data) > self.limits.body_bytes:
                 raise BadRequest(413, f"a body of more than {self.limits.body_bytes} bytes")
+            self._room.take(len(event.data))
+            self._body_bytes += len(event.data)
+            body += event.data
+
+    def release_body(self) -> None:
+        """Give back the room of the body; the request is over."""
+        self._room.give_back(self._body_bytes)
+        self._body_bytes = 0
 
     async def wait_until_gone(self) -> None:
         """Return once the client has closed; bytes of later requests are kept for their turn."""
--- a/egretstack/services/front_port.py
+++ b/egretstack/services/front_port.py
@@ -9,8 +9,10 @@
 from egretstack.events import Event, log
 from egretstack.http1 import (
     BadRequest,
+    BodyRoom,
     ClientConnection,
     ClientGone,
+    NoRoomForBody,
     RequestHead,
     ResponseHead,
     ServerLimits,
@@ -29,6 +31,11 @@
 
 LIMITS_AT_START = ServerLimits(16_384, 4_194_304, 3.0, 15.0)
 """Until a configuration is known."""
+MOST_BODY_BYTES = 24_000_000
+"""Bodies in progress, all together, in bytes. Each is held twice while it is joined and sent; with
+the 25 MB that a process needs by itself that is 73 MB of the smallest instances' 128 MB."""
+FULL_RETRY_S = 0.2
+"""A body takes some 50 ms on a link of 100 Mbit/s, and other instances have room."""
 LOOK_S = 0.05
 STOP_MARGIN_S = 0.6
 """Time before the end of the grace at which the process stops by itself."""
@@ -52,6 +59,7 @@
         self._store = kernel.get(StoreReading)
         self._metrics = kernel.get(RelayMetrics)
         self._in_progress = 0
+        self.body_room = BodyRoom(MOST_BODY_BYTES)
         gauge = self._metrics.gauge("egret_relay_in_progress", "Requests in progress.")
         gauge.set_function(lambda: self._in_progress)
         self._leaving = False
@@ -78,7 +86,7 @@
             await trio.sleep(LOOK_S)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        connection = ClientConnection(stream, self._limits())
+        connection = ClientConnection(stream, self._limits(), self.body_room)
         try:
             while await self._serve_one(connection):
                 connection.limits = self._limits()
@@ -100,6 +108,7 @@
                 await self._answer(connection, head, body, began_s)
             finally:
                 self._in_progress -= 1
+                connection.release_body()
         except BadRequest as error:
             kind = _KIND_BY_STATUS.get(error.status, ErrorKind.BAD_REQUEST)
             await self._refuse(connection, "", RequestFailed(kind, str(error)))
@@ -107,6 +116,10 @@
         except SlowSender as error:
             await self._refuse(connection, "", RequestFailed(ErrorKind.SLOW_SENDER, str(error)))
             return False
+        except NoRoomForBody as error:
+            failed = RequestFailed(ErrorKind.INSTANCE_FULL, str(error), retry_after_s=FULL_RETRY_S)
+            await self._refuse(connection, "", failed)
+            return False
         return connection.start_next()
 
     async def _answer(
--- a/tests/test_platform_bad_input.py
+++ b/tests/test_platform_bad_input.py
@@ -2,8 +2,9 @@
 
 import trio
 
-from egretstack.http1 import ClientConnection, RequestHead, ResponseHead
+from egretstack.http1 import BodyRoom, ClientConnection, RequestHead, ResponseHead
 from egretstack.platform import ObjectKind, Store, StoreAway
+from egretstack.services.front_port import FrontPort
 from standins.platform import HOST, KEY, StandInServer
 from tests.platform_site import WAIT_S, free_net, platform_site
 from tests.support import check, on_real_clock, tests_of
@@ -116,3 +117,24 @@
             await store.list(ObjectKind.CONFIGURATION)
         store.close()
         nursery.cancel_scope.cancel()
+
+
+@on_real_clock
+async def test_many_large_bodies_at_once_do_not_fill_the_memory():
+    # The instance would be killed for its memory, and every stream on it cut: one body is bounded,
+    # and some dozens of them in progress at once were not. The one too many is told to come back.
+    async with platform_site() as site:
+        front = site.kernels[0].get(FrontPort)
+        front.body_room = BodyRoom(50_000)
+        post = b"POST /holds/1 HTTP/1.1\r\n" + HEAD + b"content-length: 40000\r\n\r\n"
+        host, _, port = site.settings(0).front_address.rpartition(":")
+        async with await trio.open_tcp_stream(host, int(port)) as first:
+            await first.send_all(post + b"z" * 39_999)
+            await site.until(lambda: front.body_room.held_bytes >= 39_999)
+            check.assertEqual(await raw(site, post + b"z" * 40_000), 503)
+            check.assertEqual(sum(len(one.heads) for one in site.plain), 0)
+            await first.send_all(b"z")
+            check.assertIn(b" 200 ", await first.receive_some(100))
+        await site.until(lambda: front.body_room.held_bytes == 0)
+        last = post.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
+        check.assertEqual(await raw(site, last + b"z" * 40_000), 200)
