--- a/egretstack/http1/_server.py
+++ b/egretstack/http1/_server.py
@@ -58,7 +58,8 @@
         self, stream: trio.SocketStream, limits: ServerLimits, room: BodyRoom | None = None
     ) -> None:
         self.limits = limits
-        self._room = room or BodyRoom(limits.body_bytes)
+        self._room = room
+        """Shared with other connections; without one, the limit of each body is the only bound."""
         self._body_bytes = 0
         self._stream = stream
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
@@ -110,14 +111,19 @@
                 raise ClientGone("closed within a request")
             if len(body) + len(event.data) > self.limits.body_bytes:
                 raise BadRequest(413, f"a body of more than {self.limits.body_bytes} bytes")
-            self._room.take(len(event.data))
-            self._body_bytes += len(event.data)
+            self._count_body(len(event.data))
             body += event.data
 
     def release_body(self) -> None:
         """Give back the room of the body; the request is over."""
-        self._room.give_back(self._body_bytes)
-        self._body_bytes = 0
+        if self._room is not None:
+            self._room.give_back(self._body_bytes)
+            self._body_bytes = 0
+
+    def _count_body(self, count: int) -> None:
+        if self._room is not None:
+            self._room.take(count)
+            self._body_bytes += count
 
     async def wait_until_gone(self) -> None:
         """Return once the client has closed; bytes of later requests are kept for their turn."""
--- a/tests/test_platform_bad_input.py
+++ b/tests/test_platform_bad_input.py
@@ -138,3 +138,19 @@
         await site.until(lambda: front.body_room.held_bytes == 0)
         last = post.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n")
         check.assertEqual(await raw(site, last + b"z" * 40_000), 200)
+
+
+@on_real_clock
+async def test_bodies_one_after_another_on_the_directorys_port():
+    # A counter that is never given back there would refuse the second question, with an error that
+    # nobody catches and that ends the process.
+    async with platform_site() as site:
+        host, _, port = site.settings(0).directory_address.rpartition(":")
+        body = b"z" * 900
+        question = (
+            b"GET /egretstack/resolve?name=x HTTP/1.1\r\nhost: d\r\ncontent-length: 900\r\n\r\n"
+        )
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            for _ in range(6):
+                await stream.send_all(question + body)
+                check.assertIn(b"HTTP/1.1", await stream.receive_some(4_000))
