Each start of a runner is a runner of its own; foreign entries; rejected generations

A runner may start again under its name. The table took a notice, or a missing entry, as final for the name: the new start got no work for as long as the old one was listed, and silence, strikes, loads, copies and kept connections of the old one were believed of it. An entry that was missing for a while (a runner cut off from the store) was never used again either. One bad item in the store's list lost the whole list, a state that is not named counted as ready, and an instance's entry with a bad address ended the process. An engine's rejection refused the generation though other engines were free.

The id of a runner is name and time of birth, made in the adapter, so that all that is known by id is of one start. The latest birth counts, from the entry or from the runner's own report; the former start is gone, and its streams go on at their copies at once. A missing entry is a state of its own: listed again, the home asks the runner's health, and lets it back if it answers in its own name. Weighed: comparing names only (as before), and counts (`seq-no` starts anew, but a lagging reading looks the same as a restart). An entry without a birth is foreign where others have one; where none has one, as on today's deployments, names tell starts apart as before.

Ruled out: letting a returned entry back by itself.

--- a/egretstack/fleet/__init__.py
+++ b/egretstack/fleet/__init__.py
@@ -21,7 +21,7 @@
     runner_of,
     runner_row,
 )
-from egretstack.fleet._runner import Runner, RunnerState
+from egretstack.fleet._runner import Incarnation, Runner, RunnerState
 from egretstack.fleet._runner_table import RunnerTable
 from egretstack.fleet._silence import Silence
 
@@ -32,6 +32,7 @@
     "Fleet",
     "FleetNews",
     "FleetView",
+    "Incarnation",
     "Instance",
     "InstanceReport",
     "InstanceState",
--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -9,8 +9,8 @@
 from typing import ClassVar
 
 from egretstack.fleet._instance import Instance, InstanceState, KnownInstance
-from egretstack.fleet._runner import Runner, RunnerState
-from egretstack.ids import InstanceId, RunnerId, ServiceName, ZoneName
+from egretstack.fleet._runner import Incarnation, Runner, RunnerState
+from egretstack.ids import InstanceId, RunnerName, ServiceName, ZoneName
 from egretstack.messages import Message, MessageError
 
 MAX_ROWS = 4096
@@ -165,31 +165,32 @@
 
 def runner_row(runner: Runner) -> list:
     """Give the row of a runner."""
-    leaving = runner.state is RunnerState.LEAVING
-    cold_ms = round(runner.cold_s * 1000)
     return [
-        runner.id,
+        runner.incarnation.name,
+        runner.incarnation.born_ms,
         runner.service,
         runner.address,
         runner.zone,
         runner.slots,
-        leaving,
-        cold_ms,
+        runner.state.value,
+        round(runner.cold_s * 1000),
+        runner.back_at_revision,
     ]
 
 
 def runner_of(row: object) -> Runner:
     """Read the row of a runner. Raises MessageError."""
     try:
-        name, service, address, zone, slots, leaving, cold_ms = row
+        name, born_ms, service, address, zone, slots, state, cold_ms, back_at = row
         return Runner(
-            RunnerId(str(name)),
+            Incarnation(RunnerName(str(name)), None if born_ms is None else int(born_ms)),
             ServiceName(str(service)),
             str(address),
             ZoneName(str(zone)),
             int(slots),
-            RunnerState.LEAVING if leaving else RunnerState.READY,
+            RunnerState(state),
             int(cold_ms) / 1000,
+            int(back_at),
         )
     except (TypeError, ValueError) as error:
         raise MessageError(f"not a runner: {error}") from error
--- a/egretstack/fleet/_runner_table.py
+++ b/egretstack/fleet/_runner_table.py
@@ -1,14 +1,14 @@
 """Which runners there are and which may get work; pure, with the time passed in.
 
 The store's revision orders all views: whoever read later knows better, whether this instance or
-a peer did.
+a peer did. Among the starts of one runner the latest birth counts, whoever tells of it.
 """
 
 from collections.abc import Iterable
 from dataclasses import replace
 
-from egretstack.fleet._runner import Runner, RunnerState
-from egretstack.ids import RunnerId, ServiceName
+from egretstack.fleet._runner import Incarnation, Runner, RunnerState
+from egretstack.ids import RunnerId, RunnerName, ServiceName
 
 AWAY_AFTER_S = 1.5
 """Without a reading for so long the store counts as away: entries may have lapsed meanwhile.
@@ -26,7 +26,7 @@
 
 
 class RunnerTable:
-    """The runners, by id."""
+    """The runners, by id; each start of a runner has its own."""
 
     def __init__(self) -> None:
         self.by_id: dict[RunnerId, Runner] = {}
@@ -35,6 +35,12 @@
         """When the store was last read, by whomever, on this process's clock."""
         self.silent: frozenset[RunnerId] = frozenset()
         """Runners that do not answer the home; they get no new work until they do."""
+        self._latest_by_name: dict[RunnerName, Incarnation] = {}
+        """The latest start of each runner that any news told of."""
+        self._missing_at_by_id: dict[RunnerId, int] = {}
+        """Revision of the first reading that did not list a runner."""
+        self._returned: set[RunnerId] = set()
+        """Missing runners that are listed as ready again."""
         self._grace_until_s = float("-inf")
         self._removed_s_by_id: dict[RunnerId, float] = {}
 
@@ -52,21 +58,52 @@
             self._grace_until_s = read_s + RETURN_GRACE_S
         self.revision = revision
         self.read_s = max(self.read_s, read_s)
-        return self._replace(now_s, {runner.id: runner for runner in runners})
+        runners = list(runners)
+        stopped = [gone for runner in runners if (gone := self._note_start(runner)) is not None]
+        listed = self._listed(runners)
+        stopped += self._replace(now_s, listed)
+        self._drop_strangers(listed)
+        return stopped
 
     def still_holds(self, revision: int, read_s: float) -> None:
         """Note that the reading of a revision was found unchanged."""
         if revision == self.revision:
             self.read_s = max(self.read_s, read_s)
 
+    def started(self, runner_id: RunnerId, born_ms: int) -> Runner | None:
+        """Take a runner's own word of its start; give the former start if that has thereby ended.
+
+        The store's entry may lag: until it tells more, the new start serves as the former did.
+        A runner whose entry tells no time of birth is not told apart by it.
+        """
+        known = self.by_id.get(runner_id)
+        if known is None or known.incarnation.born_ms is None:
+            return None
+        new = Incarnation(known.incarnation.name, born_ms)
+        if not self._latest_by_name[new.name].is_before(new):
+            return None
+        return self._note_start(replace(known, incarnation=new, state=RunnerState.READY))
+
     def notice(self, now_s: float, runner_id: RunnerId) -> bool:
         """Note that a runner itself said that it leaves; tell whether that is news."""
         runner = self.by_id.get(runner_id)
-        if runner is None or runner.state is RunnerState.LEAVING:
+        if runner is None or runner.state in (RunnerState.LEAVING, RunnerState.GONE):
             return False
+        self._returned.discard(runner_id)
         self.by_id[runner_id] = replace(runner, state=RunnerState.LEAVING)
         return True
 
+    def returned(self) -> list[Runner]:
+        """Give the missing runners that are listed again; one that answers is to be confirmed."""
+        return [self.by_id[one] for one in self._returned]
+
+    def confirm(self, runner_id: RunnerId) -> bool:
+        """Note that a returned runner answered for itself; tell whether that is news."""
+        if runner_id not in self._returned:
+            return False
+        self._let_back(replace(self.by_id[runner_id], back_at_revision=self.revision + 1))
+        return True
+
     def ready(self, service: ServiceName) -> list[Runner]:
         """Give the runners of a service that may get work."""
         return [
@@ -82,36 +119,122 @@
             return False
         return runner.state is RunnerState.READY
 
+    def is_gone(self, runner_id: RunnerId) -> bool:
+        """Tell whether a runner has surely ended, since a later start goes by its name."""
+        runner = self.by_id.get(runner_id)
+        return runner is not None and runner.state is RunnerState.GONE
+
     def age_s(self, now_s: float) -> float:
         """Give how old the last reading is."""
         return now_s - self.read_s
 
+    def _note_start(self, runner: Runner) -> Runner | None:
+        """Take the latest start of a runner for the only one; give the one that thereby ended."""
+        name = runner.incarnation.name
+        former = self._latest_by_name.get(name)
+        if former is not None and not former.is_before(runner.incarnation):
+            return None
+        self._latest_by_name[name] = runner.incarnation
+        if former is None or former.id not in self.by_id:
+            return None
+        self.by_id[runner.id] = runner
+        self._returned.discard(former.id)
+        gone = replace(self.by_id[former.id], state=RunnerState.GONE)
+        self.by_id[former.id] = gone
+        return gone
+
+    def _listed(self, runners: list[Runner]) -> dict[RunnerId, Runner]:
+        """Give the runners by id; where an entry of an earlier start lags, the later one as known.
+
+        What is told of a start that has ended stays as it is told.
+        """
+        listed: dict[RunnerId, Runner] = {}
+        for runner in runners:
+            latest_id = self._latest_by_name[runner.incarnation.name].id
+            if runner.id == latest_id or runner.state is RunnerState.GONE:
+                listed[runner.id] = runner
+            elif latest_id in self.by_id:
+                listed.setdefault(latest_id, self.by_id[latest_id])
+        return listed
+
     def _replace(self, now_s: float, listed: dict[RunnerId, Runner]) -> list[Runner]:
         stopped = []
-        for runner in list(self.by_id.values()):
-            now = listed.get(runner.id)
-            if now is None:
-                if self._keep_missing(now_s, runner):
-                    continue
-                now = replace(runner, state=RunnerState.LEAVING)
-            elif runner.state is RunnerState.LEAVING:
-                # A notice is final: one that came from the runner itself may be newer than this
-                # reading, and no runner takes a notice back.
-                now = replace(now, state=RunnerState.LEAVING)
-            if now.state is not runner.state:
+        for known in list(self.by_id.values()):
+            now = listed.get(known.id)
+            if now is None and self._keep_missing(now_s, known):
+                continue
+            now = self._changed(known, now)
+            if known.state is RunnerState.READY and now.state is not RunnerState.READY:
                 stopped.append(now)
-            self.by_id[runner.id] = now
+            self.by_id[known.id] = now
         for runner in listed.values():
             self._removed_s_by_id.pop(runner.id, None)
             self.by_id.setdefault(runner.id, runner)
         return stopped
 
+    def _changed(self, known: Runner, listed: Runner | None) -> Runner:
+        """Give what is known of a runner once the list, or its silence, is taken in."""
+        if listed is None:
+            if known.state is not RunnerState.READY:
+                return known
+            self._missing_at_by_id[known.id] = self.revision
+            return replace(known, state=RunnerState.MISSING)
+        back_at = max(known.back_at_revision, listed.back_at_revision)
+        listed = replace(listed, back_at_revision=back_at)
+        if known.state in (RunnerState.LEAVING, RunnerState.GONE):
+            # A notice is final: one that came from the runner itself may be newer than this
+            # reading, and no runner takes a notice back.
+            final = RunnerState.GONE if listed.state is RunnerState.GONE else known.state
+            return replace(listed, state=final)
+        if known.state is RunnerState.READY:
+            if listed.state is RunnerState.MISSING:
+                self._missing_at_by_id[known.id] = self.revision
+            return listed
+        return self._again(listed)
+
+    def _again(self, listed: Runner) -> Runner:
+        """Give what is known of a missing runner that is listed.
+
+        Whether it lives has to be asked of itself: an entry also comes back by a heartbeat that
+        was long on its way, from a runner that is gone by then.
+        """
+        if listed.state is not RunnerState.READY:
+            return listed
+        if listed.back_at_revision > self._missing_at_by_id.get(listed.id, 0):
+            return self._let_back(listed)
+        self._returned.add(listed.id)
+        return replace(listed, state=RunnerState.MISSING)
+
+    def _let_back(self, runner: Runner) -> Runner:
+        self._returned.discard(runner.id)
+        self._missing_at_by_id.pop(runner.id, None)
+        self.by_id[runner.id] = replace(runner, state=RunnerState.READY)
+        return self.by_id[runner.id]
+
     def _keep_missing(self, now_s: float, runner: Runner) -> bool:
-        if now_s < self._grace_until_s:
+        """Tell whether a runner that is not listed stays as it is known, or is forgotten."""
+        if now_s < self._grace_until_s and runner.state is not RunnerState.GONE:
             return True
+        self._returned.discard(runner.id)
         removed_s = self._removed_s_by_id.setdefault(runner.id, now_s)
         if now_s - removed_s > FORGET_S:
-            del self._removed_s_by_id[runner.id]
-            del self.by_id[runner.id]
+            self._forget(runner)
             return True
         return False
+
+    def _drop_strangers(self, listed: dict[RunnerId, Runner]) -> None:
+        """Leave a returned runner alone while another one is listed at its address."""
+        taken = {
+            runner.address
+            for runner in listed.values()
+            if runner.state in (RunnerState.READY, RunnerState.LEAVING)
+            and runner.id not in self._returned
+        }
+        self._returned = {one for one in self._returned if self.by_id[one].address not in taken}
+
+    def _forget(self, runner: Runner) -> None:
+        del self.by_id[runner.id]
+        del self._removed_s_by_id[runner.id]
+        self._missing_at_by_id.pop(runner.id, None)
+        if self._latest_by_name.get(runner.incarnation.name) == runner.incarnation:
+            del self._latest_by_name[runner.incarnation.name]
--- a/egretstack/platform/__init__.py
+++ b/egretstack/platform/__init__.py
@@ -3,7 +3,7 @@
 Everything that comes from outside is decoded here once into types of the product.
 """
 
-from egretstack.platform._bodies import BadBody, parse_object
+from egretstack.platform._bodies import BadBody, is_address, parse_object
 from egretstack.platform._configuration import decode_configuration, read_configuration
 from egretstack.platform._entry_wire import (
     asked_zone,
@@ -19,9 +19,12 @@
     NodeSettings,
     read_node_settings,
 )
+from egretstack.platform._runner_entries import BadEntry, RunnerEntries
 from egretstack.platform._runner_wire import (
     client_head,
     free_copy_request,
+    health_request,
+    healthy_runner,
     move_answer,
     move_request,
     report_request,
@@ -48,6 +51,7 @@
     "CONFIGURATION_NAME",
     "SETTINGS_VARIABLE",
     "BadBody",
+    "BadEntry",
     "Bounds",
     "Change",
     "Changes",
@@ -56,6 +60,7 @@
     "NodeSettings",
     "ObjectKind",
     "RevisionConflict",
+    "RunnerEntries",
     "Store",
     "StoreAway",
     "StoreOutcomeUnknown",
@@ -67,6 +72,9 @@
     "decode_runner",
     "directory_answer",
     "free_copy_request",
+    "health_request",
+    "healthy_runner",
+    "is_address",
     "is_directory_question",
     "is_ready_question",
     "json_answer",
--- a/egretstack/platform/_runner_wire.py
+++ b/egretstack/platform/_runner_wire.py
@@ -14,7 +14,9 @@
     connection_headers,
     first_value,
 )
+from egretstack.ids import RunnerName
 from egretstack.platform._bodies import Body, number, parse_object, text, whole
+from egretstack.platform._runners import birth
 from egretstack.traffic import (
     ClientRequest,
     MoveAnswer,
@@ -71,7 +73,7 @@
     dropped = connection_headers(request.head.headers) | _SYSTEM_ONLY
     headers = [one for one in request.head.headers if one[0] not in dropped]
     headers.append((_DEADLINE_MS, b"%d" % max(1, int(terms.time_left_s * 1000))))
-    headers.append((b"expect-runner", terms.runner_id.encode()))
+    headers.append((b"expect-runner", terms.runner_name.encode()))
     if terms.account is not None:
         headers.append((b"tenant", terms.account.encode()))
     if terms.priority is not None:
@@ -140,9 +142,21 @@
         kv_used_tokens=whole(row, "kv-used", 0),
         kv_total_tokens=whole(row, "kv-total", 0),
         runs=_runs(row),
+        born_ms=birth(row),
     )
 
 
+def health_request(address: str, path: str) -> RequestHead:
+    """Give the question whether a runner is healthy."""
+    return RequestHead(b"GET", path.encode(), ((b"host", address.encode()),))
+
+
+def healthy_runner(head: ResponseHead) -> RunnerName | None:
+    """Give which runner says that it is healthy and stays; None if it does not."""
+    name = first_value(head.headers, _RUNNER_ID)
+    return RunnerName(name.decode("latin-1")) if head.status == 200 and name else None
+
+
 def _runs(row: Body) -> tuple[RunReport, ...]:
     runs = row.get("runs")
     if not isinstance(runs, list):
--- a/egretstack/platform/_store.py
+++ b/egretstack/platform/_store.py
@@ -18,7 +18,7 @@
     UpstreamBroken,
     exchange,
 )
-from egretstack.platform._bodies import BadBody, Body, parse_object, rows, text, whole
+from egretstack.platform._bodies import BadBody, Body, parse_object, whole
 
 _OBJECTS = "/egretstack/objects/"
 _JSON = b"application/json"
@@ -75,6 +75,8 @@
 
     objects: tuple[StoredObject, ...]
     revision: int
+    unnamed: int = 0
+    """Items from which not even a name can be read; they are left out."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +93,8 @@
 
     changes: tuple[Change, ...]
     revision: int
+    unnamed: int = 0
+    """Changes of objects whose name cannot be read; they are left out."""
 
 
 class Store:
@@ -107,6 +111,7 @@
         With `allow_stale` the answer may be seconds old and costs a tenth.
         """
         objects: list[StoredObject] = []
+        unnamed = 0
         after = ""
         for _ in range(MAX_PAGES):
             query = [f"after={quote(after, safe='')}"] if after else []
@@ -116,8 +121,9 @@
             status, body = await self._call(b"GET", path, None, CALL_TIMEOUT_S)
             page, more = _read(body, status, _page)
             objects.extend(page.objects)
+            unnamed += page.unnamed
             if not more or not page.objects:
-                return Listing(tuple(objects), page.revision)
+                return Listing(tuple(objects), page.revision, unnamed)
             after = page.objects[-1].name
         raise StoreAway(f"a list of more than {MAX_PAGES} pages")
 
@@ -204,28 +210,45 @@
         raise StoreAway(f"an answer that cannot be read: {error}") from error
 
 
-def _stored(body: Body) -> StoredObject:
-    metadata = body.get("metadata")
+def _stored(item: object) -> StoredObject | None:
+    """Give an object; None if it has no name, and an empty one if its owner wrote none."""
+    metadata = item.get("metadata") if isinstance(item, dict) else None
     if not isinstance(metadata, dict):
-        raise BadBody("metadata is not an object")
-    spec = body.get("spec")
+        return None
+    name, revision = metadata.get("name"), metadata.get("revision")
+    if not isinstance(name, str):
+        return None
+    spec = item.get("spec")
     return StoredObject(
-        text(metadata, "name"),
-        whole(metadata, "revision", 0),
+        name,
+        revision if isinstance(revision, int) else 0,
         spec if isinstance(spec, dict) else {},
     )
 
 
+def _items(body: Body, name: str) -> list[object]:
+    """Give a list whose items may be anything: one that is bad does not spoil the others."""
+    value = body.get(name, [])
+    if not isinstance(value, list):
+        raise BadBody(f"{name} is not a list")
+    return value
+
+
 def _page(body: Body) -> tuple[Listing, bool]:
-    objects = tuple(_stored(row) for row in rows(body, "items"))
-    return Listing(objects, whole(body, "as-of")), body.get("has-more") is True
+    items = _items(body, "items")
+    objects = tuple(stored for item in items if (stored := _stored(item)) is not None)
+    listing = Listing(objects, whole(body, "as-of"), len(items) - len(objects))
+    return listing, body.get("has-more") is True
 
 
 def _changes(body: Body) -> Changes:
-    changes = []
-    for row in rows(body, "events"):
-        stored = row.get("object")
-        if not isinstance(stored, dict):
-            raise BadBody("an event without its object")
-        changes.append(Change(_stored(stored), row.get("deleted") is True))
-    return Changes(tuple(changes), whole(body, "as-of"))
+    events = _items(body, "events")
+    changes = tuple(change for event in events if (change := _change(event)) is not None)
+    return Changes(changes, whole(body, "as-of"), len(events) - len(changes))
+
+
+def _change(event: object) -> Change | None:
+    if not isinstance(event, dict):
+        return None
+    stored = _stored(event.get("object"))
+    return None if stored is None else Change(stored, event.get("deleted") is True)
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -17,6 +17,7 @@
     "store_reading",
     "configuration_relay",
     "engine_reports",
+    "runner_returns",
     "placing_home",
     "engine_placing",
     "relaying",
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -41,7 +41,8 @@
 """
 REFUSED_RETRY_S = 0.4
 MAX_PLACES = 3
-"""Engines that are tried for a connection; a dead one is known to all within a second or so."""
+"""Engines that are tried for a connection, and that may reject a request; a dead one is known to
+all within a second or so."""
 SWITCH_DELAY_S = 0.7
 """How long a run with a copy stays at a runner that leaves, whose notice is some 1.5 to 2 s.
 
@@ -112,10 +113,6 @@
 
     async def _relay(self, head: ResponseHead) -> WholeAnswer | None:
         answer = runner_answer(head)
-        if answer.rejected and answer.attempt_id in ("", self._task.request.attempt_id):
-            raise RequestFailed(
-                ErrorKind.ENGINES_FULL, "rejected by the engine", retry_after_s=REFUSED_RETRY_S
-            )
         if answer.attempt_id != self._task.request.attempt_id:
             raise self._spoilt("another request's answer")
         if not answer.sealed or answer.encoded or promises_not_run(head.status):
@@ -130,8 +127,28 @@
         return None
 
     async def _first_head(self) -> ResponseHead:
-        """Send the request to an engine, and read the head of its answer."""
-        await self._connect()
+        """Send the request to an engine, and read the head of its answer; to another if it rejects.
+
+        A rejected request surely did not run. Refused to the client, it would come back later and
+        find the same engine, though others are free: an address that another runner has taken over
+        rejects every request until the list tells of it.
+        """
+        excluded: tuple[RunnerId, ...] = ()
+        while True:
+            await self._connect(excluded)
+            head = await self._ask()
+            if not self._is_rejected(head):
+                return head
+            excluded = (*excluded, self._run.runner)
+            log(Event.ENGINE_REJECTED, request=self._attempt, runner=self._run.runner)
+            self._leave_engine()
+            if not self._may_place_again(len(excluded)):
+                raise RequestFailed(
+                    ErrorKind.ENGINES_FULL, "rejected by the engine", retry_after_s=REFUSED_RETRY_S
+                )
+            self._tools.budget.repeated(trio.current_time(), self._task.service.name)
+
+    async def _ask(self) -> ResponseHead:
         self._pace.sent()
         try:
             with trio.fail_after(max(0.0, self._task.time_left_s())):
@@ -141,9 +158,22 @@
         except trio.TooSlowError as error:
             raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time") from error
 
-    async def _connect(self) -> None:
+    def _is_rejected(self, head: ResponseHead) -> bool:
+        answer = runner_answer(head)
+        return answer.rejected and answer.attempt_id in ("", self._attempt)
+
+    def _may_place_again(self, rejections: int) -> bool:
+        if rejections >= MAX_PLACES or self._task.time_left_s() <= 0:
+            return False
+        return self._tools.budget.allows(trio.current_time(), self._task.service.name)
+
+    def _leave_engine(self) -> None:
+        self._tools.placing.end(self._run)
+        self._source.close()
+        self._run = self._source = None
+
+    async def _connect(self, excluded: tuple[RunnerId, ...]) -> None:
         """Connect to the engine that the request is placed at; to another if it is gone."""
-        excluded: tuple[RunnerId, ...] = ()
         for _ in range(MAX_PLACES):
             work = self._work(excluded)
             placement = await self._tools.placing.place(work, self._task.service.engine)
@@ -255,6 +285,9 @@
                 silent_since_s = trio.current_time()
                 if not await self._take(data):
                     return _End.BROKEN
+            if self._tools.runners.is_gone(self._run.runner):
+                # The connection may stay open behind a cut, and say nothing more.
+                return _End.BROKEN
             if self._pace.events and self._has_to_leave():
                 return _End.LEAVING
 
--- a/egretstack/relay/_tools.py
+++ b/egretstack/relay/_tools.py
@@ -101,4 +101,4 @@
     def terms(self, runner: Runner, **more: object) -> SendTerms:
         """Give the terms of a send to a runner."""
         account = None if self.account is None else self.account.name
-        return SendTerms(runner.id, self.time_left_s(), account, **more)
+        return SendTerms(runner.incarnation.name, self.time_left_s(), account, **more)
--- a/egretstack/services/engine_reports.py
+++ b/egretstack/services/engine_reports.py
@@ -85,6 +85,9 @@
         if report is None:
             self._silence.missed(runner.id)
             return
+        if report.born_ms not in (None, runner.incarnation.born_ms):
+            self._port.runner_born(runner.id, report.born_ms)
+            return
         self._silence.answered(runner.id)
         for taker in self._takers:
             taker(runner.id, report)
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -1,7 +1,7 @@
 """Datagrams between instances: who lives, which runners there are, and what the home decides."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from math import log2
 
@@ -18,6 +18,8 @@
     InstanceReport,
     InstanceState,
     KnownInstance,
+    Runner,
+    RunnerState,
     RunnerTable,
     instance_of,
     instance_row,
@@ -69,6 +71,7 @@
         self._told_before: tuple = ()
         self._told_whole_s = float("-inf")
         self._news_takers: list[Callable[[FleetNews], None]] = []
+        self._gone_takers: list[Callable[[Runner], None]] = []
         self._report_takers: list[Callable[[InstanceId, list], None]] = []
         self._raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._raw.setblocking(False)
@@ -245,9 +248,35 @@
         stopped = self.runners.take(trio.current_time(), runners, revision, read_s)
         for runner in stopped:
             log(Event.RUNNER_LEAVES, runner=runner.id, service=runner.service, revision=revision)
+        self._tell_gone(stopped)
         if stopped and self.is_home():
             self.tell_soon()
 
+    def runner_born(self, runner: RunnerId, born_ms: int) -> None:
+        """Take a runner's own word of when it started."""
+        gone = self.runners.started(runner, born_ms)
+        if gone is None:
+            return
+        log(Event.RUNNER_STARTED_AGAIN, runner=runner, born_ms=born_ms)
+        self._tell_gone([gone])
+        self.tell_soon()
+
+    def runner_back(self, runner: RunnerId) -> None:
+        """Take it that a runner whose entry came back answers for itself."""
+        if self.runners.confirm(runner):
+            log(Event.RUNNER_BACK, runner=runner, revision=self.runners.revision)
+            self.tell_soon()
+
+    def on_gone(self, taker: Callable[[Runner], None]) -> None:
+        """Let `taker` see each start of a runner that has surely ended."""
+        self._gone_takers.append(taker)
+
+    def _tell_gone(self, stopped: Iterable[Runner]) -> None:
+        for runner in stopped:
+            if runner.state is RunnerState.GONE:
+                for taker in self._gone_takers:
+                    taker(runner)
+
     def notice(self, runner: RunnerId) -> None:
         """Take a runner's own word that it leaves."""
         if self.runners.notice(trio.current_time(), runner):
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -51,6 +51,9 @@
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Keep the shared tools up to date."""
+        # A connection to a process that ended behind a cut looks whole: a request sent on it would
+        # wait for nothing.
+        self._port.on_gone(lambda runner: self.tools.pool.forget(runner.address))
         task_status.started()
         try:
             while True:
--- /dev/null
+++ b/egretstack/services/runner_returns.py
@@ -0,0 +1,77 @@
+"""Asks runners whose entry was missing and came back whether they live, as the home.
+
+A runner that is cut off from the store for a while loses its entry and serves on; with three plain
+runners, to leave one out for good costs a third of the service. But an entry also comes back by a
+heartbeat that was long on its way, from a runner that is gone: a request sent there would be lost.
+Only the runner knows, and a leaving one says so; one question each half second tells.
+"""
+
+import trio
+
+from egretstack.events import Event, log
+from egretstack.fleet import Runner
+from egretstack.http1 import ConnectFailed, UpstreamBroken, connect_upstream, exchange
+from egretstack.ids import RunnerId, RunnerName
+from egretstack.kernel import Kernel, Service
+from egretstack.platform import health_request, healthy_runner
+from egretstack.services.fleet_port import FleetPort
+from egretstack.services.store_reading import StoreReading
+
+LOOK_S = 0.5
+"""How often returned runners are asked; they are few, and each question takes a slot of theirs."""
+TIMEOUT_S = 0.5
+MOST_ANSWER_BYTES = 65_536
+
+
+class RunnerReturns(Service):
+    """Lets runners back that answer for themselves."""
+
+    name = "runner_returns"
+    requires = ("fleet_port", "store_reading")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._port = kernel.get(FleetPort)
+        self._store = kernel.get(StoreReading)
+        self._told_not_back: set[RunnerId] = set()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Ask while this instance is the home."""
+        task_status.started()
+        while True:
+            await trio.sleep(LOOK_S)
+            if not self._port.is_home():
+                continue
+            returned = self._port.runners.returned()
+            self._told_not_back &= {runner.id for runner in returned}
+            async with trio.open_nursery() as nursery:
+                for runner in returned:
+                    nursery.start_soon(self._ask, runner)
+
+    async def _ask(self, runner: Runner) -> None:
+        plan = self._store.service(runner.service)
+        if plan is None:
+            return
+        said = await self._healthy(runner, plan.health_path)
+        if said == runner.incarnation.name:
+            self._port.runner_back(runner.id)
+        elif runner.id not in self._told_not_back:
+            self._told_not_back.add(runner.id)
+            log(Event.RUNNER_NOT_BACK, runner=runner.id, answered=said)
+
+    async def _healthy(self, runner: Runner, path: str) -> RunnerName | None:
+        """Give who answers at a runner's address that it is healthy; None if nobody does."""
+        try:
+            connection = await connect_upstream(runner.address, TIMEOUT_S)
+        except ConnectFailed:
+            return None
+        try:
+            with trio.move_on_after(TIMEOUT_S):
+                question = health_request(runner.address, path)
+                head, _ = await exchange(connection, question, b"", MOST_ANSWER_BYTES)
+                return healthy_runner(head)
+        except UpstreamBroken as error:
+            log(Event.UPSTREAM_BROKEN, request="", runner=runner.id, error=repr(error))
+        finally:
+            connection.close()
+        return None
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -6,12 +6,13 @@
 """
 
 import json
+from collections.abc import Iterable
 
 import trio
 
 from egretstack.events import Event, log
-from egretstack.fleet import Instance, InstanceState, KnownInstance, Runner, fetch_text
-from egretstack.ids import InstanceId, RunnerId, ServiceName, ZoneName
+from egretstack.fleet import Instance, InstanceState, KnownInstance, fetch_text
+from egretstack.ids import InstanceId, ServiceName, ZoneName
 from egretstack.kernel import Kernel, Service
 from egretstack.platform import (
     CONFIGURATION_NAME,
@@ -21,14 +22,15 @@
     NodeSettings,
     ObjectKind,
     RevisionConflict,
+    RunnerEntries,
     Store,
     StoreAway,
     StoredObject,
     decode_configuration,
-    decode_runner,
+    is_address,
     parse_object,
 )
-from egretstack.routing import EnginePlan, VersionGate
+from egretstack.routing import EnginePlan, ServicePlan, VersionGate
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.relay_metrics import RelayMetrics
 
@@ -46,6 +48,10 @@
 AWAY_PAUSE_S = 0.4
 """Pause after a call that the store did not answer."""
 INSTANCES_PERIOD_S = 10.0
+MOST_BAD_LOGGED = 8
+"""Lines for bad entries of one reading; anyone may write there, and a log line costs some 50 us."""
+MOST_NAME_LOGGED = 128
+"""Characters of a bad entry's name that are logged."""
 
 
 class StoreReading(Service):
@@ -65,7 +71,7 @@
         self._port = kernel.get(FleetPort)
         self._reads = True
         self._add_gauges(kernel.get(RelayMetrics))
-        self._entry_by_id: dict[RunnerId, Runner] = {}
+        self._entries = RunnerEntries()
         self._entries_revision: int | None = None
         self._nudge = trio.Event()
 
@@ -78,6 +84,8 @@
         live.set_function(lambda: len(self._port.fleet.live(trio.current_time())))
         calls = metrics.gauge("egret_relay_store_calls", "Calls to the store since the start.")
         calls.set_function(lambda: self._store.calls)
+        bad = metrics.gauge("egret_relay_bad_entries", "Runners' entries that name no runner.")
+        bad.set_function(lambda: len(self._entries.bad()))
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Read until cancelled."""
@@ -92,9 +100,13 @@
         """Tell whether there is a configuration and a list of runners to work by."""
         return self.gate.table is not None and bool(self._port.runners.by_id)
 
+    def service(self, service: ServiceName) -> ServicePlan | None:
+        """Give the plan of a service; None if the configuration has none of that name."""
+        return None if self.gate.table is None else self.gate.table.service(service)
+
     def engine(self, service: ServiceName) -> EnginePlan | None:
         """Give what is common to the engines of a service; None if it has none."""
-        plan = None if self.gate.table is None else self.gate.table.service(service)
+        plan = self.service(service)
         return None if plan is None else plan.engine
 
     def take_configuration(self, spec: dict[str, object], source: str) -> None:
@@ -167,30 +179,27 @@
     async def _read_runners(self) -> None:
         if self._entries_revision is None:
             listing = await self._store.list(ObjectKind.RUNNER)
-            self._entry_by_id = {}
-            self._take_entries([Change(one, False) for one in listing.objects])
+            self._entries.clear()
+            self._take_entries([Change(one, False) for one in listing.objects], listing.unnamed)
             self._entries_revision = listing.revision
         else:
             changes = await self._store.watch(
                 ObjectKind.RUNNER, self._entries_revision, RUNNER_WATCH_S
             )
-            self._take_entries(list(changes.changes))
+            self._take_entries(changes.changes, changes.unnamed)
             self._entries_revision = changes.revision
         self._answered()
         self._port.take_runners(
-            list(self._entry_by_id.values()), self._entries_revision, trio.current_time()
+            self._entries.runners(), self._entries_revision, trio.current_time()
         )
 
-    def _take_entries(self, changes: list[Change]) -> None:
-        for change in changes:
-            runner_id = RunnerId(change.object.name)
-            if change.deleted:
-                self._entry_by_id.pop(runner_id, None)
-                continue
-            try:
-                self._entry_by_id[runner_id] = decode_runner(change.object)
-            except BadBody as error:
-                log(Event.RUNNER_UNREADABLE, runner=runner_id, error=str(error))
+    def _take_entries(self, changes: Iterable[Change], unnamed: int) -> None:
+        bad = self._entries.take(changes)
+        for entry in bad[:MOST_BAD_LOGGED]:
+            log(Event.RUNNER_UNREADABLE, runner=entry.name[:MOST_NAME_LOGGED], error=entry.error)
+        if unnamed or len(bad) > MOST_BAD_LOGGED:
+            more = max(0, len(bad) - MOST_BAD_LOGGED)
+            log(Event.RUNNER_UNREADABLE, runner="", more=more, without_name=unnamed)
 
     async def _follow_instances(self) -> None:
         registered = False
@@ -200,7 +209,10 @@
                     await self._register()
                     registered = True
                 listing = await self._store.list(ObjectKind.INSTANCE, allow_stale=True)
-                self._port.fleet.listed(trio.current_time(), map(_listed, listing.objects))
+                listed = [one for stored in listing.objects if (one := _listed(stored)) is not None]
+                if len(listed) < len(listing.objects):
+                    log(Event.INSTANCE_UNREADABLE, count=len(listing.objects) - len(listed))
+                self._port.fleet.listed(trio.current_time(), listed)
                 self._port.greet_listed()
                 await trio.sleep(INSTANCES_PERIOD_S)
             except StoreAway as error:
@@ -254,13 +266,20 @@
         self._port.describe(reads_store=False)
 
 
-def _listed(stored: StoredObject) -> KnownInstance:
+def _listed(stored: StoredObject) -> KnownInstance | None:
+    """Give an instance that the store lists; None if the entry is not one of this system's."""
     spec = stored.spec
+    zone, front, peer = (spec.get(name) for name in ("zone", "front", "peer"))
+    strength = spec.get("strength")
+    if not all(isinstance(one, str) for one in (zone, front, peer)):
+        return None
+    if not is_address(front) or not is_address(peer):
+        return None
     instance = Instance(
         InstanceId(stored.name),
-        ZoneName(str(spec.get("zone", ""))),
-        str(spec.get("front", "")),
-        str(spec.get("peer", "")),
-        strength if isinstance(strength := spec.get("strength"), int) else 0,
+        ZoneName(zone),
+        front,
+        peer,
+        strength if isinstance(strength, int) else 0,
     )
     return KnownInstance(instance, 0, InstanceState.STARTING, True, 0)
--- a/egretstack/traffic/_report.py
+++ b/egretstack/traffic/_report.py
@@ -26,6 +26,8 @@
     """Memory of runs, pins and holds; what is only cached is not in it."""
     kv_total_tokens: int
     runs: tuple[RunReport, ...]
+    born_ms: int | None = None
+    """When it started, by its own clock, in Unix milliseconds; None if it does not tell."""
 
 
 class MoveOutcome(Enum):
--- a/egretstack/traffic/_send.py
+++ b/egretstack/traffic/_send.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from egretstack.http1 import ResponseHead
-from egretstack.ids import AccountId, RunnerId
+from egretstack.ids import AccountId, RunnerName
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,7 +21,7 @@
 class SendTerms:
     """What the system adds to a request for one send."""
 
-    runner_id: RunnerId
+    runner_name: RunnerName
     time_left_s: float
     account: AccountId | None
     priority: int | None = None
--- a/scripts/slopes_fleet.py
+++ b/scripts/slopes_fleet.py
@@ -14,6 +14,7 @@
     REPORT_PERIOD_S,
     Fleet,
     FleetNews,
+    Incarnation,
     InstanceReport,
     InstanceState,
     KnownInstance,
@@ -25,7 +26,7 @@
     runner_row,
 )
 from egretstack.fleet import Instance as FleetInstance
-from egretstack.ids import InstanceId, RunnerId, ServiceName, ZoneName
+from egretstack.ids import InstanceId, RunnerName, ServiceName, ZoneName
 from egretstack.messages import decode, encode
 from egretstack.placing import Placer, Run, Work, run_of, run_row
 from egretstack.routing import EnginePlan
@@ -78,9 +79,8 @@
 def runner(number: int) -> Runner:
     """Give an engine."""
     address = f"10.2.{number // 250}.{number % 250}:8087"
-    return Runner(
-        RunnerId(f"i-{number:010x}"), SERVICE, address, ZoneName("zone-a"), 24, RunnerState.READY, 0
-    )
+    start = Incarnation(RunnerName(f"i-{number:010x}"), 1_700_000_000_000 + number)
+    return Runner(start, SERVICE, address, ZoneName("zone-a"), 24, RunnerState.READY, 0)
 
 
 def work(name: str) -> Work:
--- a/standins/platform/_operator.py
+++ b/standins/platform/_operator.py
@@ -85,12 +85,16 @@
     }
 
 
-def runner_spec(service: str, address: str, state: str = "ready") -> dict:
+def runner_spec(
+    service: str, address: str, state: str = "ready", born_ms: int | None = None
+) -> dict:
     """Give a runner's entry as the runner writes it."""
-    return {
+    birth = {} if born_ms is None else {"born": born_ms}
+    return birth | {
         "service": service,
         "address": address,
         "zone": "leon-a",
+        "version": "v1",
         "slots": 24,
         "state": state,
         "cold-remaining-ms": 0,
--- a/standins/platform/_plain.py
+++ b/standins/platform/_plain.py
@@ -8,6 +8,8 @@
 from egretstack.http1 import ClientConnection, Header, RequestHead, ResponseHead, first_value
 from standins.platform._http import StandInServer, json_body, send
 
+HEALTH = b"/health"
+
 
 class PlainFault(Enum):
     """How the runner is ill, for one request at a time."""
@@ -37,6 +39,7 @@
         super().__init__(address)
         self.runner_id = runner_id
         self.delay_s = delay_s
+        self.healthy = True
         self.faults: list[PlainFault] = []
         """What goes wrong with the next requests, in turn."""
         self.runs_by_attempt: Counter[str] = Counter()
@@ -46,6 +49,10 @@
 
     async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
         """Answer one request."""
+        if head.target == HEALTH:
+            status = 200 if self.healthy else 503
+            await send(connection, status, headers=((b"runner-id", self.runner_id.encode()),))
+            return
         fault = self.faults.pop(0) if self.faults else PlainFault.NONE
         if first_value(head.headers, b"expect-runner") not in (None, self.runner_id.encode()):
             await send(connection, 421, headers=((b"runner-id", self.runner_id.encode()),))
