--- /dev/null
+++ b/scripts/account_of_loss.py
@@ -0,0 +1,201 @@
+"""Tells, from the processes' logs of a played day, why requests were not served in time.
+
+    python scripts/account_of_loss.py SITE LOG...
+
+SITE is the site file, which has the worth and the target of each kind of request. Each LOG is what
+a player printed of the processes: a time, an instance and a log line in JSON. For each cause the
+table gives the requests and the worth they cost, and what some decision could have saved; each
+attempt of a client counts by itself.
+"""
+
+import json
+import re
+import tomllib
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from pathlib import Path
+
+from cyclopts import App
+
+app = App(help=__doc__)
+
+_LINE = re.compile(r"\s*(-?[\d.]+) (\S+) (\{.*\})")
+RANKS = 100
+"""Ranks of routes that the log tells apart within one rank of client accounts."""
+LATE_TOKENS_S = 0.2
+"""Wait for room from which a late first token counts as caused by it."""
+
+
+class Cause(Enum):
+    """Why a request was not served in time; `avoidable` if some decision could have saved it."""
+
+    PROCESS_ENDED = ("the process that served it ended", False)
+    RUNNER_FAILED = ("the runner ran it and failed it", False)
+    CLIENT_LEFT = ("its client left first", False)
+    NO_COPY = ("the engine left or crashed before a copy was whole", True)
+    NOT_CONTINUED = ("its copy could not be continued", True)
+    NO_ROOM = ("refused: it waited for room, and none came", True)
+    REFUSED = ("refused for another reason", True)
+    UNKNOWN = ("what became of it at the runner is not known", True)
+    LATE_ROOM = ("late: it waited for room", True)
+    LATE_READ = ("late: its prompt was read late", True)
+    PAUSE_MOVED = ("late: a pause while it moved", True)
+    PAUSE = ("late: a pause at its engine", True)
+
+    def __init__(self, words: str, avoidable: bool) -> None:
+        self.words = words
+        self.avoidable = avoidable
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of request, as the site's sheet has it."""
+
+    name: str
+    worth: float
+    late_worth: float
+    target_ms: float
+    pause_ms: float | None
+
+
+@dataclass
+class Story:
+    """What the log tells of one attempt."""
+
+    instance: str
+    lines: list[tuple[float, dict]] = field(default_factory=list)
+
+    def first(self, name: str) -> dict | None:
+        """Give the first line of an event."""
+        return next((line for _, line in self.lines if line["name"] == name), None)
+
+    def has(self, name: str) -> bool:
+        """Tell whether an event is there."""
+        return self.first(name) is not None
+
+
+@app.default
+def account(site: Path, *logs: Path) -> None:
+    """Print the account of each log, and of all together."""
+    kinds = _kinds(site)
+    total: Counter[Cause] = Counter()
+    total_worth: Counter[Cause] = Counter()
+    owed = 0.0
+    for log in logs:
+        counts, worths, log_owed = _account(kinds, _stories(log))
+        total += counts
+        total_worth += worths
+        owed += log_owed
+    print(f"{len(logs)} days, worth owed {owed:.0f}")
+    for cause in sorted(Cause, key=lambda one: -total_worth[one]):
+        if total[cause]:
+            share = total_worth[cause] / max(1.0, owed)
+            mark = "avoidable" if cause.avoidable else ""
+            print(f"{total[cause]:6d}  {share:7.4f}  {cause.words}  {mark}")
+    lost = sum(worth for cause, worth in total_worth.items() if cause is not Cause.CLIENT_LEFT)
+    avoidable = sum(worth for cause, worth in total_worth.items() if cause.avoidable)
+    print(f"served {1 - lost / owed:.4f}, attainable {1 - (lost - avoidable) / owed:.4f}")
+
+
+def _kinds(site: Path) -> list[Kind]:
+    """Give the kinds of generations by rank, and last the plain requests as one kind."""
+    classes = tomllib.loads(site.read_text())["classes"]
+    kinds = [
+        Kind(
+            row["name"],
+            row["worth"],
+            row["late_worth"],
+            row["aim_ms"],
+            row["stream"]["gap_aim_ms"] if "stream" in row else None,
+        )
+        for row in sorted(classes, key=lambda row: row["priority"])
+    ]
+    plain = [kind for kind in kinds if kind.pause_ms is None][:1]
+    return [kind for kind in kinds if kind.pause_ms is not None] + plain
+
+
+def _stories(log: Path) -> Iterator[Story]:
+    story_by_attempt: dict[str, Story] = {}
+    for text in log.read_text(errors="replace").splitlines():
+        found = _LINE.match(text)
+        if found is None:
+            continue
+        try:
+            line = json.loads(found[3])
+        except ValueError:
+            continue  # Player output that only looks like a log line.
+        attempt = line.get("request")
+        if attempt:
+            story = story_by_attempt.setdefault(attempt, Story(found[2]))
+            story.lines.append((float(found[1]), line))
+    return iter(story_by_attempt.values())
+
+
+def _account(
+    kinds: list[Kind], stories: Iterable[Story]
+) -> tuple[Counter[Cause], Counter[Cause], float]:
+    counts: Counter[Cause] = Counter()
+    worths: Counter[Cause] = Counter()
+    owed = 0.0
+    sizes: dict[str, list[float]] = defaultdict(list)
+    judged = []
+    for story in stories:
+        placed = story.first("placed")
+        kind = kinds[-1] if placed is None else kinds[min(placed["rank"] % RANKS, len(kinds) - 2)]
+        size = 1.0 if placed is None else placed["prompt"] + 10.0 * (placed["hint"] or 0)
+        sizes[kind.name].append(size)
+        judged.append((kind, size, _cause(kind, story)))
+    for kind, size, cause in judged:
+        mean = sum(sizes[kind.name]) / len(sizes[kind.name])
+        worth = kind.worth * min(4.0, 0.3 + 0.7 * size / mean)
+        if cause is not Cause.CLIENT_LEFT:
+            owed += worth
+        if cause is None:
+            continue
+        late = cause.words.startswith("late")
+        counts[cause] += 1
+        worths[cause] += worth * (1 - kind.late_worth / kind.worth if late else 1)
+    return counts, worths, owed
+
+
+def _cause(kind: Kind, story: Story) -> Cause | None:
+    """Give why a request was not served in time; None if it was."""
+    if story.has("stream_ended"):
+        return _late_cause(kind, story)
+    if story.has("stream_lost"):
+        return Cause.NOT_CONTINUED if story.has("stream_not_continued") else Cause.NO_COPY
+    if story.has("client_left"):
+        return Cause.CLIENT_LEFT
+    failed = story.first("request_failed")
+    if failed is not None:
+        return _refused_cause(failed)
+    answered = story.first("request_answered")
+    if answered is None:
+        return Cause.PROCESS_ENDED
+    if answered["status"] >= 500:
+        return Cause.RUNNER_FAILED
+    return Cause.PAUSE if answered["took_ms"] > kind.target_ms else None
+
+
+def _late_cause(kind: Kind, story: Story) -> Cause | None:
+    ended, placed = story.first("stream_ended"), story.first("placed")
+    if ended["first_ms"] > kind.target_ms:
+        waited_s = placed["waited_ms"] / 1000 if placed else 0.0
+        return Cause.LATE_ROOM if waited_s > LATE_TOKENS_S else Cause.LATE_READ
+    if kind.pause_ms is not None and ended["longest_gap_ms"] > kind.pause_ms:
+        return Cause.PAUSE_MOVED if story.has("stream_continued") else Cause.PAUSE
+    return None
+
+
+def _refused_cause(failed: dict) -> Cause | None:
+    if failed["kind"] in ("not-found", "unauthenticated"):
+        return Cause.CLIENT_LEFT  # Not owed: no configuration allows it.
+    if failed["kind"] == "engines-full":
+        return Cause.NO_ROOM
+    return Cause.UNKNOWN if failed["kind"] == "outcome-unknown" else Cause.REFUSED
+
+
+if __name__ == "__main__":
+    app()
