--- a/egretstack/placing/_strikes.py
+++ b/egretstack/placing/_strikes.py
@@ -59,17 +59,13 @@
         return counts
 
 
-@dataclass(slots=True)
-class _Suspicion:
-    broke_s: float
-
-
 class FleetStrikes:
     """The home's view of all instances' counts."""
 
     def __init__(self) -> None:
         self._counts_by_instance: dict[InstanceId, tuple[float, tuple[AnswerCount, ...]]] = {}
-        self._suspicion_by_id: dict[RunnerId, _Suspicion] = {}
+        self._broke_s_by_id: dict[RunnerId, float] = {}
+        """When each suspect was last told to have broken a call."""
 
     def reported(self, now_s: float, instance: InstanceId, counts: Iterable[AnswerCount]) -> None:
         """Take an instance's counts, in place of its earlier ones."""
@@ -80,21 +76,19 @@
         answered, broke = self._sums(now_s)
         for runner_id, breaks in broke.items():
             share = breaks / (breaks + answered.get(runner_id, 0))
-            known = self._suspicion_by_id.get(runner_id)
-            if known is not None and breaks:
-                known.broke_s = now_s
-            elif breaks >= SUSPECT_BREAKS and share >= SUSPECT_SHARE:
-                self._suspicion_by_id[runner_id] = _Suspicion(now_s)
-        for runner_id, suspicion in list(self._suspicion_by_id.items()):
-            if now_s - suspicion.broke_s > CLEAR_AFTER_S and answered.get(runner_id):
-                del self._suspicion_by_id[runner_id]
-        return frozenset(self._suspicion_by_id)
+            known = runner_id in self._broke_s_by_id
+            if (known and breaks) or (breaks >= SUSPECT_BREAKS and share >= SUSPECT_SHARE):
+                self._broke_s_by_id[runner_id] = now_s
+        for runner_id, broke_s in list(self._broke_s_by_id.items()):
+            if now_s - broke_s > CLEAR_AFTER_S and answered.get(runner_id):
+                del self._broke_s_by_id[runner_id]
+        return frozenset(self._broke_s_by_id)
 
     def forget(self, kept: Iterable[RunnerId]) -> None:
         """Forget runners that are not among those kept."""
         kept = set(kept)
-        for runner_id in set(self._suspicion_by_id) - kept:
-            del self._suspicion_by_id[runner_id]
+        for runner_id in set(self._broke_s_by_id) - kept:
+            del self._broke_s_by_id[runner_id]
 
     def _sums(self, now_s: float) -> tuple[dict[RunnerId, int], dict[RunnerId, int]]:
         answered: dict[RunnerId, int] = {}
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -15,6 +15,7 @@
     "relay_metrics",
     "fleet_port",
     "store_reading",
+    "instance_listing",
     "configuration_relay",
     "engine_reports",
     "runner_returns",
--- /dev/null
+++ b/egretstack/services/instance_listing.py
@@ -0,0 +1,95 @@
+"""Writes into the platform's store where this instance is, and reads which others there are.
+
+That is how instances find each other at the start. Once they hear each other the list tells little.
+"""
+
+import trio
+
+from egretstack.events import Event, log
+from egretstack.fleet import Instance, InstanceState, KnownInstance
+from egretstack.ids import InstanceId, ZoneName
+from egretstack.kernel import Kernel, Service
+from egretstack.platform import ObjectKind, RevisionConflict, StoreAway, StoredObject, is_address
+from egretstack.services.fleet_port import FleetPort
+from egretstack.services.store_reading import AWAY_PAUSE_S, StoreReading
+
+AWAY_LONG_PAUSE_S = 4.0
+"""Pause after a call that the store did not answer, where nothing waits for the answer."""
+INSTANCES_PERIOD_S = 10.0
+
+
+class InstanceListing(Service):
+    """Makes this instance known to others, and others to it."""
+
+    name = "instance_listing"
+    requires = ("fleet_port", "store_reading")
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._port = kernel.get(FleetPort)
+        self._reading = kernel.get(StoreReading)
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Register and list until cancelled."""
+        task_status.started()
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._register()
+                    registered = True
+                listing = await self._reading.store.list(ObjectKind.INSTANCE, allow_stale=True)
+                listed = [one for stored in listing.objects if (one := _listed(stored)) is not None]
+                if len(listed) < len(listing.objects):
+                    log(Event.INSTANCE_UNREADABLE, count=len(listing.objects) - len(listed))
+                self._port.fleet.listed(trio.current_time(), listed)
+                self._port.greet_listed()
+                await trio.sleep(INSTANCES_PERIOD_S)
+            except StoreAway as error:
+                self._reading.away(error)
+                await trio.sleep(self._away_pause_s())
+
+    def _away_pause_s(self) -> float:
+        """Give the pause after a list of instances that the store did not give.
+
+        Once others are heard the list tells nothing new, and each instance that asks on makes 2.5
+        calls a second for as long as the store turns it away.
+        """
+        alone = len(self._port.fleet.live(trio.current_time())) == 1
+        return AWAY_PAUSE_S if alone else AWAY_LONG_PAUSE_S
+
+    async def _register(self) -> None:
+        """Write where this instance is; a write without an answer is made again, to no harm."""
+        own = self._port.fleet.own.instance
+        spec = {
+            "zone": own.zone,
+            "front": own.front_address,
+            "peer": own.peer_address,
+            "strength": own.strength,
+        }
+        if not await self._reading.store.replace(ObjectKind.INSTANCE, own.id, spec):
+            try:
+                await self._reading.store.create(ObjectKind.INSTANCE, own.id, spec)
+            except RevisionConflict:
+                log(Event.INSTANCE_REGISTERED, already=True)
+                return
+        log(Event.INSTANCE_REGISTERED, already=False)
+
+
+def _listed(stored: StoredObject) -> KnownInstance | None:
+    """Give an instance that the store lists; None if the entry is not one of this system's."""
+    spec = stored.spec
+    zone, front, peer = (spec.get(name) for name in ("zone", "front", "peer"))
+    strength = spec.get("strength")
+    if not all(isinstance(one, str) for one in (zone, front, peer)):
+        return None
+    if not is_address(front) or not is_address(peer):
+        return None
+    instance = Instance(
+        InstanceId(stored.name),
+        ZoneName(zone),
+        front,
+        peer,
+        strength if isinstance(strength, int) else 0,
+    )
+    return KnownInstance(instance, 0, InstanceState.STARTING, True, 0)
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -1,4 +1,4 @@
-"""Reads the platform's store: the configuration, the runners, and which instances there are.
+"""Reads the platform's store: the configuration and the runners.
 
 The home and the next in line watch the configuration; the others hear of a newer version within a
 period and fetch it from a peer. The home alone reads the list of runners and tells the others. Any
@@ -11,8 +11,8 @@
 import trio
 
 from egretstack.events import Event, log
-from egretstack.fleet import Instance, InstanceState, KnownInstance, fetch_text, pack_text
-from egretstack.ids import InstanceId, ServiceName, ZoneName
+from egretstack.fleet import Instance, fetch_text, pack_text
+from egretstack.ids import ServiceName
 from egretstack.kernel import Kernel, Service
 from egretstack.platform import (
     CONFIGURATION_NAME,
@@ -21,13 +21,11 @@
     HistoryGone,
     NodeSettings,
     ObjectKind,
-    RevisionConflict,
     RunnerEntries,
     Store,
     StoreAway,
     StoredObject,
     decode_configuration,
-    is_address,
     parse_object,
 )
 from egretstack.routing import EnginePlan, ServicePlan, VersionGate
@@ -50,9 +48,6 @@
 AWAY_OWN_PAUSE_S = 1.6
 """The same for an instance that is not the home: on the store's return the home reads and tells.
 One that is cut off from the home alone reaches the store, and has no such pause."""
-AWAY_LONG_PAUSE_S = 4.0
-"""The same where nothing waits for the answer."""
-INSTANCES_PERIOD_S = 10.0
 MOST_BAD_LOGGED = 8
 """Lines for bad entries of one reading; anyone may write there, and a log line costs some 50 us."""
 MOST_NAME_LOGGED = 128
@@ -73,7 +68,7 @@
         """The configuration in force, as the store gave it, for peers that cannot reach it."""
         self._packed: bytes | None = None
         self._node = node
-        self._store = Store(node.store_address)
+        self.store = Store(node.store_address)
         self._port = kernel.get(FleetPort)
         self._reads = True
         self._add_gauges(kernel.get(RelayMetrics))
@@ -89,7 +84,7 @@
         live = metrics.gauge("egret_relay_instances", "Instances that live, as seen here.")
         live.set_function(lambda: len(self._port.fleet.live(trio.current_time())))
         calls = metrics.gauge("egret_relay_store_calls", "Calls to the store since the start.")
-        calls.set_function(lambda: self._store.calls)
+        calls.set_function(lambda: self.store.calls)
         bad = metrics.gauge("egret_relay_bad_entries", "Runners' entries that name no runner.")
         bad.set_function(lambda: len(self._entries.bad()))
 
@@ -98,7 +93,6 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follow_configuration)
             nursery.start_soon(self._follow_runners)
-            nursery.start_soon(self._follow_instances)
             nursery.start_soon(self._follow_peers)
             task_status.started()
 
@@ -147,7 +141,7 @@
             except HistoryGone:
                 revision = None
             except StoreAway as error:
-                self._away(error)
+                self.away(error)
                 revision = None
                 await trio.sleep(AWAY_PAUSE_S)
 
@@ -157,14 +151,14 @@
         return told and self.gate.table is not None
 
     async def _read_configuration(self) -> int:
-        listing = await self._store.list(ObjectKind.CONFIGURATION)
+        listing = await self.store.list(ObjectKind.CONFIGURATION)
         self._answered()
         for one in listing.objects:
             self._take_stored(one)
         return listing.revision
 
     async def _watch_configuration(self, revision: int) -> int:
-        changes = await self._store.watch(ObjectKind.CONFIGURATION, revision, CONFIG_WATCH_S)
+        changes = await self.store.watch(ObjectKind.CONFIGURATION, revision, CONFIG_WATCH_S)
         self._answered()
         for change in changes.changes:
             if not change.deleted:
@@ -189,18 +183,18 @@
             except HistoryGone:
                 self._entries_revision = None
             except StoreAway as error:
-                self._away(error)
+                self.away(error)
                 self._entries_revision = None
                 await trio.sleep(AWAY_PAUSE_S if home else AWAY_OWN_PAUSE_S)
 
     async def _read_runners(self) -> None:
         if self._entries_revision is None:
-            listing = await self._store.list(ObjectKind.RUNNER)
+            listing = await self.store.list(ObjectKind.RUNNER)
             self._entries.clear()
             self._take_entries([Change(one, False) for one in listing.objects], listing.unnamed)
             self._entries_revision = listing.revision
         else:
-            changes = await self._store.watch(
+            changes = await self.store.watch(
                 ObjectKind.RUNNER, self._entries_revision, RUNNER_WATCH_S
             )
             self._take_entries(changes.changes, changes.unnamed)
@@ -218,50 +212,6 @@
             more = max(0, len(bad) - MOST_BAD_LOGGED)
             log(Event.RUNNER_UNREADABLE, runner="", more=more, without_name=unnamed)
 
-    async def _follow_instances(self) -> None:
-        registered = False
-        while True:
-            try:
-                if not registered:
-                    await self._register()
-                    registered = True
-                listing = await self._store.list(ObjectKind.INSTANCE, allow_stale=True)
-                listed = [one for stored in listing.objects if (one := _listed(stored)) is not None]
-                if len(listed) < len(listing.objects):
-                    log(Event.INSTANCE_UNREADABLE, count=len(listing.objects) - len(listed))
-                self._port.fleet.listed(trio.current_time(), listed)
-                self._port.greet_listed()
-                await trio.sleep(INSTANCES_PERIOD_S)
-            except StoreAway as error:
-                self._away(error)
-                await trio.sleep(self._instances_pause_s())
-
-    def _instances_pause_s(self) -> float:
-        """Give the pause after a list of instances that the store did not give.
-
-        Once others are heard the list tells nothing new. Each instance that asked on made 2.5 calls
-        a second for as long as the store turned it away: half of all calls of such a day.
-        """
-        alone = len(self._port.fleet.live(trio.current_time())) == 1
-        return AWAY_PAUSE_S if alone else AWAY_LONG_PAUSE_S
-
-    async def _register(self) -> None:
-        """Write where this instance is; a write without an answer is made again, to no harm."""
-        own = self._port.fleet.own.instance
-        spec = {
-            "zone": own.zone,
-            "front": own.front_address,
-            "peer": own.peer_address,
-            "strength": own.strength,
-        }
-        if not await self._store.replace(ObjectKind.INSTANCE, own.id, spec):
-            try:
-                await self._store.create(ObjectKind.INSTANCE, own.id, spec)
-            except RevisionConflict:
-                log(Event.INSTANCE_REGISTERED, already=True)
-                return
-        log(Event.INSTANCE_REGISTERED, already=False)
-
     async def _follow_peers(self) -> None:
         """Fetch a newer configuration from a peer that has it."""
         while True:
@@ -285,27 +235,9 @@
         self._reads = True
         self._port.describe(reads_store=True)
 
-    def _away(self, error: StoreAway) -> None:
+    def away(self, error: StoreAway) -> None:
+        """Note that the store did not answer a call."""
         if self._reads:
             log(Event.STORE_AWAY, error=str(error))
         self._reads = False
         self._port.describe(reads_store=False)
-
-
-def _listed(stored: StoredObject) -> KnownInstance | None:
-    """Give an instance that the store lists; None if the entry is not one of this system's."""
-    spec = stored.spec
-    zone, front, peer = (spec.get(name) for name in ("zone", "front", "peer"))
-    strength = spec.get("strength")
-    if not all(isinstance(one, str) for one in (zone, front, peer)):
-        return None
-    if not is_address(front) or not is_address(peer):
-        return None
-    instance = Instance(
-        InstanceId(stored.name),
-        ZoneName(zone),
-        front,
-        peer,
-        strength if isinstance(strength, int) else 0,
-    )
-    return KnownInstance(instance, 0, InstanceState.STARTING, True, 0)
