What a run was refused by is kept with its question for a turn

It stood in a dict of the home beside the turns, and stayed there for good when the news of a turn's end was lost. A question is forgotten when nobody repeats it.

--- a/egretstack/placing/_move_turns.py
+++ b/egretstack/placing/_move_turns.py
@@ -20,6 +20,8 @@
 class _Asking:
     order: float
     asked_s: float
+    refused: frozenset[RunnerId]
+    """Engines that had no room for the run's copy a moment ago."""
 
 
 class MoveTurns:
@@ -29,10 +31,17 @@
         self._holder_by_source: dict[RunnerId, tuple[str, float]] = {}
         self._asking_by_source: dict[RunnerId, dict[str, _Asking]] = {}
 
-    def ask(self, now_s: float, source: RunnerId, attempt: str, order: float) -> bool:
+    def ask(
+        self,
+        now_s: float,
+        source: RunnerId,
+        attempt: str,
+        order: float,
+        refused: frozenset[RunnerId] = frozenset(),
+    ) -> bool:
         """Tell whether it is this run's turn; the lowest order among those asking goes first."""
         asking = self._asking_by_source.setdefault(source, {})
-        asking[attempt] = _Asking(order, now_s)
+        asking[attempt] = _Asking(order, now_s, refused)
         holder = self._holder_by_source.get(source)
         if holder is not None and now_s - holder[1] < TURN_S:
             return holder[0] == attempt
@@ -49,6 +58,11 @@
         holder = self._holder_by_source.get(source)
         return None if holder is None else holder[0]
 
+    def refused(self, source: RunnerId, attempt: str) -> frozenset[RunnerId]:
+        """Give the engines that a run which asks was refused by."""
+        asking = self._asking_by_source.get(source, {}).get(attempt)
+        return frozenset() if asking is None else asking.refused
+
     def grant(self, now_s: float, source: RunnerId) -> str | None:
         """Give the turn to the first of those that ask, if nobody has it; None if nobody asks."""
         holder = self._holder_by_source.get(source)
--- a/egretstack/services/placing_home.py
+++ b/egretstack/services/placing_home.py
@@ -50,8 +50,6 @@
         """Takes answers to this instance's own questions."""
         self._turns = MoveTurns()
         self._asker_by_attempt: dict[str, InstanceId] = {}
-        self._refused_by_attempt: dict[str, frozenset[RunnerId]] = {}
-        """Engines that had no room for a run's copy, as its instance tells while it asks."""
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Answer peers until cancelled."""
@@ -138,9 +136,9 @@
         self._asker_by_attempt[ask.attempt] = asker
         source = RunnerId(ask.source)
         self._turns.free_ended(source, lambda attempt: self.placer.book.run(attempt) is None)
-        self._refused_by_attempt[ask.attempt] = frozenset(RunnerId(str(one)) for one in ask.refused)
+        refused = frozenset(RunnerId(str(one)) for one in ask.refused)
         before = self._turns.holder(source)
-        self._turns.ask(trio.current_time(), source, ask.attempt, ask.order)
+        self._turns.ask(trio.current_time(), source, ask.attempt, ask.order, refused)
         holder = self._turns.holder(source)
         if holder is not None and (holder == ask.attempt or holder != before):
             self._give_turn(holder, source)
@@ -162,7 +160,7 @@
         asker = self._asker_by_attempt.get(attempt)
         if engine is None or asker is None:
             return False
-        refused = self._refused_by_attempt.get(attempt, frozenset())
+        refused = self._turns.refused(source, attempt)
         destination = self.placer.begin_copy(trio.current_time(), run, engine, refused)
         if destination is None:
             return False
@@ -172,7 +170,6 @@
     def _end_turn(self, attempt: str, source: RunnerId) -> None:
         self._turns.done(source, attempt)
         self._asker_by_attempt.pop(attempt, None)
-        self._refused_by_attempt.pop(attempt, None)
         following = self._turns.grant(trio.current_time(), source)
         if following is not None:
             self._give_turn(following, source)
