A returned runner that then announces its end is not let back

Found on reading: a runner that was missing and listed again stayed among those that an answer lets back when its entry turned to leaving. An answer on its way at that moment would have given it work after its notice. The test failed before.

--- a/egretstack/fleet/_runner_table.py
+++ b/egretstack/fleet/_runner_table.py
@@ -201,6 +201,7 @@
         was long on its way, from a runner that is gone by then.
         """
         if listed.state is not RunnerState.READY:
+            self._returned.discard(listed.id)
             return listed
         if listed.back_at_revision > self._missing_at_by_id.get(listed.id, 0):
             return self._let_back(listed)
--- a/tests/test_runner_incarnations.py
+++ b/tests/test_runner_incarnations.py
@@ -127,6 +127,19 @@
     check.assertEqual(table.ready(ENGINES), [])
 
 
+def test_a_returned_runner_that_then_leaves_is_not_let_back():
+    # The home's question is on its way when the entry tells that the runner leaves; an answer that
+    # comes after it is older news.
+    table = RunnerTable()
+    table.take(0.0, [runner("a")], 10, 0.0)
+    table.take(0.5, [], 11, 0.5)
+    table.take(1.0, [runner("a")], 12, 1.0)
+    check.assertEqual([one.id for one in table.returned()], ["a"])
+    table.take(1.1, [runner("a", state=RunnerState.LEAVING)], 13, 1.1)
+    check.assertFalse(table.confirm(RunnerId("a")))
+    check.assertEqual(table.ready(ENGINES), [])
+
+
 _entry = st.tuples(st.sampled_from(NAMES), st.integers(1, 4), st.booleans())
 _step = st.one_of(
     st.tuples(st.just("reading"), st.integers(1, 9), st.lists(_entry, max_size=4)),
