An account crowds the others out from twice an even share, not four times

Cause: with ten of twenty accounts having runs, the one that surges had to hold four in ten of all memory before it went behind; it kept just below that, where it takes room in the order of asking. Others waited 2 s and were refused.

CROWDING_SHARE from 0.25 down to 0.1 changed nothing.

--- a/egretstack/placing/_book.py
+++ b/egretstack/placing/_book.py
@@ -31,8 +31,9 @@
 
 CROWDING_SHARE = 0.25
 """Share of all memory in use from which one client account may crowd out the others."""
-CROWDING_TIMES = 4
+CROWDING_TIMES = 2
 """And how many times an even share it has to be: with few accounts one of them often has a quarter.
+With more than twice, half of the accounts without a run in progress would let the surge through.
 
 For the load of one account that sends many times its usual. In the order of asking alone it takes
 most of the room that comes free, and the generations of all others are refused after a wait."""
--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -74,7 +74,8 @@
     # Callers of other accounts wait and are refused: one account sends 50 times its usual, and in
     # the order of asking it takes most of the room that comes free. Its generations go behind
     # those of the others; what they leave is its own. Played: 20 accounts, engines for 0.6 of what
-    # is asked. Served of the others: 0.51 in the order of asking, 0.93 with the one behind.
+    # is asked. Served of the others: 0.51 in the order of asking, 0.93 with the one behind once it
+    # has four even shares, 0.99 with two.
     surging, others = Play().play()
     check.assertGreater(others, 0.95)
     check.assertGreater(surging, 0.3)
