Evacuated zones and regions: no request goes where it may not

Cause: nothing read `evacuations/ZONE` nor `allowed-regions`.

Both say of a runner that a request may not be sent there, so both are asked at the same places: choosing for a call, placing, copies, moves, continuations, health questions. Evacuations are decoded in the adapter, read by the home, told as urgent news with the store's revision, and read by any instance that is told nothing new for half the bound. An instance that starts is not ready until it knows them. Streams move off; what stopped does not go on there. Regions of route and account are intersected; the directory names the callers' region first, then the homes of what they ask. What no runner may run is refused at once, 503 with 2 s.

Found by the test of a restart: a home that follows another one kept its own idea of the told zones, as the rows were the same; they are read again with the epoch.

--- a/egretstack/fleet/__init__.py
+++ b/egretstack/fleet/__init__.py
@@ -1,6 +1,7 @@
 """The instances of one fleet and the runners before them, as each instance knows them."""
 
 from egretstack.fleet._configuration_link import fetch_text, give_packed, pack_text, unpack_text
+from egretstack.fleet._evacuations import EvacuationChange, Evacuations
 from egretstack.fleet._fleet import REPORT_PERIOD_S, Fleet
 from egretstack.fleet._instance import Instance, InstanceState, KnownInstance, StoreSight
 from egretstack.fleet._messages import (
@@ -23,6 +24,7 @@
     runner_row,
     told_instance_row,
 )
+from egretstack.fleet._nearest import nearest
 from egretstack.fleet._news import (
     REPEAT_AFTER_S,
     HeldNews,
@@ -43,6 +45,8 @@
     "REPORT_PERIOD_S",
     "BackupAnswer",
     "BackupAsk",
+    "EvacuationChange",
+    "Evacuations",
     "Fleet",
     "FleetLoads",
     "FleetNews",
@@ -75,6 +79,7 @@
     "give_packed",
     "instance_of",
     "instance_row",
+    "nearest",
     "pack_text",
     "rows_of",
     "runner_of",
--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -53,6 +53,9 @@
     """Packed changes after the version `base`, up to `upto`."""
     runners_revision: int
     runners_age_ms: int
+    evacuations_revision: int
+    """Revision of the store as of which the sender knows the evacuated zones; 0 if it does not."""
+    evacuations_age_ms: int
     config_version: int
     """The newest that any instance reports."""
     config_holders: list
--- /dev/null
+++ b/egretstack/fleet/_nearest.py
@@ -0,0 +1,24 @@
+"""Which instances the callers of a region are sent to; pure."""
+
+from collections.abc import Collection, Mapping
+
+from egretstack.fleet._instance import Instance
+from egretstack.ids import RegionName, ZoneName
+
+
+def nearest(
+    instances: list[Instance],
+    region_by_zone: Mapping[ZoneName, RegionName],
+    region: RegionName,
+    homes: Collection[RegionName],
+) -> list[Instance]:
+    """Give the instances of the callers' region, else of the homes of what they ask, else all.
+
+    Bodies of requests that are bound to regions then go to no others, as long as an instance is
+    ready in one of them.
+    """
+    for regions in ({region}, homes):
+        near = [one for one in instances if region_by_zone.get(one.zone) in regions]
+        if near:
+            return near
+    return instances
--- a/egretstack/fleet/_runner_table.py
+++ b/egretstack/fleet/_runner_table.py
@@ -4,11 +4,11 @@
 a peer did. Among the starts of one runner the latest birth counts, whoever tells of it.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import replace
 
 from egretstack.fleet._runner import Incarnation, Runner, RunnerState
-from egretstack.ids import RunnerId, RunnerName, ServiceName
+from egretstack.ids import RunnerId, RunnerName, ServiceName, ZoneName
 
 AWAY_AFTER_S = 1.5
 """Without a reading for so long the store counts as away: entries may have lapsed meanwhile.
@@ -39,6 +39,8 @@
         """Runners that do not answer the home; they get no new work until they do."""
         self.suspects: frozenset[RunnerId] = frozenset()
         """Runners that break what the fleet sends them; they get only what may be repeated."""
+        self.evacuated: frozenset[ZoneName] = frozenset()
+        """Availability zones whose runners get nothing more until the operator takes it back."""
         self._latest_by_name: dict[RunnerName, Incarnation] = {}
         """The latest start of each runner that any news told of."""
         self._missing_at_by_id: dict[RunnerId, int] = {}
@@ -148,10 +150,32 @@
     def is_ready(self, runner_id: RunnerId) -> bool:
         """Tell whether a runner may get work."""
         runner = self.by_id.get(runner_id)
-        if runner is None or runner_id in self.silent:
+        if runner is None or runner_id in self.silent or runner.zone in self.evacuated:
             return False
         return runner.state is RunnerState.READY
 
+    def is_evacuated(self, runner_id: RunnerId) -> bool:
+        """Tell whether nothing more may be sent to a runner, what goes on there included."""
+        runner = self.by_id.get(runner_id)
+        return runner is not None and runner.zone in self.evacuated
+
+    def is_barred(self, service: ServiceName, zones: Container[ZoneName] | None) -> bool:
+        """Tell whether a service has runners, but none where a request may run.
+
+        `zones` are those in which it may run; None if anywhere. In evacuated ones it may not.
+        """
+        ready = [
+            runner.zone
+            for runner in self.by_id.values()
+            if runner.service == service and runner.state is RunnerState.READY
+        ]
+        allowed = [zone for zone in ready if zones is None or zone in zones]
+        return bool(ready) and all(zone in self.evacuated for zone in allowed)
+
+    def evacuate(self, zones: frozenset[ZoneName]) -> None:
+        """Take it that these zones are evacuated now, and no others."""
+        self.evacuated = zones
+
     def is_gone(self, runner_id: RunnerId) -> bool:
         """Tell whether a runner has surely ended, since a later start goes by its name."""
         runner = self.by_id.get(runner_id)
--- a/egretstack/placing/_copies.py
+++ b/egretstack/placing/_copies.py
@@ -76,7 +76,7 @@
         rooms = []
         for other in self._runners.ready(work.service):
             load = loads.get(other.id)
-            if load is None or other.id == runner.id:
+            if load is None or other.id == runner.id or not work.may_run_in(other.zone):
                 continue
             if self._has_room_in_case(engine, load, need):
                 cost = self._cost(now_s, engine, runner, other, load)
@@ -107,6 +107,8 @@
             load = loads.get(other.id)
             if load is None or other.id == run.runner or load.runs >= engine.batch_slots:
                 continue
+            if not run.work.may_run_in(other.zone):
+                continue
             if leaving:
                 fits = load.taken_tokens + need <= FULL_SHARE * engine.kv_capacity_tokens
             else:
--- a/egretstack/placing/_placer.py
+++ b/egretstack/placing/_placer.py
@@ -189,7 +189,9 @@
         ready = [
             runner
             for runner in self._runners.ready(work.service)
-            if runner.id not in work.excluded and runner.id in loads
+            if runner.id not in work.excluded
+            and runner.id in loads
+            and work.may_run_in(runner.zone)
         ]
         return [one for one in ready if one.id not in self._runners.suspects] or ready
 
--- a/egretstack/placing/_run.py
+++ b/egretstack/placing/_run.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from egretstack.ids import RunnerId, ServiceName
+from egretstack.ids import RunnerId, ServiceName, ZoneName
 from egretstack.messages import MessageError
 
 
@@ -26,6 +26,12 @@
     excluded: tuple[RunnerId, ...] = ()
     account: str = ""
     """The client account; empty if the route needs none."""
+    zones: frozenset[ZoneName] | None = None
+    """The availability zones in which alone it may run; None if it may anywhere."""
+
+    def may_run_in(self, zone: ZoneName) -> bool:
+        """Tell whether a runner of this zone may run it."""
+        return self.zones is None or zone in self.zones
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +68,7 @@
         work.prompt_id,
         list(work.excluded),
         work.account,
+        None if work.zones is None else sorted(work.zones),
     ]
 
 
@@ -69,7 +76,7 @@
     """Read the row of a work. Raises MessageError."""
     try:
         attempt, service, prompt, most, hint, rank, patience_ms, wait_ms, *rest = row
-        prompt_id, excluded, account = rest
+        prompt_id, excluded, account, zones = rest
         return Work(
             str(attempt),
             ServiceName(str(service)),
@@ -82,6 +89,7 @@
             str(prompt_id),
             tuple(RunnerId(str(one)) for one in excluded),
             str(account),
+            None if zones is None else frozenset(ZoneName(str(one)) for one in zones),
         )
     except (TypeError, ValueError) as error:
         raise MessageError(f"not a work: {error}") from error
--- a/egretstack/platform/__init__.py
+++ b/egretstack/platform/__init__.py
@@ -6,13 +6,15 @@
 from egretstack.platform._bodies import BadBody, is_address, parse_object
 from egretstack.platform._configuration import decode_configuration, read_configuration
 from egretstack.platform._entry_wire import (
-    asked_zone,
+    asked_host,
+    asked_region,
     decode_request,
     directory_answer,
     is_directory_question,
     is_ready_question,
     json_answer,
 )
+from egretstack.platform._evacuations import BadEvacuation, EvacuationEntries
 from egretstack.platform._node_settings import (
     SETTINGS_VARIABLE,
     Bounds,
@@ -52,9 +54,11 @@
     "SETTINGS_VARIABLE",
     "BadBody",
     "BadEntry",
+    "BadEvacuation",
     "Bounds",
     "Change",
     "Changes",
+    "EvacuationEntries",
     "HistoryGone",
     "Listing",
     "NodeSettings",
@@ -65,7 +69,8 @@
     "StoreAway",
     "StoreOutcomeUnknown",
     "StoredObject",
-    "asked_zone",
+    "asked_host",
+    "asked_region",
     "client_head",
     "decode_configuration",
     "decode_request",
--- a/egretstack/platform/_configuration.py
+++ b/egretstack/platform/_configuration.py
@@ -6,7 +6,7 @@
 
 from egretstack.errors import UserError
 from egretstack.http1 import ServerLimits
-from egretstack.ids import AccountId, ServiceName
+from egretstack.ids import AccountId, RegionName, ServiceName
 from egretstack.platform._bodies import (
     BadBody,
     Body,
@@ -37,6 +37,8 @@
 }
 
 
+MAX_REGIONS = 64
+_MOST_NAME = 256
 MAX_FILE_BYTES = 4_194_304
 """Four times the largest object that a store takes."""
 
@@ -108,9 +110,21 @@
         anonymous=flag(row, "allow-anonymous"),
         resumable=flag(row, "can-resume"),
         gap_target_s=gap_ms / 1000 if gap_ms else None,
+        homes=_homes(row),
     )
 
 
+def _homes(row: Body) -> frozenset[RegionName]:
+    value = row.get("allowed-regions")
+    if value is None:
+        return frozenset()
+    if not isinstance(value, list) or len(value) > MAX_REGIONS:
+        raise BadBody(f"allowed-regions is not a list of {MAX_REGIONS} at most")
+    if not all(isinstance(one, str) and 0 < len(one) <= _MOST_NAME for one in value):
+        raise BadBody("allowed-regions holds what is no region's name")
+    return frozenset(RegionName(one) for one in value)
+
+
 def _targets(row: Body) -> tuple[RouteTarget, ...]:
     split = rows(row, "traffic-split")
     if not split:
@@ -148,7 +162,7 @@
     for row in tenants:
         rank = row.get("priority")
         account = ClientAccount(
-            AccountId(text(row, "name")), rank if isinstance(rank, int) else None
+            AccountId(text(row, "name")), rank if isinstance(rank, int) else None, _homes(row)
         )
         keys = row.get("api-keys", [])
         if not isinstance(keys, list):
--- a/egretstack/platform/_entry_wire.py
+++ b/egretstack/platform/_entry_wire.py
@@ -8,7 +8,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from egretstack.http1 import Header, RequestHead, ResponseHead, first_value
-from egretstack.ids import ModelName
+from egretstack.ids import ModelName, RegionName
 from egretstack.traffic import ClientRequest, Generation, PromptPart
 
 READY_PATH = "/egretstack/ready"
@@ -66,10 +66,19 @@
     return urlsplit(head.target.decode("latin-1")).path == READY_PATH
 
 
-def asked_zone(head: RequestHead) -> str:
-    """Give the client's availability zone in a directory question; empty if not told."""
+def asked_region(head: RequestHead) -> RegionName:
+    """Give the client's region in a directory question; empty if not told."""
+    return RegionName(_asked(head, "region"))
+
+
+def asked_host(head: RequestHead) -> str:
+    """Give the host that a directory question is about; empty if not told."""
+    return _asked(head, "name")
+
+
+def _asked(head: RequestHead, name: str) -> str:
     query = parse_qs(urlsplit(head.target.decode("latin-1")).query)
-    return query.get("zone", [""])[0]
+    return query.get(name, [""])[0]
 
 
 def directory_answer(addresses: list[str], life_s: float) -> tuple[ResponseHead, bytes]:
--- a/egretstack/platform/_node_settings.py
+++ b/egretstack/platform/_node_settings.py
@@ -8,13 +8,15 @@
 from pathlib import Path
 
 from egretstack.errors import UserError
-from egretstack.ids import InstanceId, ZoneName
+from egretstack.ids import InstanceId, RegionName, ZoneName
 
 SETTINGS_VARIABLE = "EGRETSTACK_NODE_FILE"
 """Name of the environment variable that holds the file's path."""
 
 MAX_SEEDS = 16
 MAX_FILE_BYTES = 262_144
+_ZONES = "zones."
+"""Begins the fields that give the region of each zone."""
 
 
 @dataclass(frozen=True)
@@ -31,6 +33,9 @@
     retry_window_s: float
     retry_slack: float
     """Retries allowed in each window beyond the ratio, for the whole fleet."""
+    evacuate_s: float | None = None
+    """From an accepted evacuation of a zone to the last request that may reach a runner there; None
+    where operators evacuate none."""
 
 
 @dataclass(frozen=True)
@@ -39,7 +44,8 @@
 
     instance: InstanceId
     zone: ZoneName
-    region: str
+    region: RegionName
+    region_by_zone: Mapping[ZoneName, RegionName]
     ip: str
     front_address: str
     """Where clients connect."""
@@ -92,7 +98,8 @@
         return NodeSettings(
             instance=InstanceId(self._text("node-name")),
             zone=ZoneName(self._text("zone")),
-            region=self._values.get("region", ""),
+            region=RegionName(self._values.get("region", "")),
+            region_by_zone=self._regions(),
             ip=self._text("ip"),
             front_address=self._address("listen.front"),
             ready_address=self._address("listen.ready-address"),
@@ -115,6 +122,7 @@
             retry_ratio=self._number("bounds.retry-ratio", 0.2),
             retry_window_s=self._number("bounds.budget-window-s", 10),
             retry_slack=self._number("bounds.budget-slack", 10),
+            evacuate_s=self._seconds("bounds.evacuate-ms"),
         )
 
     def _text(self, name: str) -> str:
@@ -135,6 +143,17 @@
             raise UserError(f"{self._source}: {name}: {text!r} is not a number of 0 or more")
         return value
 
+    def _regions(self) -> dict[ZoneName, RegionName]:
+        return {
+            ZoneName(name.removeprefix(_ZONES)): RegionName(value)
+            for name, value in self._values.items()
+            if name.startswith(_ZONES)
+        }
+
+    def _seconds(self, name: str) -> float | None:
+        """Give a field in milliseconds that may be missing; 0 stands for that too."""
+        return self._number(name, 0) / 1000 or None
+
     def _address(self, name: str, *, required: bool = True) -> str:
         value = self._text(name) if required else self._values.get(name, "")
         if not value:
--- a/egretstack/platform/_store.py
+++ b/egretstack/platform/_store.py
@@ -37,6 +37,7 @@
 
     CONFIGURATION = "config"
     RUNNER = "servers"
+    EVACUATION = "evacuations"
     INSTANCE = "egret-instances"
     """The system's own: one object for each instance, under its name."""
 
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -17,6 +17,7 @@
     "fleet_news",
     "store_reading",
     "runner_list",
+    "evacuation_list",
     "instance_listing",
     "configuration_relay",
     "engine_reports",
--- a/egretstack/relay/__init__.py
+++ b/egretstack/relay/__init__.py
@@ -4,7 +4,7 @@
 from egretstack.relay._client_stream import ClientStream
 from egretstack.relay._cursor import EventCursor, EventGap
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
-from egretstack.relay._knowledge import RequestFailed, RunKnowledge
+from egretstack.relay._knowledge import RequestFailed, RunKnowledge, barred
 from egretstack.relay._plain import PlainRelay, WholeAnswer
 from egretstack.relay._stream import StreamRelay
 from egretstack.relay._tools import EnginePlacing, RelayTools, Task
@@ -25,4 +25,5 @@
     "StreamRelay",
     "Task",
     "WholeAnswer",
+    "barred",
 ]
--- a/egretstack/relay/_knowledge.py
+++ b/egretstack/relay/_knowledge.py
@@ -6,6 +6,10 @@
 
 from egretstack.errors import ANSWERS, ErrorKind, RunState
 
+BARRED_RETRY_S = 2.0
+"""An operator takes an evacuation back after many seconds; a caller waits for no more than a third
+of the time it has."""
+
 
 class RequestFailed(Exception):
     """The final answer of a request that got none from a runner."""
@@ -22,6 +26,17 @@
         return ANSWERS[self.kind].status
 
 
+def barred() -> RequestFailed:
+    """Give the answer to a request that no runner may run now, where there are some.
+
+    An operator evacuated every zone that it may run in, or none of its regions has a runner.
+    Waiting until its deadline would tell its caller nothing more.
+    """
+    return RequestFailed(
+        ErrorKind.NO_RUNNER, "no zone that it may run in is left", retry_after_s=BARRED_RETRY_S
+    )
+
+
 class RunKnowledge:
     """Whether a request may have run. Once it may have, no later send takes that back."""
 
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -148,13 +148,15 @@
         not wait there is none of it: the runs behind this one need the time.
         """
         for _ in range(MOST_CATCH_UPS):
-            if not self._copy_waited or self._has_to_hurry():
+            if not self._copy_waited or self._has_to_hurry(source):
                 return True
             if not await self._copied(source, destination):
                 return False
         return True
 
-    def _has_to_hurry(self) -> bool:
+    def _has_to_hurry(self, source: Runner) -> bool:
+        if self._tools.runners.is_evacuated(source.id):
+            return False  # It works on for as long as the run needs to get off it.
         since_s = self._leaving_since_s
         return since_s is not None and trio.current_time() - since_s > HURRY_AFTER_S
 
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -98,9 +98,15 @@
 
     def _choose(self, task: Task, progress: _Progress) -> Runner | None:
         ready = self._tools.runners.ready(task.service.name)
-        fresh = [runner for runner in ready if runner.id not in progress.excluded]
+        now_s = trio.current_time()
+        fresh = [
+            runner
+            for runner in ready
+            if runner.id not in progress.excluded
+            and (task.zones is None or runner.zone in task.zones)
+        ]
         return self._tools.balancer.choose(
-            trio.current_time(),
+            now_s,
             fresh,
             self._tools.runners.suspects,
             repeatable=task.route.kind is RouteKind.IDEMPOTENT,
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -110,6 +110,7 @@
             prompt_id=wants.prompt_id(account.name if account else "") if wants else "",
             excluded=excluded,
             account=account.name if account else "",
+            zones=self._task.zones,
         )
 
     async def _relay(self, head: ResponseHead) -> WholeAnswer | None:
@@ -189,7 +190,7 @@
             placement = await self._tools.placing.place(work, self._task.service.engine)
             runner = self._tools.runners.by_id.get(placement.runner)
             try:
-                if runner is not None:
+                if runner is not None and not self._tools.runners.is_evacuated(runner.id):
                     self._source = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
                     self._begin(Run(work, placement.runner, placement.backup))
                     return
@@ -373,6 +374,9 @@
         runner = self._tools.runners.by_id.get(saved.runner) if saved else None
         if runner is None or not self._pace.events:
             return False
+        if self._tools.runners.is_evacuated(runner.id):
+            # Nothing more may be sent there; where the run is, it may go on.
+            return False
         origin = ContinueFrom(saved.origin_address, saved.copy_id, self._cursor.last_id)
         before = self._run.runner
         self._run.runner = runner.id
--- a/egretstack/relay/_tools.py
+++ b/egretstack/relay/_tools.py
@@ -8,7 +8,7 @@
 
 from egretstack.fleet import Runner, RunnerTable
 from egretstack.http1 import ConnectionPool
-from egretstack.ids import RunnerId
+from egretstack.ids import RunnerId, ZoneName
 from egretstack.placing import Placement, PlainBalancer, Run, Work
 from egretstack.relay._budget import RetryBudget
 from egretstack.routing import ClientAccount, EnginePlan, Route, ServicePlan
@@ -86,6 +86,8 @@
     began_s: float
     deadline_s: float
     """When its answer has to be final, on the runtime's clock."""
+    zones: frozenset[ZoneName] | None = None
+    """The availability zones whose runners alone may run it; None if all may."""
 
     def time_left_s(self) -> float:
         """Give the time until the deadline."""
--- a/egretstack/routing/__init__.py
+++ b/egretstack/routing/__init__.py
@@ -8,6 +8,7 @@
     RouteTarget,
     RoutingConfiguration,
     ServicePlan,
+    common_homes,
 )
 from egretstack.routing._table import RoutingTable, VersionGate, key_digest
 
@@ -21,5 +22,6 @@
     "RoutingTable",
     "ServicePlan",
     "VersionGate",
+    "common_homes",
     "key_digest",
 ]
--- a/egretstack/routing/_model.py
+++ b/egretstack/routing/_model.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from egretstack.http1 import ServerLimits
-from egretstack.ids import AccountId, ServiceName
+from egretstack.ids import AccountId, RegionName, ServiceName
 
 
 class RouteKind(Enum):
@@ -45,6 +45,8 @@
     """Whether a caller may ask for the rest of a stream it has seen in part."""
     gap_target_s: float | None
     """Longest pause between two events for which a stream is still on time."""
+    homes: frozenset[RegionName] = frozenset()
+    """Regions whose runners alone may run its requests; empty if all may."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +82,17 @@
     name: AccountId
     rank: int | None
     """Goes before a route's rank; None leaves the order to the route."""
+    homes: frozenset[RegionName] = frozenset()
+    """Regions whose runners alone may run its requests; empty if all may."""
+
+
+def common_homes(route: Route, account: ClientAccount | None) -> frozenset[RegionName] | None:
+    """Give the regions in which a request may run; None if all, empty if none.
+
+    Where both the route and the account have some, both bind.
+    """
+    bound = [one for one in (route.homes, account.homes if account else None) if one]
+    return frozenset.intersection(*bound) if bound else None
 
 
 @dataclass(frozen=True)
--- a/egretstack/services/directory_port.py
+++ b/egretstack/services/directory_port.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from egretstack.fleet import InstanceState
+from egretstack.fleet import InstanceState, nearest
 from egretstack.http1 import (
     BadRequest,
     ClientConnection,
@@ -14,9 +14,12 @@
     SlowSender,
     open_listener,
 )
+from egretstack.ids import RegionName
 from egretstack.kernel import Kernel, Service
 from egretstack.platform import (
     NodeSettings,
+    asked_host,
+    asked_region,
     directory_answer,
     is_directory_question,
     is_ready_question,
@@ -47,6 +50,8 @@
         self._port = kernel.get(FleetPort)
         self._store = kernel.get(StoreReading)
         self._leaving = False
+        node: NodeSettings = kernel.settings
+        self._region_by_zone = node.region_by_zone
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Serve until cancelled."""
@@ -103,7 +108,7 @@
         if is_ready_question(head):
             return json_answer(200 if self.is_ready() else 503, {"ready": self.is_ready()})
         if is_directory_question(head):
-            addresses = self.ready_addresses()
+            addresses = self.ready_addresses(asked_region(head), asked_host(head))
             if not addresses:
                 return json_answer(503, {"error": "no instance is ready"}, ANSWER_LIFE_S)
             grace_s = self.kernel.settings.bounds.grace_s
@@ -113,13 +118,14 @@
             return directory_answer(addresses, life_s)
         return json_answer(404, {"error": "no such resource"})
 
-    def ready_addresses(self) -> list[str]:
-        """Give where clients may connect; no more than they use of one answer."""
-        ready = [
-            known.instance.front_address
-            for known in self._port.fleet.live(trio.current_time())
-            if known.state is InstanceState.READY
-        ]
+    def ready_addresses(self, region: RegionName, host: str) -> list[str]:
+        """Give where clients of a region may connect; no more than they use of one answer."""
+        live = self._port.fleet.live(trio.current_time())
+        ready = [known.instance for known in live if known.state is InstanceState.READY]
+        table = self._store.gate.table
+        homes = frozenset() if table is None else table.homes(host)
+        near = nearest(ready, self._region_by_zone, region, homes)
+        ready = [one.front_address for one in near]
         if len(ready) > MAX_ADDRESSES:
             return self.kernel.rng.sample(ready, MAX_ADDRESSES)
         return ready
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -22,7 +22,7 @@
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import Message
 from egretstack.placing import Placement, Run, Work, work_row
-from egretstack.relay import EnginePlacing, RequestFailed
+from egretstack.relay import EnginePlacing, RequestFailed, barred
 from egretstack.routing import EnginePlan, RouteKind
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
@@ -73,7 +73,8 @@
     async def place(self, work: Work, engine: EnginePlan) -> Placement:
         """Give the place of a generation, once there is room. Raises RequestFailed.
 
-        It waits at the home for as long as its caller can be expected to, and is then refused.
+        It waits at the home for as long as its caller can be expected to, and is then refused; at
+        once if no zone that it may run in is left.
         """
         began_s = trio.current_time()
         placed = None
@@ -81,6 +82,8 @@
         try:
             with trio.move_on_after(work.wait_s):
                 while placed is None:
+                    if self._port.runners.is_barred(work.service, work.zones):
+                        raise barred()
                     answer = await self._ask_place(work)
                     if answer is None:
                         placed = self._place_alone(work, engine)
--- a/egretstack/services/engine_reports.py
+++ b/egretstack/services/engine_reports.py
@@ -70,7 +70,9 @@
         engines = [
             runner
             for runner in self._port.runners.by_id.values()
-            if runner.state is RunnerState.READY and self._store.engine(runner.service)
+            if runner.state is RunnerState.READY
+            and runner.zone not in self._port.runners.evacuated
+            and self._store.engine(runner.service)
         ]
         silent = self._silence.silent({runner.id for runner in engines})
         if silent != self._port.runners.silent:
--- /dev/null
+++ b/egretstack/services/evacuation_list.py
@@ -0,0 +1,70 @@
+"""Reads which availability zones the operator has evacuated, as the home for all.
+
+It is told as urgent news. An instance that no home tells reads for itself, so that one which is
+cut off from its peers alone keeps to the bound too.
+"""
+
+import trio
+
+from egretstack.events import Event, log
+from egretstack.fleet import StoreSight
+from egretstack.kernel import Kernel
+from egretstack.platform import Change, EvacuationEntries, ObjectKind
+from egretstack.services.relay_metrics import RelayMetrics
+from egretstack.services.store_following import StoreFollower
+
+WATCH_SHARE = 0.25
+"""Part of the time in which an evacuation has to be known everywhere that one watch lasts: a silent
+connection hides it for no longer, and the leash."""
+LONGEST_WATCH_S = 2.0
+OWN_READING_SHARE = 0.5
+"""The same after which an instance without news from the home reads for itself; its call is given
+up after 1 s, and a second one is answered within the bound."""
+MOST_BAD_LOGGED = 8
+MOST_NAME_LOGGED = 128
+
+
+class EvacuationList(StoreFollower):
+    """Keeps the evacuated zones up to date."""
+
+    name = "evacuation_list"
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._entries = EvacuationEntries()
+        gauge = kernel.get(RelayMetrics).gauge(
+            "egret_relay_evacuated_zones", "Availability zones whose runners get nothing more."
+        )
+        gauge.set_function(lambda: len(self._port.evacuations.zones))
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Read until cancelled, on a platform whose operators evacuate zones."""
+        task_status.started()
+        if self.kernel.settings.bounds.evacuate_s is None:
+            await trio.sleep_forever()
+        await self._follow()
+
+    def _is_told(self) -> bool:
+        old_s = self.kernel.settings.bounds.evacuate_s * OWN_READING_SHARE
+        return self._port.evacuations.age_s(trio.current_time()) < old_s
+
+    def _may_try(self) -> bool:
+        """Leave it to the list of runners to find out when the store is back: one call for both."""
+        return self._port.fleet.own.store is not StoreSight.AWAY
+
+    async def _read(self) -> None:
+        store = self._reading.store
+        if self._revision is None:
+            listing = await store.list(ObjectKind.EVACUATION)
+            self._entries.clear()
+            changes, revision = [Change(one, False) for one in listing.objects], listing.revision
+        else:
+            watch_s = self.kernel.settings.bounds.evacuate_s * WATCH_SHARE
+            watched = await store.watch(
+                ObjectKind.EVACUATION, self._revision, min(LONGEST_WATCH_S, watch_s)
+            )
+            changes, revision = watched.changes, watched.revision
+        for bad in self._entries.take(changes)[:MOST_BAD_LOGGED]:
+            log(Event.EVACUATION_UNREADABLE, zone=bad.name[:MOST_NAME_LOGGED], error=bad.error)
+        self._revision = revision
+        self._port.take_evacuations(self._entries.zones(), revision, trio.current_time())
--- a/egretstack/services/fleet_news.py
+++ b/egretstack/services/fleet_news.py
@@ -28,7 +28,7 @@
     runner_row,
     told_instance_row,
 )
-from egretstack.ids import InstanceId, RunnerId
+from egretstack.ids import InstanceId, RunnerId, ZoneName
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import Message, MessageError, encode
 from egretstack.services.fleet_port import FleetPort
@@ -50,6 +50,7 @@
 MAX_AGE_S = 3600.0
 _INSTANCE = "i"
 _RUNNER = "r"
+_ZONE = "z"
 _SILENT = 1
 _SUSPECT = 2
 
@@ -71,6 +72,10 @@
         """How often the others are still told that this instance is home no more."""
         self._urged = trio.Event()
         """Set while urgent news wait to be sent once more."""
+        self._told_zones: frozenset[ZoneName] = frozenset()
+        """The evacuated zones as the home's rows have them."""
+        self._told_epoch = 0
+        """The epoch of the home whose rows these were."""
         self._missed_s: float | None = None
         """When what was lost was last asked for; None if nothing is missing."""
         self.loads: Callable[[], list] = list
@@ -115,10 +120,13 @@
             self._tell_loads(others)
 
     def _is_urgent(self, before: int) -> bool:
-        """Tell whether a runner may get less work since a version."""
-        rows = [one.row for one in self._keeper.lead().rows.since(before) if one.key[0] == _RUNNER]
+        """Tell whether runners may get less work since a version."""
+        changes = self._keeper.lead().rows.since(before)
+        rows = [one.row for one in changes if one.key[0] == _RUNNER]
         ready = RunnerState.READY
-        return any(row is None or row[-1] or runner_of(row[:-1]).state is not ready for row in rows)
+        if any(row is None or row[-1] or runner_of(row[:-1]).state is not ready for row in rows):
+            return True
+        return any(one.row is not None for one in changes if one.key[0] == _ZONE)
 
     async def _repeat(self) -> None:
         """Send urgent news once more to whoever has not reported to hold them."""
@@ -159,6 +167,7 @@
             f"{_RUNNER}{runner.id}": [*runner_row(runner), self._marks(runner.id)]
             for runner in runners.by_id.values()
         }
+        rows |= {f"{_ZONE}{zone}": [] for zone in self._port.evacuations.zones}
         watchers = self._port.fleet.watchers(trio.current_time())
         for known in (self._port.fleet.own, *others):
             name = known.instance.id
@@ -172,9 +181,7 @@
     def _send_all(self, now_s: float, others: list[KnownInstance]) -> None:
         """Send to each what it lacks."""
         teller = self._keeper.lead()
-        self._send_parts(
-            now_s, [(one, teller.parts_for(now_s, one.instance.id)) for one in others]
-        )
+        self._send_parts(now_s, [(one, teller.parts_for(now_s, one.instance.id)) for one in others])
 
     def _send_parts(
         self, now_s: float, parts_by_instance: list[tuple[KnownInstance, list[NewsPart]]]
@@ -193,7 +200,7 @@
         """Give the news without their rows."""
         teller = self._keeper.lead()
         version, holders = self._newest_configuration(now_s)
-        age_s = min(self._port.runners.age_s(now_s), MAX_AGE_S)
+        evacuations = self._port.evacuations
         return FleetNews(
             home=instance_row(self._port.fleet.own),
             epoch=teller.epoch,
@@ -204,7 +211,9 @@
             latest=teller.rows.version,
             rows=b"",
             runners_revision=self._port.runners.revision,
-            runners_age_ms=round(age_s * 1000),
+            runners_age_ms=_age_ms(self._port.runners.age_s(now_s)),
+            evacuations_revision=evacuations.revision,
+            evacuations_age_ms=_age_ms(evacuations.age_s(now_s)),
             config_version=version,
             config_holders=holders,
         )
@@ -269,6 +278,7 @@
             self._port.fleet.told(now_s, home, [instance_of(row) for row in self._of(_INSTANCE)])
         else:
             self._port.fleet.still_told(now_s, home)
+        self._use_evacuations(now_s, news, _ZONE in kinds)
         read_s = now_s - news.runners_age_ms / 1000
         table = self._port.runners
         changed = _RUNNER in kinds or table.revision != self._table_revision
@@ -279,6 +289,15 @@
         was_taken = table.revision == news.runners_revision
         self._table_revision = table.revision if was_taken else None
 
+    def _use_evacuations(self, now_s: float, news: FleetNews, changed: bool) -> None:
+        # Under another home the rows may be the same as this instance told when it was home itself.
+        if changed or news.epoch != self._told_epoch:
+            self._told_epoch = news.epoch
+            rows = self._keeper.follow().rows.rows()
+            self._told_zones = frozenset(ZoneName(key[1:]) for key in rows if key[0] == _ZONE)
+        read_s = now_s - news.evacuations_age_ms / 1000
+        self._port.take_evacuations(self._told_zones, news.evacuations_revision, read_s)
+
     def _of(self, kind: str) -> list[list]:
         return [row for key, row in self._keeper.follow().rows.rows().items() if key[0] == kind]
 
@@ -292,6 +311,10 @@
         table.suspects = frozenset(one for one, it in marks_by_id.items() if it & _SUSPECT)
 
 
+def _age_ms(age_s: float) -> int:
+    return round(min(age_s, MAX_AGE_S) * 1000)
+
+
 def _marks_of(row: list) -> int:
     """Read the marks at the end of a runner's row. Raises MessageError."""
     if not isinstance(row[-1], int):
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -11,6 +11,7 @@
 from egretstack.events import Event, log
 from egretstack.fleet import (
     REPORT_PERIOD_S,
+    Evacuations,
     Fleet,
     FleetView,
     HeldNews,
@@ -26,7 +27,7 @@
     instance_row,
     rows_of,
 )
-from egretstack.ids import InstanceId, RunnerId
+from egretstack.ids import InstanceId, RunnerId, ZoneName
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import Message, MessageError, decode, encode
 from egretstack.platform import NodeSettings
@@ -63,6 +64,7 @@
         known = KnownInstance(own, incarnation, InstanceState.STARTING, StoreSight.UNKNOWN, 0)
         self.fleet = Fleet(known, trio.current_time())
         self.runners = RunnerTable()
+        self.evacuations = Evacuations()
         self.runs: Callable[[], list] = list
         """Gives the rows of the runs of this instance."""
         self.held: Callable[[], HeldNews] = HeldNews
@@ -248,6 +250,21 @@
         if stopped and self.is_home():
             self.tell_soon()
 
+    def take_evacuations(self, zones: frozenset[ZoneName], revision: int, read_s: float) -> None:
+        """Take a reading of the evacuated zones, by this instance or by the home."""
+        change = self.evacuations.take(zones, revision, read_s)
+        if change is None:
+            return
+        now_s = trio.current_time()
+        self.runners.evacuate(self.evacuations.zones)
+        age_ms = round(self.evacuations.age_s(now_s) * 1000)
+        for zone in sorted(change.begun):
+            log(Event.ZONE_EVACUATED, zone=zone, revision=revision, age_ms=age_ms)
+        for zone in sorted(change.ended):
+            log(Event.ZONE_BACK, zone=zone, revision=revision, age_ms=age_ms)
+        if self.is_home():
+            self.tell_soon()
+
     def runner_born(self, runner: RunnerId, born_ms: int) -> None:
         """Take a runner's own word of when it started."""
         gone = self.runners.started(runner, born_ms)
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -6,11 +6,19 @@
 
 from egretstack.errors import ErrorKind
 from egretstack.http1 import ConnectionPool
+from egretstack.ids import ZoneName
 from egretstack.kernel import Kernel, Service
 from egretstack.placing import PlainBalancer
 from egretstack.platform import NodeSettings
-from egretstack.relay import RelayTools, RequestFailed, RetryBudget, Task
-from egretstack.routing import ClientAccount, Route, RouteKind, RoutingTable, ServicePlan
+from egretstack.relay import RelayTools, RequestFailed, RetryBudget, Task, barred
+from egretstack.routing import (
+    ClientAccount,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServicePlan,
+    common_homes,
+)
 from egretstack.services.engine_placing import EnginePlacingService
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
@@ -32,7 +40,7 @@
     """Makes tasks of requests."""
 
     name = "relaying"
-    requires = ("engine_placing", "fleet_port", "store_reading")
+    requires = ("engine_placing", "fleet_port", "placing_home", "store_reading")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -78,7 +86,10 @@
         limit_s = route.timeout_s
         if request.time_left_s is not None:
             limit_s = min(limit_s, request.time_left_s)
-        task = Task(request, route, service, account, began_s, began_s + limit_s)
+        zones = self._zones(route, account)
+        if self._port.runners.is_barred(service.name, zones):
+            raise barred()
+        task = Task(request, route, service, account, began_s, began_s + limit_s, zones)
         self._refuse_while_leaving(task)
         self.tools.budget.requested(trio.current_time(), service.name)
         return task
@@ -109,6 +120,14 @@
             )
         return service
 
+    def _zones(self, route: Route, account: ClientAccount | None) -> frozenset[ZoneName] | None:
+        """Give the availability zones whose runners alone may run a request; None if all may."""
+        homes = common_homes(route, account)
+        if homes is None:
+            return None
+        regions = self._node.region_by_zone.items()
+        return frozenset(zone for zone, region in regions if region in homes)
+
     def _refuse_while_leaving(self, task: Task) -> None:
         if self._leaving_since_s is None or task.route.kind is not RouteKind.STREAM:
             return
--- a/egretstack/services/runner_returns.py
+++ b/egretstack/services/runner_returns.py
@@ -42,7 +42,8 @@
             await trio.sleep(LOOK_S)
             if not self._port.is_home():
                 continue
-            returned = self._port.runners.returned()
+            evacuated = self._port.runners.evacuated
+            returned = [one for one in self._port.runners.returned() if one.zone not in evacuated]
             self._told_not_back &= {runner.id for runner in returned}
             async with trio.open_nursery() as nursery:
                 for runner in returned:
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -84,7 +84,12 @@
             task_status.started()
 
     def is_informed(self) -> bool:
-        """Tell whether there is a configuration and a list of runners to work by."""
+        """Tell whether there is a configuration and a list of runners to work by.
+
+        And which zones are evacuated: an instance that starts meanwhile would send requests there.
+        """
+        if self._node.bounds.evacuate_s is not None and not self._port.evacuations.is_known:
+            return False
         return self.gate.table is not None and bool(self._port.runners.by_id)
 
     def service(self, service: ServiceName) -> ServicePlan | None:
--- a/standins/platform/_operator.py
+++ b/standins/platform/_operator.py
@@ -56,8 +56,13 @@
     return row | more
 
 
-def configuration(version: int, routes: list[dict], keys: tuple[str, ...]) -> dict:
-    """Give a configuration as the operator writes it."""
+def configuration(
+    version: int,
+    routes: list[dict],
+    keys: tuple[str, ...],
+    **account: object,
+) -> dict:
+    """Give a configuration as the operator writes it, with more about the account if need be."""
     engine = {
         "slots": 24,
         "kv-capacity-tokens": 34_000,
@@ -81,19 +86,24 @@
             "header-timeout-ms": 500,
             "idle-timeout-ms": 15_000,
         },
-        "tenants": [{"name": ACCOUNT, "api-keys": list(keys), "priority": 1}],
+        "tenants": [{"name": ACCOUNT, "api-keys": list(keys), "priority": 1} | account],
     }
 
 
 def runner_spec(
-    service: str, address: str, state: str = "ready", born_ms: int | None = None
+    service: str,
+    address: str,
+    state: str = "ready",
+    born_ms: int | None = None,
+    *,
+    zone: str = "leon-a",
 ) -> dict:
     """Give a runner's entry as the runner writes it."""
     birth = {} if born_ms is None else {"born": born_ms}
     return birth | {
         "service": service,
         "address": address,
-        "zone": "leon-a",
+        "zone": zone,
         "version": "v1",
         "slots": 24,
         "state": state,
--- a/tests/fleet_fixtures.py
+++ b/tests/fleet_fixtures.py
@@ -71,8 +71,9 @@
     prompt_id="",
     excluded=(),
     account="",
+    zones=None,
 ):
     """Give a generation that wants an engine."""
     names = tuple(RunnerId(one) for one in excluded)
-    terms = (patience_s, wait_s, prompt_id, names, account)
+    terms = (patience_s, wait_s, prompt_id, names, account, zones)
     return Work(attempt, ENGINES, prompt, most, hint, rank, *terms)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -4,11 +4,12 @@
 import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from itertools import cycle
 
 import trio
 
 from egretstack.http1 import RequestHead, ResponseHead, connect_upstream, exchange
-from egretstack.ids import InstanceId, ZoneName
+from egretstack.ids import InstanceId, RegionName, ZoneName
 from egretstack.kernel import Kernel, load_services
 from egretstack.platform import Bounds, NodeSettings
 from egretstack.programs.platform_entry import SERVICES
@@ -35,7 +36,13 @@
     retry_ratio=0.2,
     retry_window_s=10,
     retry_slack=50,
+    evacuate_s=3,
 )
+REGION_BY_ZONE = {
+    ZoneName("leon-a"): RegionName("bajio"),
+    ZoneName("leon-b"): RegionName("bajio"),
+    ZoneName("colima"): RegionName("pacifico"),
+}
 
 
 @dataclass
@@ -48,6 +55,8 @@
     engines: list[EngineStandIn] = field(default_factory=list)
     kernels: list[Kernel] = field(default_factory=list)
     routes: list[dict] = field(default_factory=list)
+    homes: tuple[str, ...] = ()
+    """Regions to which the client account is bound."""
     version: int = 0
     scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
     """Ends an entry at once, as a kill does."""
@@ -56,14 +65,29 @@
         """Give the settings of an entry."""
         return self.kernels[number].settings
 
-    def register(self, runner_id: str, service: str, address: str, state: str = "ready") -> None:
+    def register(
+        self, runner_id: str, service: str, address: str, state: str = "ready", **more
+    ) -> None:
         """Write a runner's entry, as the runner does."""
-        self.store.put("servers", runner_id, runner_spec(service, address, state))
+        self.store.put("servers", runner_id, runner_spec(service, address, state, **more))
+
+    def spread(self, *zones: str) -> None:
+        """Write the runners' entries anew, of each service one in each of these zones in turn."""
+        for service, runners in (("desk", self.plain), ("llm", self.engines)):
+            for one, zone in zip(runners, cycle(zones), strict=False):
+                self.register(one.runner_id, service, one.address, zone=zone)
+
+    def evacuate(self, *zones: str) -> None:
+        """Evacuate zones, as the operator does."""
+        for zone in zones:
+            self.store.put("evacuations", zone, {})
 
     def configure(self, *, keys: tuple[str, ...] = (KEY,)) -> int:
         """Write the next version of the configuration."""
         self.version += 1
-        self.store.put("config", "main", configuration(self.version, self.routes, keys))
+        account = {"allowed-regions": list(self.homes)} if self.homes else {}
+        spec = configuration(self.version, self.routes, keys, **account)
+        self.store.put("config", "main", spec)
         return self.version
 
     async def until(self, condition) -> None:
@@ -121,7 +145,8 @@
     return NodeSettings(
         instance=InstanceId(f"entry-{number}"),
         zone=ZoneName("leon-a"),
-        region="bajio",
+        region=RegionName("bajio"),
+        region_by_zone=REGION_BY_ZONE,
         ip=ip,
         front_address=f"{ip}:8740",
         ready_address=f"{ip}:8749",
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -59,6 +59,8 @@
         rows=b"",
         runners_revision=900,
         runners_age_ms=40,
+        evacuations_revision=900,
+        evacuations_age_ms=40,
         config_version=3,
         config_holders=[f"edge-guanajuato-c-{number}" for number in range(8)],
     )
@@ -391,9 +393,9 @@
         rows = [[[1, "rx", [1, 2]]], [[1, "ix", []]], [[1, "r", [*runner_row(runner("a")), "x"]]]]
         for number, changes in enumerate(rows):
             packed = zlib.compress(msgpack.packb(changes))
-            news = FleetNews(row, 50 + number, 0, 0, 0, 1, 1, packed, 1, 0, 1, [3])
+            news = FleetNews(row, 50 + number, 0, 0, 0, 1, 1, packed, 1, 0, 1, 0, 1, [3])
             port.send(port.fleet.own.instance.peer_address, news)
-        bad = FleetNews(row, 60, 0, 0, 5, 1, 0, b"", 1, 0, 1, [])
+        bad = FleetNews(row, 60, 0, 0, 5, 1, 0, b"", 1, 0, 1, 0, 1, [])
         port.send(port.fleet.own.instance.peer_address, bad)
         await trio.sleep(0.1)
         head, _ = await site.call("/notes/1", "r-1")
--- /dev/null
+++ b/tests/test_homes.py
@@ -0,0 +1,133 @@
+"""Routes and client accounts that are bound to regions: where they run, and whom callers ask.
+
+Two regions, three availability zones.
+"""
+
+from egretstack.fleet import Instance, nearest
+from egretstack.ids import InstanceId, RegionName, ZoneName
+from egretstack.placing import work_of, work_row
+from egretstack.platform import BadBody, decode_configuration
+from egretstack.routing import common_homes
+from egretstack.services.directory_port import DirectoryPort
+from egretstack.services.fleet_port import FleetPort
+from egretstack.services.store_reading import StoreReading
+from standins.platform import GENERATION, HOST, configuration, route
+from tests.fleet_fixtures import work
+from tests.platform_site import REGION_BY_ZONE, platform_site
+from tests.stream_reader import read
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+BAJIO, PACIFICO = RegionName("bajio"), RegionName("pacifico")
+COLIMA = ZoneName("colima")
+
+
+def decoded(regions, account_regions=None):
+    row = route("notes", "idempotent", "desk", **{"allowed-regions": regions})
+    account = {} if account_regions is None else {"allowed-regions": account_regions}
+    table = decode_configuration(configuration(1, [row], ("k",), **account))
+    (only,) = table.account_by_key_digest.values()
+    return table.routes[0], only
+
+
+async def bind(site, *homes, **homes_by_route):
+    """Bind the account, and routes by name, to regions; wait until all entries know."""
+    site.homes = homes
+    for row in site.routes:
+        row["allowed-regions"] = homes_by_route.get(row["name"], [])
+    version = site.configure()
+    site.spread("leon-a", "colima")
+    await site.until(
+        lambda: all(
+            one.get(StoreReading).gate.version == version
+            and any(it.zone == COLIMA for it in one.get(FleetPort).runners.by_id.values())
+            for one in site.kernels
+        )
+    )
+
+
+def test_where_route_and_account_are_bound_both_bind():
+    check.assertEqual(common_homes(*decoded(["bajio", "pacifico"], ["pacifico"])), {PACIFICO})
+    check.assertEqual(common_homes(*decoded(["bajio"], ["pacifico"])), frozenset())
+    check.assertEqual(common_homes(*decoded([], ["pacifico"])), {PACIFICO})
+    check.assertIsNone(common_homes(*decoded([])))
+    check.assertEqual(common_homes(decoded(["bajio"])[0], None), {BAJIO})
+
+
+def test_regions_that_no_operator_writes_are_refused():
+    for bad in ("bajio", [1], [""], ["x" * 500], ["r"] * 65, {"a": 1}, -1):
+        check.assertRaises(BadBody, decoded, bad)
+        check.assertRaises(BadBody, decoded, [], bad)
+
+
+def test_the_zones_of_a_generation_go_with_it_to_the_home():
+    for zones in (None, frozenset(), frozenset({COLIMA})):
+        one = work("w", zones=zones)
+        check.assertEqual(work_of(work_row(one)), one)
+
+
+@on_real_clock
+async def test_calls_run_in_the_regions_of_their_route_and_account_alone():
+    # The account may run in one region; the runner of the other one is as near and as idle.
+    async with platform_site(plain=2) as site:
+        await bind(site, "pacifico")
+        for number in range(10):
+            head, _ = await site.call("/notes/1", f"r-{number}")
+            check.assertEqual(head.status, 200)
+        check.assertEqual(sum(site.plain[0].runs_by_attempt.values()), 0)
+
+
+@on_real_clock
+async def test_generations_run_and_are_copied_in_their_regions_alone():
+    async with platform_site(plain=1, engines=4) as site:
+        await bind(site, plans=["bajio"])
+        for number in range(4):
+            reader = await read(site, f"s-{number}")
+            await reader.ended.wait()
+            check.assertEqual(reader.status, 200)
+        for engine in site.engines[1::2]:
+            check.assertFalse(engine.heads or engine.continued)
+        addresses = {engine.address.encode() for engine in site.engines[1::2]}
+        for engine in site.engines[::2]:
+            copies = {value for head in engine.heads for name, value in head.headers if value}
+            check.assertFalse(copies & addresses)
+
+
+@on_real_clock
+async def test_what_no_region_may_run_is_refused_at_once():
+    # The route may run in one region and the account in another one: no runner may run it.
+    async with platform_site(plain=2, engines=2) as site:
+        await bind(site, "pacifico", notes=["bajio"], plans=["bajio"])
+        for path, headers in (("/notes/1", ()), ("/plans/1", GENERATION)):
+            head, _ = await site.call(path, f"a{path}", method=b"POST", headers=headers)
+            check.assertEqual(head.status, 503)
+            check.assertIn(b"retry-after", dict(head.headers))
+        for one in (*site.plain, *site.engines):
+            check.assertEqual(sum(one.runs_by_attempt.values()), 0)
+
+
+def test_callers_are_sent_to_their_own_region_then_to_where_their_requests_may_run():
+    # The directory names other regions only while none of these has an instance that is ready.
+    zones = ("leon-a", "leon-b", "colima")
+    instances = [Instance(InstanceId(zone), ZoneName(zone), "", "") for zone in zones]
+
+    def named(region, homes=(), ready=instances):
+        return [one.id for one in nearest(ready, REGION_BY_ZONE, RegionName(region), homes)]
+
+    check.assertEqual(named("bajio", {PACIFICO}), ["leon-a", "leon-b"])
+    check.assertEqual(named("pacifico"), ["colima"])
+    check.assertEqual(named("norte", {PACIFICO}), ["colima"])
+    check.assertEqual(named("", {PACIFICO}), ["colima"])
+    check.assertEqual(named("norte"), list(zones))
+    check.assertEqual(named("pacifico", {PACIFICO}, instances[:2]), ["leon-a", "leon-b"])
+
+
+@on_real_clock
+async def test_the_directory_answers_callers_of_any_region():
+    async with platform_site(entries=2) as site:
+        await bind(site, notes=["bajio"])
+        both = {site.settings(number).front_address for number in range(2)}
+        port = site.kernels[0].get(DirectoryPort)
+        for region in (BAJIO, PACIFICO, RegionName("")):
+            check.assertEqual(set(port.ready_addresses(region, HOST)), both)
--- a/tests/test_platform_streams.py
+++ b/tests/test_platform_streams.py
@@ -2,10 +2,11 @@
 
 import trio
 
+from egretstack.ids import RegionName
 from egretstack.services.directory_port import DirectoryPort
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
-from standins.platform import GENERATION, EngineFault, route, runner_spec
+from standins.platform import GENERATION, HOST, EngineFault, route, runner_spec
 from tests.platform_site import platform_site
 from tests.stream_reader import Reader, read
 from tests.support import check, on_real_clock, tests_of
@@ -231,4 +232,4 @@
 
 
 def _ready(site, number):
-    return set(site.kernels[number].get(DirectoryPort).ready_addresses())
+    return set(site.kernels[number].get(DirectoryPort).ready_addresses(RegionName("bajio"), HOST))
