Cold runners get a bounded rate, over the whole fleet

Cause: `cold-per-s`, `cold-start-s`, the bounds of it and the health answer's word were read nowhere. The bound is summed over all instances, also those that are cut off from the home and each other.

The home counts what it places, up to what the runner bears times the share of the fleet that it hears; each instance has a share of the rest of the bound for what it places alone, and of the whole for plain runners. With more instances than requests a hash says who may send one. A zone that is back is taken to be cold for a start, since its entries say so at the next heartbeat only.

Ruled out: an equal share for every instance always (74 instances, 27 a second: less than one each); leases of a rate (another protocol, and a cut lender has to be waited out).

--- a/egretstack/fleet/_runner_table.py
+++ b/egretstack/fleet/_runner_table.py
@@ -51,6 +51,10 @@
         """Missing runners that are listed as ready again."""
         self._grace_until_s = float("-inf")
         self._removed_s_by_id: dict[RunnerId, float] = {}
+        self._cold_until_s_by_id: dict[RunnerId, float] = {}
+        """By the runner's own word."""
+        self._back_s_by_zone: dict[ZoneName, float] = {}
+        """When the evacuation of a zone was taken back."""
 
     def take(
         self,
@@ -74,6 +78,7 @@
         self.revision = revision
         self.read_s = max(self.read_s, read_s)
         runners = list(runners)
+        self._note_cold(now_s, runners)
         stopped = [gone for runner in runners if (gone := self._note_start(runner)) is not None]
         listed = self._listed(runners)
         if by_home:
@@ -172,10 +177,32 @@
         allowed = [zone for zone in ready if zones is None or zone in zones]
         return bool(ready) and all(zone in self.evacuated for zone in allowed)
 
-    def evacuate(self, zones: frozenset[ZoneName]) -> None:
+    def evacuate(self, now_s: float, zones: frozenset[ZoneName]) -> None:
         """Take it that these zones are evacuated now, and no others."""
+        for zone in self.evacuated - zones:
+            self._back_s_by_zone[zone] = now_s
         self.evacuated = zones
 
+    def is_cold(self, now_s: float, runner_id: RunnerId, start_s: float) -> bool:
+        """Tell whether a runner is cold; `start_s` is how long its service's runners are.
+
+        Those of a zone whose evacuation was taken back may have become cold a moment before. Their
+        entries tell it at their next heartbeat; until then they are taken to be cold.
+        """
+        runner = self.by_id.get(runner_id)
+        if runner is None:
+            return False
+        until_s = self._cold_until_s_by_id.get(runner_id, now_s)
+        back_s = self._back_s_by_zone.get(runner.zone, float("-inf"))
+        return now_s < max(until_s, back_s + start_s)
+
+    def became_cold(self, now_s: float, runner_id: RunnerId, cold_s: float) -> None:
+        """Take a runner's own word of how much longer it is cold."""
+        runner = self.by_id.get(runner_id)
+        if runner is not None and cold_s > 0:
+            self.by_id[runner_id] = replace(runner, cold_s=cold_s)
+            self._cold_until_s_by_id[runner_id] = now_s + cold_s
+
     def is_gone(self, runner_id: RunnerId) -> bool:
         """Tell whether a runner has surely ended, since a later start goes by its name."""
         runner = self.by_id.get(runner_id)
@@ -185,6 +212,13 @@
         """Give how old the last reading is."""
         return now_s - self.read_s
 
+    def _note_cold(self, now_s: float, runners: Iterable[Runner]) -> None:
+        """Note how long runners stay cold, when their entries say something new of it."""
+        for runner in runners:
+            known = self.by_id.get(runner.id)
+            if runner.cold_s > 0 and (known is None or known.cold_s != runner.cold_s):
+                self._cold_until_s_by_id[runner.id] = now_s + runner.cold_s
+
     def _note_start(self, runner: Runner) -> Runner | None:
         """Take the latest start of a runner for the only one; give the one that thereby ended."""
         name = runner.incarnation.name
@@ -312,5 +346,6 @@
         del self._removed_s_by_id[runner.id]
         self._missing_at_by_id.pop(runner.id, None)
         self._stopped_s_by_id.pop(runner.id, None)
+        self._cold_until_s_by_id.pop(runner.id, None)
         if self._latest_by_name.get(runner.incarnation.name) == runner.incarnation:
             del self._latest_by_name[runner.incarnation.name]
--- a/egretstack/placing/__init__.py
+++ b/egretstack/placing/__init__.py
@@ -1,6 +1,7 @@
 """Where generations and calls run: decisions without I/O, with the time passed in."""
 
 from egretstack.placing._balancer import PlainBalancer
+from egretstack.placing._cold_ration import ColdPart, ColdRation
 from egretstack.placing._lengths import LengthForecast
 from egretstack.placing._links import CopyLinks, copy_time_s
 from egretstack.placing._loads import EngineLoad
@@ -18,6 +19,8 @@
 
 __all__ = [
     "AnswerCount",
+    "ColdPart",
+    "ColdRation",
     "CopyLinks",
     "EngineLoad",
     "FleetStrikes",
--- a/egretstack/placing/_placer.py
+++ b/egretstack/placing/_placer.py
@@ -11,6 +11,7 @@
 from egretstack.fleet import Runner, RunnerTable
 from egretstack.ids import InstanceId, RunnerId
 from egretstack.placing._book import GROWTH_TOKENS, Loads, RunBook
+from egretstack.placing._cold_ration import ColdPart, ColdRation
 from egretstack.placing._copies import FULL_SHARE, SHORT_TOKENS, CopyPlanner
 from egretstack.placing._loads import EngineLoad
 from egretstack.placing._run import Placement, Run, Work
@@ -56,9 +57,13 @@
 class Placer:
     """The choice of engines, over the book of runs."""
 
-    def __init__(self, runners: RunnerTable, rng: random.Random) -> None:
+    def __init__(
+        self, runners: RunnerTable, rng: random.Random, cold: ColdRation | None = None
+    ) -> None:
         self.book = RunBook(runners)
         self._runners = runners
+        self._cold = cold
+        """Bounds what cold engines get; None if nothing does."""
         self._rng = rng
         self._copies = CopyPlanner(self.book, runners, rng)
         self._waiting = WaitList()
@@ -71,7 +76,8 @@
         if before is not None:
             return before
         loads = self.book.loads(now_s, whole=whole)
-        return self._place(now_s, work, engine, work.patience_s, loads, FULL_SHARE)
+        part = ColdPart.HOME if whole else ColdPart.ALONE
+        return self._place(now_s, work, engine, work.patience_s, loads, FULL_SHARE, part)
 
     def wait(self, now_s: float, work: Work, engine: EnginePlan) -> None:
         """Let a work wait for room; `settle` tells when it has some."""
@@ -122,6 +128,8 @@
         """Forget what instances ran that are not among the living."""
         self.book.gone(live)
         self._copies.forget_gone()
+        if self._cold is not None:
+            self._cold.forget_gone()
 
     def move_run(
         self, now_s: float, attempt: str, runner_id: RunnerId, engine: EnginePlan
@@ -131,6 +139,7 @@
         runner = self._runners.by_id.get(runner_id)
         if run is None or runner is None:
             return None
+        self._note_sent(now_s, runner_id)
         run.runner, run.backup = runner_id, None
         loads = self.book.loads(now_s, whole=True)
         run.backup = self._copies.backup(now_s, run.work, engine, runner, loads)
@@ -169,12 +178,14 @@
         patience_s: float,
         loads: Loads,
         full_share: float,
+        part: ColdPart = ColdPart.HOME,
     ) -> Placement | PlaceRefused:
         room = full_share * engine.kv_capacity_tokens
         fitting = [
             runner
             for runner in self._candidates(work, loads)
             if self._fits(now_s, work, engine, patience_s, runner, loads[runner.id], room)
+            and (self._cold is None or self._cold.allows(now_s, runner, part))
         ]
         if not fitting:
             return PlaceRefused(RETRY_LEAST_S)
@@ -182,8 +193,13 @@
         backup = self._copies.backup(now_s, work, engine, chosen, loads)
         placement = Placement(chosen.id, backup)
         self.book.place(now_s, work, placement, loads)
+        self._note_sent(now_s, chosen.id)
         return placement
 
+    def _note_sent(self, now_s: float, runner_id: RunnerId) -> None:
+        if self._cold is not None:
+            self._cold.sent(now_s, runner_id)
+
     def _candidates(self, work: Work, loads: Loads) -> list[Runner]:
         """Give the engines to choose from; a suspected one only if there is no other."""
         ready = [
--- a/egretstack/platform/__init__.py
+++ b/egretstack/platform/__init__.py
@@ -26,11 +26,11 @@
     client_head,
     free_copy_request,
     health_request,
-    healthy_runner,
     move_answer,
     move_request,
     report_request,
     runner_answer,
+    runner_health,
     runner_report,
     runner_request,
 )
@@ -78,7 +78,6 @@
     "directory_answer",
     "free_copy_request",
     "health_request",
-    "healthy_runner",
     "is_address",
     "is_directory_question",
     "is_ready_question",
@@ -90,6 +89,7 @@
     "read_node_settings",
     "report_request",
     "runner_answer",
+    "runner_health",
     "runner_report",
     "runner_request",
 ]
--- a/egretstack/platform/_configuration.py
+++ b/egretstack/platform/_configuration.py
@@ -19,6 +19,7 @@
 )
 from egretstack.routing import (
     ClientAccount,
+    ColdPlan,
     EnginePlan,
     Route,
     RouteKind,
@@ -38,6 +39,8 @@
 
 
 MAX_REGIONS = 64
+MOST_COLD_START_S = 3_600.0
+MOST_COLD_PER_S = 1e6
 _MOST_NAME = 256
 MAX_FILE_BYTES = 4_194_304
 """Four times the largest object that a store takes."""
@@ -141,9 +144,25 @@
         health_path=text(row, "health-path", "/health"),
         max_connections=whole(row, "max-conns", 64),
         engine=_engine(engine) if isinstance(engine, dict) else None,
+        cold=_cold(row),
     )
 
 
+def _cold(row: Body) -> ColdPlan:
+    return ColdPlan(
+        start_s=_within(row, "cold-start-s", MOST_COLD_START_S),
+        requests_per_s=_within(row, "cold-per-s", MOST_COLD_PER_S),
+    )
+
+
+def _within(row: Body, name: str, most: float) -> float:
+    """Give a number from 0 to `most`, 0 if it is not there. Raises BadBody."""
+    value = number(row, name, 0)
+    if not 0 <= value <= most:
+        raise BadBody(f"{name} is not a number from 0 to {most:g}")
+    return value
+
+
 def _engine(row: Body) -> EnginePlan:
     return EnginePlan(
         batch_slots=whole(row, "slots"),
--- a/egretstack/platform/_node_settings.py
+++ b/egretstack/platform/_node_settings.py
@@ -36,6 +36,10 @@
     evacuate_s: float | None = None
     """From an accepted evacuation of a zone to the last request that may reach a runner there; None
     where operators evacuate none."""
+    cold_overage: float | None = None
+    """How many times what a cold runner bears in a second may reach it; None if nothing binds."""
+    cold_slack: float = 0.0
+    """Requests that may reach it in a second beyond that."""
 
 
 @dataclass(frozen=True)
@@ -123,6 +127,8 @@
             retry_window_s=self._number("bounds.budget-window-s", 10),
             retry_slack=self._number("bounds.budget-slack", 10),
             evacuate_s=self._seconds("bounds.evacuate-ms"),
+            cold_overage=self._number("bounds.cold-overage", 0) or None,
+            cold_slack=self._number("bounds.cold-slack", 0),
         )
 
     def _text(self, name: str) -> str:
--- a/egretstack/platform/_runner_wire.py
+++ b/egretstack/platform/_runner_wire.py
@@ -16,12 +16,13 @@
 )
 from egretstack.ids import RunnerName
 from egretstack.platform._bodies import Body, number, parse_object, text, whole
-from egretstack.platform._runners import birth
+from egretstack.platform._runners import MOST_COLD_MS, birth
 from egretstack.traffic import (
     ClientRequest,
     MoveAnswer,
     MoveOutcome,
     RunnerAnswer,
+    RunnerHealth,
     RunnerLoad,
     RunnerReport,
     RunReport,
@@ -37,6 +38,7 @@
 _NOT_EXECUTED = b"not-executed"
 _RUNNER_ID = b"runner-id"
 _LOAD = b"runner-load"
+_COLD_MS = b"cold-ms"
 _DEADLINE_MS = b"deadline-ms"
 _LAST_EVENT_ID = b"last-event-id"
 
@@ -61,10 +63,11 @@
 )
 """Headers that only the system may set towards a runner, and the account's key."""
 
-_FROM_RUNNER_ONLY = frozenset({_RUNNER_ID, _LOAD, _NOT_EXECUTED})
+_FROM_RUNNER_ONLY = frozenset({_RUNNER_ID, _LOAD, _NOT_EXECUTED, _COLD_MS})
 """Headers of an answer that are between the runner and the system."""
 
 _MOST_PRIORITY = 9
+_MOST_DIGITS = 12
 _MISDIRECTED = 421
 
 
@@ -151,10 +154,16 @@
     return RequestHead(b"GET", path.encode(), ((b"host", address.encode()),))
 
 
-def healthy_runner(head: ResponseHead) -> RunnerName | None:
-    """Give which runner says that it is healthy and stays; None if it does not."""
+def runner_health(head: ResponseHead) -> RunnerHealth | None:
+    """Decode what a runner says that is healthy and stays; None if it does not say so."""
     name = first_value(head.headers, _RUNNER_ID)
-    return RunnerName(name.decode("latin-1")) if head.status == 200 and name else None
+    if head.status != 200 or not name:
+        return None
+    cold_ms = first_value(head.headers, _COLD_MS) or b""
+    is_cold = cold_ms.isdigit() and int(cold_ms[:_MOST_DIGITS]) <= MOST_COLD_MS
+    return RunnerHealth(
+        RunnerName(name.decode("latin-1")), int(cold_ms[:_MOST_DIGITS]) / 1000 if is_cold else 0.0
+    )
 
 
 def _runs(row: Body) -> tuple[RunReport, ...]:
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -21,6 +21,7 @@
     exchange,
 )
 from egretstack.ids import RunnerId
+from egretstack.placing import ColdPart
 from egretstack.platform import client_head, runner_answer, runner_request
 from egretstack.relay._knowledge import RequestFailed, RunKnowledge
 from egretstack.relay._tools import CONNECT_TIMEOUT_S, RelayTools, Task
@@ -104,6 +105,7 @@
             for runner in ready
             if runner.id not in progress.excluded
             and (task.zones is None or runner.zone in task.zones)
+            and self._tools.cold.allows(now_s, runner, ColdPart.PLAIN)
         ]
         return self._tools.balancer.choose(
             now_s,
@@ -147,6 +149,7 @@
         if progress.sends > 1:
             self._tools.budget.repeated(trio.current_time(), task.service.name)
         self._tools.balancer.sent(runner.id)
+        self._tools.cold.sent(trio.current_time(), runner.id)
         try:
             return await self._exchange(task, runner, connection, progress)
         except BaseException:
--- a/egretstack/relay/_tools.py
+++ b/egretstack/relay/_tools.py
@@ -9,7 +9,7 @@
 from egretstack.fleet import Runner, RunnerTable
 from egretstack.http1 import ConnectionPool
 from egretstack.ids import RunnerId, ZoneName
-from egretstack.placing import Placement, PlainBalancer, Run, Work
+from egretstack.placing import ColdRation, Placement, PlainBalancer, Run, Work
 from egretstack.relay._budget import RetryBudget
 from egretstack.routing import ClientAccount, EnginePlan, Route, ServicePlan
 from egretstack.traffic import ClientRequest, SendTerms
@@ -71,6 +71,7 @@
     placing: EnginePlacing
     budget: RetryBudget
     pool: ConnectionPool
+    cold: ColdRation
     on_break: Callable[[], None] = lambda: None
     """Told when a runner broke what it was sent."""
 
--- a/egretstack/routing/__init__.py
+++ b/egretstack/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from egretstack.routing._model import (
     ClientAccount,
+    ColdPlan,
     EnginePlan,
     Route,
     RouteKind,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "ClientAccount",
+    "ColdPlan",
     "EnginePlan",
     "Route",
     "RouteKind",
--- a/egretstack/routing/_model.py
+++ b/egretstack/routing/_model.py
@@ -65,6 +65,16 @@
     """How long an engine keeps a copied run that nobody continues."""
 
 
+@dataclass(frozen=True, slots=True)
+class ColdPlan:
+    """How runners that are cold have to be treated."""
+
+    start_s: float
+    """How long a runner is cold after it has started."""
+    requests_per_s: float
+    """What a cold one bears; 0 if it bears what a warm one does."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServicePlan:
     """One service behind the routes; `engine` is None for a plain service."""
@@ -73,6 +83,7 @@
     health_path: str
     max_connections: int
     engine: EnginePlan | None
+    cold: ColdPlan = ColdPlan(0.0, 0.0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -256,7 +256,7 @@
         if change is None:
             return
         now_s = trio.current_time()
-        self.runners.evacuate(self.evacuations.zones)
+        self.runners.evacuate(now_s, self.evacuations.zones)
         age_ms = round(self.evacuations.age_s(now_s) * 1000)
         for zone in sorted(change.begun):
             log(Event.ZONE_EVACUATED, zone=zone, revision=revision, age_ms=age_ms)
--- a/egretstack/services/placing_home.py
+++ b/egretstack/services/placing_home.py
@@ -21,10 +21,21 @@
     PlaceDrop,
     runner_row,
 )
-from egretstack.ids import InstanceId, RunnerId
+from egretstack.ids import InstanceId, RunnerId, ServiceName
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import Message
-from egretstack.placing import MoveTurns, Placement, Placer, Run, run_of, run_row, work_of
+from egretstack.placing import (
+    ColdRation,
+    MoveTurns,
+    Placement,
+    Placer,
+    Run,
+    run_of,
+    run_row,
+    work_of,
+)
+from egretstack.platform import NodeSettings
+from egretstack.routing import ColdPlan
 from egretstack.services.engine_reports import EngineReports
 from egretstack.services.fleet_news import FleetNewsService
 from egretstack.services.fleet_port import IDLE_LOOK_S, FleetPort
@@ -45,7 +56,10 @@
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
         self._store = kernel.get(StoreReading)
-        self.placer = Placer(self._port.runners, kernel.rng)
+        settings: NodeSettings = kernel.settings
+        self.cold = ColdRation(settings.instance, self._port.runners, settings.bounds)
+        self.cold.plan = self._cold_plan
+        self.placer = Placer(self._port.runners, kernel.rng, self.cold)
         self.own_runs: Callable[[], list[Run]] = list
         """Gives the runs of this instance."""
         self.answer_here: Callable[[Message], None] = lambda message: None
@@ -73,6 +87,10 @@
             else:
                 await trio.sleep(IDLE_LOOK_S)
 
+    def _cold_plan(self, service: ServiceName) -> ColdPlan | None:
+        plan = self._store.service(service)
+        return None if plan is None else plan.cold
+
     def ask(self, message: Message) -> None:
         """Take a question of any instance, this one too; what can't be answered is left alone."""
         if isinstance(message, PlaceAsk):
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -21,6 +21,7 @@
 )
 from egretstack.services.engine_placing import EnginePlacingService
 from egretstack.services.fleet_port import FleetPort
+from egretstack.services.placing_home import PlacingHome
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import ClientRequest
 
@@ -55,6 +56,7 @@
             placing=kernel.get(EnginePlacingService),
             budget=RetryBudget(node.bounds),
             pool=ConnectionPool(),
+            cold=kernel.get(PlacingHome).cold,
         )
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
@@ -66,11 +68,18 @@
         try:
             while True:
                 now_s = trio.current_time()
-                self.tools.budget.instances = max(1, len(self._port.fleet.known()) + 1)
+                self._count_instances(now_s)
                 await trio.sleep_until(now_s + INSTANCES_LOOK_S)
         finally:
             self.tools.pool.close()
 
+    def _count_instances(self, now_s: float) -> None:
+        """Bring up to date among how many instances what the fleet may do is split."""
+        others = self._port.fleet.known()
+        self.tools.budget.instances = len(others) + 1
+        self.tools.cold.others = tuple(one.id for one in others)
+        self.tools.cold.heard = len(self._port.fleet.live(now_s)) - 1
+
     def leave(self) -> None:
         """Take no new work that could not end before the process has to."""
         self._leaving_since_s = trio.current_time()
--- a/egretstack/services/runner_returns.py
+++ b/egretstack/services/runner_returns.py
@@ -11,11 +11,12 @@
 from egretstack.events import Event, log
 from egretstack.fleet import Runner
 from egretstack.http1 import ConnectFailed, UpstreamBroken, connect_upstream, exchange
-from egretstack.ids import RunnerId, RunnerName
+from egretstack.ids import RunnerId
 from egretstack.kernel import Kernel, Service
-from egretstack.platform import health_request, healthy_runner
+from egretstack.platform import health_request, runner_health
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
+from egretstack.traffic import RunnerHealth
 
 LOOK_S = 0.5
 """How often returned runners are asked; they are few, and each question takes a slot of theirs."""
@@ -53,15 +54,17 @@
         plan = self._store.service(runner.service)
         if plan is None:
             return
-        said = await self._healthy(runner, plan.health_path)
+        health = await self._health(runner, plan.health_path)
+        said = None if health is None else health.name
         if said == runner.incarnation.name:
+            self._port.runners.became_cold(trio.current_time(), runner.id, health.cold_s)
             self._port.runner_back(runner.id)
         elif runner.id not in self._told_not_back:
             self._told_not_back.add(runner.id)
             log(Event.RUNNER_NOT_BACK, runner=runner.id, answered=said)
 
-    async def _healthy(self, runner: Runner, path: str) -> RunnerName | None:
-        """Give who answers at a runner's address that it is healthy; None if nobody does."""
+    async def _health(self, runner: Runner, path: str) -> RunnerHealth | None:
+        """Give what a healthy runner at a runner's address says; None if none answers."""
         try:
             connection = await connect_upstream(runner.address, TIMEOUT_S)
         except ConnectFailed:
@@ -70,7 +73,7 @@
             with trio.move_on_after(TIMEOUT_S):
                 question = health_request(runner.address, path)
                 head, _ = await exchange(connection, question, b"", MOST_ANSWER_BYTES)
-                return healthy_runner(head)
+                return runner_health(head)
         except UpstreamBroken as error:
             log(Event.UPSTREAM_BROKEN, request="", runner=runner.id, error=repr(error))
         finally:
--- a/egretstack/services/settings_file.py
+++ b/egretstack/services/settings_file.py
@@ -59,4 +59,5 @@
         changed = settings != self.kernel.settings
         log(Event.SETTINGS_READ_AGAIN, changed=changed)
         self.kernel.settings = settings
-        self.kernel.get(Relaying).tools.budget.bounds = settings.bounds
+        tools = self.kernel.get(Relaying).tools
+        tools.budget.bounds = tools.cold.bounds = settings.bounds
--- a/egretstack/traffic/__init__.py
+++ b/egretstack/traffic/__init__.py
@@ -2,7 +2,13 @@
 
 from egretstack.traffic._report import MoveAnswer, MoveOutcome, RunnerReport, RunReport
 from egretstack.traffic._request import ClientRequest, Generation, PromptPart
-from egretstack.traffic._send import ContinueFrom, RunnerAnswer, RunnerLoad, SendTerms
+from egretstack.traffic._send import (
+    ContinueFrom,
+    RunnerAnswer,
+    RunnerHealth,
+    RunnerLoad,
+    SendTerms,
+)
 
 __all__ = [
     "ClientRequest",
@@ -13,6 +19,7 @@
     "PromptPart",
     "RunReport",
     "RunnerAnswer",
+    "RunnerHealth",
     "RunnerLoad",
     "RunnerReport",
     "SendTerms",
--- a/egretstack/traffic/_send.py
+++ b/egretstack/traffic/_send.py
@@ -42,6 +42,15 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class RunnerHealth:
+    """What a healthy runner says of itself."""
+
+    name: RunnerName
+    cold_s: float
+    """How much longer it is cold."""
+
+
 @dataclass(frozen=True)
 class RunnerAnswer:
     """The head of a runner's answer."""
--- a/standins/platform/_operator.py
+++ b/standins/platform/_operator.py
@@ -60,9 +60,12 @@
     version: int,
     routes: list[dict],
     keys: tuple[str, ...],
+    *,
+    cold_per_s: float = 0.0,
     **account: object,
 ) -> dict:
     """Give a configuration as the operator writes it, with more about the account if need be."""
+    cold = {"cold-start-s": 2.0, "cold-per-s": cold_per_s}
     engine = {
         "slots": 24,
         "kv-capacity-tokens": 34_000,
@@ -77,8 +80,8 @@
         "version": version,
         "routes": routes,
         "services": [
-            {"name": "llm", "health-path": "/health", "max-conns": 200, "engine": engine},
-            {"name": "desk", "health-path": "/health", "max-conns": 100},
+            {"name": "llm", "health-path": "/health", "max-conns": 200, "engine": engine} | cold,
+            {"name": "desk", "health-path": "/health", "max-conns": 100} | cold,
         ],
         "limits": {
             "max-header-bytes": 16_384,
@@ -97,6 +100,7 @@
     born_ms: int | None = None,
     *,
     zone: str = "leon-a",
+    cold_ms: int = 0,
 ) -> dict:
     """Give a runner's entry as the runner writes it."""
     birth = {} if born_ms is None else {"born": born_ms}
@@ -107,6 +111,6 @@
         "version": "v1",
         "slots": 24,
         "state": state,
-        "cold-remaining-ms": 0,
+        "cold-remaining-ms": cold_ms,
         "seq-no": 1,
     }
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -37,6 +37,8 @@
     retry_window_s=10,
     retry_slack=50,
     evacuate_s=3,
+    cold_overage=1.5,
+    cold_slack=5,
 )
 REGION_BY_ZONE = {
     ZoneName("leon-a"): RegionName("bajio"),
@@ -55,6 +57,8 @@
     engines: list[EngineStandIn] = field(default_factory=list)
     kernels: list[Kernel] = field(default_factory=list)
     routes: list[dict] = field(default_factory=list)
+    cold_per_s: float = 0.0
+    """What the configuration says that a cold runner bears; 0 for as much as a warm one."""
     homes: tuple[str, ...] = ()
     """Regions to which the client account is bound."""
     version: int = 0
@@ -86,7 +90,7 @@
         """Write the next version of the configuration."""
         self.version += 1
         account = {"allowed-regions": list(self.homes)} if self.homes else {}
-        spec = configuration(self.version, self.routes, keys, **account)
+        spec = configuration(self.version, self.routes, keys, cold_per_s=self.cold_per_s, **account)
         self.store.put("config", "main", spec)
         return self.version
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -79,15 +79,27 @@
 
 def test_runners_of_an_evacuated_zone_get_no_work_and_are_barred_if_there_are_no_others():
     table = table_of("leon-a", "leon-b")
-    table.evacuate(frozenset({LEON_A}))
+    table.evacuate(1.0, frozenset({LEON_A}))
     check.assertEqual([one.zone for one in table.ready(ENGINES)], [LEON_B])
     check.assertFalse(table.is_barred(ENGINES, None))
     check.assertTrue(table.is_barred(ENGINES, {LEON_A}))
-    table.evacuate(frozenset({LEON_A, LEON_B}))
+    table.evacuate(2.0, frozenset({LEON_A, LEON_B}))
     check.assertTrue(table.is_barred(ENGINES, None))
     check.assertFalse(table_of().is_barred(ENGINES, None))
 
 
+def test_runners_of_a_zone_that_is_back_are_taken_to_be_cold_for_a_start():
+    # Their entries tell that they are cold at the next heartbeat only; all work that waits would
+    # go to them before, and they crash.
+    table = table_of("leon-a", "leon-b")
+    cold, warm = (one.id for one in table.by_id.values())
+    table.evacuate(1.0, frozenset({LEON_A}))
+    table.evacuate(2.0, frozenset())
+    check.assertTrue(table.is_cold(2.9, cold, 1.0))
+    check.assertFalse(table.is_cold(3.1, cold, 1.0))
+    check.assertFalse(table.is_cold(2.1, warm, 1.0))
+
+
 @on_real_clock
 async def test_nothing_more_is_sent_to_an_evacuated_zone_until_it_is_taken_back():
     # The operator evacuates a zone. Calls go to the other one from then on, from the instance that
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -59,6 +59,10 @@
     for bad in ("bajio", [1], [""], ["x" * 500], ["r"] * 65, {"a": 1}, -1):
         check.assertRaises(BadBody, decoded, bad)
         check.assertRaises(BadBody, decoded, [], bad)
+    for field, bad in (("cold-per-s", -1), ("cold-per-s", "9"), ("cold-start-s", 1e9)):
+        spec = configuration(1, [], ("k",))
+        spec["services"][0][field] = bad
+        check.assertRaises(BadBody, decode_configuration, spec)
 
 
 def test_the_zones_of_a_generation_go_with_it_to_the_home():
