The way to an engine up to its first head is a module of its own

relay/_stream.py held 408 lines and two jobs: finding an engine that runs a request, and passing its events on from one engine after another. The first is relay/_opening.py now (EngineOpening), the second keeps 295 lines.

--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -8,27 +8,23 @@
 
 import trio
 
-from egretstack.errors import ErrorKind
 from egretstack.events import Event, log
 from egretstack.http1 import (
-    ConnectFailed,
     ResponseHead,
     UpstreamBroken,
     UpstreamConnection,
-    connect_upstream,
 )
-from egretstack.ids import RunnerId
-from egretstack.placing import Run, Work, longest_wait_s
+from egretstack.placing import Run
 from egretstack.platform import client_head, runner_answer
 from egretstack.relay._client_stream import ClientStream
 from egretstack.relay._cursor import EventCursor, EventGap
-from egretstack.relay._engine_calls import ask_engine, continue_at
+from egretstack.relay._engine_calls import continue_at
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
-from egretstack.relay._knowledge import RequestFailed
 from egretstack.relay._mover import Mover, SavedCopy
+from egretstack.relay._opening import EngineOpening, answer_spoilt
 from egretstack.relay._pace import StreamPace
 from egretstack.relay._plain import MAX_ANSWER_BYTES, WholeAnswer, promises_not_run
-from egretstack.relay._tools import CONNECT_TIMEOUT_S, RelayTools, Task
+from egretstack.relay._tools import RelayTools, Task
 from egretstack.traffic import ContinueFrom
 
 LOOK_S = 0.1
@@ -39,10 +35,6 @@
 Events come some 40 to 70 ms apart; a reader's limit is some 0.2 s, so the stream is late by then,
 and a runner that stopped gives no other sign.
 """
-REFUSED_RETRY_S = 0.4
-MAX_PLACES = 3
-"""Engines that are tried for a connection, and that may reject a request; a dead one is known to
-all within a second or so."""
 SWITCH_DELAY_S = 0.7
 """How long a run with a copy stays at a runner that leaves, whose notice is some 1.5 to 2 s.
 
@@ -76,6 +68,7 @@
         self._pace = StreamPace(task.began_s)
         self._saved: SavedCopy | None = None
         """Where the run can go on if its runner leaves or dies."""
+        self._opening = EngineOpening(tools, task, self._pace)
         self._leaving_since_s: float | None = None
         self._mover: Mover | None = None
         self._nursery: trio.Nursery | None = None
@@ -86,39 +79,21 @@
         Raises RequestFailed while the client has seen nothing.
         """
         try:
-            head = await self._first_head()
+            head = await self._opening.head()
+            self._run, self._source = self._opening.run, self._opening.source
+            self._note_backup()
             return await self._relay(head)
         finally:
-            if self._run is not None:
-                self._tools.placing.end(self._run)
+            self._opening.close()
             if self._source is not None:
                 self._source.close()
 
-    def _work(self, excluded: tuple[RunnerId, ...]) -> Work:
-        wants, account = self._task.request.generation, self._task.account
-        waited_s = trio.current_time() - self._task.began_s
-        target_s = self._task.route.target_latency_s
-        return Work(
-            attempt=self._task.request.attempt_id,
-            service=self._task.service.name,
-            prompt_tokens=wants.prompt_tokens if wants else 0,
-            max_output_tokens=wants.max_output_tokens if wants else 0,
-            length_hint=wants.length_hint if wants else None,
-            rank=self._task.rank,
-            patience_s=max(0.0, target_s - waited_s),
-            wait_s=longest_wait_s(target_s, waited_s, self._task.time_left_s()),
-            prompt_id=wants.prompt_id(account.name if account else "") if wants else "",
-            excluded=excluded,
-            account=account.name if account else "",
-            zones=self._task.zones,
-        )
-
     async def _relay(self, head: ResponseHead) -> WholeAnswer | None:
         answer = runner_answer(head)
         if answer.attempt_id != self._task.request.attempt_id:
-            raise self._spoilt("another request's answer")
+            raise answer_spoilt(self._task, self._run, "another request's answer")
         if not answer.sealed or answer.encoded or promises_not_run(head.status):
-            raise self._spoilt("not an answer of the runner")
+            raise answer_spoilt(self._task, self._run, "not an answer of the runner")
         if head.status != 200:
             return WholeAnswer(client_head(answer), await self._whole_body())
         await self._client.start(client_head(answer))
@@ -128,85 +103,6 @@
             nursery.cancel_scope.cancel()
         return None
 
-    async def _first_head(self) -> ResponseHead:
-        """Send the request to an engine, and read the head of its answer; to another if it rejects.
-
-        A rejected request surely did not run. Refused to the client, it would come back later and
-        find the same engine, though others are free: an address that another runner has taken over
-        rejects every request until the list tells of it.
-        """
-        excluded: tuple[RunnerId, ...] = ()
-        while True:
-            await self._connect(excluded)
-            head = await self._ask()
-            if not self._is_rejected(head):
-                return head
-            excluded = (*excluded, self._run.runner)
-            log(Event.ENGINE_REJECTED, request=self._attempt, runner=self._run.runner)
-            self._leave_engine()
-            if not self._may_place_again(len(excluded)):
-                raise RequestFailed(
-                    ErrorKind.ENGINES_FULL, "rejected by the engine", retry_after_s=REFUSED_RETRY_S
-                )
-            self._tools.budget.repeated(trio.current_time(), self._task.service.name)
-
-    async def _ask(self) -> ResponseHead:
-        self._pace.sent()
-        try:
-            with trio.fail_after(max(0.0, self._task.time_left_s())):
-                return await ask_engine(self._tools, self._task, self._run, self._source)
-        except UpstreamBroken as error:
-            self._note_answer(self._run.runner, broke=True)
-            raise self._spoilt(str(error)) from error
-        except trio.TooSlowError as error:
-            raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time") from error
-
-    def _note_answer(self, runner: RunnerId, *, broke: bool) -> None:
-        """Count what an engine made of a run; the end of one that leaves tells nothing."""
-        if broke and not self._tools.runners.is_ready(runner):
-            return
-        self._tools.balancer.recent.note(trio.current_time(), runner, broke=broke)
-        if broke:
-            self._tools.on_break()
-
-    def _is_rejected(self, head: ResponseHead) -> bool:
-        answer = runner_answer(head)
-        return answer.rejected and answer.attempt_id in ("", self._attempt)
-
-    def _may_place_again(self, rejections: int) -> bool:
-        if rejections >= MAX_PLACES or self._task.time_left_s() <= 0:
-            return False
-        return self._tools.budget.allows(trio.current_time(), self._task.service.name)
-
-    def _leave_engine(self) -> None:
-        self._tools.placing.end(self._run)
-        self._source.close()
-        self._run = self._source = None
-
-    async def _connect(self, excluded: tuple[RunnerId, ...]) -> None:
-        """Connect to the engine that the request is placed at; to another if it is gone."""
-        for _ in range(MAX_PLACES):
-            work = self._work(excluded)
-            placement = await self._tools.placing.place(work, self._task.service.engine)
-            runner = self._tools.runners.by_id.get(placement.runner)
-            try:
-                if runner is not None and not self._tools.runners.is_evacuated(runner.id):
-                    self._source = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
-                    self._begin(Run(work, placement.runner, placement.backup))
-                    return
-            except ConnectFailed as error:
-                log(Event.CONNECT_FAILED, request=work.attempt, error=str(error))
-                self._note_answer(placement.runner, broke=True)
-            excluded = (*excluded, placement.runner)
-        raise RequestFailed(
-            ErrorKind.NO_RUNNER, "engines do not answer", retry_after_s=REFUSED_RETRY_S
-        )
-
-    def _begin(self, run: Run) -> None:
-        self._run = run
-        self._tools.placing.begin(run)
-        self._note_backup()
-
     def _note_backup(self) -> None:
         backup = self._tools.runners.by_id.get(self._run.backup) if self._run.backup else None
         self._saved = None
@@ -220,26 +116,17 @@
             while (data := await self._source.read_body()) is not None:
                 body += data
                 if len(body) > MAX_ANSWER_BYTES:
-                    raise self._spoilt("an answer too large")
+                    raise answer_spoilt(self._task, self._run, "an answer too large")
         except UpstreamBroken as error:
-            raise self._spoilt(str(error)) from error
+            raise answer_spoilt(self._task, self._run, str(error)) from error
         return bytes(body)
 
-    def _spoilt(self, detail: str) -> RequestFailed:
-        log(
-            Event.ANSWER_SPOILT,
-            request=self._task.request.attempt_id,
-            runner=self._run.runner,
-            detail=detail,
-        )
-        return RequestFailed(ErrorKind.OUTCOME_UNKNOWN, detail)
-
     async def _relay_events(self) -> None:
         """Pass events on to the end, from one engine after another if need be."""
         while True:
             end = await self._read_events()
             if end in (_End.WHOLE, _End.BROKEN):
-                self._note_answer(self._run.runner, broke=end is _End.BROKEN)
+                self._tools.note_engine(self._run.runner, broke=end is _End.BROKEN)
             if end is _End.WHOLE:
                 await self._client.finish()
                 self._log_ended()
--- a/egretstack/relay/_tools.py
+++ b/egretstack/relay/_tools.py
@@ -75,6 +75,14 @@
     on_break: Callable[[], None] = lambda: None
     """Told when a runner broke what it was sent."""
 
+    def note_engine(self, runner: RunnerId, *, broke: bool) -> None:
+        """Count what an engine made of a run; the end of one that leaves tells nothing."""
+        if broke and not self.runners.is_ready(runner):
+            return
+        self.balancer.recent.note(trio.current_time(), runner, broke=broke)
+        if broke:
+            self.on_break()
+
 
 @dataclass(frozen=True)
 class Task:
