News tell the revision that their rows are of

Cause: rows are put together when the home tells, up to 0.25 s apart; the revision beside them was the newest that it had read. A report that came in between and showed a lag was answered with the rows before and the revision after. From a home that had just begun, whose rows named no runner yet, the others heard that at this revision there are none: all runners missing at every instance, until the store is read again. Callers get 503 for as long as it does not answer.

--- a/egretstack/fleet/_evacuations.py
+++ b/egretstack/fleet/_evacuations.py
@@ -25,7 +25,8 @@
         self.zones: frozenset[ZoneName] = frozenset()
         self.revision = 0
         """Revision of the store as of which the zones are known; 0 if they are not."""
-        self._read_s = float("-inf")
+        self.read_s = float("-inf")
+        """When they were last read, by whomever, on this process's clock."""
 
     @property
     def is_known(self) -> bool:
@@ -40,11 +41,11 @@
             return None
         before, self.zones = self.zones, frozenset(zones)
         self.revision = revision
-        self._read_s = max(self._read_s, read_s)
+        self.read_s = max(self.read_s, read_s)
         if before == self.zones:
             return None
         return EvacuationChange(self.zones - before, before - self.zones)
 
     def age_s(self, now_s: float) -> float:
         """Give how old the last reading is."""
-        return now_s - self._read_s
+        return now_s - self.read_s
--- a/egretstack/services/fleet_news.py
+++ b/egretstack/services/fleet_news.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import trio
 
@@ -55,6 +56,15 @@
 _SUSPECT = 2
 
 
+class _AsOf(NamedTuple):
+    """How far what the rows tell goes."""
+
+    runners_revision: int
+    runners_read_s: float
+    evacuations_revision: int
+    evacuations_read_s: float
+
+
 class FleetNewsService(Service):
     """Tells the news while this instance is the home, and takes them while it is not."""
 
@@ -65,6 +75,7 @@
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
         self._keeper = NewsKeeper(lambda: kernel.rng.getrandbits(EPOCH_BITS) or 1)
+        self._as_of = _AsOf(0, float("-inf"), 0, float("-inf"))
         self._told_s = float("-inf")
         self._loads_s = float("-inf")
         self._next_load = 0
@@ -108,7 +119,7 @@
         others = self._port.fleet.others_heard(now_s)
         teller.forget({known.instance.id for known in others})
         before = teller.rows.version
-        changed = teller.update(self._rows(others))
+        changed = self._update(others)
         if changed or now_s - self._told_s >= REPORT_PERIOD_S / 2:
             self._told_s = now_s
             self._send_all(now_s, others)
@@ -119,6 +130,18 @@
             self._loads_s = now_s
             self._tell_loads(others)
 
+    def _update(self, others: list[KnownInstance]) -> bool:
+        """Bring the rows up to date, and how far they go; tell whether any row changed.
+
+        What is read between two tellings is in neither. Told with a later revision than theirs, the
+        rows of a home that has just begun would say that all runners are missing.
+        """
+        runners, evacuations = self._port.runners, self._port.evacuations
+        self._as_of = _AsOf(
+            runners.revision, runners.read_s, evacuations.revision, evacuations.read_s
+        )
+        return self._keeper.lead().update(self._rows(others))
+
     def _is_urgent(self, before: int) -> bool:
         """Tell whether runners may get less work since a version."""
         changes = self._keeper.lead().rows.since(before)
@@ -200,7 +223,6 @@
         """Give the news without their rows."""
         teller = self._keeper.lead()
         version, holders = self._newest_configuration(now_s)
-        evacuations = self._port.evacuations
         return FleetNews(
             home=instance_row(self._port.fleet.own),
             epoch=teller.epoch,
@@ -210,10 +232,10 @@
             upto=teller.rows.version,
             latest=teller.rows.version,
             rows=b"",
-            runners_revision=self._port.runners.revision,
-            runners_age_ms=_age_ms(self._port.runners.age_s(now_s)),
-            evacuations_revision=evacuations.revision,
-            evacuations_age_ms=_age_ms(evacuations.age_s(now_s)),
+            runners_revision=self._as_of.runners_revision,
+            runners_age_ms=_age_ms(now_s - self._as_of.runners_read_s),
+            evacuations_revision=self._as_of.evacuations_revision,
+            evacuations_age_ms=_age_ms(now_s - self._as_of.evacuations_read_s),
             config_version=version,
             config_holders=holders,
         )
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -2,6 +2,7 @@
 
 import random
 import zlib
+from dataclasses import replace
 from enum import Enum
 from itertools import count
 
@@ -25,7 +26,8 @@
 )
 from egretstack.fleet._news import ANSWERED_S, MAX_REMOVED, unpack_changes
 from egretstack.ids import InstanceId
-from egretstack.messages import MessageError, encode
+from egretstack.messages import MessageError, decode, encode
+from egretstack.services.fleet_news import FleetNewsService
 from egretstack.services.fleet_port import FleetPort
 from tests.fleet_fixtures import known, runner
 from tests.platform_site import platform_site
@@ -382,6 +384,31 @@
     return [known_s[name] for name in names]
 
 
+@on_real_clock
+async def test_rows_are_never_told_with_a_later_revision_than_theirs():
+    # A home has read that a runner is gone and not told it yet, when a report shows that its sender
+    # lacks something. It gets the rows as they were told last: with the new revision they would
+    # pass for the new list, and a home that has just begun would tell that all runners are missing.
+    async with platform_site(entries=2, plain=2) as site:
+        ports = [one.get(FleetPort) for one in site.kernels]
+        await site.until(lambda: sum(one.is_home() for one in ports) == 1)
+        (home,) = [one for one in site.kernels if one.get(FleetPort).is_home()]
+        await site.until(lambda: home.get(FleetNewsService)._as_of.runners_revision > 0)
+        (other,) = [one for one in site.kernels if one is not home]
+        port, news = home.get(FleetPort), home.get(FleetNewsService)
+        sent = []
+        port.send_encoded = lambda address, data: sent.append(decode(msgpack.unpackb(data)))
+        before = news._as_of.runners_revision
+        runners = list(port.runners.by_id.values())[:1]
+        now_s = trio.current_time()
+        port.runners.take(now_s, runners, port.runners.revision + 7, now_s)
+        report = other.get(FleetPort)._own_report()
+        news._take_report(InstanceId(other.settings.instance), replace(report, held=[0, 0, True]))
+        check.assertEqual({one.runners_revision for one in sent}, {before})
+        keys = {row.key for one in sent for row in unpack_changes(one.rows)}
+        check.assertEqual(len([key for key in keys if key.startswith("ri-desk")]), 2)
+
+
 @on_real_clock
 async def test_news_that_no_home_sends_end_no_process():
     # Whoever reaches the port may send anything. Rows that name no runner, marks that are none and
