A fleet that starts for the first time reads the store once, not 72 times

Cause: instances that start within 0.3 s of each other hear no home for the first 0.05 s, take themselves for it, and list and watch everything: of 585 calls up to second 1 of traffic 434 came in the first second of 74 instances (72 lists each of configurations, runners and evacuations, the rest watches). A fleet of 420 would make 2,500 in that second; each call is priced.

When the settings say that the whole fleet starts for the first time, and the instance is no seed, it waits up to 1 s to be led. Nobody asks it anything yet; restarts wait 0.05 s as before. Left: 42 lists of the configuration a second later, untraced.

--- a/egretstack/platform/_node_settings.py
+++ b/egretstack/platform/_node_settings.py
@@ -63,6 +63,8 @@
     last_peer_port: int
     seeds: tuple[str, ...]
     """Control addresses of a few instances, which may be gone."""
+    first_start: bool
+    """Whether the whole fleet starts for the first time: nobody asks it anything yet."""
     metrics_address: str
     """Where metrics are served: the second of the ports between instances."""
     store_address: str
@@ -112,6 +114,7 @@
             first_peer_port=first,
             last_peer_port=last,
             seeds=tuple(one for one in self._values.get("seeds", "").split(",") if one)[:MAX_SEEDS],
+            first_start=self._values.get("bootstrap") == "true",
             metrics_address=f"{self._text('ip')}:{min(first + 1, last)}",
             store_address=self._address("platform.address"),
             link_mbps=self._number("limits.link-mbps", 1000),
--- a/egretstack/services/evacuation_list.py
+++ b/egretstack/services/evacuation_list.py
@@ -20,9 +20,6 @@
 OWN_READING_SHARE = 0.5
 """The same after which an instance without news from the home reads for itself; its call is given
 up after 1 s, and a second one is answered within the bound."""
-FIRST_TOLD_S = 0.4
-"""How long an instance that has just started waits for a home to tell it, two periods of the news:
-of 74 that start together each would read for itself what one of them tells all."""
 MOST_BAD_LOGGED = 8
 MOST_NAME_LOGGED = 128
 
@@ -51,12 +48,6 @@
         old_s = self.kernel.settings.bounds.evacuate_s * OWN_READING_SHARE
         return self._port.evacuations.age_s(trio.current_time()) < old_s
 
-    async def _is_told_soon(self) -> bool:
-        if not self._port.evacuations.is_known:
-            await trio.sleep(self.kernel.rng.uniform(FIRST_TOLD_S / 2, FIRST_TOLD_S))
-            return self._is_told()
-        return await super()._is_told_soon()
-
     def _may_try(self) -> bool:
         """Leave it to the list of runners to find out when the store is back: one call for both."""
         return self._port.fleet.own.store is not StoreSight.AWAY
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -41,6 +41,9 @@
 """How long an instance that has just started waits for a home before it reads the store itself: a
 seed answers in some 3 ms and the home tells everything 10 ms later. Callers are refused meanwhile:
 with 0.3 s, 24 instances that restarted together all stood ready 0.25 s later."""
+FIRST_START_WAIT_S = 1.0
+"""The same when the whole fleet starts for the first time, unless it is a seed: with nobody to lead
+yet each of 74 instances read and watched all lists, 434 calls in a second. No caller waits."""
 START_LOOK_S = 0.02
 START_LED_S = 1.5
 """The same once it hears a home: its news may be lost, and its configuration has to be fetched."""
@@ -68,6 +71,9 @@
         self._watch = StoreWatch()
         self._add_gauges(kernel.get(RelayMetrics))
         self._started_s = trio.current_time()
+        is_seed = any(seed.rpartition(":")[0] == node.ip for seed in node.seeds)
+        first = node.first_start and not is_seed
+        self._unled_wait_s = FIRST_START_WAIT_S if first else START_WAIT_S
 
     def _add_gauges(self, metrics: RelayMetrics) -> None:
         version = metrics.gauge("egret_relay_config_version", "Configuration in force here.")
@@ -158,7 +164,7 @@
         if not self._port.has_seeds():
             return False
         now_s = trio.current_time()
-        wait_s = START_LED_S if self._port.fleet.is_led(now_s) else START_WAIT_S
+        wait_s = START_LED_S if self._port.fleet.is_led(now_s) else self._unled_wait_s
         return now_s - self._started_s < wait_s and not self.is_informed()
 
     async def _may_be_told_soon(self) -> bool:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -3,7 +3,7 @@
 import json
 import socket
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import cycle
 
 import trio
@@ -100,9 +100,10 @@
             while not condition():
                 await trio.sleep(0.01)
 
-    async def start_entry(self, number: int, *, store: str | None = None) -> Kernel:
-        """Start an entry and wait until its services are up."""
-        kernel = Kernel(node_settings(number, store or self.store.address, self.kernels))
+    async def start_entry(self, number: int, *, store: str | None = None, **more) -> Kernel:
+        """Start an entry, with other settings if need be, and wait until its services are up."""
+        settings = node_settings(number, store or self.store.address, self.kernels)
+        kernel = Kernel(replace(settings, **more))
         load_services(kernel, tuple(one for one in SERVICES if one != "settings_file"))
         self.kernels.append(kernel)
         scope = self.scopes[kernel.settings.instance] = trio.CancelScope()
@@ -159,6 +160,7 @@
         first_peer_port=7200,
         last_peer_port=7215,
         seeds=tuple(f"{one.settings.ip}:8748" for one in others[:3]),
+        first_start=False,
         metrics_address=f"{ip}:7201",
         store_address=store,
         link_mbps=1000.0,
--- a/tests/test_platform_plain.py
+++ b/tests/test_platform_plain.py
@@ -5,10 +5,11 @@
 import trio
 
 from egretstack.http1 import first_value
+from egretstack.platform import ObjectKind
 from egretstack.services.fleet_port import FleetPort
-from egretstack.services.store_reading import StoreReading
+from egretstack.services.store_reading import FIRST_START_WAIT_S, StoreReading
 from standins.platform import ACCOUNT, KEY, PlainFault, StoreFault, route
-from tests.platform_site import platform_site
+from tests.platform_site import node_settings, platform_site
 from tests.support import check, on_real_clock, tests_of
 
 load_tests = tests_of(globals())
@@ -216,6 +217,29 @@
         check.assertEqual(spec["front"], site.settings(0).front_address)
 
 
+@on_real_clock
+async def test_a_fleet_that_starts_for_the_first_time_reads_the_store_once():
+    # Instances start together and hear no home yet. Were each to read and watch for itself, a start
+    # of 420 would be 2,500 calls in a second; the seeds read, and the others are told.
+    async with platform_site(entries=1) as site:
+        for number in (1, 2, 3):
+            seeds = site.settings(0).seeds + (site.settings(0).control_address,)
+            await site.start_entry(number, seeds=seeds, first_start=True)
+        await site.until_ready()
+        for kernel in site.kernels[1:]:
+            calls = kernel.get(StoreReading).store.calls_by_kind
+            check.assertEqual(calls[ObjectKind.RUNNER] + calls[ObjectKind.EVACUATION], 0)
+
+
+@on_real_clock
+async def test_a_seed_of_a_first_start_reads_the_store_at_once():
+    async with platform_site(entries=0) as site:
+        address = node_settings(0, site.store.address, []).control_address
+        kernel = await site.start_entry(0, seeds=(address,), first_start=True)
+        check.assertLess(kernel.get(StoreReading)._unled_wait_s, FIRST_START_WAIT_S)
+        await site.until_ready()
+
+
 @on_real_clock
 async def test_a_store_that_turns_instances_away_is_not_pressed():
     # The store answers 503 to an instance that has just started. Its peers give it all it needs,
