A report that crosses news is not answered with them; a test without its race

Since a report shows a loss after 0.1 s, counted from the first news that were not held yet, each report that crossed a later change was answered with that change again: twice the bytes while rows change often. Now it is counted from the last news sent.

The first instance is the strongest now, so that the others stay no home, and the waits are long.

--- a/egretstack/fleet/_news.py
+++ b/egretstack/fleet/_news.py
@@ -67,6 +67,8 @@
     sent_s: float = float("-inf")
     """When the first of what is sent and not held yet went out. Were it the last, a part that was
     lost would never be sent again while other rows change."""
+    latest_s: float = float("-inf")
+    """When the last of it went out."""
 
 
 class NewsTeller:
@@ -125,7 +127,7 @@
     def lags(self, now_s: float, instance: InstanceId) -> bool:
         """Tell whether an instance that has just reported lacks something not on its way."""
         told = self._told(instance)
-        if now_s - told.sent_s >= ANSWERED_S:
+        if now_s - told.latest_s >= ANSWERED_S:
             told.sent = told.held
         return self._base(now_s, instance) < self.rows.version
 
@@ -135,6 +137,8 @@
         told = self._told(instance)
         if base == told.held:
             told.sent_s = now_s
+        if base < self.rows.version:
+            told.latest_s = now_s
         told.sent = self.rows.version
         return self._parts(base)
 
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -190,6 +190,19 @@
     check.assertTrue(home.lags(1.0 + 1.1 * ANSWERED_S, OTHER))
 
 
+def test_a_report_that_crosses_news_is_not_answered():
+    # Rows change again and again. A report that left before the last of it came shows only what was
+    # before; sending that once more to each of a large fleet would double the bytes.
+    home, follower = teller(), NewsFollower()
+    for step in range(1, 4):
+        home.update({"ia": [step]})
+        home.parts_for(step / 10, OTHER)
+    home.note_held(OTHER, HeldNews(home.epoch, 2))
+    check.assertFalse(home.lags(0.3 + 0.5 * ANSWERED_S, OTHER))
+    check.assertTrue(home.lags(0.3 + 1.1 * ANSWERED_S, OTHER))
+    check.assertIs(tell(home, follower), Taken.WHOLE)
+
+
 def test_a_new_home_goes_on_where_the_former_one_was():
     # The home dies. The next in line has the same rows; each of 195 instances needs the rows that
     # differ, and not all of them at once.
--- a/tests/test_platform_plain.py
+++ b/tests/test_platform_plain.py
@@ -1,15 +1,17 @@
 """Requests whose answer is read whole, through a whole entry on the platform's stand-ins."""
 
 import json
+from unittest.mock import patch
 
 import trio
 
 from egretstack.http1 import first_value
 from egretstack.platform import ObjectKind
+from egretstack.services import store_reading
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import FIRST_START_WAIT_S, StoreReading
 from standins.platform import ACCOUNT, KEY, PlainFault, StoreFault, route
-from tests.platform_site import node_settings, platform_site
+from tests.platform_site import WAIT_S, node_settings, platform_site
 from tests.support import check, on_real_clock, tests_of
 
 load_tests = tests_of(globals())
@@ -221,11 +223,15 @@
 async def test_a_fleet_that_starts_for_the_first_time_reads_the_store_once():
     # Instances start together and hear no home yet. Were each to read and watch for itself, a start
     # of 420 would be 2,500 calls in a second; the seeds read, and the others are told.
+    waits = patch.multiple(store_reading, FIRST_START_WAIT_S=WAIT_S, START_LED_S=WAIT_S)
     async with platform_site(entries=1) as site:
+        waits.start()
         for number in (1, 2, 3):
             seeds = site.settings(0).seeds + (site.settings(0).control_address,)
-            await site.start_entry(number, seeds=seeds, first_start=True)
+            # Weaker than the first, so that none of them becomes the home, which has to read.
+            await site.start_entry(number, seeds=seeds, first_start=True, link_mbps=10.0)
         await site.until_ready()
+        waits.stop()
         for kernel in site.kernels[1:]:
             calls = kernel.get(StoreReading).store.calls_by_kind
             check.assertEqual(calls[ObjectKind.RUNNER] + calls[ObjectKind.EVACUATION], 0)
