The home stays over an outage of the store; evacuations add no readers to it

Cause: while the store is away for all, instances try it for themselves, some 20 a second together. When it is back, those that it answers first say that they read it; the home, whose call still hangs, does not yet, and each of them takes its place in turn.

After an outage of 2 s or more the home has 1.5 s to read before it is passed over: its call may hang for 1 s, and then it asks again after 0.4 s. An instance that is not the home reads evacuations only while it reads the list of runners itself. A home that is cut off alone is replaced as before: one of the few that are asked to read does so sooner than that.

Ruled out: leaving the home where it is until it is silent (one that does not reach the store again would stay for good).

--- a/egretstack/fleet/_fleet.py
+++ b/egretstack/fleet/_fleet.py
@@ -31,6 +31,12 @@
 """How long an instance that is only listed somewhere counts as a possible home."""
 PROBES = 2
 """Instances that try the store while the home does not reach it, beside the next in line."""
+OUTAGE_S = 2.0
+"""How long nobody reads the store in an outage of all. A home that is cut off alone is replaced
+sooner than that: one of a few others is asked to read, and does."""
+RETURN_S = 1.5
+"""Time for the home to read the store after such an outage, before whoever reads takes its place:
+its call that is under way may hang for a second, and then it asks again."""
 RANKED_FOR_S = 0.05
 """How long a ranking is kept while nobody's rank changes. It is asked for at each
 message, and sorting a large fleet each time takes the time that messages need. An instance that
@@ -74,6 +80,10 @@
         """When a home last told which instances live, or that this has not changed."""
         self._told_config = 0
         self._told_holders: tuple[InstanceId, ...] = ()
+        self._unread_since_s: float | None = None
+        """Since when no instance is known to reach the store, and some tried."""
+        self._returned_s = float("-inf")
+        """When the store was back after an outage of all."""
         self._kept_ranking: list[InstanceId] = []
         self._ranked_own: KnownInstance | None = None
         """What was known of this instance when the kept ranking was made; None if it is void."""
@@ -319,13 +329,17 @@
 
         Not reaching the store counts only while somebody is known to reach it. The home would else
         go from one to the next through the whole fleet, and each one find out anew that the store
-        is away.
+        is away. After an outage it counts only once the home has had time to read: those that the
+        store answers first, a few in each tenth of a second, would take its place one after the
+        other, and generations be placed by several of them.
         """
         records = [one for one in self._record_by_id.values() if self._may_be_home(now_s, one)]
         stores = {one.known.store for one in records} | {self.own.store}
         rows = [one.rank for one in records]
         rows.append(_rank(self.own, self._own_digest))
-        if StoreSight.READS in stores and StoreSight.AWAY in stores:
+        self._note_outage(now_s, stores)
+        returning = now_s - self._returned_s < RETURN_S
+        if StoreSight.READS in stores and StoreSight.AWAY in stores and not returning:
             away = {one.known.instance.id for one in records if one.known.store is StoreSight.AWAY}
             if self.own.store is StoreSight.AWAY:
                 away.add(self.own.instance.id)
@@ -333,6 +347,15 @@
         rows.sort()
         return [row[3] for row in rows]
 
+    def _note_outage(self, now_s: float, stores: set[StoreSight]) -> None:
+        """Note when nobody reaches the store, and when that is over."""
+        if StoreSight.READS in stores:
+            began_s, self._unread_since_s = self._unread_since_s, None
+            if began_s is not None and now_s - began_s >= OUTAGE_S:
+                self._returned_s = now_s
+        elif StoreSight.AWAY in stores and self._unread_since_s is None:
+            self._unread_since_s = now_s
+
 
 def _digest(instance: InstanceId) -> bytes:
     return blake2b(instance.encode(), digest_size=8).digest()
--- a/egretstack/services/evacuation_list.py
+++ b/egretstack/services/evacuation_list.py
@@ -49,8 +49,13 @@
         return self._port.evacuations.age_s(trio.current_time()) < old_s
 
     def _may_try(self) -> bool:
-        """Leave it to the list of runners to find out when the store is back: one call for both."""
-        return self._port.fleet.own.store is not StoreSight.AWAY
+        """Leave it to the list of runners to find out when the store is back.
+
+        An instance that is not the home tries only while it reads that list itself: were all to
+        try, those that the store answers first would all take the home's place for a moment.
+        """
+        sight = self._port.fleet.own.store
+        return sight is StoreSight.READS or (self._port.is_home() and sight is StoreSight.UNKNOWN)
 
     async def _read(self) -> None:
         store = self._reading.store
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -246,6 +246,53 @@
     check.assertEqual(view.home(0.1), first)
 
 
+def outage_ends(lasted_s, home_reads_after_s):
+    """Play an outage of the store for all; give the home before it, and at moments after it."""
+    view = Fleet(known(0), 0.0)
+    numbers = {known(number).instance.id: number for number in range(COUNT)}
+
+    def hear(now_s, sight_by_number):
+        view.own = replace(view.own, store=sight_by_number.get(0, StoreSight.AWAY))
+        for number in range(1, COUNT):
+            store = sight_by_number.get(number, StoreSight.AWAY)
+            view.heard(now_s, replace(known(number), store=store))
+        home = view.home(now_s)
+        view.still_told(now_s, home)
+        return home
+
+    before = hear(0.0, dict.fromkeys(range(COUNT), StoreSight.READS))
+    for step in range(1, round(lasted_s / 0.25) + 1):
+        hear(step * 0.25, {})
+    began_s = round(lasted_s / 0.25) * 0.25
+    readers, homes = {}, []
+    others = [number for name, number in numbers.items() if name != before]
+    for step in range(1, 13):
+        readers[others[step % len(others)]] = StoreSight.READS
+        if step * 0.25 >= home_reads_after_s:
+            readers[numbers[before]] = StoreSight.READS
+        homes.append(hear(began_s + step * 0.25, readers))
+    return before, homes
+
+
+def test_the_home_stays_over_an_outage_of_the_store_for_all():
+    # The store was down for everybody and is back. A few instances read it before the home does,
+    # more in each tenth of a second. Were they to take the home's place, callers' generations would
+    # be placed by one after the other, and by several at a time, for some two seconds.
+    before, homes = outage_ends(8.0, home_reads_after_s=1.25)
+    check.assertEqual(set(homes), {before})
+
+
+def test_a_home_that_does_not_come_back_after_an_outage_is_replaced():
+    before, homes = outage_ends(8.0, home_reads_after_s=60.0)
+    check.assertEqual(set(homes[:5]), {before})
+    check.assertNotIn(before, homes[7:])
+
+
+def test_a_home_that_is_cut_off_for_a_moment_alone_is_replaced_at_once():
+    before, homes = outage_ends(1.0, home_reads_after_s=60.0)
+    check.assertNotIn(before, homes)
+
+
 def test_a_home_that_is_no_more_points_to_the_next():
     # Places, and notices of leaving runners, stop for 0.8 s: the home leaves or loses the store and
     # tells nobody but the next in line; the others hear it alone and wait until it seems silent.
--- a/tests/test_platform_plain.py
+++ b/tests/test_platform_plain.py
@@ -257,7 +257,9 @@
         await site.until(reading.is_informed)
         await site.until(lambda: not port.fleet.is_watcher(trio.current_time()))
         before = sum(reading.store.calls_by_kind.values())
+        evacuations = reading.store.calls_by_kind[ObjectKind.EVACUATION]
         await trio.sleep(2.0)
         check.assertLessEqual(sum(reading.store.calls_by_kind.values()) - before, 4)
+        check.assertEqual(reading.store.calls_by_kind[ObjectKind.EVACUATION], evacuations)
         head, _ = await site.call("/notes/1", "a-1", entry=3)
         check.assertEqual(head.status, 200)
