--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -14,6 +14,8 @@
 _SETTINGS = """node-name={name}
 zone=leon-a
 region=bajio
+zones.leon-a=bajio
+zones.leon-b=bajio
 ip={ip}
 listen.front={ip}:8740
 listen.ready-address={ip}:8749
@@ -24,6 +26,7 @@
 platform.address={store}
 bounds.grace-s={grace:g}
 bounds.budget-slack=50
+bounds.evacuate-ms=2000
 """
 
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -32,6 +32,12 @@
 SETTLE_S = 8.0
 """Calm after the last fault, in which everything has to serve again."""
 EVENTS = 60
+ZONES = ("leon-a", "leon-b")
+"""Availability zones of the runners, in turn."""
+EVACUATE_S = 2.0
+"""Time in which an evacuation has to be kept, as the entries' settings say."""
+EVACUATED_S = 2.0
+"""How long it is then watched that nothing gets there."""
 
 
 @dataclass(frozen=True)
@@ -98,6 +104,7 @@
                     await self._harm(nursery)
                 await self._heal()
                 await self._until_served(nursery)
+                await self._evacuate(ZONES[1])
             finally:
                 for entry in self.entries:
                     entry.end()
@@ -113,9 +120,29 @@
 
     def _register(self, server: PlainStandIn | EngineStandIn, state: str) -> None:
         service = "llm" if isinstance(server, EngineStandIn) else "desk"
-        spec = runner_spec(service, self.proxies[server.address].address, state)
+        zone = self._zone(server)
+        spec = runner_spec(service, self.proxies[server.address].address, state, zone=zone)
         self.store.put("servers", server.runner_id, spec)
 
+    def _zone(self, server: PlainStandIn | EngineStandIn) -> str:
+        peers = self.plain if isinstance(server, PlainStandIn) else self.engines
+        return ZONES[peers.index(server) % len(ZONES)]
+
+    async def _evacuate(self, zone: str) -> None:
+        """Evacuate a zone in calm; whatever was before, its runners get nothing more in time."""
+        there = [one for one in (*self.plain, *self.engines) if self._zone(one) == zone]
+        self.store.put("evacuations", zone, {})
+        await trio.sleep(EVACUATE_S)
+        before = self._sent_to(there)
+        await trio.sleep(EVACUATED_S)
+        sent = self._sent_to(there) - before
+        if sent:
+            self.promises.broken.append(f"{sent} requests reached an evacuated zone")
+
+    @staticmethod
+    def _sent_to(servers: list) -> int:
+        return sum(len(server.heads) for server in servers)
+
     def _configure(self) -> None:
         self.version += self.rng.randint(1, 3)
         routes = [
