Two notices close together both go out again; a directory that is ready says so

A second urgent change within 50 ms of the first took its place: the repeat began after the first, and whoever had lost both could not use it (it asked at once, and waited for that answer). The repeat begins at the earliest change that was not repeated. The new test fails on the code before: two changes lost, one repeated.

A directory looked ten times a second whether its instance was ready, so that for up to 0.1 s after a start or restart callers were told that no instance is. It looks when it is asked.

--- a/egretstack/fleet/_news.py
+++ b/egretstack/fleet/_news.py
@@ -86,20 +86,26 @@
         self._told_by_instance: dict[InstanceId, _Told] = {}
         self._parts_by_base: dict[int, list[NewsPart]] = {}
         self._parts_state: tuple[int, int] | None = None
-        self._urgent_since = 0
-        """The version before the urgent changes that have been told once."""
+        self._urgent_since: int | None = None
+        """The version before the urgent changes that have been told once; None if all were told
+        again."""
 
     def update(self, row_by_key: Mapping[str, Row]) -> bool:
         """Take the rows that there are now; tell whether any changed."""
         if self.rows.removed > MAX_REMOVED:
             self.epoch, self.continued, self.rows = self._draw_epoch(), HeldNews(), VersionedRows()
             self._told_by_instance.clear()
-            self._urgent_since = 0
+            self._urgent_since = None
         return self.rows.put_all(row_by_key)
 
     def urge(self, since: int) -> None:
         """Take the changes after a version for urgent: `repeats_for` gives them once more."""
-        self._urgent_since = since
+        before = self._urgent_since
+        self._urgent_since = since if before is None else min(before, since)
+
+    def repeated(self) -> None:
+        """Note that the urgent news went out once more to all."""
+        self._urgent_since = None
 
     def repeats_for(self, instance: InstanceId) -> list[NewsPart]:
         """Give the urgent news that an instance has not reported to hold; may be none.
@@ -108,6 +114,8 @@
         large fleet lose the one that says so. They would hear of it from the answer to a later
         report, when what they run there has to be moved already. Two are rarely lost.
         """
+        if self._urgent_since is None:
+            return []
         told = self._told(instance)
         base = max(told.held, self._urgent_since)
         return [] if base >= self.rows.version else self._parts(base)
--- a/egretstack/services/directory_port.py
+++ b/egretstack/services/directory_port.py
@@ -108,6 +108,9 @@
         if is_ready_question(head):
             return json_answer(200 if self.is_ready() else 503, {"ready": self.is_ready()})
         if is_directory_question(head):
+            # Looked at ten times a second alone, an instance that has just become ready would send
+            # its first callers away.
+            self._tell_state()
             addresses = self.ready_addresses(asked_region(head), asked_host(head))
             if not addresses:
                 return json_answer(503, {"error": "no instance is ready"}, ANSWER_LIFE_S)
--- a/egretstack/services/fleet_news.py
+++ b/egretstack/services/fleet_news.py
@@ -163,6 +163,7 @@
                 continue
             others = self._port.fleet.others_heard(now_s)
             self._send_parts(now_s, [(one, teller.repeats_for(one.instance.id)) for one in others])
+            teller.repeated()
 
     def _hand_over(self, now_s: float) -> None:
         """Point the others to the home that follows this one, a few times.
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -54,6 +54,8 @@
     async with platform_site(entries=3) as site:
         gone = site.settings(2).front_address
         directories = [site.settings(number).directory_address for number in range(2)]
+        # Once all are ready, a directory answers at once, if only with its own address.
+        check.assertTrue(await site.resolve(directories[0]))
         await site.until(lambda: all(names(site, number) >= 3 for number in range(2)))
         site.scopes[site.settings(2).instance].cancel()
         with trio.fail_after(WAIT_S):
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -181,6 +181,27 @@
     check.assertEqual(home.repeats_for(OTHER), [])
 
 
+def test_two_notices_at_short_intervals_both_go_out_once_more():
+    # A second runner leaves before the first notice was repeated, and both datagrams to one
+    # instance are lost. The repeat brings both: one that built on the first would be of no use.
+    home, follower = teller(), NewsFollower()
+    home.update({"ra": ["ready"], "rb": ["ready"]})
+    tell(home, follower)
+    home.note_held(OTHER, follower.held)
+    rows = {"ra": ["ready"], "rb": ["ready"]}
+    for key in rows:
+        before = home.rows.version
+        rows = rows | {key: ["leaving"]}
+        home.update(rows)
+        home.urge(before)
+        home.parts_for(1.0, OTHER)
+    (part,) = home.repeats_for(OTHER)
+    check.assertIs(follower.take(messages(home, part)), Taken.WHOLE)
+    check.assertEqual(follower.rows.rows(), rows)
+    home.repeated()
+    check.assertEqual(home.repeats_for(InstanceId("entry-9")), [])
+
+
 def test_a_report_after_the_answer_time_shows_what_was_lost():
     home, follower = teller(), NewsFollower()
     home.update({"ra": ["ready"]})
