--- /dev/null
+++ b/tests/news_fixtures.py
@@ -0,0 +1,69 @@
+"""A home that tells news and instances that follow it, without a network."""
+
+from itertools import count
+
+from egretstack.fleet import (
+    FleetNews,
+    HeldNews,
+    NewsTeller,
+    VersionedRows,
+    instance_row,
+    runner_row,
+    told_instance_row,
+)
+from egretstack.ids import InstanceId
+from tests.fleet_fixtures import known, runner
+
+OTHER = InstanceId("entry-1")
+INSTANCES = 195
+RUNNERS = 35
+MAX_DATAGRAM = 1_400
+DATAGRAM_HEADERS = 42
+REPORT_S = 0.25
+
+
+def teller(epoch=7, held=None, rows=None):
+    epochs = count(epoch)
+    return NewsTeller(lambda: next(epochs), held or HeldNews(), rows or VersionedRows())
+
+
+def messages(home, part):
+    """Give a part as it goes out."""
+    news = FleetNews(
+        home=instance_row(known(0)),
+        epoch=home.epoch,
+        continued_epoch=home.continued.epoch,
+        continued_version=home.continued.version,
+        base=0,
+        upto=0,
+        latest=home.rows.version,
+        rows=b"",
+        runners_revision=900,
+        runners_age_ms=40,
+        evacuations_revision=900,
+        evacuations_age_ms=40,
+        config_version=3,
+        config_holders=[f"edge-guanajuato-c-{number}" for number in range(8)],
+    )
+    return part.fill(news)
+
+
+def tell(home, follower):
+    """Tell a follower all that it lacks, without a loss; give what became of the last part."""
+    name = InstanceId(f"follower-{id(follower)}")
+    home.note_held(name, follower.held)
+    for part in home.parts_for(0.0, name):
+        taken = follower.take(messages(home, part))
+    home.forget(set())
+    return taken
+
+
+def fleet_rows(instances=INSTANCES, runners=RUNNERS):
+    """Give the rows of a whole fleet."""
+    rows = {
+        f"r{name}": [*runner_row(runner(name)), 0]
+        for name in map("i-{:010x}".format, range(runners))
+    }
+    for number in range(instances):
+        rows[f"i{number}"] = told_instance_row(known(number), watches=number < 2)
+    return rows
