--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -136,6 +136,7 @@
     ZONE_EVACUATED = (450, Level.WARNING, "An operator evacuated a zone: its runners get nothing.")
     ZONE_BACK = (451, Level.INFO, "An evacuation was taken back: the zone's runners get work.")
     EVACUATION_UNREADABLE = (452, Level.WARNING, "An entry in the store evacuates no zone.")
+    RUN_BROKEN = (453, Level.WARNING, "A run ended before its end; `ended` if its runner did too.")
     INSTANCE_UNREADABLE = (439, Level.WARNING, "Entries in the store name no instance; not used.")
     RUNNER_STARTED_AGAIN = (440, Level.INFO, "A runner told of a later start; all before is void.")
     RUNNER_BACK = (441, Level.INFO, "A runner's entry was missing; it is back, and it answers.")
--- a/egretstack/ids.py
+++ b/egretstack/ids.py
@@ -9,6 +9,7 @@
 AccountId = NewType("AccountId", str)
 AttemptId = NewType("AttemptId", str)
 ChangeId = NewType("ChangeId", str)
+ContentId = NewType("ContentId", str)
 DutyName = NewType("DutyName", str)
 GenerationId = NewType("GenerationId", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -24,6 +24,7 @@
     "runner_returns",
     "placing_home",
     "engine_placing",
+    "crash_guard",
     "relaying",
     "runner_strikes",
     "settings_file",
--- a/egretstack/relay/__init__.py
+++ b/egretstack/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from egretstack.relay._budget import RetryBudget
 from egretstack.relay._client_stream import ClientStream
+from egretstack.relay._crash_guard import CrashGuard
 from egretstack.relay._cursor import EventCursor, EventGap
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
 from egretstack.relay._knowledge import RequestFailed, RunKnowledge, barred
@@ -11,6 +12,7 @@
 
 __all__ = [
     "ClientStream",
+    "CrashGuard",
     "EnginePlacing",
     "EventCursor",
     "EventGap",
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -34,6 +34,8 @@
         self._pace = pace
         self.run: Run | None = None
         self.source: UpstreamConnection | None = None
+        self.sent_s = 0.0
+        """When the request was last sent."""
 
     async def head(self) -> ResponseHead:
         """Send the request to an engine, and read the head of its answer; to another if it rejects.
@@ -110,11 +112,15 @@
 
     async def _ask(self) -> ResponseHead:
         self._pace.sent()
+        self.sent_s = trio.current_time()
         try:
             with trio.fail_after(max(0.0, self._task.time_left_s())):
                 return await ask_engine(self._tools, self._task, self.run, self.source)
         except UpstreamBroken as error:
             self._tools.note_engine(self.run.runner, broke=True)
+            self._tools.crashes.broke(
+                self._attempt, self._task.content, self.run.runner, self.sent_s
+            )
             raise answer_spoilt(self._task, self.run, str(error)) from error
         except trio.TooSlowError as error:
             raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time") from error
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -179,6 +179,7 @@
             progress.knowledge.unknown()
             self._broke(runner)
             self._ended(runner, failed=True)
+            self._tools.crashes.broke(task.request.attempt_id, task.content, runner.id, began_s)
             log(Event.UPSTREAM_BROKEN, request=task.request.attempt_id, error=repr(error))
             return _Result.UNKNOWN, None
         self._tools.balancer.recent.note(trio.current_time(), runner.id, broke=False)
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -69,6 +69,8 @@
         self._saved: SavedCopy | None = None
         """Where the run can go on if its runner leaves or dies."""
         self._opening = EngineOpening(tools, task, self._pace)
+        self._sent_s = 0.0
+        """When the run was sent to the runner where it is."""
         self._leaving_since_s: float | None = None
         self._mover: Mover | None = None
         self._nursery: trio.Nursery | None = None
@@ -80,6 +82,7 @@
         """
         try:
             head = await self._opening.head()
+            self._sent_s = self._opening.sent_s
             self._run, self._source = self._opening.run, self._opening.source
             self._note_backup()
             return await self._relay(head)
@@ -133,6 +136,10 @@
                 if self._mover is not None:
                     await self._mover.free()
                 return
+            if end is not _End.LEAVING:
+                self._tools.crashes.broke(
+                    self._attempt, self._task.content, self._run.runner, self._sent_s
+                )
             log(
                 Event.STREAM_HALTED,
                 request=self._attempt,
@@ -286,6 +293,7 @@
         # The runner before may not work on beside the new one.
         self._source.close()
         self._source = connection
+        self._sent_s = began_s
         self._splitter = EventSplitter()
         self._leaving_since_s = None
         if self._mover is not None:
--- a/egretstack/relay/_tools.py
+++ b/egretstack/relay/_tools.py
@@ -3,14 +3,16 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
+from functools import cached_property
 
 import trio
 
 from egretstack.fleet import Runner, RunnerTable
 from egretstack.http1 import ConnectionPool
-from egretstack.ids import RunnerId, ZoneName
+from egretstack.ids import ContentId, RunnerId, ZoneName
 from egretstack.placing import ColdRation, Placement, PlainBalancer, Run, Work
 from egretstack.relay._budget import RetryBudget
+from egretstack.relay._crash_guard import CrashGuard
 from egretstack.routing import ClientAccount, EnginePlan, Route, ServicePlan
 from egretstack.traffic import ClientRequest, SendTerms
 
@@ -72,6 +74,7 @@
     budget: RetryBudget
     pool: ConnectionPool
     cold: ColdRation
+    crashes: CrashGuard
     on_break: Callable[[], None] = lambda: None
     """Told when a runner broke what it was sent."""
 
@@ -98,6 +101,11 @@
     zones: frozenset[ZoneName] | None = None
     """The availability zones whose runners alone may run it; None if all may."""
 
+    @cached_property
+    def content(self) -> ContentId:
+        """What it has in common with other attempts at the same request."""
+        return self.request.content_id("" if self.account is None else self.account.name)
+
     def time_left_s(self) -> float:
         """Give the time until the deadline."""
         return self.deadline_s - trio.current_time()
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -19,6 +19,7 @@
     ServicePlan,
     common_homes,
 )
+from egretstack.services.crash_guard import CrashGuardService
 from egretstack.services.engine_placing import EnginePlacingService
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
@@ -41,7 +42,7 @@
     """Makes tasks of requests."""
 
     name = "relaying"
-    requires = ("engine_placing", "fleet_port", "placing_home", "store_reading")
+    requires = ("crash_guard", "engine_placing", "fleet_port", "placing_home", "store_reading")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -57,6 +58,7 @@
             budget=RetryBudget(node.bounds),
             pool=ConnectionPool(),
             cold=kernel.get(PlacingHome).cold,
+            crashes=kernel.get(CrashGuardService),
         )
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
--- a/egretstack/traffic/_request.py
+++ b/egretstack/traffic/_request.py
@@ -4,10 +4,12 @@
 from hashlib import blake2s
 
 from egretstack.http1 import RequestHead
-from egretstack.ids import ModelName
+from egretstack.ids import ContentId, ModelName
 
 PROMPT_ID_BYTES = 8
 """Enough to tell apart the thousands of prompts of a minute."""
+CONTENT_ID_BYTES = 16
+"""Enough that no caller can make a request whose id is that of another one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,3 +58,12 @@
     key: str | None
     """Secret of the client account; never logged, never passed on."""
     generation: Generation | None
+
+    def content_id(self, account: str) -> ContentId:
+        """Give what all attempts with the same target, account and body have in common."""
+        digest = blake2s(digest_size=CONTENT_ID_BYTES)
+        parts = (self.head.method, self.host.lower().encode(), self.head.target, account.encode())
+        for part in parts:
+            digest.update(b"%d:" % len(part) + part)
+        digest.update(self.body)
+        return ContentId(digest.hexdigest())
--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -54,6 +54,10 @@
         self.runner_id = runner_id
         self.gap_s = gap_s
         self.events = 30
+        self.ends_under: bytes | None = None
+        """Body of a request that ends the engine when it begins to run; None for no request."""
+        self.begun_of_ending = 0
+        """Runs of that request that began here."""
         self.fault = EngineFault.NONE
         self.leaving = False
         self.born_ms: int | None = None
@@ -97,7 +101,7 @@
             self.freed.append(head.target.removeprefix(HANDLE).decode())
             await send(connection, 200)
         else:
-            await self._generate(connection, head)
+            await self._generate(connection, head, body)
 
     async def _answer_health(self, connection: ClientConnection) -> None:
         status = 503 if self.leaving else 200
@@ -114,7 +118,9 @@
             "runs": [[name, 100, run.made, 5] for name, run in self._run_by_attempt.items()],
         }
 
-    async def _generate(self, connection: ClientConnection, head: RequestHead) -> None:
+    async def _generate(
+        self, connection: ClientConnection, head: RequestHead, body: bytes
+    ) -> None:
         attempt = _text(head, b"attempt-id")
         if _text(head, b"expect-runner") not in ("", self.runner_id):
             await send(connection, 421)
@@ -127,6 +133,10 @@
             await send(connection, 503, headers=((b"not-executed", b"1"),))
             return
         self.heads.append(head)
+        if body == self.ends_under:
+            self.begun_of_ending += 1
+            self.stop()
+            await trio.sleep_forever()
         made = self._begin(attempt, origin, _text(head, b"last-event-id"))
         self._back_up(attempt, _text(head, b"kv-backup"))
         await self._stream(connection, attempt, made)
--- a/standins/platform/_plain.py
+++ b/standins/platform/_plain.py
@@ -40,6 +40,10 @@
         self.runner_id = runner_id
         self.delay_s = delay_s
         self.healthy = True
+        self.ends_under: bytes | None = None
+        """Body of a request that ends the runner when it begins to run; None for no request."""
+        self.begun_of_ending = 0
+        """Runs of that request that began here."""
         self.faults: list[PlainFault] = []
         """What goes wrong with the next requests, in turn."""
         self.runs_by_attempt: Counter[str] = Counter()
@@ -63,6 +67,10 @@
         self.heads.append(head)
         attempt = (first_value(head.headers, b"attempt-id") or b"").decode()
         self.runs_by_attempt[attempt] += 1
+        if body == self.ends_under:
+            self.begun_of_ending += 1
+            self.stop()
+            await trio.sleep_forever()
         try:
             await trio.sleep(self.delay_s)
         except trio.Cancelled:
