--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -118,9 +118,7 @@
             "runs": [[name, 100, run.made, 5] for name, run in self._run_by_attempt.items()],
         }
 
-    async def _generate(
-        self, connection: ClientConnection, head: RequestHead, body: bytes
-    ) -> None:
+    async def _generate(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
         attempt = _text(head, b"attempt-id")
         if _text(head, b"expect-runner") not in ("", self.runner_id):
             await send(connection, 421)
