A request under which three runners ended is refused by every instance

What callers saw: streams broken off by eight to eleven engine ends in a row, each of them under a new attempt of the same request, sent by whichever instance got it.

Cause: nothing remembered what a runner had been running when it ended. Suspects are runners, the retry budget counts sends, an attempt's knowledge ends with the attempt: each limits an attempt or a runner, none the request. A new attempt id, another instance or a restart begins from nothing.

The fix: a run that breaks has its runner probed by one connection. If that has ended, the end is struck against the content of the request (host, method, target, client account, body), told to the home with the reports, by it to all in the news, and from the second end on kept in the store. Records of a content merge in any order; an answer clears it. Three ends, of which one under a run sent after another's, and no runner gets it: checked before each send, beside the wait for a place, before a continuation, a new copy and a second send, and answered at once as crashes-runners (not run), or as what may have run where it may.

Ruled out: to count per attempt or per instance (the attempts come to any instance); to bar runners (they are new each time); to blame the end on all long streams alike (those that go on at copies are in progress at many ends that others cause, so an end long after a run's first event there counts half).

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -137,6 +137,13 @@
     ZONE_BACK = (451, Level.INFO, "An evacuation was taken back: the zone's runners get work.")
     EVACUATION_UNREADABLE = (452, Level.WARNING, "An entry in the store evacuates no zone.")
     RUN_BROKEN = (453, Level.WARNING, "A run ended before its end; `ended` if its runner did too.")
+    CONTENT_REFUSED = (454, Level.WARNING, "Runners ended under a request: no runner gets it now.")
+    CONTENT_CLEARED = (
+        455,
+        Level.INFO,
+        "A request that no runner got may be sent to runners again.",
+    )
+    CRASH_RECORD_UNREADABLE = (456, Level.WARNING, "A record in the store cannot be read; unused.")
     INSTANCE_UNREADABLE = (439, Level.WARNING, "Entries in the store name no instance; not used.")
     RUNNER_STARTED_AGAIN = (440, Level.INFO, "A runner told of a later start; all before is void.")
     RUNNER_BACK = (441, Level.INFO, "A runner's entry was missing; it is back, and it answers.")
--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -30,6 +30,10 @@
     runs: list
     answers: list
     """What plain runners made of its calls of the last moment, a row each."""
+    strikes: list
+    """Runners that ended while they ran its requests, a row each."""
+    clears: list
+    """Requests that runners have answered since some ended under them: content and round."""
 
 
 @dataclass(frozen=True)
--- a/egretstack/platform/_store.py
+++ b/egretstack/platform/_store.py
@@ -40,6 +40,8 @@
     EVACUATION = "evacuations"
     INSTANCE = "egret-instances"
     """The system's own: one object for each instance, under its name."""
+    CRASH_RECORD = "egret-crash-records"
+    """The system's own: one object for each request under which runners ended."""
 
 
 CONFIGURATION_NAME = "main"
@@ -153,6 +155,11 @@
         document = {"metadata": {"name": name}, "spec": spec}
         return await self._write(b"PUT", _path(kind, name), document)
 
+    async def delete(self, kind: ObjectKind, name: str) -> bool:
+        """Delete an object; False if there is none. Raises StoreAway, StoreOutcomeUnknown."""
+        self.calls_by_kind[kind] += 1
+        return await self._write(b"DELETE", _path(kind, name), None)
+
     def close(self) -> None:
         """Close all connections."""
         self._pool.close()
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -25,6 +25,7 @@
     "placing_home",
     "engine_placing",
     "crash_guard",
+    "crash_list",
     "relaying",
     "runner_strikes",
     "settings_file",
--- a/egretstack/relay/_engine_calls.py
+++ b/egretstack/relay/_engine_calls.py
@@ -52,6 +52,7 @@
         log(Event.CONNECT_FAILED, request=task.request.attempt_id, error=str(error))
         return None
     answer = None
+    sent_s = trio.current_time()
     try:
         with trio.move_on_after(RESUME_TIMEOUT_S):
             answer = runner_answer(await ask_engine(tools, task, run, connection, origin))
@@ -60,6 +61,8 @@
     except BaseException:
         connection.close()
         raise
+    if answer is None:
+        tools.crashes.broke(task.request.attempt_id, task.content, runner.id, sent_s)
     if answer is None or not _goes_on(task, answer):
         connection.close()
         return None
--- a/egretstack/relay/_knowledge.py
+++ b/egretstack/relay/_knowledge.py
@@ -10,6 +10,8 @@
 """An operator takes an evacuation back after many seconds; a caller waits for no more than a third
 of the time it has."""
 
+CRASHES_DETAIL = "each runner that ran it has ended"
+
 
 class RequestFailed(Exception):
     """The final answer of a request that got none from a runner."""
@@ -37,6 +39,14 @@
     )
 
 
+def crashes_runners() -> RequestFailed:
+    """Give the answer to a request that has not run and that no runner gets.
+
+    It says no time to come back: the same request would meet the same answer.
+    """
+    return RequestFailed(ErrorKind.CRASHES_RUNNERS, CRASHES_DETAIL)
+
+
 class RunKnowledge:
     """Whether a request may have run. Once it may have, no later send takes that back."""
 
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -12,10 +12,10 @@
     connect_upstream,
 )
 from egretstack.ids import RunnerId
-from egretstack.placing import Run, Work, longest_wait_s
+from egretstack.placing import Placement, Run, Work, longest_wait_s
 from egretstack.platform import runner_answer
 from egretstack.relay._engine_calls import ask_engine
-from egretstack.relay._knowledge import RequestFailed
+from egretstack.relay._knowledge import RequestFailed, crashes_runners
 from egretstack.relay._pace import StreamPace
 from egretstack.relay._tools import CONNECT_TIMEOUT_S, RelayTools, Task
 
@@ -47,6 +47,7 @@
         excluded: tuple[RunnerId, ...] = ()
         while True:
             await self._connect(excluded)
+            self._check_refused()
             head = await self._ask()
             if not self._is_rejected(head):
                 return head
@@ -94,7 +95,7 @@
         """Connect to the engine that the request is placed at; to another if it is gone."""
         for _ in range(MAX_PLACES):
             work = self._work(excluded)
-            placement = await self._tools.placing.place(work, self._task.service.engine)
+            placement = await self._place(work)
             runner = self._tools.runners.by_id.get(placement.runner)
             try:
                 if runner is not None and not self._tools.runners.is_evacuated(runner.id):
@@ -110,6 +111,21 @@
             ErrorKind.NO_RUNNER, "engines do not answer", retry_after_s=REFUSED_RETRY_S
         )
 
+    async def _place(self, work: Work) -> Placement:
+        """Wait for a place, or for the request to be refused. Raises RequestFailed."""
+        self._check_refused()
+        with (
+            trio.CancelScope() as scope,
+            self._tools.crashes.told_when_refused(self._task.content, scope.cancel),
+        ):
+            return await self._tools.placing.place(work, self._task.service.engine)
+        raise crashes_runners()
+
+    def _check_refused(self) -> None:
+        """Raise RequestFailed if no runner may get the request, which has not run."""
+        if self._tools.crashes.refuses(self._task.content):
+            raise crashes_runners()
+
     async def _ask(self) -> ResponseHead:
         self._pace.sent()
         self.sent_s = trio.current_time()
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -23,7 +23,7 @@
 from egretstack.ids import RunnerId
 from egretstack.placing import ColdPart
 from egretstack.platform import client_head, runner_answer, runner_request
-from egretstack.relay._knowledge import RequestFailed, RunKnowledge
+from egretstack.relay._knowledge import CRASHES_DETAIL, RequestFailed, RunKnowledge
 from egretstack.relay._tools import CONNECT_TIMEOUT_S, RelayTools, Task
 from egretstack.routing import RouteKind
 from egretstack.traffic import RunnerAnswer
@@ -78,6 +78,8 @@
         """Give a runner's answer. Raises RequestFailed."""
         progress = _Progress()
         while True:
+            if self._tools.crashes.refuses(task.content):
+                return self._refuse(progress)
             runner = self._choose(task, progress)
             if runner is None or task.time_left_s() < LEAST_SEND_S:
                 return self._give_up(task, progress, "no runner to send to")
@@ -123,6 +125,12 @@
             return False
         return self._tools.budget.allows(trio.current_time(), task.service.name)
 
+    @staticmethod
+    def _refuse(progress: _Progress) -> WholeAnswer:
+        if progress.failure is not None:
+            return progress.failure
+        raise progress.knowledge.failure(ErrorKind.CRASHES_RUNNERS, CRASHES_DETAIL)
+
     def _give_up(self, task: Task, progress: _Progress, detail: str) -> WholeAnswer:
         if progress.failure is not None:
             return progress.failure
@@ -145,17 +153,23 @@
             self._tools.balancer.unreachable(trio.current_time(), runner.id)
             self._tools.on_break()
             return _Result.NOT_SENT, None
+        if self._tools.crashes.refuses(task.content):
+            connection.close()
+            return _Result.NOT_SENT, None
         progress.sends += 1
         if progress.sends > 1:
             self._tools.budget.repeated(trio.current_time(), task.service.name)
         self._tools.balancer.sent(runner.id)
         self._tools.cold.sent(trio.current_time(), runner.id)
+        began_s = trio.current_time()
         try:
             return await self._exchange(task, runner, connection, progress)
         except BaseException:
             # The client left or the process ends; closing tells the runner to stop.
             connection.close()
             self._ended(runner, failed=False)
+            if not self._tools.runners.is_ready(runner.id):
+                self._note_broken(task, runner, began_s)
             raise
 
     async def _connect(self, task: Task, runner: Runner) -> UpstreamConnection:
@@ -179,7 +193,7 @@
             progress.knowledge.unknown()
             self._broke(runner)
             self._ended(runner, failed=True)
-            self._tools.crashes.broke(task.request.attempt_id, task.content, runner.id, began_s)
+            await self._note_broken(task, runner, began_s).wait()
             log(Event.UPSTREAM_BROKEN, request=task.request.attempt_id, error=repr(error))
             return _Result.UNKNOWN, None
         self._tools.balancer.recent.note(trio.current_time(), runner.id, broke=False)
@@ -200,6 +214,8 @@
             self._tools.pool.give_back(connection)
         if result is _Result.FAILED:
             progress.knowledge.unknown()
+        if result in (_Result.ANSWERED, _Result.FAILED):
+            self._tools.crashes.answered(task.content)
         self._tools.balancer.ended(
             trio.current_time(),
             runner.id,
@@ -214,6 +230,10 @@
         again = task.route.kind is RouteKind.IDEMPOTENT and progress.sends < task.route.max_sends
         return left_s * FIRST_TRY_SHARE if again else left_s
 
+    def _note_broken(self, task: Task, runner: Runner, sent_s: float) -> trio.Event:
+        attempt = task.request.attempt_id
+        return self._tools.crashes.broke(attempt, task.content, runner.id, sent_s)
+
     def _broke(self, runner: Runner) -> None:
         self._tools.balancer.recent.note(trio.current_time(), runner.id, broke=True)
         self._tools.on_break()
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -14,6 +14,7 @@
     UpstreamBroken,
     UpstreamConnection,
 )
+from egretstack.ids import RunnerId
 from egretstack.placing import Run
 from egretstack.platform import client_head, runner_answer
 from egretstack.relay._client_stream import ClientStream
@@ -71,6 +72,10 @@
         self._opening = EngineOpening(tools, task, self._pace)
         self._sent_s = 0.0
         """When the run was sent to the runner where it is."""
+        self._first_event_s: float | None = None
+        """When its first event came from there."""
+        self._over = False
+        """Whether the run has ended, however it did."""
         self._leaving_since_s: float | None = None
         self._mover: Mover | None = None
         self._nursery: trio.Nursery | None = None
@@ -87,6 +92,7 @@
             self._note_backup()
             return await self._relay(head)
         finally:
+            self._note_cancelled()
             self._opening.close()
             if self._source is not None:
                 self._source.close()
@@ -98,7 +104,9 @@
         if not answer.sealed or answer.encoded or promises_not_run(head.status):
             raise answer_spoilt(self._task, self._run, "not an answer of the runner")
         if head.status != 200:
-            return WholeAnswer(client_head(answer), await self._whole_body())
+            body = await self._whole_body()
+            self._end()
+            return WholeAnswer(client_head(answer), body)
         await self._client.start(client_head(answer))
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
@@ -106,6 +114,19 @@
             nursery.cancel_scope.cancel()
         return None
 
+    def _note_cancelled(self) -> None:
+        """Take note of a run whose client left before the end of its runner showed."""
+        run = self._run or self._opening.run
+        if self._over or run is None or self._tools.runners.is_ready(run.runner):
+            return
+        self._note_broken(run.runner)
+
+    def _note_broken(self, runner: RunnerId) -> trio.Event:
+        sent_s = self._sent_s or self._opening.sent_s
+        return self._tools.crashes.broke(
+            self._attempt, self._task.content, runner, sent_s, self._first_event_s
+        )
+
     def _note_backup(self) -> None:
         backup = self._tools.runners.by_id.get(self._run.backup) if self._run.backup else None
         self._saved = None
@@ -113,6 +134,11 @@
             attempt = self._task.request.attempt_id
             self._saved = SavedCopy(backup.id, backup.address, attempt)
 
+    def _end(self) -> None:
+        """Take note that the runner ran the request to its end."""
+        self._over = True
+        self._tools.crashes.answered(self._task.content)
+
     async def _whole_body(self) -> bytes:
         body = bytearray()
         try:
@@ -121,6 +147,7 @@
                 if len(body) > MAX_ANSWER_BYTES:
                     raise answer_spoilt(self._task, self._run, "an answer too large")
         except UpstreamBroken as error:
+            self._note_broken(self._run.runner)
             raise answer_spoilt(self._task, self._run, str(error)) from error
         return bytes(body)
 
@@ -131,15 +158,14 @@
             if end in (_End.WHOLE, _End.BROKEN):
                 self._tools.note_engine(self._run.runner, broke=end is _End.BROKEN)
             if end is _End.WHOLE:
+                self._end()
                 await self._client.finish()
                 self._log_ended()
                 if self._mover is not None:
                     await self._mover.free()
                 return
             if end is not _End.LEAVING:
-                self._tools.crashes.broke(
-                    self._attempt, self._task.content, self._run.runner, self._sent_s
-                )
+                await self._note_broken(self._run.runner).wait()
             log(
                 Event.STREAM_HALTED,
                 request=self._attempt,
@@ -159,6 +185,7 @@
                     runner=self._run.runner,
                     events=self._pace.events,
                 )
+                self._over = True
                 self._client.abort()
                 return
 
@@ -239,12 +266,17 @@
             return False
         return leaving and now_s - self._leaving_since_s >= SWITCH_DELAY_S
 
+    def _is_refused(self) -> bool:
+        return self._tools.crashes.refuses(self._task.content)
+
     def _is_long(self) -> bool:
         return self._tools.placing.tokens_left(self._run) >= COPY_LEAST_TOKENS
 
     async def _pass_on(self, events: list[StreamEvent]) -> None:
         if not events:
             return
+        if self._first_event_s is None:
+            self._first_event_s = trio.current_time()
         if self._pace.passed(len(events)):
             self._tools.placing.first_token(self._run, self._pace.read_s, self._pace.first_s)
         self._run.started = True
@@ -252,7 +284,7 @@
         await self._client.send(b"".join(event.data for event in events))
 
     def _start_mover(self) -> None:
-        if not self._task.service.engine.moves:
+        if not self._task.service.engine.moves or self._is_refused():
             return
         self._mover = Mover(self._tools, self._task, self._run, self._take_copy)
         self._nursery.start_soon(self._mover.run)
@@ -266,7 +298,7 @@
         """Continue the run where its copy is; on failure the present source is left as it is."""
         saved = self._saved
         runner = self._tools.runners.by_id.get(saved.runner) if saved else None
-        if runner is None or not self._pace.events:
+        if runner is None or not self._pace.events or self._is_refused():
             return False
         if self._tools.runners.is_evacuated(runner.id):
             # Nothing more may be sent there; where the run is, it may go on.
@@ -293,7 +325,7 @@
         # The runner before may not work on beside the new one.
         self._source.close()
         self._source = connection
-        self._sent_s = began_s
+        self._sent_s, self._first_event_s = began_s, None
         self._splitter = EventSplitter()
         self._leaving_since_s = None
         if self._mover is not None:
--- a/egretstack/services/crash_guard.py
+++ b/egretstack/services/crash_guard.py
@@ -1,20 +1,29 @@
-"""Finds out whether the runner of a broken run has ended, and notes what it was running."""
+"""Finds out whether the runner of a broken run has ended, and what it was running; tells the home.
 
+The home learns it from reports, and tells all instances in its news.
+"""
+
+from collections.abc import Callable
+from contextlib import AbstractContextManager
 from dataclasses import dataclass, field
 
 import trio
 
+from egretstack.crashes import CrashReports, Strike, clear_of, strike_of, strike_weight
 from egretstack.events import Event, log
-from egretstack.fleet import Runner
+from egretstack.fleet import InstanceReport, Runner
 from egretstack.http1 import ConnectFailed, connect_upstream
-from egretstack.ids import ContentId, RunnerId
+from egretstack.ids import ContentId, InstanceId, RunnerId
 from egretstack.kernel import Kernel, Service
+from egretstack.messages import MessageError
 from egretstack.relay import CrashGuard
 from egretstack.services.fleet_port import FleetPort
+from egretstack.services.relay_metrics import RelayMetrics
 
 PROBE_TIMEOUT_S = 0.15
 NOTICE_S = 0.5
 """A runner that was known to leave for longer ends by plan."""
+FORGET_PERIOD_S = 30.0
 
 
 @dataclass
@@ -22,46 +31,83 @@
     attempt: str
     content: ContentId
     sent_s: float
+    first_event_s: float | None
     broke_s: float
     judged: trio.Event = field(default_factory=trio.Event)
 
 
 class CrashGuardService(Service, CrashGuard):
-    """Probes runners whose runs broke."""
+    """Probes runners whose runs broke, and shares what it finds."""
 
     name = "crash_guard"
-    requires = ("fleet_port",)
+    requires = ("fleet_port", "relay_metrics")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
+        self._reports = CrashReports()
         self._broken_by_runner: dict[RunnerId, list[_BrokenRun]] = {}
         """Broken runs of the runners that are being probed."""
         self._nursery: trio.Nursery | None = None
+        gauge = kernel.get(RelayMetrics).gauge(
+            "egret_relay_refused_contents",
+            "Requests that no runner gets, as runners end under them.",
+        )
+        gauge.set_function(self._port.crashes.refused)
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
-        """Probe until cancelled."""
+        """Probe and share until cancelled."""
+        self._port.strikes = lambda: self._reports.strike_rows(trio.current_time())
+        self._port.clears = lambda: self._reports.clear_rows(trio.current_time())
+        self._port.on_report(self._take_report)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
-            await trio.sleep_forever()
+            while True:
+                await trio.sleep(FORGET_PERIOD_S)
+                self._port.crashes.forget_old(trio.current_time())
+
+    def refuses(self, content: ContentId) -> bool:
+        """Tell whether no runner may get a request now."""
+        return self._port.crashes.refuses(content)
+
+    def told_when_refused(
+        self, content: ContentId, wake: Callable[[], None]
+    ) -> AbstractContextManager[None]:
+        """Call `wake` if a request is refused while the context lasts."""
+        return self._port.crashes.told_when_refused(content, wake)
+
+    def answered(self, content: ContentId) -> None:
+        """Take note that a runner ran a request to an end and lives."""
+        now_s = trio.current_time()
+        cleared_round = self._port.clear(now_s, content)
+        if cleared_round is not None:
+            self._reports.cleared(now_s, content, cleared_round)
+            self._port.tell_soon()
 
     def broke(
-        self, attempt: str, content: ContentId, runner: RunnerId, sent_s: float
+        self,
+        attempt: str,
+        content: ContentId,
+        runner: RunnerId,
+        sent_s: float,
+        first_event_s: float | None = None,
     ) -> trio.Event:
-        """Take note that a run broke off at a runner."""
-        broken = _BrokenRun(attempt, content, sent_s, trio.current_time())
+        """Take note that a run broke off at a runner; find out whether that has ended."""
+        broken = _BrokenRun(attempt, content, sent_s, first_event_s, trio.current_time())
         known = self._port.runners.by_id.get(runner)
         if known is None or self._nursery is None or self._is_leaving(runner):
             broken.judged.set()
+        elif runner in self._broken_by_runner:
+            self._broken_by_runner[runner].append(broken)
+        else:
+            self._broken_by_runner[runner] = [broken]
+            self._nursery.start_soon(self._probe, known)
+        if self._port.crashes.suspects(content):
             return broken.judged
-        waiting = self._broken_by_runner.get(runner)
-        if waiting is not None:
-            waiting.append(broken)
-            return broken.judged
-        self._broken_by_runner[runner] = [broken]
-        self._nursery.start_soon(self._probe, known)
-        return broken.judged
+        unsuspected = trio.Event()
+        unsuspected.set()
+        return unsuspected
 
     def _is_leaving(self, runner: RunnerId) -> bool:
         stopped_s = self._port.runners.stopped_s(runner)
@@ -78,6 +124,8 @@
         for broken in self._broken_by_runner.pop(runner.id):
             self._judge(runner.id, broken, ended=ended)
             broken.judged.set()
+        if ended:
+            self._port.tell_soon()
 
     def _judge(self, runner: RunnerId, broken: _BrokenRun, *, ended: bool) -> None:
         log(
@@ -88,3 +136,27 @@
             ran_ms=round((broken.broke_s - broken.sent_s) * 1000),
             ended=ended,
         )
+        if not ended:
+            return
+        strike = Strike(
+            runner,
+            broken.sent_s,
+            broken.broke_s,
+            strike_weight(broken.first_event_s, broken.broke_s),
+            self._port.crashes.round(broken.content),
+        )
+        self._port.strike(trio.current_time(), broken.content, strike)
+        self._reports.struck(broken.content, strike)
+
+    def _take_report(self, instance: InstanceId, report: InstanceReport) -> None:
+        now_s = trio.current_time()
+        try:
+            strikes = [strike_of(row, now_s) for row in report.strikes]
+            clears = [clear_of(row) for row in report.clears]
+        except MessageError as error:
+            log(Event.PEER_REFUSED, sender=instance, error=str(error))
+            return
+        for content, strike in strikes:
+            self._port.strike(now_s, content, strike)
+        for content, cleared_round in clears:
+            self._port.take_clear(now_s, content, cleared_round)
--- /dev/null
+++ b/egretstack/services/crash_list.py
@@ -0,0 +1,124 @@
+"""Keeps what the fleet knows of requests that end runners in the store, as the home.
+
+After a restart of every instance it is read from there. An instance that hears no other one is its
+own home, so that one which is cut off from its peers alone keeps to it and adds to it too.
+"""
+
+import trio
+
+from egretstack.crashes import CrashRecord, record_of, record_row
+from egretstack.events import Event, log
+from egretstack.fleet import StoreSight
+from egretstack.ids import ContentId
+from egretstack.kernel import Kernel
+from egretstack.messages import MessageError
+from egretstack.platform import Change, ObjectKind, RevisionConflict, StoreAway
+from egretstack.services.fleet_port import IDLE_LOOK_S
+from egretstack.services.store_following import StoreFollower
+from egretstack.services.store_reading import AWAY_PAUSE_S
+
+WATCH_S = 5.0
+"""Length of one watch. Only another home or an operator writes besides, both of them rarely."""
+FIELD = "record"
+MOST_BAD_LOGGED = 8
+MOST_NAME_LOGGED = 128
+
+
+class CrashList(StoreFollower):
+    """Reads the records, and writes those that have to last."""
+
+    name = "crash_list"
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self._stored_by_content: dict[ContentId, CrashRecord] = {}
+        """The records as the store has them."""
+        self._changed = trio.Event()
+
+    async def run(self, task_status: trio.TaskStatus[None]) -> None:
+        """Read and write until cancelled."""
+        self._port.on_crash_record(self._note_change)
+        task_status.started()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow)
+            nursery.start_soon(self._write_changes)
+
+    def _note_change(self) -> None:
+        self._changed.set()
+
+    def _is_told(self) -> bool:
+        return self._port.fleet.is_led(trio.current_time())
+
+    def _may_try(self) -> bool:
+        """Leave it to the list of runners to find out when the store is back."""
+        sight = self._port.fleet.own.store
+        return self._port.is_home() and sight is not StoreSight.AWAY
+
+    async def _read(self) -> None:
+        store = self._reading.store
+        if self._revision is None:
+            listing = await store.list(ObjectKind.CRASH_RECORD)
+            self._stored_by_content.clear()
+            changes, revision = [Change(one, False) for one in listing.objects], listing.revision
+        else:
+            watched = await store.watch(ObjectKind.CRASH_RECORD, self._revision, WATCH_S)
+            changes, revision = watched.changes, watched.revision
+        bad = [name for change in changes if (name := self._take(change)) is not None]
+        for name in bad[:MOST_BAD_LOGGED]:
+            log(Event.CRASH_RECORD_UNREADABLE, content=name[:MOST_NAME_LOGGED])
+        self._revision = revision
+        self._changed.set()
+
+    def _take(self, change: Change) -> str | None:
+        """Take an object of the store; give its name if it cannot be read."""
+        now_s = trio.current_time()
+        content = ContentId(change.object.name)
+        if change.deleted:
+            # Deleted by an operator, unless this instance has nothing more to keep of it.
+            if self._stored_by_content.pop(content, None) is not None:
+                self._port.clear(now_s, content)
+            return None
+        try:
+            record = record_of(change.object.spec.get(FIELD))
+        except MessageError:
+            return change.object.name
+        self._stored_by_content[content] = record
+        self._port.take_crash_record(now_s, content, record)
+        return None
+
+    async def _write_changes(self) -> None:
+        while True:
+            await self._changed.wait()
+            if self._port.is_home() and (self._revision is None or not self._may_try()):
+                await trio.sleep(IDLE_LOOK_S)
+                continue
+            self._changed = trio.Event()
+            if not self._port.is_home():
+                continue  # Whoever becomes home reads the store first, and writes what it lacks.
+            try:
+                await self._write_all()
+            except StoreAway as error:
+                self._reading.away(error)
+                self._changed.set()
+                await trio.sleep(AWAY_PAUSE_S)
+
+    async def _write_all(self) -> None:
+        lasting = self._port.crashes.lasting()
+        for content, record in lasting.items():
+            if self._stored_by_content.get(content) != record:
+                await self._write(content, record)
+        for content in self._stored_by_content.keys() - lasting.keys():
+            # What its own deletion tells is not an operator's doing.
+            self._stored_by_content.pop(content)
+            await self._reading.store.delete(ObjectKind.CRASH_RECORD, content)
+
+    async def _write(self, content: ContentId, record: CrashRecord) -> None:
+        """Write a record; another home that wrote meanwhile is heard of by the watch."""
+        store, spec = self._reading.store, {FIELD: record_row(record)}
+        try:
+            if not await store.replace(ObjectKind.CRASH_RECORD, content, spec):
+                await store.create(ObjectKind.CRASH_RECORD, content, spec)
+        except RevisionConflict:
+            self._changed.set()
+            return
+        self._stored_by_content[content] = record
--- a/egretstack/services/fleet_news.py
+++ b/egretstack/services/fleet_news.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from egretstack.crashes import record_of, record_row
 from egretstack.events import Event, log
 from egretstack.fleet import (
     REPEAT_AFTER_S,
@@ -29,7 +30,7 @@
     runner_row,
     told_instance_row,
 )
-from egretstack.ids import InstanceId, RunnerId, ZoneName
+from egretstack.ids import ContentId, InstanceId, RunnerId, ZoneName
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import Message, MessageError, encode
 from egretstack.services.fleet_port import FleetPort
@@ -52,6 +53,7 @@
 _INSTANCE = "i"
 _RUNNER = "r"
 _ZONE = "z"
+_CRASH = "c"
 _SILENT = 1
 _SUSPECT = 2
 
@@ -143,13 +145,13 @@
         return self._keeper.lead().update(self._rows(others))
 
     def _is_urgent(self, before: int) -> bool:
-        """Tell whether runners may get less work since a version."""
+        """Tell whether runners may get less work since a version, or others are suspected."""
         changes = self._keeper.lead().rows.since(before)
         rows = [one.row for one in changes if one.key[0] == _RUNNER]
         ready = RunnerState.READY
         if any(row is None or row[-1] or runner_of(row[:-1]).state is not ready for row in rows):
             return True
-        return any(one.row is not None for one in changes if one.key[0] == _ZONE)
+        return any(one.row is not None for one in changes if one.key[0] in (_ZONE, _CRASH))
 
     async def _repeat(self) -> None:
         """Send urgent news once more to whoever has not reported to hold them."""
@@ -192,6 +194,8 @@
             for runner in runners.by_id.values()
         }
         rows |= {f"{_ZONE}{zone}": [] for zone in self._port.evacuations.zones}
+        crashes = self._port.crashes.told().items()
+        rows |= {f"{_CRASH}{content}": record_row(record) for content, record in crashes}
         watchers = self._port.fleet.watchers(trio.current_time())
         for known in (self._port.fleet.own, *others):
             name = known.instance.id
@@ -296,11 +300,13 @@
 
     def _use(self, now_s: float, home: InstanceId, news: FleetNews) -> None:
         """Put the rows to use, which are all that the home has told."""
-        kinds = {key[0] for key in self._keeper.follow().pop_changed()}
+        changed_keys = self._keeper.follow().pop_changed()
+        kinds = {key[0] for key in changed_keys}
         if _INSTANCE in kinds:
             self._port.fleet.told(now_s, home, [instance_of(row) for row in self._of(_INSTANCE)])
         else:
             self._port.fleet.still_told(now_s, home)
+        self._use_crashes(now_s, changed_keys)
         self._use_evacuations(now_s, news, _ZONE in kinds)
         read_s = now_s - news.runners_age_ms / 1000
         table = self._port.runners
@@ -312,6 +318,15 @@
         was_taken = table.revision == news.runners_revision
         self._table_revision = table.revision if was_taken else None
 
+    def _use_crashes(self, now_s: float, changed_keys: set[str]) -> None:
+        """Take the changed records; one that the home has forgotten is forgotten here in time."""
+        keys = [key for key in changed_keys if key[0] == _CRASH]
+        rows = self._keeper.follow().rows.rows() if keys else {}
+        for key in keys:
+            if key in rows:
+                content = ContentId(key[1:])
+                self._port.take_crash_record(now_s, content, record_of(rows[key]))
+
     def _use_evacuations(self, now_s: float, news: FleetNews, changed: bool) -> None:
         # Under another home the rows may be the same as this instance told when it was home itself.
         if changed or news.epoch != self._told_epoch:
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -8,6 +8,7 @@
 import msgpack
 import trio
 
+from egretstack.crashes import CrashRecord, CrashTable, Strike
 from egretstack.events import Event, log
 from egretstack.fleet import (
     REPORT_PERIOD_S,
@@ -27,7 +28,7 @@
     instance_row,
     rows_of,
 )
-from egretstack.ids import InstanceId, RunnerId, ZoneName
+from egretstack.ids import ContentId, InstanceId, RunnerId, ZoneName
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import Message, MessageError, decode, encode
 from egretstack.platform import NodeSettings
@@ -64,6 +65,7 @@
         self.fleet = Fleet(known, trio.current_time())
         self.runners = RunnerTable()
         self.evacuations = Evacuations()
+        self.crashes = CrashTable()
         self.runs: Callable[[], list] = list
         """Gives the rows of the runs of this instance."""
         self.held: Callable[[], HeldNews] = HeldNews
@@ -72,12 +74,17 @@
         """Tells whether some of it was lost."""
         self.answers: Callable[[], list] = list
         """Gives the rows of what plain runners made of the calls of this instance."""
+        self.strikes: Callable[[], list] = list
+        """Gives the rows of the runners that ended while they ran requests of this instance."""
+        self.clears: Callable[[], list] = list
+        """Gives the rows of the requests that were answered since."""
         self.tell_now = trio.Event()
         self._handler_by_kind: dict[type[Message], Handler] = {
             InstanceReport: self._take_report,
             FleetView: self._take_view,
         }
         self._tellers: list[Callable[[], None]] = []
+        self._crash_takers: list[Callable[[], None]] = []
         self._gone_takers: list[Callable[[Runner], None]] = []
         self._report_takers: list[Callable[[InstanceId, InstanceReport], None]] = []
         self._raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -201,6 +208,8 @@
             [held.epoch, held.version, self.missed()],
             self.runs(),
             self.answers(),
+            self.strikes(),
+            self.clears(),
         )
 
     async def _receive(self, receiving: trio.socket.SocketType) -> None:
@@ -264,6 +273,47 @@
         if self.is_home():
             self.tell_soon()
 
+    def take_crash_record(self, now_s: float, content: ContentId, record: CrashRecord) -> None:
+        """Take what the home or the store knows of a request under which runners ended."""
+        refused = self.crashes.refuses(content)
+        if self.crashes.take(now_s, content, record):
+            self._crashes_changed(content, was_refused=refused)
+
+    def strike(self, now_s: float, content: ContentId, strike: Strike) -> None:
+        """Note that a runner ended while it ran a request of this instance, or of another one."""
+        refused = self.crashes.refuses(content)
+        if self.crashes.strike(now_s, content, strike):
+            self._crashes_changed(content, was_refused=refused)
+
+    def take_clear(self, now_s: float, content: ContentId, cleared_round: int) -> None:
+        """Take it that a runner answered a request of another instance."""
+        refused = self.crashes.refuses(content)
+        if self.crashes.take_clear(now_s, content, cleared_round):
+            self._crashes_changed(content, was_refused=refused)
+
+    def clear(self, now_s: float, content: ContentId) -> int | None:
+        """Note that a request was answered, or let free; give the round that begins, if any."""
+        refused = self.crashes.refuses(content)
+        cleared_round = self.crashes.clear(now_s, content)
+        if cleared_round is not None:
+            self._crashes_changed(content, was_refused=refused)
+        return cleared_round
+
+    def on_crash_record(self, taker: Callable[[], None]) -> None:
+        """Let `taker` know when a record of a request under which runners ended has changed."""
+        self._crash_takers.append(taker)
+
+    def _crashes_changed(self, content: ContentId, *, was_refused: bool) -> None:
+        refuses = self.crashes.refuses(content)
+        if refuses != was_refused:
+            event = Event.CONTENT_REFUSED if refuses else Event.CONTENT_CLEARED
+            record = self.crashes.record(content)
+            log(event, content=content, runners=",".join(record.weight_by_runner))
+        for taker in self._crash_takers:
+            taker()
+        if self.is_home():
+            self.tell_soon()
+
     def runner_born(self, runner: RunnerId, born_ms: int) -> None:
         """Take a runner's own word of when it started."""
         gone = self.runners.started(runner, born_ms)
--- /dev/null
+++ b/tests/test_crash_records.py
@@ -0,0 +1,197 @@
+"""Records of requests under which runners end: merging, refusing, clearing, bounds, bad rows."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egretstack.crashes import (
+    CrashRecord,
+    CrashReports,
+    CrashTable,
+    Strike,
+    clear_of,
+    record_of,
+    record_row,
+    strike_of,
+    strike_row,
+    strike_weight,
+)
+from egretstack.crashes._record import EARLY_S, EARLY_WEIGHT, LATE_WEIGHT, MAX_RUNNERS
+from egretstack.crashes._reports import REPEAT_S
+from egretstack.crashes._table import KEEP_S, KEEP_SINGLE_S, MAX_RECORDS
+from egretstack.messages import MessageError
+from tests.support import check, tests_of
+
+load_tests = tests_of(globals())
+
+records = st.builds(
+    CrashRecord,
+    st.integers(0, 3),
+    st.dictionaries(st.sampled_from("abcde"), st.sampled_from([1, 2]), max_size=5),
+    st.booleans(),
+)
+
+
+def end(runner, sent_s, ended_s, weight=EARLY_WEIGHT, number=0):
+    return Strike(runner, sent_s, ended_s, weight, number)
+
+
+def struck(*strikes):
+    table = CrashTable()
+    for one in strikes:
+        table.strike(one.ended_s, "c", one)
+    return table
+
+
+@given(records, records, records)
+def test_records_merge_to_the_same_in_any_order_and_any_number_of_times(a, b, c):
+    check.assertEqual(a.merged(b), b.merged(a))
+    check.assertEqual(a.merged(b).merged(c), a.merged(b.merged(c)))
+    check.assertEqual(a.merged(b).merged(b), a.merged(b))
+
+
+@given(records)
+def test_a_record_comes_back_from_its_row(record):
+    check.assertEqual(record_of(record_row(record)), record)
+
+
+def test_a_request_is_refused_once_three_runners_have_ended_under_it():
+    table = struck(end("a", 0, 1), end("b", 2, 3))
+    check.assertFalse(table.refuses("c"))
+    check.assertTrue(table.strike(5, "c", end("c", 4, 5)))
+    check.assertTrue(table.refuses("c"))
+    check.assertFalse(table.refuses("other"))
+
+
+def test_one_end_told_again_and_again_counts_once():
+    table = struck(*[end("a", 0, 1)] * 5)
+    check.assertEqual(table.record("c").weight, EARLY_WEIGHT)
+
+
+def test_equal_requests_at_runners_that_end_together_are_no_cause():
+    table = struck(end("a", 0, 5), end("b", 1, 5.1), end("c", 2, 5.2), end("d", 3, 5.3))
+    check.assertFalse(table.refuses("c"))
+    table.strike(7, "c", end("e", 6, 7))
+    check.assertTrue(table.refuses("c"))
+
+
+def test_ends_that_are_told_out_of_order_recur_all_the_same():
+    check.assertTrue(struck(end("c", 6, 7), end("b", 3, 4), end("a", 0, 1)).refuses("c"))
+
+
+def test_a_long_stream_that_goes_on_at_copies_is_a_less_likely_cause():
+    check.assertEqual(strike_weight(None, 9.0), EARLY_WEIGHT)
+    check.assertEqual(strike_weight(1.0, 1.0 + EARLY_S), EARLY_WEIGHT)
+    check.assertEqual(strike_weight(1.0, 1.1 + EARLY_S), LATE_WEIGHT)
+    late = [end(f"r-{n}", 2 * n, 2 * n + 1, LATE_WEIGHT) for n in range(6)]
+    check.assertFalse(struck(*late[:5]).refuses("c"))
+    check.assertTrue(struck(*late).refuses("c"))
+
+
+def test_an_answer_clears_a_request_and_outdates_what_was_told_before():
+    table = struck(end("a", 0, 1), end("b", 2, 3))
+    check.assertEqual(table.clear(4, "c"), 1)
+    check.assertIsNone(table.clear(4, "c"))
+    check.assertFalse(table.strike(4, "c", end("b", 2, 3)))
+    check.assertFalse(table.suspects("c"))
+    table.strike(6, "c", end("d", 5, 6, number=1))
+    check.assertTrue(table.suspects("c"))
+    check.assertFalse(table.refuses("c"))
+
+
+def test_another_instances_answer_clears_only_what_is_held():
+    table = struck(end("a", 0, 1))
+    check.assertTrue(table.take_clear(2, "c", 1))
+    check.assertFalse(table.take_clear(2, "c", 1))
+    check.assertFalse(table.take_clear(2, "unknown", 1))
+    check.assertEqual(len(table), 1)
+
+
+def test_a_run_after_a_restart_recurs():
+    table = CrashTable()
+    table.take(0, "c", CrashRecord(0, {"a": 2, "b": 2}, False))
+    check.assertFalse(table.refuses("c"))
+    table.strike(3, "c", end("d", 2, 3))
+    check.assertTrue(table.refuses("c"))
+
+
+def test_whoever_waits_for_a_runner_hears_of_the_refusal():
+    table = struck(end("a", 0, 1), end("b", 2, 3))
+    woken = []
+    with table.told_when_refused("c", lambda: woken.append(True)):
+        table.strike(5, "c", end("d", 4, 5))
+    check.assertEqual(woken, [True])
+    table.strike(7, "c", end("e", 6, 7))
+    check.assertEqual(woken, [True])
+
+
+def test_old_records_go_and_the_most_suspected_stay():
+    table = struck(end("a", 0, 1), end("b", 2, 3), end("d", 4, 5))
+    for number in range(MAX_RECORDS + 10):
+        table.strike(10, f"x-{number}", end("z", 0, 10))
+    check.assertEqual(len(table), MAX_RECORDS)
+    check.assertTrue(table.refuses("c"))
+    table.forget_old(10 + KEEP_SINGLE_S + 1)
+    check.assertEqual(len(table), 1)
+    table.forget_old(6 + KEEP_S)
+    check.assertFalse(table.refuses("c"))
+
+
+def test_only_ends_that_recur_outlive_the_processes():
+    table = struck(end("a", 0, 1))
+    check.assertEqual(table.lasting(), {})
+    table.strike(3, "c", end("b", 2, 3))
+    check.assertEqual(set(table.lasting()), {"c"})
+
+
+def test_a_report_repeats_what_was_found_for_a_while():
+    reports = CrashReports()
+    reports.struck("c", end("a", 0.0, 1.0, number=2))
+    reports.cleared(2.0, "d", 3)
+    [row] = reports.strike_rows(1.5)
+    content, strike = strike_of(row, 101.5)
+    check.assertEqual((content, strike.runner, strike.round), ("c", "a", 2))
+    check.assertAlmostEqual(strike.ended_s, 101.0)
+    check.assertEqual([clear_of(one) for one in reports.clear_rows(2.0)], [("d", 3)])
+    check.assertEqual(reports.strike_rows(1.1 + REPEAT_S), [])
+    check.assertEqual(reports.clear_rows(2.1 + REPEAT_S), [])
+
+
+def test_bad_rows_are_refused():
+    good = [0, {"a": 2}, True]
+    bad_records = [
+        None,
+        [],
+        [0, {"a": 2}],
+        [-1, {}, True],
+        [0.5, {}, True],
+        [True, {}, True],
+        [2**40, {}, True],
+        [0, {"a": 3}, True],
+        [0, {"a": -1}, True],
+        [0, {"a": "2"}, True],
+        [0, {"": 2}, True],
+        [0, {"x" * 500: 2}, True],
+        [0, {5: 2}, True],
+        [0, [["a", 2]], True],
+        [0, {"a": 2}, 1],
+        [0, {f"r-{n}": 2 for n in range(MAX_RUNNERS + 1)}, True],
+    ]
+    check.assertEqual(record_of(good).weight, 2)
+    for row in bad_records:
+        with check.assertRaises(MessageError, msg=row):
+            record_of(row)
+    strike = strike_row("c", end("a", 0, 1), 2.0)
+    bad_strikes = [
+        None,
+        strike[:-1],
+        *[[*strike[:n], bad, *strike[n + 1 :]] for n, bad in BAD_PARTS],
+    ]
+    for row in bad_strikes:
+        with check.assertRaises(MessageError, msg=row):
+            strike_of(row, 2.0)
+    for row in (None, ["c"], ["c", 0], ["c", -1], ["c", "1"], [1, 1], ["c", 2**40]):
+        with check.assertRaises(MessageError, msg=row):
+            clear_of(row)
+
+
+BAD_PARTS = [(0, 5), (0, ""), (1, None), (2, "x"), (3, 1.5), (4, 9), (4, "2"), (5, -1), (5, None)]
