Ends of runners: each way to a runner and each way of the news has its test; a runner that restarted at once is told apart

The probe now asks the runner for its health: a process that another one has replaced at the same address, under another name, has ended too. A runner that is busy, rejects or is late has not. The question is shared with the service that asks runners whose entry came back.

--- a/egretstack/services/crash_guard.py
+++ b/egretstack/services/crash_guard.py
@@ -12,15 +12,18 @@
 from egretstack.crashes import CrashReports, Strike, clear_of, strike_of, strike_weight
 from egretstack.events import Event, log
 from egretstack.fleet import InstanceReport, Runner
-from egretstack.http1 import ConnectFailed, connect_upstream
+from egretstack.http1 import ConnectFailed
 from egretstack.ids import ContentId, InstanceId, RunnerId
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import MessageError
 from egretstack.relay import CrashGuard
+from egretstack.services._runner_health import ask_health
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.relay_metrics import RelayMetrics
+from egretstack.services.store_reading import StoreReading
 
-PROBE_TIMEOUT_S = 0.15
+CONNECT_TIMEOUT_S = 0.15
+HEALTH_TIMEOUT_S = 0.1
 NOTICE_S = 0.5
 """A runner that was known to leave for longer ends by plan."""
 FORGET_PERIOD_S = 30.0
@@ -40,11 +43,12 @@
     """Probes runners whose runs broke, and shares what it finds."""
 
     name = "crash_guard"
-    requires = ("fleet_port", "relay_metrics")
+    requires = ("fleet_port", "relay_metrics", "store_reading")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
+        self._store = kernel.get(StoreReading)
         self._reports = CrashReports()
         self._broken_by_runner: dict[RunnerId, list[_BrokenRun]] = {}
         """Broken runs of the runners that are being probed."""
@@ -114,19 +118,28 @@
         return stopped_s is not None and trio.current_time() - stopped_s > NOTICE_S
 
     async def _probe(self, runner: Runner) -> None:
-        """Find out whether a runner still accepts connections."""
-        ended = False
-        try:
-            connection = await connect_upstream(runner.address, PROBE_TIMEOUT_S)
-            connection.close()
-        except ConnectFailed:
-            ended = True
+        ended = await self._has_ended(runner)
         for broken in self._broken_by_runner.pop(runner.id):
             self._judge(runner.id, broken, ended=ended)
             broken.judged.set()
         if ended:
             self._port.tell_soon()
 
+    async def _has_ended(self, runner: Runner) -> bool:
+        """Tell whether a runner accepts no connection, or another one answers in its place.
+
+        One that is busy answers late or rejects the question, and has not ended.
+        """
+        plan = self._store.service(runner.service)
+        path = "/" if plan is None else plan.health_path
+        try:
+            health = await ask_health(runner, path, CONNECT_TIMEOUT_S, HEALTH_TIMEOUT_S)
+        except ConnectFailed:
+            return True
+        if self._port.runners.is_gone(runner.id):
+            return True
+        return health is not None and health.name != runner.incarnation.name
+
     def _judge(self, runner: RunnerId, broken: _BrokenRun, *, ended: bool) -> None:
         log(
             Event.RUN_BROKEN,
--- a/egretstack/services/runner_returns.py
+++ b/egretstack/services/runner_returns.py
@@ -10,10 +10,10 @@
 
 from egretstack.events import Event, log
 from egretstack.fleet import Runner
-from egretstack.http1 import ConnectFailed, UpstreamBroken, connect_upstream, exchange
+from egretstack.http1 import ConnectFailed
 from egretstack.ids import RunnerId
 from egretstack.kernel import Kernel, Service
-from egretstack.platform import health_request, runner_health
+from egretstack.services._runner_health import ask_health
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import RunnerHealth
@@ -21,7 +21,6 @@
 LOOK_S = 0.5
 """How often returned runners are asked; they are few, and each question takes a slot of theirs."""
 TIMEOUT_S = 0.5
-MOST_ANSWER_BYTES = 65_536
 
 
 class RunnerReturns(Service):
@@ -66,16 +65,6 @@
     async def _health(self, runner: Runner, path: str) -> RunnerHealth | None:
         """Give what a healthy runner at a runner's address says; None if none answers."""
         try:
-            connection = await connect_upstream(runner.address, TIMEOUT_S)
+            return await ask_health(runner, path, TIMEOUT_S, TIMEOUT_S)
         except ConnectFailed:
             return None
-        try:
-            with trio.move_on_after(TIMEOUT_S):
-                question = health_request(runner.address, path)
-                head, _ = await exchange(connection, question, b"", MOST_ANSWER_BYTES)
-                return runner_health(head)
-        except UpstreamBroken as error:
-            log(Event.UPSTREAM_BROKEN, request="", runner=runner.id, error=repr(error))
-        finally:
-            connection.close()
-        return None
--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -55,7 +55,9 @@
         self.gap_s = gap_s
         self.events = 30
         self.ends_under: bytes | None = None
-        """Body of a request that ends the engine when it begins to run; None for no request."""
+        """Body of a request that ends the engine when it runs; None for no request."""
+        self.ends_after = 0
+        """Events that it makes there before the engine ends."""
         self.begun_of_ending = 0
         """Runs of that request that began here."""
         self.fault = EngineFault.NONE
@@ -131,13 +133,18 @@
             await send(connection, 503, headers=((b"not-executed", b"1"),))
             return
         self.heads.append(head)
-        if body == self.ends_under:
+        is_ending = body == self.ends_under
+        if is_ending:
             self.begun_of_ending += 1
-            self.stop()
-            await trio.sleep_forever()
+            await self._end_unless_later()
         made = self._begin(attempt, origin, _text(head, b"last-event-id"))
         self._back_up(attempt, _text(head, b"kv-backup"))
-        await self._stream(connection, attempt, made)
+        await self._stream(connection, attempt, made, is_ending=is_ending)
+
+    async def _end_unless_later(self) -> None:
+        if not self.ends_after:
+            self.stop()
+            await trio.sleep_forever()
 
     def _begin(self, attempt: str, origin: str, last_event: str) -> int:
         if not origin:
@@ -153,7 +160,9 @@
         if peer is not None and peer.fault is not EngineFault.NO_ROOM:
             peer.copies[attempt] = (attempt, 0)
 
-    async def _stream(self, connection: ClientConnection, attempt: str, made: int) -> None:
+    async def _stream(
+        self, connection: ClientConnection, attempt: str, made: int, *, is_ending: bool
+    ) -> None:
         headers = (
             (b"attempt-id", attempt.encode()),
             (b"runner-seal", b"seal." + self.runner_id.encode()),
@@ -170,6 +179,9 @@
                 if not run.stop.is_set():
                     run.made += 1
                     await connection.send_part(f"id: {run.made}\ndata: x\n\n".encode())
+                if is_ending and run.made - made >= self.ends_after:
+                    self.stop()
+                    await trio.sleep_forever()
             if run.stop.is_set():
                 connection.abort()
             else:
--- a/tests/stream_reader.py
+++ b/tests/stream_reader.py
@@ -3,7 +3,8 @@
 import trio
 
 from egretstack.http1 import UpstreamBroken, connect_upstream
-from standins.platform import GENERATION, client_request
+from egretstack.platform import decode_request
+from standins.platform import ACCOUNT, GENERATION, client_request
 from tests.platform_site import WAIT_S
 
 
@@ -43,6 +44,11 @@
         connection.close()
         self.ended.set()
 
+    def content(self):
+        """Give what its request has in common with other attempts at the same."""
+        head, body = client_request("/plans/1", "", method=b"POST")
+        return decode_request(head, body).content_id(ACCOUNT)
+
     def _take(self, data):
         for line in data.decode().splitlines():
             if line.startswith("id:"):
--- a/tests/test_runner_crashes.py
+++ b/tests/test_runner_crashes.py
@@ -1,80 +1,41 @@
-"""Requests under which runners end: who is refused, by every instance, and who is not."""
+"""Requests under which runners end: no way leads them to further runners, and no others suffer."""
 
 import json
 
-from egretstack.http1 import UpstreamBroken
+import trio
+
+from egretstack.crashes import CrashRecord
 from egretstack.services.fleet_port import FleetPort
-from standins.platform import GENERATION, EngineStandIn, PlainStandIn
+from standins.platform import GENERATION, EngineFault, PlainFault
+from tests.crash_site import (
+    ENDING,
+    begun,
+    check_refused,
+    content_of,
+    crashes,
+    end_under_it,
+    refused_everywhere,
+    replace_ended,
+    send_again_and_again,
+    send_ending,
+)
 from tests.platform_site import platform_site
+from tests.stream_reader import read
 from tests.support import check, on_real_clock, tests_of
+from tests.test_platform_streams import check_whole, engine_of
 
 load_tests = tests_of(globals())
 
-ENDING = b"ends its runner"
 ALLOWED_ENDS = 4
 """Three ends, and one by a run that was sent before the third was known."""
 
 
-def begun(site):
-    """Give how many runs of the ending request began, on all runners that there were."""
-    return sum(one.begun_of_ending for one in (*site.plain, *site.engines))
-
-
-def is_known(site, runner_id):
-    """Tell whether every instance may send to a runner."""
-    return all(one.get(FleetPort).runners.is_ready(runner_id) for one in site.kernels)
-
-
-async def replace_ended(site, number):
-    """Start a runner in the place of each that has ended, under a new id, as the platform does."""
-    for service, kind, runners in (
-        ("desk", PlainStandIn, site.plain),
-        ("llm", EngineStandIn, site.engines),
-    ):
-        for one in list(runners):
-            if not one.begun_of_ending or one.runner_id.endswith("-over"):
-                continue
-            site.store.remove("servers", one.runner_id)
-            new = kind(one.address, f"{one.runner_id}.{number}")
-            one.runner_id += "-over"
-            new.ends_under = ENDING
-            runners.append(new)
-            await site.nursery.start(new.run)
-            site.register(new.runner_id, service, new.address)
-            await site.until(lambda new=new: is_known(site, new.runner_id))
-
-
-async def send_again_and_again(site, path, times=8, **more):
-    """Send the ending request to instances in turn; give the statuses."""
-    for one in (*site.plain, *site.engines):
-        one.ends_under = ENDING
-    answers = []
-    for number in range(times):
-        entry = number % len(site.kernels)
-        try:
-            head, body = await site.call(
-                path, f"e-{number}", entry=entry, method=b"POST", body=ENDING, **more
-            )
-            answers.append((head.status, body))
-        except UpstreamBroken:
-            answers.append((None, b""))
-        await replace_ended(site, number)
-    return answers
-
-
-def check_refused(answer):
-    """Check that an answer says truly why the request was not run."""
-    status, body = answer
-    check.assertEqual(status, 503)
-    document = json.loads(body)
-    check.assertTrue(document["type"].endswith("crashes-runners"), document)
-
-
 @on_real_clock
 async def test_a_generation_that_ends_its_engines_is_refused_by_every_instance():
     # Guards against a request that ends one engine after another.
     async with platform_site(entries=2, plain=0, engines=3) as site:
-        answers = await send_again_and_again(site, "/plans/1", headers=GENERATION)
+        end_under_it(site)
+        answers = await send_again_and_again(site, "/plans/1", 8, headers=GENERATION)
         check.assertLessEqual(begun(site), ALLOWED_ENDS)
         for answer in answers[-3:]:
             check_refused(answer)
@@ -84,7 +45,152 @@
 async def test_a_call_that_ends_its_runners_is_refused_by_every_instance():
     # Guards against retries that carry such a call from runner to runner.
     async with platform_site(entries=2, plain=3) as site:
-        answers = await send_again_and_again(site, "/notes/1")
+        end_under_it(site)
+        answers = await send_again_and_again(site, "/notes/1", 8)
         check.assertLessEqual(begun(site), ALLOWED_ENDS)
         for answer in answers[-3:]:
             check_refused(answer)
+
+
+@on_real_clock
+async def test_a_call_that_may_run_once_and_ends_its_runners_is_refused():
+    # Guards against attempts of a caller that tries again and again.
+    async with platform_site(entries=2, plain=2) as site:
+        end_under_it(site)
+        answers = await send_again_and_again(site, "/holds/1", 6)
+        check.assertLessEqual(begun(site), ALLOWED_ENDS)
+        check.assertEqual(answers[0][0], 502)
+        check_refused(answers[-1])
+
+
+@on_real_clock
+async def test_a_second_send_that_is_refused_is_not_called_not_run():
+    # Guards against "not run" for an attempt whose first send ended its runner.
+    async with platform_site(plain=4) as site:
+        end_under_it(site)
+        answers = await send_again_and_again(site, "/notes/1", 2)
+        check.assertEqual(begun(site), 3)
+        check.assertEqual(answers[1][0], 502)
+        check.assertTrue(json.loads(answers[1][1])["type"].endswith("outcome-unknown"))
+
+
+@on_real_clock
+async def test_a_stream_that_ends_its_engines_does_not_go_on_at_copy_after_copy():
+    # Guards against continuations that carry a request from engine to engine.
+    async with platform_site(plain=0, engines=6) as site:
+        end_under_it(site, after=3)
+        for number in range(2):
+            await send_ending(site, "/plans/1", f"e-{number}", headers=GENERATION)
+        check.assertLessEqual(begun(site), ALLOWED_ENDS)
+        check_refused(await send_ending(site, "/plans/1", "e-9", headers=GENERATION))
+
+
+@on_real_clock
+async def test_a_refused_stream_is_not_moved():
+    # Guards against a copy of a run's memory as another way to an engine.
+    async with platform_site(plain=0, engines=2) as site:
+        for one in site.engines:
+            one.events, one.fault = 60, EngineFault.NO_ROOM
+        reader = await read(site, "s-1", 5)
+        source = engine_of(site, "s-1")
+        for one in site.engines:
+            one.fault = EngineFault.NONE
+        refuse(site, reader.content())
+        site.register(source.runner_id, "llm", source.address, "draining")
+        await reader.ended.wait()
+        check.assertEqual(source.moves, [])
+        check_whole(reader, 60)
+
+
+@on_real_clock
+async def test_whoever_waits_for_an_engine_is_refused_as_soon_as_that_is_known():
+    # Guards against a wait until the deadline for what can't be served any more.
+    async with platform_site(plain=0, engines=1) as site:
+        site.store.remove("servers", site.engines[0].runner_id)
+        await site.until(lambda: not is_ready(site))
+        answers = []
+
+        async def ask():
+            answers.append(await send_ending(site, "/plans/1", "e-1", headers=GENERATION))
+
+        with trio.fail_after(1.0):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.05)
+                check.assertEqual(answers, [])
+                refuse(site, content_of("/plans/1"))
+        check_refused(answers[0])
+
+
+@on_real_clock
+async def test_other_requests_of_the_caller_and_the_path_are_served():
+    # Guards against refusals of anything but the request itself.
+    async with platform_site(entries=2, plain=3, engines=3) as site:
+        end_under_it(site)
+        await send_again_and_again(site, "/notes/1", 5)
+        await send_again_and_again(site, "/plans/1", 5, tag="s", headers=GENERATION)
+        check.assertTrue(refused_everywhere(site, "/notes/1"))
+        for entry in range(2):
+            for path, body in (("/notes/1", b"another"), ("/notes/2", ENDING + b".")):
+                head, _ = await site.call(path, "o", entry=entry, method=b"POST", body=body)
+                check.assertEqual(head.status, 200)
+            reader = await read(site, f"s-{entry}", entry=entry)
+            await reader.ended.wait()
+            check_whole(reader)
+
+
+@on_real_clock
+async def test_streams_beside_a_request_that_ends_engines_go_on_and_are_not_refused():
+    # Guards against blame for what was in progress at an engine that another request ended.
+    async with platform_site(entries=2, plain=0, engines=4) as site:
+        for one in site.engines:
+            one.events = 150
+        beside = [await read(site, f"b-{number}", 1, entry=number % 2) for number in range(4)]
+        end_under_it(site)
+        for number in range(3):
+            await send_ending(site, "/plans/2", f"e-{number}", number % 2, headers=GENERATION)
+            await replace_ended(site, f"e{number}")
+        for reader in beside:
+            await reader.ended.wait()
+            check.assertFalse(crashes(site).refuses(reader.content()))
+        check.assertTrue(any(not reader.broken for reader in beside))
+
+
+@on_real_clock
+async def test_runners_that_break_requests_and_live_are_no_reason_to_refuse_them():
+    # Guards against refusals of what faulty runners reset.
+    async with platform_site(plain=3) as site:
+        for number in range(6):
+            for one in site.plain:
+                one.faults = [PlainFault.BREAKS] * 2
+            status, _ = await send_ending(site, "/notes/1", f"e-{number}")
+            check.assertEqual(status, 502)
+        for one in site.plain:
+            one.faults = []
+        check.assertEqual((await send_ending(site, "/notes/1", "e-9"))[0], 200)
+
+
+@on_real_clock
+async def test_an_answer_clears_a_request_at_every_instance():
+    # Guards against ends of runners that add up over hours for a request that is sound.
+    async with platform_site(entries=2, plain=4) as site:
+        end_under_it(site)
+        await send_again_and_again(site, "/notes/1", 1)
+        content = content_of("/notes/1")
+        await site.until(lambda: all(crashes(site, n).suspects(content) for n in range(2)))
+        for one in site.plain:
+            one.ends_under = None
+        check.assertEqual((await send_ending(site, "/notes/1", "e-9", 1))[0], 200)
+        await site.until(lambda: not any(crashes(site, n).suspects(content) for n in range(2)))
+
+
+def refuse(site, content):
+    """Let every instance refuse a content, as after three ends."""
+    record = CrashRecord(0, {"a": 2, "b": 2, "c": 2}, True)
+    for one in site.kernels:
+        one.get(FleetPort).take_crash_record(trio.current_time(), content, record)
+
+
+def is_ready(site):
+    """Tell whether any instance has an engine for work."""
+    return any(one.get(FleetPort).runners.ready("llm") for one in site.kernels)
