--- a/egretstack/crashes/_record.py
+++ b/egretstack/crashes/_record.py
@@ -13,9 +13,9 @@
 EARLY_WEIGHT = 2
 LATE_WEIGHT = 1
 EARLY_S = 3.0
-"""Time after its first event within which a run is a likely cause of its runner's end.
+"""Time after its first event within which a stream is a likely cause of its runner's end.
 
-A long stream that goes on at one copy after another is in progress at many ends that others cause.
+One that goes on at copy after copy for long is in progress at many ends that others cause.
 """
 REFUSE_WEIGHT = 3 * EARLY_WEIGHT
 MAX_RUNNERS = 16
@@ -76,7 +76,7 @@
 
 
 def strike_weight(first_event_s: float | None, broke_s: float) -> int:
-    """Give how much the end of a runner speaks against a run, by when its first event came."""
+    """Give how much the end of a runner speaks against a request, by its stream's first event."""
     late = first_event_s is not None and broke_s - first_event_s > EARLY_S
     return LATE_WEIGHT if late else EARLY_WEIGHT
 
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -73,7 +73,7 @@
         self._sent_s = 0.0
         """When the run was sent to the runner where it is."""
         self._first_event_s: float | None = None
-        """When its first event came from there."""
+        """When the stream's first event came, from whichever runner."""
         self._over = False
         """Whether the run has ended, however it did."""
         self._leaving_since_s: float | None = None
@@ -325,7 +325,7 @@
         # The runner before may not work on beside the new one.
         self._source.close()
         self._source = connection
-        self._sent_s, self._first_event_s = began_s, None
+        self._sent_s = began_s
         self._splitter = EventSplitter()
         self._leaving_since_s = None
         if self._mover is not None:
--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -84,6 +84,10 @@
         self.born_ms = born_ms
         self.leaving = False
 
+    def is_running(self, attempt: str) -> bool:
+        """Tell whether an attempt is in progress here."""
+        return attempt in self._run_by_attempt
+
     def crash(self) -> None:
         """End every run at once, as a process that restarts does."""
         for run in self._run_by_attempt.values():
--- a/tests/test_runner_crashes.py
+++ b/tests/test_runner_crashes.py
@@ -5,6 +5,7 @@
 import trio
 
 from egretstack.crashes import CrashRecord
+from egretstack.crashes._record import LATE_WEIGHT
 from egretstack.services.fleet_port import FleetPort
 from standins.platform import GENERATION, EngineFault, PlainFault
 from tests.crash_site import (
@@ -156,6 +157,25 @@
         check.assertTrue(any(not reader.broken for reader in beside))
 
 
+@on_real_clock
+async def test_a_stream_that_survives_engine_after_engine_is_not_refused():
+    # Guards against blame for ends that a long stream only lived through.
+    async with platform_site(plain=0, engines=5) as site:
+        for one in site.engines:
+            one.events, one.gap_s = 400, 0.05
+        reader = await read(site, "s-1", 64)
+        for number in range(3):
+            await site.until(lambda n=number: sum(len(e.continued) for e in site.engines) == n)
+            await trio.sleep(0.5)
+            ended = next(one for one in site.engines if one.is_running("s-1"))
+            ended.stop()
+            site.store.remove("servers", ended.runner_id)
+        await site.until(lambda: sum(len(e.continued) for e in site.engines) == 3)
+        check.assertEqual(crashes(site).record(reader.content()).weight, 3 * LATE_WEIGHT)
+        check.assertFalse(reader.broken)
+        reader.scope.cancel()
+
+
 @on_real_clock
 async def test_runners_that_break_requests_and_live_are_no_reason_to_refuse_them():
     # Guards against refusals of what faulty runners reset.
