What is known of an engine's end keeps copies and places away from it; a runner that answers nobody is asked again

The home takes the word of an instance that found an engine ended: it is silent until it answers the home's own question, which a living one does within a second. A stream that goes on at its copy is not copied back to the engine where it broke off. A probe on which nothing answers, as behind a proxy, is repeated twice, 0.5 s apart: another process that starts in the runner's place shows then. A busy runner rejects or is late, and has not ended.

--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -122,6 +122,8 @@
     attempt: str
     runner: str
     """Where the run goes on."""
+    source: str
+    """Where it was before."""
 
 
 @dataclass(frozen=True)
--- a/egretstack/fleet/_silence.py
+++ b/egretstack/fleet/_silence.py
@@ -25,6 +25,10 @@
         """Note a question without an answer."""
         self._missed_by_id[runner_id] = self._missed_by_id.get(runner_id, 0) + 1
 
+    def ended(self, runner_id: RunnerId) -> None:
+        """Note that a runner was found to have ended; it is silent until it answers."""
+        self._missed_by_id[runner_id] = max(SILENT_AFTER, self._missed_by_id.get(runner_id, 0))
+
     def silent(self, asked: set[RunnerId]) -> frozenset[RunnerId]:
         """Give the silent ones among the runners asked; none if too many are."""
         for runner_id in set(self._missed_by_id) - asked:
--- a/egretstack/placing/_placer.py
+++ b/egretstack/placing/_placer.py
@@ -132,9 +132,17 @@
             self._cold.forget_gone()
 
     def move_run(
-        self, now_s: float, attempt: str, runner_id: RunnerId, engine: EnginePlan
+        self,
+        now_s: float,
+        attempt: str,
+        runner_id: RunnerId,
+        engine: EnginePlan,
+        source_id: RunnerId | None = None,
     ) -> RunnerId | None:
-        """Note that a run goes on at another engine; choose where it is copied from now on."""
+        """Note that a run goes on at another engine; choose where it is copied from now on.
+
+        Never at `source_id`, where it broke off: that engine may have ended.
+        """
         run = self.book.run(attempt)
         runner = self._runners.by_id.get(runner_id)
         if run is None or runner is None:
@@ -142,6 +150,7 @@
         self._note_sent(now_s, runner_id)
         run.runner, run.backup = runner_id, None
         loads = self.book.loads(now_s, whole=True)
+        loads = {one: load for one, load in loads.items() if one != source_id}
         run.backup = self._copies.backup(now_s, run.work, engine, runner, loads)
         return run.backup
 
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -316,7 +316,7 @@
         before = self._run.runner
         self._run.runner = runner.id
         self._run.backup = await self._tools.placing.backup_for(
-            self._run, self._task.service.engine
+            self._run, self._task.service.engine, before
         )
         began_s = trio.current_time()
         connection = await continue_at(self._tools, self._task, self._run, runner, origin)
--- a/egretstack/relay/_tools.py
+++ b/egretstack/relay/_tools.py
@@ -49,8 +49,8 @@
         """Give the output that a run is still expected to make."""
 
     @abstractmethod
-    async def backup_for(self, run: Run, engine: EnginePlan) -> RunnerId | None:
-        """Choose where the memory of a run that moved is copied from now on."""
+    async def backup_for(self, run: Run, engine: EnginePlan, source: RunnerId) -> RunnerId | None:
+        """Choose where the memory of a run that moved off `source` is copied from now on."""
 
     @abstractmethod
     async def move_turn(self, run: Run, refused: Collection[RunnerId]) -> RunnerId:
--- a/egretstack/services/_runner_health.py
+++ b/egretstack/services/_runner_health.py
@@ -2,37 +2,36 @@
 
 import trio
 
-from egretstack.events import Event, log
 from egretstack.fleet import Runner
-from egretstack.http1 import UpstreamBroken, UpstreamConnection, connect_upstream, exchange
+from egretstack.http1 import ResponseHead, UpstreamBroken, connect_upstream, exchange
 from egretstack.platform import health_request, runner_health
 from egretstack.traffic import RunnerHealth
 
 MOST_ANSWER_BYTES = 65_536
 
 
+class NoHealthAnswer(Exception):
+    """Something accepted the connection and did not answer: a runner or what stands before it."""
+
+
 async def ask_health(
     runner: Runner, path: str, connect_s: float, answer_s: float
 ) -> RunnerHealth | None:
-    """Give what a healthy runner at a runner's address says; None if none answers in time.
+    """Give what a healthy runner at a runner's address says; None if it is not healthy.
 
-    Raises ConnectFailed.
+    Raises ConnectFailed, NoHealthAnswer.
     """
-    connection = await connect_upstream(runner.address, connect_s)
-    try:
-        return await _answer(connection, runner, path, answer_s)
-    finally:
-        connection.close()
+    return runner_health(await _answer(runner, path, connect_s, answer_s))
 
 
-async def _answer(
-    connection: UpstreamConnection, runner: Runner, path: str, answer_s: float
-) -> RunnerHealth | None:
+async def _answer(runner: Runner, path: str, connect_s: float, answer_s: float) -> ResponseHead:
+    connection = await connect_upstream(runner.address, connect_s)
     question = health_request(runner.address, path)
     try:
-        with trio.move_on_after(answer_s):
+        with trio.fail_after(answer_s):
             head, _ = await exchange(connection, question, b"", MOST_ANSWER_BYTES)
-            return runner_health(head)
-    except UpstreamBroken as error:
-        log(Event.UPSTREAM_BROKEN, request="", runner=runner.id, error=repr(error))
-    return None
+            return head
+    except (UpstreamBroken, trio.TooSlowError) as error:
+        raise NoHealthAnswer(repr(error)) from error
+    finally:
+        connection.close()
--- a/egretstack/services/crash_guard.py
+++ b/egretstack/services/crash_guard.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from contextlib import AbstractContextManager
 from dataclasses import dataclass, field
+from enum import Enum
 
 import trio
 
@@ -17,18 +18,30 @@
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import MessageError
 from egretstack.relay import CrashGuard
-from egretstack.services._runner_health import ask_health
+from egretstack.services._runner_health import NoHealthAnswer, ask_health
+from egretstack.services.engine_reports import EngineReports
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.relay_metrics import RelayMetrics
 from egretstack.services.store_reading import StoreReading
 
 CONNECT_TIMEOUT_S = 0.15
 HEALTH_TIMEOUT_S = 0.1
+MOST_PROBES = 3
+PROBE_AGAIN_S = 0.5
+"""Pause after a probe that told nothing: what starts in the runner's place may not be up yet."""
 NOTICE_S = 0.5
 """A runner that was known to leave for longer ends by plan."""
 FORGET_PERIOD_S = 30.0
 
 
+class _Word(Enum):
+    """What came of a probe."""
+
+    LIVES = "lives"
+    ENDED = "ended"
+    UNKNOWN = "unknown"
+
+
 @dataclass
 class _BrokenRun:
     attempt: str
@@ -43,12 +56,13 @@
     """Probes runners whose runs broke, and shares what it finds."""
 
     name = "crash_guard"
-    requires = ("fleet_port", "relay_metrics", "store_reading")
+    requires = ("engine_reports", "fleet_port", "relay_metrics", "store_reading")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
         self._store = kernel.get(StoreReading)
+        self._engine_reports = kernel.get(EngineReports)
         self._reports = CrashReports()
         self._broken_by_runner: dict[RunnerId, list[_BrokenRun]] = {}
         """Broken runs of the runners that are being probed."""
@@ -118,15 +132,23 @@
         return stopped_s is not None and trio.current_time() - stopped_s > NOTICE_S
 
     async def _probe(self, runner: Runner) -> None:
-        ended = await self._has_ended(runner)
+        """Ask a runner until it is known whether it has ended, a few times at most."""
+        word = await self._ask(runner)
+        for _ in range(MOST_PROBES - 1):
+            if word is not _Word.UNKNOWN:
+                break
+            for broken in self._broken_by_runner[runner.id]:
+                broken.judged.set()
+            await trio.sleep(PROBE_AGAIN_S)
+            word = await self._ask(runner)
         for broken in self._broken_by_runner.pop(runner.id):
-            self._judge(runner.id, broken, ended=ended)
+            self._judge(runner.id, broken, ended=word is _Word.ENDED)
             broken.judged.set()
-        if ended:
+        if word is _Word.ENDED:
             self._port.tell_soon()
 
-    async def _has_ended(self, runner: Runner) -> bool:
-        """Tell whether a runner accepts no connection, or another one answers in its place.
+    async def _ask(self, runner: Runner) -> _Word:
+        """Find out whether a runner accepts no connection, or another one answers in its place.
 
         One that is busy answers late or rejects the question, and has not ended.
         """
@@ -135,10 +157,11 @@
         try:
             health = await ask_health(runner, path, CONNECT_TIMEOUT_S, HEALTH_TIMEOUT_S)
         except ConnectFailed:
-            return True
-        if self._port.runners.is_gone(runner.id):
-            return True
-        return health is not None and health.name != runner.incarnation.name
+            return _Word.ENDED
+        except NoHealthAnswer:
+            return _Word.ENDED if self._port.runners.is_gone(runner.id) else _Word.UNKNOWN
+        other = health is not None and health.name != runner.incarnation.name
+        return _Word.ENDED if other or self._port.runners.is_gone(runner.id) else _Word.LIVES
 
     def _judge(self, runner: RunnerId, broken: _BrokenRun, *, ended: bool) -> None:
         log(
@@ -158,9 +181,13 @@
             strike_weight(broken.first_event_s, broken.broke_s),
             self._port.crashes.round(broken.content),
         )
-        self._port.strike(trio.current_time(), broken.content, strike)
+        self._strike(broken.content, strike)
         self._reports.struck(broken.content, strike)
 
+    def _strike(self, content: ContentId, strike: Strike) -> None:
+        if self._port.strike(trio.current_time(), content, strike):
+            self._engine_reports.ended(strike.runner)
+
     def _take_report(self, instance: InstanceId, report: InstanceReport) -> None:
         now_s = trio.current_time()
         try:
@@ -170,6 +197,6 @@
             log(Event.PEER_REFUSED, sender=instance, error=str(error))
             return
         for content, strike in strikes:
-            self._port.strike(now_s, content, strike)
+            self._strike(content, strike)
         for content, cleared_round in clears:
             self._port.take_clear(now_s, content, cleared_round)
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -121,14 +121,14 @@
         """Give the output that a run is still expected to make."""
         return self._home.placer.book.tokens_left(run)
 
-    async def backup_for(self, run: Run, engine: EnginePlan) -> RunnerId | None:
+    async def backup_for(self, run: Run, engine: EnginePlan, source: RunnerId) -> RunnerId | None:
         """Choose where the memory of a run that moved is copied from now on.
 
         While the home is silent there is none: each instance by its own view would choose the
         engine that looks emptiest to all.
         """
         attempt = run.work.attempt
-        ask = BackupAsk(self.kernel.settings.instance, attempt, run.runner)
+        ask = BackupAsk(self.kernel.settings.instance, attempt, run.runner, source)
         answer = await self._ask(attempt, ask, times=1)
         if not isinstance(answer, BackupAnswer) or not answer.backup:
             return None
--- a/egretstack/services/engine_reports.py
+++ b/egretstack/services/engine_reports.py
@@ -48,6 +48,16 @@
         """Let `taker` see each report."""
         self._takers.append(taker)
 
+    def ended(self, runner: RunnerId) -> None:
+        """Take it, as the home, that an instance found a runner to have ended.
+
+        Its own silence would show a second or two later, when copies and places there are lost.
+        """
+        engines = self._engines()
+        if self._port.is_home() and any(one.id == runner for one in engines):
+            self._silence.ended(runner)
+            self._tell_silent(engines)
+
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Ask while this instance is the home."""
         task_status.started()
@@ -67,20 +77,26 @@
 
     def _ask_all(self, nursery: trio.Nursery) -> None:
         self._asked_s = trio.current_time()
-        engines = [
+        engines = self._engines()
+        self._tell_silent(engines)
+        for runner in engines:
+            nursery.start_soon(self._ask, runner)
+
+    def _engines(self) -> list[Runner]:
+        return [
             runner
             for runner in self._port.runners.by_id.values()
             if runner.state is RunnerState.READY
             and runner.zone not in self._port.runners.evacuated
             and self._store.engine(runner.service)
         ]
+
+    def _tell_silent(self, engines: list[Runner]) -> None:
         silent = self._silence.silent({runner.id for runner in engines})
         if silent != self._port.runners.silent:
             log(Event.RUNNERS_SILENT, runners=",".join(sorted(silent)))
             self._port.runners.silent = silent
             self._port.tell_soon()
-        for runner in engines:
-            nursery.start_soon(self._ask, runner)
 
     async def _ask(self, runner: Runner) -> None:
         report = await self._report(runner)
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -279,11 +279,16 @@
         if self.crashes.take(now_s, content, record):
             self._crashes_changed(content, was_refused=refused)
 
-    def strike(self, now_s: float, content: ContentId, strike: Strike) -> None:
-        """Note that a runner ended while it ran a request of this instance, or of another one."""
+    def strike(self, now_s: float, content: ContentId, strike: Strike) -> bool:
+        """Note that a runner ended while it ran a request of this instance, or of another one.
+
+        Tells whether that is news.
+        """
         refused = self.crashes.refuses(content)
-        if self.crashes.strike(now_s, content, strike):
+        changed = self.crashes.strike(now_s, content, strike)
+        if changed:
             self._crashes_changed(content, was_refused=refused)
+        return changed
 
     def take_clear(self, now_s: float, content: ContentId, cleared_round: int) -> None:
         """Take it that a runner answered a request of another instance."""
--- a/egretstack/services/placing_home.py
+++ b/egretstack/services/placing_home.py
@@ -151,7 +151,8 @@
         if engine is None or not self._can_answer(asker):
             return  # The asker goes on without a copy.
         runner = RunnerId(ask.runner)
-        backup = self.placer.move_run(trio.current_time(), ask.attempt, runner, engine)
+        source = RunnerId(ask.source)
+        backup = self.placer.move_run(trio.current_time(), ask.attempt, runner, engine, source)
         self._answer(asker, BackupAnswer(ask.attempt, backup or ""))
 
     def _take_turn_ask(self, ask: MoveAsk) -> None:
--- a/egretstack/services/runner_returns.py
+++ b/egretstack/services/runner_returns.py
@@ -13,7 +13,7 @@
 from egretstack.http1 import ConnectFailed
 from egretstack.ids import RunnerId
 from egretstack.kernel import Kernel, Service
-from egretstack.services._runner_health import ask_health
+from egretstack.services._runner_health import NoHealthAnswer, ask_health
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import RunnerHealth
@@ -68,3 +68,6 @@
             return await ask_health(runner, path, TIMEOUT_S, TIMEOUT_S)
         except ConnectFailed:
             return None
+        except NoHealthAnswer as error:
+            log(Event.UPSTREAM_BROKEN, request="", runner=runner.id, error=str(error))
+            return None
--- a/standins/platform/_plain.py
+++ b/standins/platform/_plain.py
@@ -42,6 +42,8 @@
         self.healthy = True
         self.ends_under: bytes | None = None
         """Body of a request that ends the runner when it begins to run; None for no request."""
+        self.starts_again_at_once = False
+        """Whether another process answers at the address before anybody sees it gone."""
         self.begun_of_ending = 0
         """Runs of that request that began here."""
         self.faults: list[PlainFault] = []
@@ -69,8 +71,8 @@
         self.runs_by_attempt[attempt] += 1
         if body == self.ends_under:
             self.begun_of_ending += 1
-            self.stop()
-            await trio.sleep_forever()
+            await self._end(connection)
+            return
         try:
             await trio.sleep(self.delay_s)
         except trio.Cancelled:
@@ -78,6 +80,14 @@
             raise
         await self._answer_run(connection, head, body, attempt, fault)
 
+    async def _end(self, connection: ClientConnection) -> None:
+        if self.starts_again_at_once:
+            self.runner_id += "-again"
+            connection.abort()
+        else:
+            self.stop()
+            await trio.sleep_forever()
+
     async def _answer_run(
         self,
         connection: ClientConnection,
--- a/tests/test_runner_crashes.py
+++ b/tests/test_runner_crashes.py
@@ -171,9 +171,7 @@
         for number in range(3):
             await site.until(lambda n=number: sum(len(e.continued) for e in site.engines) == n)
             await trio.sleep(0.5)
-            ended = next(one for one in site.engines if one.is_running("s-1"))
-            ended.stop()
-            site.store.remove("servers", ended.runner_id)
+            next(one for one in site.engines if one.is_running("s-1")).stop()
         await site.until(lambda: sum(len(e.continued) for e in site.engines) == 3)
         check.assertEqual(crashes(site).record(reader.content()).weight, 3 * LATE_WEIGHT)
         check.assertFalse(reader.broken)
@@ -194,6 +192,22 @@
         check.assertEqual((await send_ending(site, "/notes/1", "e-9"))[0], 200)
 
 
+@on_real_clock
+async def test_a_runner_that_starts_again_at_once_has_ended_all_the_same():
+    # Guards against ends that no refused connection shows.
+    async with platform_site(plain=3) as site:
+        end_under_it(site)
+        for one in site.plain:
+            one.starts_again_at_once = True
+        for number in range(3):
+            await send_ending(site, "/notes/1", f"e-{number}")
+            for one in site.plain:
+                site.register(one.runner_id, "desk", one.address)
+            await site.until(lambda: all(is_known(site, one.runner_id) for one in site.plain))
+        check.assertLessEqual(begun(site), ALLOWED_ENDS)
+        check.assertTrue(refused_everywhere(site, "/notes/1"))
+
+
 @on_real_clock
 async def test_an_answer_clears_a_request_at_every_instance():
     # Guards against ends of runners that add up over hours for a request that is sound.
