A leaving instance takes no call that its end would cut off

Cause: a leaving instance took calls up to the moment at which its services are stopped; only streams were refused by the time that they need. The fix: 0.6 s before the margin that is kept for the last bytes (1.6 s before the end of the grace) calls get 503, kind draining, at once, which says that they have not run, with the same short time to come back as streams.

Ruled out: to close idle connections earlier (clients open new ones by older answers of the directory for up to 6 s), and to wait for calls in progress alone (new ones come as long as any are taken).

--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -34,6 +34,9 @@
 """Time for one output token of a stream on a busy engine, by which a leaving instance judges
 whether a stream would end before the process has to."""
 STREAM_START_S = 1.0
+LAST_CALL_S = 0.6
+"""Time before the last moments of a leaving instance from which it takes no more calls: clients
+use their connections until it is gone, and a call that was passed on has to be answered."""
 STOP_MARGIN_S = 1.0
 """Kept of the grace for the last bytes to leave."""
 
@@ -140,13 +143,18 @@
         return frozenset(zone for zone, region in regions if region in homes)
 
     def _refuse_while_leaving(self, task: Task) -> None:
-        if self._leaving_since_s is None or task.route.kind is not RouteKind.STREAM:
+        if self._leaving_since_s is None:
             return
         passed_s = trio.current_time() - self._leaving_since_s
         left_s = self._node.bounds.grace_s - STOP_MARGIN_S - passed_s
-        wants = task.request.generation
-        needs_s = STREAM_START_S + (wants.max_output_tokens * TOKEN_S if wants else left_s)
-        if needs_s >= left_s:
+        if self._needs_s(task, left_s) >= left_s:
             raise RequestFailed(
                 ErrorKind.DRAINING, "this instance leaves", retry_after_s=LEAVING_RETRY_S
             )
+
+    @staticmethod
+    def _needs_s(task: Task, left_s: float) -> float:
+        if task.route.kind is not RouteKind.STREAM:
+            return LAST_CALL_S
+        wants = task.request.generation
+        return STREAM_START_S + (wants.max_output_tokens * TOKEN_S if wants else left_s)
--- /dev/null
+++ b/tests/test_planned_stops.py
@@ -0,0 +1,38 @@
+"""Planned stops of whole entries, as clients see them."""
+
+from itertools import count
+
+import trio
+
+from egretstack.http1 import ConnectFailed, UpstreamBroken
+from tests.platform_site import platform_site
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+
+@on_real_clock
+async def test_calls_on_connections_that_clients_use_until_the_process_is_gone_are_answered():
+    # Guards against calls that are cut off when a leaving instance ends.
+    async with platform_site(plain=2) as site:
+        for one in site.plain:
+            one.delay_s = 0.3
+        unanswered = []
+
+        async def call_until_gone(client):
+            for number in count():
+                attempt = f"c-{client}-{number}"
+                try:
+                    await site.call("/holds/1", attempt, method=b"POST")
+                except ConnectFailed:
+                    return
+                except UpstreamBroken:
+                    unanswered.append(attempt)
+
+        async with trio.open_nursery() as nursery:
+            for client in range(4):
+                nursery.start_soon(call_until_gone, client)
+            await trio.sleep(0.1)
+            site.kernels[0].begin_drain()
+        ran = [one for one in unanswered if any(it.runs_by_attempt[one] for it in site.plain)]
+        check.assertEqual(ran, [])
