The soak: runners that end under a request, kept connections, a planned stop in calm; a probe that told nothing

The soak gets clients that keep their connections for as long as they last, a caller that sends requests under which runners end, runners that start again under a new id, and two phases in calm: each such request is refused by all entries after four ends at most, and a planned stop leaves no call unanswered that ran. A refusal as crashes-runners of any other request breaks a promise. All three probes had told nothing (run_broken with ended false). Such a runner has ended if its entry is gone too; the answer to a probe may take 0.2 s instead of 0.1 beside load.

--- a/egretstack/services/crash_guard.py
+++ b/egretstack/services/crash_guard.py
@@ -25,7 +25,7 @@
 from egretstack.services.store_reading import StoreReading
 
 CONNECT_TIMEOUT_S = 0.15
-HEALTH_TIMEOUT_S = 0.1
+HEALTH_TIMEOUT_S = 0.2
 MOST_PROBES = 3
 PROBE_AGAIN_S = 0.5
 """Pause after a probe that told nothing: what starts in the runner's place may not be up yet."""
@@ -141,6 +141,8 @@
                 broken.judged.set()
             await trio.sleep(PROBE_AGAIN_S)
             word = await self._ask(runner)
+        if word is _Word.UNKNOWN and self._port.runners.stopped_s(runner.id) is not None:
+            word = _Word.ENDED  # Its entry is gone too.
         for broken in self._broken_by_runner.pop(runner.id):
             self._judge(runner.id, broken, ended=word is _Word.ENDED)
             broken.judged.set()
--- a/standins/platform/_http.py
+++ b/standins/platform/_http.py
@@ -37,6 +37,7 @@
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until stopped or cancelled."""
         host, _, port = self.address.rpartition(":")
+        self._scope = trio.CancelScope()
         with self._scope:
             listener = await open_listener(host, int(port))
             async with trio.open_nursery() as nursery:
@@ -44,6 +45,11 @@
                 await nursery.start(serve)
                 task_status.started()
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether it was stopped and nobody has run it again."""
+        return self._scope.cancel_called
+
     def stop(self) -> None:
         """End at once: every connection breaks."""
         self._scope.cancel()
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -7,7 +7,15 @@
 
 import trio
 
-from egretstack.http1 import ConnectFailed, UpstreamBroken, connect_upstream, exchange, first_value
+from egretstack.http1 import (
+    ConnectFailed,
+    ConnectionPool,
+    RequestHead,
+    UpstreamBroken,
+    connect_upstream,
+    exchange,
+    first_value,
+)
 from standins.platform import GENERATION, EngineStandIn, PlainStandIn, client_request
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
@@ -23,6 +31,11 @@
     PLANS = "plans"
 
 
+ENDING = b"ends its runner"
+"""Body of the requests under which every runner ends."""
+REFUSED_TYPE = "crashes-runners"
+
+
 @dataclass
 class Record:
     """What came of one attempt, as its client saw it."""
@@ -34,32 +47,58 @@
     whole: bool = False
     target: str = ""
     ids: list[int] = field(default_factory=list)
+    is_ending: bool = False
+    """Whether each runner that runs it ends."""
+    refused_as: str = ""
+    """Type of the problem that it was answered with."""
 
 
-async def attempt(record: Record, front: str, key: str, rng: random.Random) -> None:
-    """Make one request and fill its record; what breaks leaves it as far as it got."""
-    path = f"/{record.kind.value}/{record.attempt}"
-    method = b"GET" if record.kind is Kind.NOTES else b"POST"
+def _request(record: Record, key: str) -> tuple[RequestHead, bytes]:
+    method = b"GET" if record.kind is Kind.NOTES and not record.is_ending else b"POST"
     headers = GENERATION if record.kind is Kind.PLANS else ()
-    head, body = client_request(path, record.attempt, method=method, key=key, headers=headers)
+    name, body = ("ending", ENDING) if record.is_ending else (record.attempt, b"")
+    path = f"/{record.kind.value}/{name}"
+    return client_request(path, record.attempt, method=method, key=key, headers=headers, body=body)
+
+
+async def attempt(
+    record: Record, front: str, key: str, rng: random.Random, kept: ConnectionPool | None = None
+) -> None:
+    """Make one request and fill its record; what breaks leaves it as far as it got.
+
+    A client that keeps connections uses them until they are closed on it.
+    """
+    head, body = _request(record, key)
     patience_s = rng.choice((TIMEOUT_S, TIMEOUT_S, rng.uniform(0.02, 1.0)))
     try:
-        connection = await connect_upstream(front, 1.0)
+        if kept is None:
+            connection = await connect_upstream(front, 1.0)
+        else:
+            connection = await kept.take(front, 1.0)
     except ConnectFailed:
         return
     try:
         with trio.move_on_after(patience_s):
-            if record.kind is Kind.PLANS:
-                await _read_stream(connection, head, body, record)
-            else:
-                answer, data = await exchange(connection, head, body, MAX_ANSWER)
-                record.status, record.whole = answer.status, True
-                if answer.status == 200 and first_value(answer.headers, b"runner-seal"):
-                    record.target = json.loads(data)["target"]
+            await _ask(connection, head, body, record)
     except UpstreamBroken:
         return
     finally:
-        connection.close()
+        if kept is not None and record.whole:
+            kept.give_back(connection)
+        else:
+            connection.close()
+
+
+async def _ask(connection, head: RequestHead, body: bytes, record: Record) -> None:
+    if record.kind is Kind.PLANS:
+        await _read_stream(connection, head, body, record)
+        return
+    answer, data = await exchange(connection, head, body, MAX_ANSWER)
+    record.status, record.whole = answer.status, True
+    if answer.status == 200 and first_value(answer.headers, b"runner-seal"):
+        record.target = json.loads(data)["target"]
+    elif not first_value(answer.headers, b"runner-seal"):
+        record.refused_as = json.loads(data)["type"].rpartition("/")[2]
 
 
 async def _read_stream(connection, head, body, record: Record) -> None:
@@ -68,10 +107,14 @@
     rest = b""
     while (data := await connection.read_body()) is not None:
         rest += data
+        if record.status != 200:
+            continue
         while b"\n\n" in rest:
             event, _, rest = rest.partition(b"\n\n")
             if event.startswith(b"id: "):
                 record.ids.append(int(event.split()[1]))
+    if record.status == 503:
+        record.refused_as = json.loads(rest)["type"].rpartition("/")[2]
     record.whole = True
 
 
@@ -87,12 +130,14 @@
     def check(self, record: Record) -> None:
         """Check one attempt that is over for its client."""
         self.checked += 1
+        if record.refused_as == REFUSED_TYPE and not record.is_ending:
+            self._break(record, "was refused for another request's doing")
         runs = sum(one.runs_by_attempt[record.attempt] for one in (*self._plain, *self._engines))
         if record.kind is not Kind.NOTES and runs > 1:
             self._break(record, f"ran {runs} times")
         if record.kind is not Kind.NOTES and record.status in PROMISES_NOT_RUN and runs:
             self._break(record, f"answered {record.status} and ran")
-        expected = f"/{record.kind.value}/{record.attempt}"
+        expected = _request(record, "")[0].target.decode()
         if record.target not in ("", expected):
             self._break(record, f"got the answer to {record.target}")
         if record.status is not None and record.status in (400, 404):
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from egretstack.http1 import ConnectionPool
 from standins.platform import (
     KEY,
     EngineStandIn,
@@ -19,7 +20,7 @@
     runner_spec,
 )
 from tests.platform_site import free_net
-from tests.soak.clients import Kind, Promises, Record, attempt
+from tests.soak.clients import ENDING, REFUSED_TYPE, Kind, Promises, Record, attempt
 from tests.soak.entries import EntryProcess
 from tests.soak.proxy import LinkFault, Proxy
 
@@ -38,6 +39,20 @@
 """Time in which an evacuation has to be kept, as the entries' settings say."""
 EVACUATED_S = 2.0
 """How long it is then watched that nothing gets there."""
+ENDING_GAP_S = 1.0
+"""Mean pause between two attempts at a request under which runners end, while faults come."""
+BACK_AFTER_S = 0.6
+"""Time after which another runner starts in the place of one that has ended."""
+KNOWN_AFTER_S = 2.0
+"""Time in which an end is known even where a proxy accepts connections in a runner's place."""
+MOST_ENDS = 4
+"""Ends of runners under one request in calm: three, and one sent before the third was known."""
+CALM_ATTEMPTS = 7
+MOST_LOG_CHARS = 1_000_000
+"""Of each process, its end."""
+STOP_CLIENTS = 4
+KEPT_SHARE = 0.5
+"""Part of the requests that use a kept connection."""
 
 
 @dataclass(frozen=True)
@@ -81,7 +96,12 @@
             )
             for n in range(ENTRIES)
         ]
+        for one in (*self.plain, *self.engines):
+            one.ends_under = ENDING
+        self.is_calm = False
         self.version = 0
+        self.pools = [ConnectionPool() for _ in range(STOP_CLIENTS)]
+        """Connections that clients keep for as long as they last."""
         self.promises = Promises(self.plain, self.engines)
         self.open: list[Record] = []
         self.done: list[Record] = []
@@ -89,8 +109,9 @@
     async def play(self, seconds: float) -> list[str]:
         """Play; give the broken promises."""
         async with trio.open_nursery() as nursery:
-            for server in (self.store, *self.plain, *self.engines):
-                await nursery.start(server.run)
+            await nursery.start(self.store.run)
+            for server in (*self.plain, *self.engines):
+                nursery.start_soon(self._run_again_and_again, server)
             for proxy in self.proxies.values():
                 await nursery.start(proxy.run)
             self._describe()
@@ -100,10 +121,15 @@
                 await self._until_served(nursery)
                 nursery.start_soon(self._keep_running)
                 nursery.start_soon(self._ask, nursery)
+                nursery.start_soon(self._ask_ending)
                 with trio.move_on_after(seconds):
                     await self._harm(nursery)
                 await self._heal()
                 await self._until_served(nursery)
+                await self._end_runners_in_calm()
+                await self._until_served(nursery)
+                await self._stop_in_calm(self.rng.choice(self.entries))
+                await self._until_served(nursery)
                 await self._evacuate(ZONES[1])
             finally:
                 for entry in self.entries:
@@ -113,6 +139,73 @@
             self.promises.check(record)
         return self.promises.broken
 
+    async def _run_again_and_again(self, server: PlainStandIn | EngineStandIn) -> None:
+        """Run a runner; each time that it ends, another one starts in its place."""
+        while True:
+            await server.run()
+            await trio.sleep(BACK_AFTER_S)
+            self.store.remove("servers", server.runner_id)
+            server.runner_id += "y"
+            self._register(server, "ready")
+
+    async def _ask_ending(self) -> None:
+        """Send requests under which runners end, as a caller that does not give up."""
+        while True:
+            await trio.sleep(self.rng.expovariate(1 / ENDING_GAP_S))
+            if not self.is_calm:
+                await self._ask_ending_once(
+                    self.rng.choice(self.entries), self.rng.choice(list(Kind))
+                )
+
+    async def _ask_ending_once(self, entry: EntryProcess, kind: Kind) -> Record:
+        record = self._new(entry, kind)
+        record.is_ending = True
+        await self._one(record, entry)
+        return record
+
+    def _ends(self) -> int:
+        return sum(one.begun_of_ending for one in (*self.plain, *self.engines))
+
+    async def _end_runners_in_calm(self) -> None:
+        """Send each such request to all entries in turn; soon no runner may get it any more."""
+        for kind in Kind:
+            before = self._ends()
+            for number in range(CALM_ATTEMPTS):
+                entry = self.entries[number % len(self.entries)]
+                record = await self._ask_ending_once(entry, kind)
+                await trio.sleep(KNOWN_AFTER_S)
+            ends = self._ends() - before
+            if ends > MOST_ENDS:
+                self.promises.broken.append(f"{ends} runners ended in calm under one of {kind}")
+            if record.refused_as != REFUSED_TYPE:
+                self.promises.broken.append(f"the last one of {kind} got {record}")
+
+    async def _stop_in_calm(self, entry: EntryProcess) -> None:
+        """Stop an entry whose clients use their connections until it is gone.
+
+        What it has passed on has to be answered; what it has not may be closed on its client.
+        """
+        records: list[Record] = []
+        process = entry.process
+        async with trio.open_nursery() as nursery:
+            for pool in self.pools:
+                nursery.start_soon(self._ask_until_gone, entry, pool, process, records)
+            await trio.sleep(0.3)
+            entry.send(signal.SIGTERM)
+        for record in records:
+            runs = sum(one.runs_by_attempt[record.attempt] for one in self.plain)
+            if runs and record.status is None:
+                self.promises.broken.append(f"{record} ran and was not answered at a planned stop")
+
+    async def _ask_until_gone(self, entry, pool: ConnectionPool, process, records) -> None:
+        while process.poll() is None:
+            record = self._new(entry, self.rng.choice((Kind.NOTES, Kind.HOLDS)))
+            records.append(record)
+            await attempt(record, entry.front, KEY, random.Random(1), pool)
+            self.open.remove(record)
+            self.done.append(record)
+            await trio.sleep(0.02)
+
     def _describe(self) -> None:
         for one in (*self.plain, *self.engines):
             self._register(one, "ready")
@@ -181,7 +274,8 @@
             nursery.start_soon(self._one, self._new(entry, self.rng.choice(list(Kind))), entry)
 
     async def _one(self, record: Record, entry: EntryProcess) -> None:
-        await attempt(record, entry.front, KEY, self.rng)
+        kept = self.rng.choice(self.pools) if self.rng.random() < KEPT_SHARE else None
+        await attempt(record, entry.front, KEY, self.rng, kept)
         self.open.remove(record)
         self.done.append(record)
 
@@ -248,6 +342,7 @@
         for proxy in self.proxies.values():
             proxy.harm(LinkFault.NONE)
         self.store.fault = StoreFault.NONE
+        self.is_calm = True
         for entry in self.entries:
             entry.send(signal.SIGCONT)
         await trio.sleep(SETTLE_S)
@@ -260,5 +355,7 @@
         broken = trio.run(soak.play, seconds)
         logs = ()
         if broken:
-            logs = tuple(entry.log.read_text(errors="replace")[-20_000:] for entry in soak.entries)
+            logs = tuple(
+                entry.log.read_text(errors="replace")[-MOST_LOG_CHARS:] for entry in soak.entries
+            )
         return Outcome(seed, soak.promises.checked, tuple(broken), logs)
