egretctl explain tells which runners ended under a request; the soak's last answer waits

run_broken comes after the request's own last line and would have been taken for its end: 'the logs end with run_broken'. The test fails without the change.

--- a/egretstack/reports/_explain.py
+++ b/egretstack/reports/_explain.py
@@ -96,7 +96,7 @@
         for line in ordered
         if line.name == "relay_started" and line.time > last and line.instance == own[-1].instance
     ]
-    if own[-1].name not in _LAST_WORDS:
+    if _last(own).name not in _LAST_WORDS:
         found.extend(after[:1])
     return found
 
@@ -106,8 +106,23 @@
     return {str(line.fields[name]) for line in own for name in names if line.fields.get(name)}
 
 
+def _last(own: list[LogLine]) -> LogLine:
+    """Give the last line that the request itself wrote; what became of a runner comes later."""
+    return next((line for line in reversed(own) if line.name != "run_broken"), own[-1])
+
+
+def _ended_runners(own: list[LogLine]) -> str:
+    ended = [line for line in own if line.name == "run_broken" and line.fields.get("ended")]
+    names = ", ".join(str(line.fields.get("runner")) for line in ended)
+    return f"; ended while they ran it: {names}" if ended else ""
+
+
 def _cause(own: list[LogLine], ordered: list[LogLine]) -> str:
-    last = own[-1]
+    return _cause_of_end(own, ordered) + _ended_runners(own)
+
+
+def _cause_of_end(own: list[LogLine], ordered: list[LogLine]) -> str:
+    last = _last(own)
     for line in own:
         if line.name in ("stream_lost", "request_failed", "stream_out_of_time"):
             last = line
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -158,9 +158,11 @@
                 )
 
     async def _ask_ending_once(self, entry: EntryProcess, kind: Kind) -> Record:
+        """Send one, as a client that waits for its answer."""
         record = self._new(entry, kind)
         record.is_ending = True
-        await self._one(record, entry)
+        await attempt(record, entry.front, KEY, random.Random(1))
+        self._close(record)
         return record
 
     async def _end_runners_in_calm(self) -> None:
@@ -203,8 +205,7 @@
             record = self._new(entry, self.rng.choice((Kind.NOTES, Kind.HOLDS)))
             records.append(record)
             await attempt(record, entry.front, KEY, random.Random(1), pool)
-            self.open.remove(record)
-            self.done.append(record)
+            self._close(record)
             await trio.sleep(0.02)
 
     def _describe(self) -> None:
@@ -277,6 +278,9 @@
     async def _one(self, record: Record, entry: EntryProcess) -> None:
         kept = self.rng.choice(self.pools) if self.rng.random() < KEPT_SHARE else None
         await attempt(record, entry.front, KEY, self.rng, kept)
+        self._close(record)
+
+    def _close(self, record: Record) -> None:
         self.open.remove(record)
         self.done.append(record)
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -61,6 +61,17 @@
     check.assertIn("may have run", found.cause)
 
 
+def test_a_runner_found_to_have_ended_later_is_no_end_of_the_request():
+    # Guards against a cause that only says with which line the logs end.
+    found = story(
+        line(1, "e-1", "send_ended", request=ID, runner="i-1", result="unknown"),
+        line(1.1, "e-1", "request_answered", request=ID, status=200),
+        line(1.2, "e-1", "run_broken", request=ID, runner="i-1", content="c", ended=True),
+    )
+    check.assertIn("status 200", found.cause)
+    check.assertIn("ended while they ran it: i-1", found.cause)
+
+
 def test_a_process_that_ended_within_a_request():
     found = story(
         line(1, "e-1", "placed", request=ID, runner="i-7"),
