--- a/tests/test_runner_crashes.py
+++ b/tests/test_runner_crashes.py
@@ -1,6 +1,7 @@
 """Requests under which runners end: no way leads them to further runners, and no others suffer."""
 
 import json
+from random import Random
 
 import trio
 
@@ -22,6 +23,7 @@
     send_ending,
 )
 from tests.platform_site import platform_site
+from tests.soak.proxy import Proxy
 from tests.stream_reader import read
 from tests.support import check, on_real_clock, tests_of
 from tests.test_platform_streams import check_whole
@@ -208,6 +210,24 @@
         check.assertTrue(refused_everywhere(site, "/notes/1"))
 
 
+@on_real_clock
+async def test_a_runner_behind_a_proxy_has_ended_if_its_entry_goes_too():
+    # Guards against ends behind something that accepts connections for a runner that is gone.
+    async with platform_site(plain=1) as site:
+        end_under_it(site)
+        [runner] = site.plain
+        proxy = Proxy(runner.address.replace(".2.", ".4."), runner.address, Random(1))
+        await site.nursery.start(proxy.run)
+        site.register("i-behind", "desk", proxy.address)
+        site.store.remove("servers", runner.runner_id)
+        runner.runner_id = "i-behind"
+        await site.until(lambda: is_known(site, "i-behind"))
+        await send_ending(site, "/holds/1", "e-1")
+        check.assertFalse(crashes(site).suspects(content_of("/holds/1")))
+        site.store.remove("servers", "i-behind")
+        await site.until(lambda: crashes(site).suspects(content_of("/holds/1")))
+
+
 @on_real_clock
 async def test_an_answer_clears_a_request_at_every_instance():
     # Guards against ends of runners that add up over hours for a request that is sound.
