--- a/egretstack/services/crash_list.py
+++ b/egretstack/services/crash_list.py
@@ -20,6 +20,7 @@
 WATCH_S = 5.0
 """Length of one watch. Only another home or an operator writes besides, both of them rarely."""
 FIELD = "record"
+"""Name under which an object's spec holds the record's row."""
 MOST_BAD_LOGGED = 8
 MOST_NAME_LOGGED = 128
 
