Logs and a metric tell that a runner named a limit, and to which instance

With sends by instance, which send_ended tells, an unread limit and one that each instance keeps for itself differ.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -144,6 +144,8 @@
         "A request that no runner got may be sent to runners again.",
     )
     CRASH_RECORD_UNREADABLE = (456, Level.WARNING, "A record in the store cannot be read; unused.")
+    RUNNER_LIMITED = (457, Level.WARNING, "A runner takes no more than `per_s` requests a second.")
+    RUNNER_UNLIMITED = (458, Level.INFO, "A runner names no limit any more.")
     INSTANCE_UNREADABLE = (439, Level.WARNING, "Entries in the store name no instance; not used.")
     RUNNER_STARTED_AGAIN = (440, Level.INFO, "A runner told of a later start; all before is void.")
     RUNNER_BACK = (441, Level.INFO, "A runner's entry was missing; it is back, and it answers.")
--- a/egretstack/fleet/__init__.py
+++ b/egretstack/fleet/__init__.py
@@ -35,6 +35,7 @@
     Taken,
 )
 from egretstack.fleet._runner import Incarnation, Runner, RunnerState
+from egretstack.fleet._runner_limits import RunnerLimits
 from egretstack.fleet._runner_table import RunnerTable
 from egretstack.fleet._silence import Silence
 from egretstack.fleet._store_watch import StoreWatch
@@ -68,6 +69,7 @@
     "PlaceAsk",
     "PlaceDrop",
     "Runner",
+    "RunnerLimits",
     "RunnerState",
     "RunnerTable",
     "Silence",
--- a/egretstack/platform/_runner_wire.py
+++ b/egretstack/platform/_runner_wire.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import re
 
 from egretstack.http1 import (
     Header,
@@ -39,6 +40,7 @@
 _RUNNER_ID = b"runner-id"
 _LOAD = b"runner-load"
 _COLD_MS = b"cold-ms"
+_LIMIT = b"server-limit"
 _DEADLINE_MS = b"deadline-ms"
 _LAST_EVENT_ID = b"last-event-id"
 
@@ -69,6 +71,9 @@
 _MOST_PRIORITY = 9
 _MOST_DIGITS = 12
 _MISDIRECTED = 421
+_MOST_PER_S = 1_000_000.0
+"""Highest limit of a runner, in requests a second, that is taken for one."""
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
 def runner_request(request: ClientRequest, terms: SendTerms) -> RequestHead:
@@ -109,8 +114,10 @@
         sealed=first_value(head.headers, _SEAL) is not None,
         rejected=head.status == _MISDIRECTED
         or first_value(head.headers, _NOT_EXECUTED) is not None,
+        misdirected=head.status == _MISDIRECTED,
         encoded=first_value(head.headers, b"content-encoding") is not None,
         load=_load(first_value(head.headers, _LOAD)),
+        limit_per_s=_decimal(first_value(head.headers, _LIMIT), _MOST_PER_S),
     )
 
 
@@ -128,6 +135,14 @@
     return RunnerLoad(int(parts[0]), int(parts[1]), int(parts[2]))
 
 
+def _decimal(value: bytes | None, most: float) -> float | None:
+    """Read a decimal number; None if it is none, or above `most`."""
+    text = (value or b"").strip()
+    if _DECIMAL.fullmatch(text) is None or float(text) > most:
+        return None
+    return float(text)
+
+
 def report_request(address: str) -> RequestHead:
     """Give the question for an engine's report."""
     return RequestHead(b"GET", REPORT_PATH, ((b"host", address.encode()),))
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -26,6 +26,7 @@
     "engine_placing",
     "crash_guard",
     "crash_list",
+    "runner_words",
     "relaying",
     "runner_strikes",
     "settings_file",
--- a/egretstack/relay/__init__.py
+++ b/egretstack/relay/__init__.py
@@ -7,6 +7,7 @@
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
 from egretstack.relay._knowledge import RequestFailed, RunKnowledge, barred
 from egretstack.relay._plain import PlainRelay, WholeAnswer
+from egretstack.relay._runner_words import RunnerWords
 from egretstack.relay._stream import StreamRelay
 from egretstack.relay._tools import EnginePlacing, RelayTools, Task
 
@@ -23,6 +24,7 @@
     "RequestFailed",
     "RetryBudget",
     "RunKnowledge",
+    "RunnerWords",
     "StreamEvent",
     "StreamRelay",
     "Task",
--- a/egretstack/relay/_engine_calls.py
+++ b/egretstack/relay/_engine_calls.py
@@ -61,7 +61,9 @@
     except BaseException:
         connection.close()
         raise
-    if answer is None:
+    if answer is not None:
+        tools.heard(task, runner.id, answer, sent_s)
+    else:
         tools.crashes.broke(task.request.attempt_id, task.content, runner.id, sent_s)
     if answer is None or not _goes_on(task, answer):
         connection.close()
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -49,6 +49,7 @@
             await self._connect(excluded)
             self._check_refused()
             head = await self._ask()
+            self._tools.heard(self._task, self.run.runner, runner_answer(head), self.sent_s)
             if not self._is_rejected(head):
                 return head
             excluded = (*excluded, self.run.runner)
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -198,6 +198,7 @@
             return _Result.UNKNOWN, None
         self._tools.balancer.recent.note(trio.current_time(), runner.id, broke=False)
         judged = runner_answer(answer)
+        self._tools.heard(task, runner.id, judged, began_s)
         result = _judge(task, judged)
         if result is _Result.UNKNOWN:
             connection.close()
--- a/egretstack/relay/_tools.py
+++ b/egretstack/relay/_tools.py
@@ -13,8 +13,9 @@
 from egretstack.placing import ColdRation, Placement, PlainBalancer, Run, Work
 from egretstack.relay._budget import RetryBudget
 from egretstack.relay._crash_guard import CrashGuard
+from egretstack.relay._runner_words import RunnerWords
 from egretstack.routing import ClientAccount, EnginePlan, Route, ServicePlan
-from egretstack.traffic import ClientRequest, SendTerms
+from egretstack.traffic import ClientRequest, RunnerAnswer, SendTerms
 
 RANKS = 100
 """Ranks of routes that are told apart within one rank of client accounts."""
@@ -75,9 +76,15 @@
     pool: ConnectionPool
     cold: ColdRation
     crashes: CrashGuard
+    words: RunnerWords
     on_break: Callable[[], None] = lambda: None
     """Told when a runner broke what it was sent."""
 
+    def heard(self, task: "Task", runner: RunnerId, answer: RunnerAnswer, sent_s: float) -> None:
+        """Take what a runner says of itself beside its answer to a task sent at `sent_s`."""
+        if answer.attempt_id in ("", task.request.attempt_id):
+            self.words.heard(runner, answer, sent_s)
+
     def note_engine(self, runner: RunnerId, *, broke: bool) -> None:
         """Count what an engine made of a run; the end of one that leaves tells nothing."""
         if broke and not self.runners.is_ready(runner):
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -21,6 +21,7 @@
     InstanceState,
     KnownInstance,
     Runner,
+    RunnerLimits,
     RunnerState,
     RunnerTable,
     StoreSight,
@@ -66,6 +67,7 @@
         self.runners = RunnerTable()
         self.evacuations = Evacuations()
         self.crashes = CrashTable()
+        self.limits = RunnerLimits()
         self.runs: Callable[[], list] = list
         """Gives the rows of the runs of this instance."""
         self.held: Callable[[], HeldNews] = HeldNews
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -23,6 +23,7 @@
 from egretstack.services.engine_placing import EnginePlacingService
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
+from egretstack.services.runner_words import RunnerWordsService
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import ClientRequest
 
@@ -45,7 +46,14 @@
     """Makes tasks of requests."""
 
     name = "relaying"
-    requires = ("crash_guard", "engine_placing", "fleet_port", "placing_home", "store_reading")
+    requires = (
+        "crash_guard",
+        "engine_placing",
+        "fleet_port",
+        "placing_home",
+        "runner_words",
+        "store_reading",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -62,6 +70,7 @@
             pool=ConnectionPool(),
             cold=kernel.get(PlacingHome).cold,
             crashes=kernel.get(CrashGuardService),
+            words=kernel.get(RunnerWordsService),
         )
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
--- a/egretstack/traffic/_send.py
+++ b/egretstack/traffic/_send.py
@@ -61,6 +61,11 @@
     """Whether the runner vouches for it; only then does it count as an answer at all."""
     rejected: bool
     """The runner states that it did not run the request, and never will."""
+    misdirected: bool
+    """Another runner answered, at the address of the one that was meant."""
     encoded: bool
     """The body is not the runner's own bytes."""
     load: RunnerLoad | None
+    limit_per_s: float | None = None
+    """Requests a second that the runner takes from the whole fleet, as long as its answers say so;
+    None if it names no limit."""
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -278,3 +278,15 @@
             read_configuration(path)
         with check.assertRaises(UserError):
             read_configuration(Path(folder) / "none.json")
+
+
+def test_a_limit_is_a_bounded_decimal_number():
+    # Guards against words of a runner that stop or free it by a slip of its own.
+    def limit(value):
+        headers = () if value is None else ((b"server-limit", value),)
+        return runner_answer(ResponseHead(200, b"", headers)).limit_per_s
+
+    for text, per_s in ((b"2.4", 2.4), (b"0", 0.0), (b"12", 12.0), (b" 3.0 ", 3.0)):
+        check.assertEqual(limit(text), per_s)
+    for text in (None, b"", b"-1", b"nan", b"inf", b"1e9", b"2,4", b"9" * 12, b"\xff"):
+        check.assertIsNone(limit(text))
