Failing tests: runners get more requests than the limits that they name

An instance that starts anew never hears of the limit, and where all runners are limited none of 40 requests is refused.

--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -126,15 +126,16 @@
 
     async def _generate(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
         attempt = _text(head, b"attempt-id")
+        self.arrived_s.append(trio.current_time())
         if _text(head, b"expect-runner") not in ("", self.runner_id):
             await send(connection, 421)
             return
         if self.fault is EngineFault.FULL:
-            await send(connection, 503, headers=((b"not-executed", b"1"),))
+            await send(connection, 503, headers=((b"not-executed", b"1"), *self.words()))
             return
         origin = _text(head, b"kv-from").partition("/")[2]
         if origin and origin not in self.copies:
-            await send(connection, 503, headers=((b"not-executed", b"1"),))
+            await send(connection, 503, headers=((b"not-executed", b"1"), *self.words()))
             return
         self.heads.append(head)
         is_ending = body == self.ends_under
@@ -171,6 +172,7 @@
             (b"attempt-id", attempt.encode()),
             (b"runner-seal", b"seal." + self.runner_id.encode()),
             (b"content-type", b"text/event-stream"),
+            *self.words(),
         )
         run = self._run_by_attempt[attempt] = _Run(self.events, made)
         try:
--- a/standins/platform/_http.py
+++ b/standins/platform/_http.py
@@ -32,6 +32,10 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.connections = 0
+        self.limit_per_s: float | None = None
+        """Limit that a runner names in its answers, in requests a second; it is not enforced."""
+        self.arrived_s: list[float] = []
+        """When requests reached a runner, those among them that it rejected."""
         self._scope = trio.CancelScope()
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -84,6 +88,12 @@
                 connection.close()
             nursery.cancel_scope.cancel()
 
+    def words(self) -> tuple[Header, ...]:
+        """Give what a runner says of itself in all its answers."""
+        if self.limit_per_s is None:
+            return ()
+        return ((b"server-limit", str(self.limit_per_s).encode()),)
+
     @abstractmethod
     async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
         """Answer one request."""
--- a/standins/platform/_plain.py
+++ b/standins/platform/_plain.py
@@ -59,12 +59,13 @@
             status = 200 if self.healthy else 503
             await send(connection, status, headers=((b"runner-id", self.runner_id.encode()),))
             return
+        self.arrived_s.append(trio.current_time())
         fault = self.faults.pop(0) if self.faults else PlainFault.NONE
         if first_value(head.headers, b"expect-runner") not in (None, self.runner_id.encode()):
             await send(connection, 421, headers=((b"runner-id", self.runner_id.encode()),))
             return
         if fault is PlainFault.FULL:
-            await send(connection, 503, headers=((b"not-executed", b"1"),))
+            await send(connection, 503, headers=((b"not-executed", b"1"), *self.words()))
             return
         self.heads.append(head)
         attempt = (first_value(head.headers, b"attempt-id") or b"").decode()
@@ -116,7 +117,7 @@
 
     def _headers(self, attempt: str, fault: PlainFault) -> tuple[Header, ...]:
         told = b"another" if fault is PlainFault.CROSSED else attempt.encode()
-        headers: list[Header] = [(b"attempt-id", told), (b"runner-load", b"1,0,6")]
+        headers: list[Header] = [(b"attempt-id", told), (b"runner-load", b"1,0,6"), *self.words()]
         if fault is not PlainFault.UNSEALED:
             headers.append((b"runner-seal", b"seal." + self.runner_id.encode()))
         if fault is PlainFault.ENCODED:
