The limit that a runner names is known to the fleet and split among its instances

Cause: the header was passed to clients and read by nobody (first hypothesis). Ruled out: a limit that each instance keeps for itself, and second sends on top; runner_limited was logged nowhere, one send in ten was a second one. Class: a bound that holds for all instances together, where what one hears has to reach all and what all may send has to add up.

Each instance takes a runner's word from each of its answers and tells it with its report; the home tells all, so that whoever starts anew knows it before it sends. For plain runners each instance has an even part of the limit; for engines the home has most of it, by the share of the fleet that it hears, and each instance a little for what goes on at copies or is placed while the home is silent. Copies go to engines without a limit where there are some. What finds no runner in time is refused at once (runners-limited, or engines-full) and is told when to come back.

The bound of cold runners and this one share an interface and the split of the fleet (SendBound, FleetSplit); the checks of its tests are as they were.

--- a/egretstack/errors/_kinds.py
+++ b/egretstack/errors/_kinds.py
@@ -25,6 +25,7 @@
     DEADLINE_TOO_SHORT = "deadline-too-short"
     INSTANCE_FULL = "instance-full"
     NO_RUNNER = "no-runner"
+    RUNNERS_LIMITED = "runners-limited"
     CRASHES_RUNNERS = "crashes-runners"
     DRAINING = "draining"
     PLATFORM_AWAY = "platform-away"
--- a/egretstack/errors/_table.py
+++ b/egretstack/errors/_table.py
@@ -63,6 +63,7 @@
     ErrorKind.DEADLINE_TOO_SHORT: _later(503, "The request would start after its deadline"),
     ErrorKind.INSTANCE_FULL: _later(503, "This instance has no memory for the body now"),
     ErrorKind.NO_RUNNER: _later(503, "No runner serves this now"),
+    ErrorKind.RUNNERS_LIMITED: _later(503, "The runners take no more requests now"),
     ErrorKind.CRASHES_RUNNERS: _refusal(503, "Runners ended while they ran this request"),
     ErrorKind.DRAINING: _later(503, "This instance is leaving"),
     ErrorKind.PLATFORM_AWAY: _later(503, "The platform's object API does not answer"),
--- a/egretstack/fleet/__init__.py
+++ b/egretstack/fleet/__init__.py
@@ -35,7 +35,7 @@
     Taken,
 )
 from egretstack.fleet._runner import Incarnation, Runner, RunnerState
-from egretstack.fleet._runner_limits import RunnerLimits
+from egretstack.fleet._runner_limits import RunnerLimits, checked_limit, limit_of
 from egretstack.fleet._runner_table import RunnerTable
 from egretstack.fleet._silence import Silence
 from egretstack.fleet._store_watch import StoreWatch
@@ -77,10 +77,12 @@
     "StoreWatch",
     "Taken",
     "VersionedRows",
+    "checked_limit",
     "fetch_text",
     "give_packed",
     "instance_of",
     "instance_row",
+    "limit_of",
     "nearest",
     "pack_text",
     "rows_of",
--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -34,6 +34,8 @@
     """Runners that ended while they ran its requests, a row each."""
     clears: list
     """Requests that runners have answered since some ended under them: content and round."""
+    limits: list
+    """What runners said lately of how many requests they take, a row each."""
 
 
 @dataclass(frozen=True)
@@ -103,6 +105,8 @@
     retry_after_ms: int
     runners: list
     """Rows of the runners named, for an asker that has not heard of them yet."""
+    refused: bool
+    """Whether no engine may take the work in time; then it does not wait."""
 
 
 @dataclass(frozen=True)
--- a/egretstack/placing/_cold_ration.py
+++ b/egretstack/placing/_cold_ration.py
@@ -9,11 +9,11 @@
 
 from collections import deque
 from collections.abc import Callable
-from enum import Enum
-from hashlib import blake2b
 
 from egretstack.fleet import Runner, RunnerTable
-from egretstack.ids import InstanceId, RunnerId, ServiceName
+from egretstack.ids import RunnerId, ServiceName
+from egretstack.placing._send_bounds import SendBound, SendPart
+from egretstack.placing._split import FleetSplit
 from egretstack.platform import Bounds
 from egretstack.routing import ColdPlan
 
@@ -23,53 +23,57 @@
 """Part of the bound that is used: an instance may not know all others yet."""
 
 
-class ColdPart(Enum):
-    """Which part of the bound a request draws on."""
-
-    HOME = "home"
-    """The home places it, for any instance."""
-    ALONE = "alone"
-    """An instance places it at an engine because the home is silent."""
-    PLAIN = "plain"
-    """An instance sends it to a plain runner, for which nobody places."""
-
-
-class ColdRation:
+class ColdRation(SendBound):
     """What cold runners got in the last second from this instance, and what more they may get."""
 
-    def __init__(self, own: InstanceId, runners: RunnerTable, bounds: Bounds) -> None:
-        self._own = own
+    def __init__(self, split: FleetSplit, runners: RunnerTable, bounds: Bounds) -> None:
+        self._split = split
         self._runners = runners
         self.bounds = bounds
         self.plan: Callable[[ServiceName], ColdPlan | None] = lambda service: None
         """Gives how cold runners of a service have to be treated."""
-        self.others: tuple[InstanceId, ...] = ()
-        """All other instances that were ever heard of, living or not."""
-        self.heard = 0
-        """How many of them this instance hears now."""
         self._sent_by_id: dict[RunnerId, deque[float]] = {}
 
-    def allows(self, now_s: float, runner: Runner, part: ColdPart) -> bool:
+    def allows(self, now_s: float, runner: Runner, part: SendPart) -> bool:
         """Tell whether one more request may go to a runner; always, if it is not cold."""
+        most = self._most(now_s, runner, part)
+        return most is None or len(self._recent(now_s, runner.id)) + 1 <= most
+
+    def free_after_s(self, now_s: float, runner: Runner, part: SendPart, ahead: int = 0) -> float:
+        """Give when a request may go to a runner, `ahead` others before it; 0 if at once."""
+        most = self._most(now_s, runner, part)
+        if most is None:
+            return 0.0
+        if most < 1:
+            return float("inf")
+        windows, place = divmod(ahead, int(most))
+        recent = self._recent(now_s, runner.id)
+        over = len(recent) + place + 1 - int(most)
+        wait_s = recent[min(over, len(recent)) - 1] + WINDOW_S - now_s if over > 0 else 0.0
+        return wait_s + windows * WINDOW_S
+
+    def _most(self, now_s: float, runner: Runner, part: SendPart) -> float | None:
+        """Give how many requests this instance may send in a window; None if it is not bounded."""
         plan = self.plan(runner.service)
         overage = self.bounds.cold_overage
         if plan is None or plan.requests_per_s <= 0 or overage is None:
-            return True
+            return None
+        if part is SendPart.CONTINUED:
+            return None  # The home counts it as its own.
         if not self._runners.is_cold(now_s, runner.id, plan.start_s):
-            return True
+            return None
         whole = SAFETY_SHARE * (plan.requests_per_s * overage + self.bounds.cold_slack)
         homes = min(plan.requests_per_s, whole)
-        if part is ColdPart.HOME:
-            most = homes * (1 + self.heard) / (1 + len(self.others))
-        elif part is ColdPart.ALONE:
-            most = self._own_part(runner.id, whole - homes)
-        else:
-            most = self._own_part(runner.id, whole)
-        return len(self._recent(now_s, runner.id)) + 1 <= most
+        if part is SendPart.HOME:
+            return homes * self._split.heard_share
+        if part is SendPart.ALONE:
+            return self._own_part(runner.id, whole - homes)
+        return self._own_part(runner.id, whole)
 
-    def sent(self, now_s: float, runner_id: RunnerId) -> None:
+    def sent(self, now_s: float, runner_id: RunnerId, part: SendPart) -> None:
         """Note a request that goes to a runner."""
-        self._recent(now_s, runner_id).append(now_s)
+        if part is not SendPart.CONTINUED:
+            self._recent(now_s, runner_id).append(now_s)
 
     def forget_gone(self) -> None:
         """Forget runners that are no longer known."""
@@ -77,23 +81,13 @@
             del self._sent_by_id[gone]
 
     def _own_part(self, runner_id: RunnerId, whole: float) -> int:
-        """Give this instance's part; where there are too many instances, one each for some.
-
-        Which ones goes by a hash of runner and instance, so that each runner has others.
-        """
-        instances = 1 + len(self.others)
-        if whole >= instances:
-            return int(whole / instances)
-        own = _digest(runner_id, self._own)
-        before = sum(_digest(runner_id, other) < own for other in self.others)
-        return 1 if before < int(whole) else 0
+        """Give this instance's part; where there are too many instances, one each for some."""
+        if whole >= self._split.instances:
+            return int(whole / self._split.instances)
+        return int(self._split.is_among(runner_id, int(whole)))
 
     def _recent(self, now_s: float, runner_id: RunnerId) -> deque[float]:
         times = self._sent_by_id.setdefault(runner_id, deque())
         while times and now_s - times[0] >= WINDOW_S:
             times.popleft()
         return times
-
-
-def _digest(runner_id: RunnerId, instance: InstanceId) -> bytes:
-    return blake2b(f"{runner_id} {instance}".encode(), digest_size=8).digest()
--- a/egretstack/placing/_copies.py
+++ b/egretstack/placing/_copies.py
@@ -9,6 +9,7 @@
 from egretstack.placing._links import CopyLinks, copy_time_s
 from egretstack.placing._loads import EngineLoad
 from egretstack.placing._run import Run, Work
+from egretstack.placing._send_bounds import SendBound
 from egretstack.routing import EnginePlan
 
 FULL_SHARE = 0.95
@@ -41,9 +42,16 @@
 class CopyPlanner:
     """Chooses engines for copies; the caller notes what becomes of them in the book."""
 
-    def __init__(self, book: RunBook, runners: RunnerTable, rng: random.Random) -> None:
+    def __init__(
+        self,
+        book: RunBook,
+        runners: RunnerTable,
+        rng: random.Random,
+        bounds: SendBound | None = None,
+    ) -> None:
         self._book = book
         self._runners = runners
+        self._bounds = bounds
         self._rng = rng
         self._links = CopyLinks()
         self._demand_by_service: dict[ServiceName, RecentDemand] = {}
@@ -73,7 +81,7 @@
         if not self._may_copy(now_s, work.service, engine, loads, need):
             return None
         rooms = []
-        for other in self._runners.ready(work.service):
+        for other in self._targets(work.service):
             load = loads.get(other.id)
             if load is None or other.id == runner.id or not work.may_run_in(other.zone):
                 continue
@@ -102,7 +110,7 @@
         if not leaving and not self._may_copy(now_s, run.work.service, engine, loads, need):
             return None
         rooms = []
-        for other in self._runners.ready(run.work.service):
+        for other in self._targets(run.work.service):
             load = loads.get(other.id)
             if load is None or other.id == run.runner or load.runs >= engine.batch_slots:
                 continue
@@ -135,6 +143,13 @@
         """Forget engines that are no longer known."""
         self._links.forget(set(self._runners.by_id))
 
+    def _targets(self, service: ServiceName) -> list[Runner]:
+        """Give the engines that take what goes on there; all if none takes enough."""
+        ready = self._runners.ready(service)
+        if self._bounds is None:
+            return ready
+        return [one for one in ready if not self._bounds.is_scarce(one)] or ready
+
     def _may_copy(
         self, now_s: float, service: ServiceName, engine: EnginePlan, loads: Loads, need: float
     ) -> bool:
--- a/egretstack/placing/_placer.py
+++ b/egretstack/placing/_placer.py
@@ -11,10 +11,10 @@
 from egretstack.fleet import Runner, RunnerTable
 from egretstack.ids import InstanceId, RunnerId
 from egretstack.placing._book import GROWTH_TOKENS, Loads, RunBook
-from egretstack.placing._cold_ration import ColdPart, ColdRation
 from egretstack.placing._copies import FULL_SHARE, SHORT_TOKENS, CopyPlanner
 from egretstack.placing._loads import EngineLoad
 from egretstack.placing._run import Placement, Run, Work
+from egretstack.placing._send_bounds import SendBound, SendPart
 from egretstack.placing._wait_list import Waiting, WaitList
 from egretstack.routing import EnginePlan
 
@@ -58,14 +58,14 @@
     """The choice of engines, over the book of runs."""
 
     def __init__(
-        self, runners: RunnerTable, rng: random.Random, cold: ColdRation | None = None
+        self, runners: RunnerTable, rng: random.Random, bounds: SendBound | None = None
     ) -> None:
         self.book = RunBook(runners)
         self._runners = runners
-        self._cold = cold
-        """Bounds what cold engines get; None if nothing does."""
+        self._bounds = bounds
+        """Bounds what engines get; None if nothing does."""
         self._rng = rng
-        self._copies = CopyPlanner(self.book, runners, rng)
+        self._copies = CopyPlanner(self.book, runners, rng, bounds)
         self._waiting = WaitList()
 
     def place(
@@ -76,7 +76,7 @@
         if before is not None:
             return before
         loads = self.book.loads(now_s, whole=whole)
-        part = ColdPart.HOME if whole else ColdPart.ALONE
+        part = SendPart.HOME if whole else SendPart.ALONE
         return self._place(now_s, work, engine, work.patience_s, loads, FULL_SHARE, part)
 
     def wait(self, now_s: float, work: Work, engine: EnginePlan) -> None:
@@ -119,6 +119,19 @@
         waits = [loads[one.id].wait_s(now_s) for one in self._candidates(work, loads)]
         return min(RETRY_MOST_S, max(RETRY_LEAST_S, min(waits, default=RETRY_MOST_S)))
 
+    def free_after_s(self, now_s: float, work: Work, part: SendPart) -> float:
+        """Give when bounds let some engine take a work, after those that wait; 0 if now.
+
+        Whether it has room is another matter.
+        """
+        loads = self.book.loads(now_s, whole=part is SendPart.HOME)
+        candidates = self._candidates(work, loads)
+        if self._bounds is None or not candidates:
+            return 0.0
+        ahead = self._waiting.before(work) // len(candidates)
+        bounds = self._bounds
+        return min(bounds.free_after_s(now_s, one, part, ahead) for one in candidates)
+
     def ended(self, attempt: str) -> None:
         """Note that a work has given up, or is over."""
         self._waiting.drop(attempt)
@@ -128,8 +141,8 @@
         """Forget what instances ran that are not among the living."""
         self.book.gone(live)
         self._copies.forget_gone()
-        if self._cold is not None:
-            self._cold.forget_gone()
+        if self._bounds is not None:
+            self._bounds.forget_gone()
 
     def move_run(
         self,
@@ -147,7 +160,7 @@
         runner = self._runners.by_id.get(runner_id)
         if run is None or runner is None:
             return None
-        self._note_sent(now_s, runner_id)
+        self._note_sent(now_s, runner_id, SendPart.HOME)
         run.runner, run.backup = runner_id, None
         loads = self.book.loads(now_s, whole=True)
         loads = {one: load for one, load in loads.items() if one != source_id}
@@ -187,14 +200,14 @@
         patience_s: float,
         loads: Loads,
         full_share: float,
-        part: ColdPart = ColdPart.HOME,
+        part: SendPart = SendPart.HOME,
     ) -> Placement | PlaceRefused:
         room = full_share * engine.kv_capacity_tokens
         fitting = [
             runner
             for runner in self._candidates(work, loads)
             if self._fits(now_s, work, engine, patience_s, runner, loads[runner.id], room)
-            and (self._cold is None or self._cold.allows(now_s, runner, part))
+            and (self._bounds is None or self._bounds.allows(now_s, runner, part))
         ]
         if not fitting:
             return PlaceRefused(RETRY_LEAST_S)
@@ -202,12 +215,12 @@
         backup = self._copies.backup(now_s, work, engine, chosen, loads)
         placement = Placement(chosen.id, backup)
         self.book.place(now_s, work, placement, loads)
-        self._note_sent(now_s, chosen.id)
+        self._note_sent(now_s, chosen.id, part)
         return placement
 
-    def _note_sent(self, now_s: float, runner_id: RunnerId) -> None:
-        if self._cold is not None:
-            self._cold.sent(now_s, runner_id)
+    def _note_sent(self, now_s: float, runner_id: RunnerId, part: SendPart) -> None:
+        if self._bounds is not None:
+            self._bounds.sent(now_s, runner_id, part)
 
     def _candidates(self, work: Work, loads: Loads) -> list[Runner]:
         """Give the engines to choose from; a suspected one only if there is no other."""
--- /dev/null
+++ b/egretstack/placing/_send_bounds.py
@@ -0,0 +1,75 @@
+"""What bounds how many requests a runner gets; pure, with the time passed in."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from enum import Enum
+
+from egretstack.fleet import Runner
+from egretstack.ids import RunnerId
+
+
+class SendPart(Enum):
+    """Who decides on a request, and so which part of a bound it draws on."""
+
+    HOME = "home"
+    """The home places it, for any instance."""
+    ALONE = "alone"
+    """An instance places it at an engine because the home is silent."""
+    CONTINUED = "continued"
+    """An instance lets a stream go on where its copy is."""
+    PLAIN = "plain"
+    """An instance sends it to a plain runner, for which nobody places."""
+
+
+class SendBound(ABC):
+    """Bounds what runners get, for one reason."""
+
+    @abstractmethod
+    def allows(self, now_s: float, runner: Runner, part: SendPart) -> bool:
+        """Tell whether one more request may go to a runner."""
+
+    @abstractmethod
+    def free_after_s(self, now_s: float, runner: Runner, part: SendPart, ahead: int = 0) -> float:
+        """Give when a request may go to a runner, `ahead` others before it; 0 if at once."""
+
+    @abstractmethod
+    def sent(self, now_s: float, runner_id: RunnerId, part: SendPart) -> None:
+        """Note a request that goes to a runner."""
+
+    @abstractmethod
+    def forget_gone(self) -> None:
+        """Forget runners that are no longer known."""
+
+    def is_scarce(self, runner: Runner) -> bool:
+        """Tell whether a runner takes too little to go on there with streams that broke off."""
+        return False
+
+
+class SendBounds(SendBound):
+    """Several bounds, all of which hold."""
+
+    def __init__(self, bounds: Iterable[SendBound]) -> None:
+        self._bounds = tuple(bounds)
+
+    def allows(self, now_s: float, runner: Runner, part: SendPart) -> bool:
+        """Tell whether one more request may go to a runner."""
+        return all(one.allows(now_s, runner, part) for one in self._bounds)
+
+    def free_after_s(self, now_s: float, runner: Runner, part: SendPart, ahead: int = 0) -> float:
+        """Give when a request may go to a runner, `ahead` others before it; 0 if at once."""
+        times = (one.free_after_s(now_s, runner, part, ahead) for one in self._bounds)
+        return max(times, default=0.0)
+
+    def sent(self, now_s: float, runner_id: RunnerId, part: SendPart) -> None:
+        """Note a request that goes to a runner."""
+        for one in self._bounds:
+            one.sent(now_s, runner_id, part)
+
+    def forget_gone(self) -> None:
+        """Forget runners that are no longer known."""
+        for one in self._bounds:
+            one.forget_gone()
+
+    def is_scarce(self, runner: Runner) -> bool:
+        """Tell whether a runner takes too little to go on there with streams that broke off."""
+        return any(one.is_scarce(runner) for one in self._bounds)
--- a/egretstack/placing/_wait_list.py
+++ b/egretstack/placing/_wait_list.py
@@ -57,6 +57,12 @@
                 work, engine, (work.rank, now_s), until_s, now_s
             )
 
+    def before(self, work: Work) -> int:
+        """Give how many other works for the same service wait."""
+        service, attempt = work.service, work.attempt
+        waiting = self._by_attempt.values()
+        return sum(one.work.service == service and one.work.attempt != attempt for one in waiting)
+
     def drop(self, attempt: str) -> None:
         """Take a work out for which nobody waits any more."""
         self._by_attempt.pop(attempt, None)
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -15,7 +15,7 @@
 from egretstack.fleet import Runner
 from egretstack.http1 import ConnectFailed, UpstreamBroken, connect_upstream, exchange
 from egretstack.ids import RunnerId
-from egretstack.placing import Run, copy_time_s
+from egretstack.placing import Run, SendPart, copy_time_s
 from egretstack.platform import BadBody, free_copy_request, move_answer, move_request
 from egretstack.relay._tools import CONNECT_TIMEOUT_S, RelayTools, Task
 from egretstack.traffic import MoveAnswer, MoveOutcome
@@ -139,7 +139,7 @@
                 await self._turn()
             elif not await self._copied(source, destination):
                 return False
-        if not await self._catch_up(source, destination):
+        if not await self._catch_up(source, destination) or not self._may_go_on_at(destination):
             self._done(source)
             return False
         return await self._stop(source, destination)
@@ -159,6 +159,10 @@
                 return False
         return True
 
+    def _may_go_on_at(self, destination: Runner) -> bool:
+        now_s = trio.current_time()
+        return self._tools.bounds.allows(now_s, destination, SendPart.CONTINUED)
+
     def _has_to_hurry(self, source: Runner) -> bool:
         if self._tools.runners.is_evacuated(source.id):
             return False  # It works on for as long as the run needs to get off it.
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -21,7 +21,7 @@
     exchange,
 )
 from egretstack.ids import RunnerId
-from egretstack.placing import ColdPart
+from egretstack.placing import SendPart
 from egretstack.platform import client_head, runner_answer, runner_request
 from egretstack.relay._knowledge import CRASHES_DETAIL, RequestFailed, RunKnowledge
 from egretstack.relay._tools import CONNECT_TIMEOUT_S, RelayTools, Task
@@ -39,6 +39,8 @@
 MAX_CONNECT_TRIES = 3
 NO_RUNNER_RETRY_S = 0.5
 REJECTED_RETRY_S = 0.2
+MOST_RETRY_S = 10.0
+"""Longest time that a caller is told to wait for runners which take no more requests now."""
 
 
 @dataclass(frozen=True)
@@ -100,14 +102,12 @@
                 return self._give_up(task, progress, result.value)
 
     def _choose(self, task: Task, progress: _Progress) -> Runner | None:
-        ready = self._tools.runners.ready(task.service.name)
         now_s = trio.current_time()
         fresh = [
             runner
-            for runner in ready
+            for runner in self._usable(task)
             if runner.id not in progress.excluded
-            and (task.zones is None or runner.zone in task.zones)
-            and self._tools.cold.allows(now_s, runner, ColdPart.PLAIN)
+            and self._tools.bounds.allows(now_s, runner, SendPart.PLAIN)
         ]
         return self._tools.balancer.choose(
             now_s,
@@ -116,6 +116,17 @@
             repeatable=task.route.kind is RouteKind.IDEMPOTENT,
         )
 
+    def _usable(self, task: Task) -> list[Runner]:
+        """Give the runners that may run a task, whatever else they have to do."""
+        ready = self._tools.runners.ready(task.service.name)
+        return [one for one in ready if task.zones is None or one.zone in task.zones]
+
+    def _free_after_s(self, task: Task) -> float:
+        """Give when some runner may get one more request; 0 if now, or if there is none."""
+        now_s, bounds = trio.current_time(), self._tools.bounds
+        times = (bounds.free_after_s(now_s, one, SendPart.PLAIN) for one in self._usable(task))
+        return min(MOST_RETRY_S, min(times, default=0.0))
+
     def _may_send_again(self, task: Task, progress: _Progress, result: _Result) -> bool:
         if result is _Result.NOT_SENT:
             return progress.connect_tries < MAX_CONNECT_TRIES
@@ -136,10 +147,13 @@
             return progress.failure
         if task.time_left_s() < LEAST_SEND_S and progress.knowledge.may_have_run:
             raise RequestFailed(ErrorKind.OUT_OF_TIME, detail)
+        free_s = self._free_after_s(task)
         if progress.sends:
             raise progress.knowledge.failure(
-                ErrorKind.ENGINES_FULL, detail, retry_after_s=REJECTED_RETRY_S
+                ErrorKind.ENGINES_FULL, detail, retry_after_s=max(REJECTED_RETRY_S, free_s)
             )
+        if free_s:
+            raise RequestFailed(ErrorKind.RUNNERS_LIMITED, detail, retry_after_s=free_s)
         raise RequestFailed(ErrorKind.NO_RUNNER, detail, retry_after_s=NO_RUNNER_RETRY_S)
 
     async def _send(
@@ -156,11 +170,14 @@
         if self._tools.crashes.refuses(task.content):
             connection.close()
             return _Result.NOT_SENT, None
+        if not self._tools.bounds.allows(trio.current_time(), runner, SendPart.PLAIN):
+            self._tools.pool.give_back(connection)
+            return _Result.NOT_SENT, None
         progress.sends += 1
         if progress.sends > 1:
             self._tools.budget.repeated(trio.current_time(), task.service.name)
         self._tools.balancer.sent(runner.id)
-        self._tools.cold.sent(trio.current_time(), runner.id)
+        self._tools.bounds.sent(trio.current_time(), runner.id, SendPart.PLAIN)
         began_s = trio.current_time()
         try:
             return await self._exchange(task, runner, connection, progress)
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -9,13 +9,14 @@
 import trio
 
 from egretstack.events import Event, log
+from egretstack.fleet import Runner
 from egretstack.http1 import (
     ResponseHead,
     UpstreamBroken,
     UpstreamConnection,
 )
 from egretstack.ids import RunnerId
-from egretstack.placing import Run
+from egretstack.placing import Run, SendPart
 from egretstack.platform import client_head, runner_answer
 from egretstack.relay._client_stream import ClientStream
 from egretstack.relay._cursor import EventCursor, EventGap
@@ -42,6 +43,9 @@
 Where it goes on it is copied anew, whole. Those copies would share the links with the runs that
 have none yet, which have to be off their runner before it ends.
 """
+GO_ON_WAIT_S = 1.0
+"""Longest wait for a runner with a copy that takes no more requests now: readers give a stream up
+after a pause of two seconds or more."""
 COPY_LEAST_TOKENS = 120
 """Output still expected from which a run that lost its copy gets another: about a second's."""
 
@@ -245,7 +249,19 @@
         return silent_s > SILENT_S and self._pace.events > 0 and self._has_copy()
 
     def _has_copy(self) -> bool:
-        return self._saved is not None and self._tools.runners.is_ready(self._saved.runner)
+        if self._saved is None or not self._tools.runners.is_ready(self._saved.runner):
+            return False
+        return self._may_go_on_at(self._tools.runners.by_id[self._saved.runner])
+
+    def _may_go_on_at(self, runner: Runner) -> bool:
+        return self._tools.bounds.allows(trio.current_time(), runner, SendPart.CONTINUED)
+
+    async def _wait_to_go_on_at(self, runner: Runner) -> bool:
+        """Wait a moment for a runner that takes few requests; tell whether it takes this one."""
+        with trio.move_on_after(GO_ON_WAIT_S):
+            while not self._may_go_on_at(runner):
+                await trio.sleep(LOOK_S)
+        return self._may_go_on_at(runner)
 
     def _has_to_leave(self) -> bool:
         """See to a copy where one is needed; tell whether to go on at it now."""
@@ -312,6 +328,8 @@
         if self._tools.runners.is_evacuated(runner.id):
             # Nothing more may be sent there; where the run is, it may go on.
             return False
+        if not await self._wait_to_go_on_at(runner):
+            return False
         origin = ContinueFrom(saved.origin_address, saved.copy_id, self._cursor.last_id)
         before = self._run.runner
         self._run.runner = runner.id
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -21,11 +21,11 @@
 from egretstack.ids import RunnerId
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import Message
-from egretstack.placing import Placement, Run, Work, work_row
+from egretstack.placing import Placement, Run, SendPart, Work, work_row
 from egretstack.relay import EnginePlacing, RequestFailed, barred
 from egretstack.routing import EnginePlan, RouteKind
 from egretstack.services.fleet_port import FleetPort
-from egretstack.services.placing_home import PlacingHome
+from egretstack.services.placing_home import MOST_RETRY_S, PlacingHome
 from egretstack.services.relay_metrics import RelayMetrics
 
 ASK_S = 0.04
@@ -87,7 +87,14 @@
                     answer = await self._ask_place(work)
                     if answer is None:
                         placed = self._place_alone(work, engine)
+                        free_s = 0.0 if placed else self._free_alone_after_s(work)
+                        if free_s > began_s + work.wait_s - trio.current_time():
+                            retry_s = min(MOST_RETRY_S, free_s)
+                            break
                         await trio.sleep(0 if placed else ASK_AGAIN_S)
+                    elif answer.refused:
+                        retry_s = answer.retry_after_ms / 1000
+                        break
                     elif answer.runner and answer.runner not in work.excluded:
                         placed = self._take_place(answer)
                     else:
@@ -213,6 +220,11 @@
         decided = self._home.placer.place(now_s, work, engine, whole=self._port.is_home())
         return decided if isinstance(decided, Placement) else None
 
+    def _free_alone_after_s(self, work: Work) -> float:
+        """Give when some engine may take a work without the home's word; 0 if now."""
+        placer = self._home.placer
+        return placer.free_after_s(trio.current_time(), work, SendPart.ALONE)
+
     def _take_place(self, answer: PlaceAnswer) -> Placement:
         """Take the home's answer, and the runners it names if they are news here.
 
--- a/egretstack/services/fleet_news.py
+++ b/egretstack/services/fleet_news.py
@@ -24,6 +24,7 @@
     NewsPart,
     RunnerState,
     Taken,
+    checked_limit,
     instance_of,
     instance_row,
     runner_of,
@@ -54,6 +55,7 @@
 _RUNNER = "r"
 _ZONE = "z"
 _CRASH = "c"
+_LIMIT = "l"
 _SILENT = 1
 _SUSPECT = 2
 
@@ -196,6 +198,8 @@
         rows |= {f"{_ZONE}{zone}": [] for zone in self._port.evacuations.zones}
         crashes = self._port.crashes.told().items()
         rows |= {f"{_CRASH}{content}": record_row(record) for content, record in crashes}
+        limits = self._port.limits.limited().items()
+        rows |= {f"{_LIMIT}{runner}": [per_s] for runner, per_s in limits}
         watchers = self._port.fleet.watchers(trio.current_time())
         for known in (self._port.fleet.own, *others):
             name = known.instance.id
@@ -307,6 +311,8 @@
         else:
             self._port.fleet.still_told(now_s, home)
         self._use_crashes(now_s, changed_keys)
+        if _LIMIT in kinds or self._port.limits.limited():
+            self._port.take_limits(self._told_limits())
         self._use_evacuations(now_s, news, _ZONE in kinds)
         read_s = now_s - news.runners_age_ms / 1000
         table = self._port.runners
@@ -336,6 +342,10 @@
         read_s = now_s - news.evacuations_age_ms / 1000
         self._port.take_evacuations(self._told_zones, news.evacuations_revision, read_s)
 
+    def _told_limits(self) -> dict[RunnerId, float]:
+        rows = self._keeper.follow().rows.rows().items()
+        return {RunnerId(key[1:]): _limit_of(row) for key, row in rows if key[0] == _LIMIT}
+
     def _of(self, kind: str) -> list[list]:
         return [row for key, row in self._keeper.follow().rows.rows().items() if key[0] == kind]
 
@@ -360,6 +370,13 @@
     return row[-1]
 
 
+def _limit_of(row: list) -> float:
+    """Read the row of a runner's limit. Raises MessageError."""
+    if len(row) != 1:
+        raise MessageError("a limit that is no rate")
+    return checked_limit(row[0])
+
+
 def _held_of(row: list) -> tuple[HeldNews, bool]:
     """Read what a report tells of the news that its sender holds. Raises MessageError."""
     try:
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -1,7 +1,7 @@
 """Datagrams between instances: reports of who lives and what runs there, and what others send."""
 
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from math import log2
 
@@ -212,6 +212,7 @@
             self.answers(),
             self.strikes(),
             self.clears(),
+            self.limits.rows(trio.current_time()),
         )
 
     async def _receive(self, receiving: trio.socket.SocketType) -> None:
@@ -275,6 +276,30 @@
         if self.is_home():
             self.tell_soon()
 
+    def take_limits(self, per_s_by_id: Mapping[RunnerId, float]) -> None:
+        """Take all limits of runners that the home knows of."""
+        for runner in self.limits.told_all(trio.current_time(), per_s_by_id):
+            self._limit_changed(runner)
+
+    def hear_limit(self, runner: RunnerId, per_s: float | None, sent_s: float) -> None:
+        """Take what an answer to a request sent at `sent_s` says of a runner's limit."""
+        if self.limits.heard(trio.current_time(), runner, per_s, sent_s):
+            self._limit_changed(runner)
+
+    def take_limit(self, runner: RunnerId, per_s: float | None, age_s: float) -> None:
+        """Take another instance's word of what a runner said of its limit."""
+        now_s = trio.current_time()
+        if self.limits.told(now_s, runner, per_s, now_s - age_s):
+            self._limit_changed(runner)
+
+    def _limit_changed(self, runner: RunnerId) -> None:
+        per_s = self.limits.per_s(runner)
+        if per_s is None:
+            log(Event.RUNNER_UNLIMITED, runner=runner)
+        else:
+            log(Event.RUNNER_LIMITED, runner=runner, per_s=per_s)
+        self.tell_soon()
+
     def take_crash_record(self, now_s: float, content: ContentId, record: CrashRecord) -> None:
         """Take what the home or the store knows of a request under which runners ended."""
         refused = self.crashes.refuses(content)
--- a/egretstack/services/placing_home.py
+++ b/egretstack/services/placing_home.py
@@ -26,10 +26,14 @@
 from egretstack.messages import Message
 from egretstack.placing import (
     ColdRation,
+    FleetSplit,
+    LimitRation,
     MoveTurns,
     Placement,
     Placer,
     Run,
+    SendBounds,
+    SendPart,
     run_of,
     run_row,
     work_of,
@@ -42,6 +46,8 @@
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import RunnerReport
 
+MOST_RETRY_S = 10.0
+"""Longest time that a caller is told to wait before it comes back."""
 SETTLE_S = 0.05
 """How often the home looks for room for what waits, besides whenever something is asked."""
 
@@ -57,9 +63,12 @@
         self._port = kernel.get(FleetPort)
         self._store = kernel.get(StoreReading)
         settings: NodeSettings = kernel.settings
-        self.cold = ColdRation(settings.instance, self._port.runners, settings.bounds)
+        self.split = FleetSplit(settings.instance)
+        self.cold = ColdRation(self.split, self._port.runners, settings.bounds)
         self.cold.plan = self._cold_plan
-        self.placer = Placer(self._port.runners, kernel.rng, self.cold)
+        limits = LimitRation(self.split, self._port.runners, self._port.limits)
+        self.bounds = SendBounds((self.cold, limits))
+        self.placer = Placer(self._port.runners, kernel.rng, self.bounds)
         self.own_runs: Callable[[], list[Run]] = list
         """Gives the runs of this instance."""
         self.answer_here: Callable[[Message], None] = lambda message: None
@@ -121,8 +130,13 @@
         self.placer.wait(trio.current_time(), work, engine)
         if work.attempt in self._settle():
             return
-        retry_ms = round(self.placer.room_after_s(trio.current_time(), work) * 1000)
-        self._answer(asker, PlaceAnswer(work.attempt, "", "", retry_ms, []))
+        free_s = self.placer.free_after_s(trio.current_time(), work, SendPart.HOME)
+        if free_s > work.wait_s:
+            self._drop(PlaceDrop(work.attempt))
+            self._answer(asker, PlaceAnswer(work.attempt, "", "", _retry_ms(free_s), [], True))
+            return
+        room_s = self.placer.room_after_s(trio.current_time(), work)
+        self._answer(asker, PlaceAnswer(work.attempt, "", "", _retry_ms(room_s), [], False))
 
     def _settle(self) -> set[str]:
         """Place what waits and tell those who asked; give the attempts that have a place now."""
@@ -137,7 +151,7 @@
     def _place_answer(self, attempt: str, place: Placement) -> PlaceAnswer:
         named = [one for one in (place.runner, place.backup) if one is not None]
         rows = [runner_row(self._port.runners.by_id[one]) for one in named]
-        return PlaceAnswer(attempt, place.runner, place.backup or "", 0, rows)
+        return PlaceAnswer(attempt, place.runner, place.backup or "", 0, rows, False)
 
     def _drop(self, drop: PlaceDrop) -> None:
         self.placer.ended(drop.attempt)
@@ -229,3 +243,7 @@
         now_s = trio.current_time()
         if told.home == self._port.fleet.home(now_s):
             self.placer.book.told(now_s, told.loads)
+
+
+def _retry_ms(wait_s: float) -> int:
+    return round(min(MOST_RETRY_S, wait_s) * 1000)
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -61,6 +61,7 @@
         self._node = node
         self._port = kernel.get(FleetPort)
         self._store = kernel.get(StoreReading)
+        self._split = kernel.get(PlacingHome).split
         self._leaving_since_s: float | None = None
         self.tools = RelayTools(
             runners=self._port.runners,
@@ -68,7 +69,7 @@
             placing=kernel.get(EnginePlacingService),
             budget=RetryBudget(node.bounds),
             pool=ConnectionPool(),
-            cold=kernel.get(PlacingHome).cold,
+            bounds=kernel.get(PlacingHome).bounds,
             crashes=kernel.get(CrashGuardService),
             words=kernel.get(RunnerWordsService),
         )
@@ -91,8 +92,8 @@
         """Bring up to date among how many instances what the fleet may do is split."""
         others = self._port.fleet.known()
         self.tools.budget.instances = len(others) + 1
-        self.tools.cold.others = tuple(one.id for one in others)
-        self.tools.cold.heard = len(self._port.fleet.live(now_s)) - 1
+        self._split.others = tuple(one.id for one in others)
+        self._split.heard = len(self._port.fleet.live(now_s)) - 1
 
     def leave(self) -> None:
         """Take no new work that could not end before the process has to."""
--- a/egretstack/services/runner_words.py
+++ b/egretstack/services/runner_words.py
@@ -3,8 +3,10 @@
 import trio
 
 from egretstack.events import Event, log
-from egretstack.ids import RunnerId
+from egretstack.fleet import InstanceReport, limit_of, rows_of
+from egretstack.ids import InstanceId, RunnerId
 from egretstack.kernel import Kernel, Service
+from egretstack.messages import MessageError
 from egretstack.relay import RunnerWords
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.relay_metrics import RelayMetrics
@@ -29,6 +31,7 @@
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Forget runners that are gone, until cancelled."""
+        self._port.on_report(self._take_report)
         task_status.started()
         while True:
             await trio.sleep(FORGET_PERIOD_S)
@@ -38,10 +41,14 @@
         """Take what a runner says beside its answer to a request that was sent at `sent_s`."""
         if answer.misdirected:
             return  # Another runner's word.
-        was_limited = self._port.limits.per_s(runner) is not None
-        if not self._port.limits.heard(trio.current_time(), runner, answer.limit_per_s, sent_s):
+        self._port.hear_limit(runner, answer.limit_per_s, sent_s)
+
+    def _take_report(self, instance: InstanceId, report: InstanceReport) -> None:
+        try:
+            limits = rows_of(report.limits, limit_of)
+        except MessageError as error:
+            log(Event.PEER_REFUSED, sender=instance, error=str(error))
             return
-        if answer.limit_per_s is None:
-            log(Event.RUNNER_UNLIMITED, runner=runner)
-        elif not was_limited:
-            log(Event.RUNNER_LIMITED, runner=runner, per_s=answer.limit_per_s)
+        for runner, per_s, age_s in limits:
+            if runner in self._port.runners.by_id:
+                self._port.take_limit(runner, per_s, age_s)
--- a/egretstack/services/settings_file.py
+++ b/egretstack/services/settings_file.py
@@ -10,6 +10,7 @@
 from egretstack.events import Event, log
 from egretstack.kernel import Kernel, Service
 from egretstack.platform import SETTINGS_VARIABLE, read_node_settings
+from egretstack.services.placing_home import PlacingHome
 from egretstack.services.relaying import Relaying
 
 LOOK_S = 1.0
@@ -20,7 +21,7 @@
     """Puts changed bounds in force; addresses stay until the process starts again."""
 
     name = "settings_file"
-    requires = ("relaying",)
+    requires = ("placing_home", "relaying")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
@@ -59,5 +60,5 @@
         changed = settings != self.kernel.settings
         log(Event.SETTINGS_READ_AGAIN, changed=changed)
         self.kernel.settings = settings
-        tools = self.kernel.get(Relaying).tools
-        tools.budget.bounds = tools.cold.bounds = settings.bounds
+        self.kernel.get(Relaying).tools.budget.bounds = settings.bounds
+        self.kernel.get(PlacingHome).cold.bounds = settings.bounds
--- a/tests/test_cold_ration.py
+++ b/tests/test_cold_ration.py
@@ -8,7 +8,7 @@
 
 from egretstack.fleet import RunnerTable
 from egretstack.ids import InstanceId, RunnerId
-from egretstack.placing import ColdPart, ColdRation, Placement, Placer
+from egretstack.placing import ColdRation, FleetSplit, Placement, Placer, SendPart
 from egretstack.routing import ColdPlan
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
@@ -30,10 +30,11 @@
 def ration_of(table, number=0, instances=1, *, heard=None, per_s=27.0, bounds=BOUNDS):
     """Give the ration of one of some instances, which all know each other."""
     names = [InstanceId(f"entry-{one}") for one in range(instances)]
-    ration = ColdRation(names[number], table, bounds)
+    split = FleetSplit(names[number])
+    split.others = tuple(name for name in names if name != names[number])
+    split.heard = len(split.others) if heard is None else heard
+    ration = ColdRation(split, table, bounds)
     ration.plan = lambda service: ColdPlan(START_S, per_s)
-    ration.others = tuple(name for name in names if name != names[number])
-    ration.heard = len(ration.others) if heard is None else heard
     return ration
 
 
@@ -43,7 +44,7 @@
     for step in range(300):
         now_s = step * 0.01
         while ration.allows(now_s, one, part):
-            ration.sent(now_s, one.id)
+            ration.sent(now_s, one.id, part)
             times.append(now_s)
     return max(
         (sum(begin <= at < begin + 1.0 for at in times) for begin in times),
@@ -72,14 +73,14 @@
     for number, heard in ((0, near - 1), (instances - 1, instances - near - 1)):
         if heard >= 0:
             ration = ration_of(table, number, instances, heard=heard, per_s=per_s, bounds=bounds)
-            most += sent_in_a_second(ration, one, ColdPart.HOME)
+            most += sent_in_a_second(ration, one, SendPart.HOME)
     whole = per_s * overage + slack
-    for part, before in ((ColdPart.ALONE, most), (ColdPart.PLAIN, 0)):
+    for part, before in ((SendPart.ALONE, most), (SendPart.PLAIN, 0)):
         total = before
         for number in range(instances):
             ration = ration_of(table, number, instances, per_s=per_s, bounds=bounds)
             while ration.allows(0.0, one, part):
-                ration.sent(0.0, one.id)
+                ration.sent(0.0, one.id, part)
                 total += 1
         check.assertLessEqual(total, whole)
 
@@ -87,7 +88,7 @@
 def test_the_home_of_a_whole_fleet_gives_a_cold_runner_what_it_bears():
     one = runner("a", cold_s=60.0)
     ration = ration_of(table_of(one), instances=74)
-    check.assertEqual(sent_in_a_second(ration, one, ColdPart.HOME), 27)
+    check.assertEqual(sent_in_a_second(ration, one, SendPart.HOME), 27)
 
 
 def test_a_runner_that_is_warm_or_not_bound_gets_what_is_sent():
@@ -99,8 +100,8 @@
         (ration_of(table, bounds=replace(BOUNDS, cold_overage=None)), cold),
     ):
         for _ in range(500):
-            ration.sent(0.0, one.id)
-        check.assertTrue(ration.allows(0.0, one, ColdPart.PLAIN))
+            ration.sent(0.0, one.id, SendPart.PLAIN)
+        check.assertTrue(ration.allows(0.0, one, SendPart.PLAIN))
 
 
 def test_a_runner_is_cold_for_as_long_as_its_entry_said():
@@ -154,7 +155,7 @@
     one, other = runner("a", PLAIN, cold_s=60.0), runner("b", PLAIN, cold_s=60.0)
     table = table_of(one, other)
     allowed = [
-        [ration_of(table, n, 74).allows(0.0, it, ColdPart.PLAIN) for n in range(74)]
+        [ration_of(table, n, 74).allows(0.0, it, SendPart.PLAIN) for n in range(74)]
         for it in (one, other)
     ]
     for row in allowed:
--- a/tests/test_runner_limits.py
+++ b/tests/test_runner_limits.py
@@ -3,6 +3,7 @@
 import trio
 
 from egretstack.http1 import first_value
+from egretstack.services.fleet_port import FleetPort
 from standins.platform import GENERATION, PlainFault, StoreFault
 from tests.limited_site import (
     TOLD_S,
@@ -43,11 +44,16 @@
     """Send twenty requests a second for longer than a window; give the answers."""
     if begin_s is None:
         begin_s = trio.current_time()
-    answers = await ask_steadily(site, path, 100, 0.05, **more)
+    answers = await ask_steadily(site, path, 100, 0.05, method=b"POST", **more)
     check.assertGreater(trio.current_time() - begin_s, 5.0)
     return answers
 
 
+async def generate_for_a_window(site):
+    """Ask for twenty generations a second for longer than a window; give the answers."""
+    return await send_for_a_window(site, "/plans/1", tag="g", headers=GENERATION)
+
+
 @on_real_clock
 async def test_calls_of_all_instances_together_keep_a_runners_limit():
     # Guards against instances that send what a limited runner takes from all of them together.
@@ -55,7 +61,7 @@
         limited, free = site.plain
         limit([limited], 1.0)
         begin_s = trio.current_time()
-        answers = await send_for_a_window(site, "/holds/1", method=b"POST")
+        answers = await send_for_a_window(site, "/holds/1")
         check.assertLessEqual(most_in_a_window(limited, begin_s + TOLD_S), allowed(1.0))
         check.assertEqual({one.status for one in answers}, {200})
         check.assertGreater(len(free.arrived_s), 60)
@@ -69,7 +75,7 @@
         limit([limited], 1.0)
         full.faults = [PlainFault.FULL] * 1000
         begin_s = trio.current_time()
-        await send_for_a_window(site, "/holds/1", method=b"POST")
+        await send_for_a_window(site, "/holds/1")
         check.assertLessEqual(most_in_a_window(limited, begin_s + TOLD_S), allowed(1.0))
 
 
@@ -82,7 +88,7 @@
             one.events = 2
         limit([limited], 1.0)
         begin_s = trio.current_time()
-        answers = await send_for_a_window(site, "/plans/1", method=b"POST", headers=GENERATION)
+        answers = await generate_for_a_window(site)
         check.assertLessEqual(most_in_a_window(limited, begin_s + TOLD_S), allowed(1.0))
         check.assertEqual({one.status for one in answers}, {200})
         check.assertGreater(len(free.arrived_s), 60)
@@ -144,7 +150,7 @@
         number = len(site.kernels)
         await site.start_entry(number)
         await site.until(lambda: is_told(site, limited, number))
-        await send_for_a_window(site, "/holds/1", method=b"POST", entries=(0, number))
+        await send_for_a_window(site, "/holds/1", entries=(0, number))
         check.assertLessEqual(most_in_a_window(limited, begin_s), allowed(1.0))
 
 
@@ -156,10 +162,29 @@
         site.store.fault = StoreFault.SILENT
         limit([limited], 1.0)
         begin_s = trio.current_time()
-        await send_for_a_window(site, "/holds/1", method=b"POST")
+        await send_for_a_window(site, "/holds/1")
         check.assertLessEqual(most_in_a_window(limited, begin_s + TOLD_S), allowed(1.0))
 
 
+@on_real_clock
+async def test_instances_that_are_cut_off_from_each_other_keep_a_limit_together():
+    # Guards against a limit that each side of a cut uses up.
+    async with platform_site(entries=2, plain=2, engines=2) as site:
+        limited, engine = site.plain[0], site.engines[0]
+        for one in site.engines:
+            one.events = 2
+        for kernel in site.kernels:
+            port = kernel.get(FleetPort)
+            port.send_encoded = lambda address, data: None
+        limit([limited, engine], 1.0)
+        begin_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_for_a_window, site, "/holds/1")
+            nursery.start_soon(generate_for_a_window, site)
+        for one in (limited, engine):
+            check.assertLessEqual(most_in_a_window(one, begin_s + TOLD_S), allowed(1.0))
+
+
 @on_real_clock
 async def test_what_finds_only_limited_runners_is_refused_at_once_with_a_time():
     # Guards against a wait until the deadline, and against refusals that name no time.
@@ -198,6 +223,6 @@
         limited = site.plain[0]
         limit([limited], 4.0)
         begin_s = await hear(site, [limited], "/holds/1", method=b"POST")
-        await send_for_a_window(site, "/holds/1", method=b"POST")
+        await send_for_a_window(site, "/holds/1")
         got = sum(at >= begin_s for at in limited.arrived_s)
         check.assertGreaterEqual(got, 10)
