--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -146,6 +146,11 @@
     CRASH_RECORD_UNREADABLE = (456, Level.WARNING, "A record in the store cannot be read; unused.")
     RUNNER_LIMITED = (457, Level.WARNING, "A runner takes no more than `per_s` requests a second.")
     RUNNER_UNLIMITED = (458, Level.INFO, "A runner names no limit any more.")
+    RUNNER_WORD = (
+        459,
+        Level.INFO,
+        "A runner said beside an answer that it leaves, or how long it wants to rest.",
+    )
     INSTANCE_UNREADABLE = (439, Level.WARNING, "Entries in the store name no instance; not used.")
     RUNNER_STARTED_AGAIN = (440, Level.INFO, "A runner told of a later start; all before is void.")
     RUNNER_BACK = (441, Level.INFO, "A runner's entry was missing; it is back, and it answers.")
--- a/egretstack/platform/_runner_wire.py
+++ b/egretstack/platform/_runner_wire.py
@@ -41,6 +41,8 @@
 _LOAD = b"runner-load"
 _COLD_MS = b"cold-ms"
 _LIMIT = b"server-limit"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _DEADLINE_MS = b"deadline-ms"
 _LAST_EVENT_ID = b"last-event-id"
 
@@ -73,6 +75,9 @@
 _MISDIRECTED = 421
 _MOST_PER_S = 1_000_000.0
 """Highest limit of a runner, in requests a second, that is taken for one."""
+_MOST_REST_S = 3600.0
+"""Longest rest that is kept; a runner that still wants one says so again."""
+_UNAVAILABLE = 503
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
@@ -117,7 +122,9 @@
         misdirected=head.status == _MISDIRECTED,
         encoded=first_value(head.headers, b"content-encoding") is not None,
         load=_load(first_value(head.headers, _LOAD)),
-        limit_per_s=_decimal(first_value(head.headers, _LIMIT), _MOST_PER_S),
+        limit_per_s=_limit(first_value(head.headers, _LIMIT)),
+        leaving=first_value(head.headers, _LEAVING) == b"1",
+        rest_s=_rest_s(head),
     )
 
 
@@ -135,12 +142,22 @@
     return RunnerLoad(int(parts[0]), int(parts[1]), int(parts[2]))
 
 
-def _decimal(value: bytes | None, most: float) -> float | None:
-    """Read a decimal number; None if it is none, or above `most`."""
-    text = (value or b"").strip()
-    if _DECIMAL.fullmatch(text) is None or float(text) > most:
+def _rest_s(head: ResponseHead) -> float | None:
+    if head.status != _UNAVAILABLE:
         return None
-    return float(text)
+    asked_s = _decimal(first_value(head.headers, _RETRY_AFTER))
+    return None if asked_s is None else min(asked_s, _MOST_REST_S)
+
+
+def _limit(value: bytes | None) -> float | None:
+    per_s = _decimal(value)
+    return per_s if per_s is not None and per_s <= _MOST_PER_S else None
+
+
+def _decimal(value: bytes | None) -> float | None:
+    """Read a decimal number; None if it is none."""
+    text = (value or b"").strip()
+    return float(text) if _DECIMAL.fullmatch(text) else None
 
 
 def report_request(address: str) -> RequestHead:
--- a/egretstack/services/runner_words.py
+++ b/egretstack/services/runner_words.py
@@ -16,7 +16,7 @@
 
 
 class RunnerWordsService(Service, RunnerWords):
-    """Learns how many requests a second runners take."""
+    """Learns what runners take: so many requests a second, none for a while, or no more."""
 
     name = "runner_words"
     requires = ("fleet_port", "relay_metrics")
@@ -24,6 +24,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
+        self._said_leaving: set[RunnerId] = set()
         gauge = kernel.get(RelayMetrics).gauge(
             "egret_relay_limited_runners", "Runners that name how many requests a second they take."
         )
@@ -36,12 +37,18 @@
         while True:
             await trio.sleep(FORGET_PERIOD_S)
             self._port.limits.forget(self._port.runners.by_id)
+            self._said_leaving &= self._port.runners.by_id.keys()
 
     def heard(self, runner: RunnerId, answer: RunnerAnswer, sent_s: float) -> None:
         """Take what a runner says beside its answer to a request that was sent at `sent_s`."""
         if answer.misdirected:
             return  # Another runner's word.
         self._port.hear_limit(runner, answer.limit_per_s, sent_s)
+        is_news = answer.leaving and runner not in self._said_leaving
+        if is_news:
+            self._said_leaving.add(runner)
+        if is_news or answer.rest_s is not None:
+            log(Event.RUNNER_WORD, runner=runner, leaving=answer.leaving, rest_s=answer.rest_s)
 
     def _take_report(self, instance: InstanceId, report: InstanceReport) -> None:
         try:
--- a/egretstack/traffic/_send.py
+++ b/egretstack/traffic/_send.py
@@ -69,3 +69,7 @@
     limit_per_s: float | None = None
     """Requests a second that the runner takes from the whole fleet, as long as its answers say so;
     None if it names no limit."""
+    leaving: bool = False
+    """Whether the runner says that it leaves."""
+    rest_s: float | None = None
+    """How long the runner, which turned the request away, wants nothing from this instance."""
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -290,3 +290,24 @@
         check.assertEqual(limit(text), per_s)
     for text in (None, b"", b"-1", b"nan", b"inf", b"1e9", b"2,4", b"9" * 12, b"\xff"):
         check.assertIsNone(limit(text))
+
+
+def test_a_rest_is_what_a_runner_that_turns_a_request_away_asks_for():
+    # Guards against rests by a slip of a runner, and against ones that last for good.
+    def rest(status, value):
+        return runner_answer(ResponseHead(status, b"", ((b"retry-after", value),))).rest_s
+
+    check.assertEqual(rest(503, b"3"), 3.0)
+    check.assertEqual(rest(503, b"0.25"), 0.25)
+    for status, value in ((200, b"3"), (429, b"3"), (503, b"soon"), (503, b"-1"), (503, b"1e9")):
+        check.assertIsNone(rest(status, value))
+    check.assertEqual(rest(503, b"999999"), 3600.0)
+
+
+def test_a_runner_leaves_if_it_says_so():
+    def leaving(*headers):
+        return runner_answer(ResponseHead(200, b"", headers)).leaving
+
+    check.assertTrue(leaving((b"server-leaving", b"1")))
+    check.assertFalse(leaving((b"server-leaving", b"0")))
+    check.assertFalse(leaving())
