Failing tests: runners that say they leave, or ask for rest, get more requests

Leaving: 29 calls and 21 generations after a runner had said it beside a silent store, 26 from an instance that is cut off; other instances and one that started anew never hear it; no stream moves off. Rest: 13 calls, 17 generations and 10 continuations within 2 s of rest; a caller is told 0.2 s where runners rest for 2; after a rest of 0.5 s a runner gets none of 60 calls.

--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -126,16 +126,16 @@
 
     async def _generate(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
         attempt = _text(head, b"attempt-id")
-        self.arrived_s.append(trio.current_time())
+        self.arrivals.append((trio.current_time(), attempt))
         if _text(head, b"expect-runner") not in ("", self.runner_id):
             await send(connection, 421)
             return
-        if self.fault is EngineFault.FULL:
-            await send(connection, 503, headers=((b"not-executed", b"1"), *self.words()))
+        if self.fault is EngineFault.FULL or self.rest_s is not None:
+            await self.turn_away(connection, attempt)
             return
         origin = _text(head, b"kv-from").partition("/")[2]
         if origin and origin not in self.copies:
-            await send(connection, 503, headers=((b"not-executed", b"1"), *self.words()))
+            await self.turn_away(connection, attempt)
             return
         self.heads.append(head)
         is_ending = body == self.ends_under
--- a/standins/platform/_http.py
+++ b/standins/platform/_http.py
@@ -34,8 +34,16 @@
         self.connections = 0
         self.limit_per_s: float | None = None
         """Limit that a runner names in its answers, in requests a second; it is not enforced."""
-        self.arrived_s: list[float] = []
-        """When requests reached a runner, those among them that it rejected."""
+        self.says_leaving = False
+        """Whether a runner says in its answers that it leaves."""
+        self.said_leaving_s: list[float] = []
+        """When it said so."""
+        self.rest_s: float | None = None
+        """Rest that a runner asks for, which then turns every request away; None for no rest."""
+        self.rests: list[tuple[float, str]] = []
+        """When it asked for rest, and the attempt that it turned away."""
+        self.arrivals: list[tuple[float, str]] = []
+        """When requests reached a runner, and their attempts; those that it rejected too."""
         self._scope = trio.CancelScope()
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -88,11 +96,28 @@
                 connection.close()
             nursery.cancel_scope.cancel()
 
+    @property
+    def arrived_s(self) -> list[float]:
+        """When requests reached a runner, those among them that it rejected."""
+        return [at for at, _ in self.arrivals]
+
     def words(self) -> tuple[Header, ...]:
         """Give what a runner says of itself in all its answers."""
-        if self.limit_per_s is None:
-            return ()
-        return ((b"server-limit", str(self.limit_per_s).encode()),)
+        words: list[Header] = []
+        if self.limit_per_s is not None:
+            words.append((b"server-limit", str(self.limit_per_s).encode()))
+        if self.says_leaving:
+            self.said_leaving_s.append(trio.current_time())
+            words.append((b"server-leaving", b"1"))
+        return tuple(words)
+
+    async def turn_away(self, connection: ClientConnection, attempt: str) -> None:
+        """Reject a request, and ask for rest if this runner wants some."""
+        headers = ((b"not-executed", b"1"), *self.words())
+        if self.rest_s is not None:
+            self.rests.append((trio.current_time(), attempt))
+            headers = (*headers, (b"retry-after", str(self.rest_s).encode()))
+        await send(connection, 503, headers=headers)
 
     @abstractmethod
     async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
--- a/standins/platform/_plain.py
+++ b/standins/platform/_plain.py
@@ -59,16 +59,16 @@
             status = 200 if self.healthy else 503
             await send(connection, status, headers=((b"runner-id", self.runner_id.encode()),))
             return
-        self.arrived_s.append(trio.current_time())
+        attempt = (first_value(head.headers, b"attempt-id") or b"").decode()
+        self.arrivals.append((trio.current_time(), attempt))
         fault = self.faults.pop(0) if self.faults else PlainFault.NONE
         if first_value(head.headers, b"expect-runner") not in (None, self.runner_id.encode()):
             await send(connection, 421, headers=((b"runner-id", self.runner_id.encode()),))
             return
-        if fault is PlainFault.FULL:
-            await send(connection, 503, headers=((b"not-executed", b"1"), *self.words()))
+        if fault is PlainFault.FULL or self.rest_s is not None:
+            await self.turn_away(connection, attempt)
             return
         self.heads.append(head)
-        attempt = (first_value(head.headers, b"attempt-id") or b"").decode()
         self.runs_by_attempt[attempt] += 1
         if body == self.ends_under:
             self.begun_of_ending += 1
--- /dev/null
+++ b/tests/test_runner_leaving.py
@@ -0,0 +1,147 @@
+"""Runners that say beside an answer that they leave: no way leads to them any more."""
+
+import trio
+
+from egretstack.services.fleet_port import FleetPort
+from standins.platform import GENERATION, StoreFault
+from tests.limited_site import ask_steadily
+from tests.platform_site import platform_site
+from tests.stream_reader import read
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+HEARD_S = 0.3
+"""Time after the first answer that says it, in which requests under way still reach the runner."""
+
+
+def first_heard_s(runner):
+    """Give when a runner first said that it leaves."""
+    return runner.said_leaving_s[0]
+
+
+def late(runner):
+    """Give how many requests reached a runner after it had said that it leaves."""
+    until_s = first_heard_s(runner) + HEARD_S
+    return sum(at > until_s for at in runner.arrived_s)
+
+
+def sees_leaving(site, runner, entry=0):
+    """Tell whether an instance knows that a runner leaves."""
+    return site.kernels[entry].get(FleetPort).runners.stopped_s(runner.runner_id) is not None
+
+
+def isolate(site):
+    """Cut the instances off from each other."""
+    for kernel in site.kernels:
+        port = kernel.get(FleetPort)
+        port.send_encoded = lambda address, data: None
+
+
+@on_real_clock
+async def test_calls_leave_a_runner_alone_that_says_it_leaves():
+    # Guards against a list of before an outage that overrules what a runner says itself.
+    async with platform_site(entries=2, plain=2) as site:
+        leaving, other = site.plain
+        site.store.fault = StoreFault.SILENT
+        leaving.says_leaving = True
+        answers = await ask_steadily(site, "/holds/1", 60, 0.05, method=b"POST")
+        check.assertEqual(late(leaving), 0)
+        check.assertEqual({one.status for one in answers}, {200})
+        check.assertGreater(len(other.arrived_s), 40)
+
+
+@on_real_clock
+async def test_an_instance_that_heard_it_alone_keeps_to_it_without_the_others():
+    # Guards against a word that counts only once the home has told it.
+    async with platform_site(entries=2, plain=2) as site:
+        leaving = site.plain[0]
+        isolate(site)
+        site.store.fault = StoreFault.SILENT
+        leaving.says_leaving = True
+        await ask_steadily(site, "/notes/1", 60, 0.05, entries=[1])
+        check.assertEqual(late(leaving), 0)
+
+
+@on_real_clock
+async def test_other_instances_hear_that_a_runner_said_it_leaves():
+    # Guards against instances that each find out by a request of their own.
+    async with platform_site(entries=3, plain=2) as site:
+        leaving = site.plain[0]
+        site.store.fault = StoreFault.SILENT
+        leaving.says_leaving = True
+        while not leaving.said_leaving_s:
+            await ask_steadily(site, "/notes/1", 1, 0.0, tag=f"n{trio.current_time()}", entries=[2])
+        await site.until(lambda: all(sees_leaving(site, leaving, entry) for entry in range(3)))
+        before = len(leaving.arrived_s)
+        await ask_steadily(site, "/notes/1", 40, 0.02, tag="o", entries=[0, 1])
+        check.assertEqual(len(leaving.arrived_s), before)
+
+
+@on_real_clock
+async def test_an_instance_that_started_again_hears_that_a_runner_leaves():
+    # Guards against a restart as a way back to a leaving runner.
+    async with platform_site(entries=2, plain=2) as site:
+        leaving = site.plain[0]
+        leaving.says_leaving = True
+        await ask_steadily(site, "/notes/1", 20, 0.01)
+        await site.until(lambda: all(sees_leaving(site, leaving, entry) for entry in range(2)))
+        site.scopes[site.settings(1).instance].cancel()
+        await site.start_entry(2)
+        await site.until(lambda: sees_leaving(site, leaving, 2))
+        before = len(leaving.arrived_s)
+        await ask_steadily(site, "/notes/1", 40, 0.02, tag="o", entries=[0, 2])
+        check.assertEqual(len(leaving.arrived_s), before)
+
+
+@on_real_clock
+async def test_generations_leave_an_engine_alone_that_says_it_leaves():
+    # Guards against a home that places where an engine has said that it leaves.
+    async with platform_site(entries=2, plain=0, engines=2) as site:
+        leaving = site.engines[0]
+        for one in site.engines:
+            one.events = 2
+        site.store.fault = StoreFault.SILENT
+        leaving.says_leaving = True
+        more = {"method": b"POST", "headers": GENERATION}
+        answers = await ask_steadily(site, "/plans/1", 60, 0.05, **more)
+        check.assertEqual(late(leaving), 0)
+        check.assertEqual({one.status for one in answers}, {200})
+
+
+@on_real_clock
+async def test_an_instance_places_no_generation_where_it_alone_heard_of_leaving():
+    # Guards against the home's word for an engine that told this instance that it leaves.
+    async with platform_site(entries=2, plain=0, engines=2) as site:
+        leaving = site.engines[0]
+        for one in site.engines:
+            one.events = 2
+        ports = [kernel.get(FleetPort) for kernel in site.kernels]
+        await site.until(lambda: sum(port.is_home() for port in ports) == 1)
+        entry = 1 if ports[0].is_home() else 0
+        ports[entry].leaving = list
+        leaving.says_leaving = True
+        more = {"method": b"POST", "headers": GENERATION}
+        answers = await ask_steadily(site, "/plans/1", 60, 0.05, entries=[entry], **more)
+        check.assertEqual(late(leaving), 0)
+        check.assertEqual({one.status for one in answers}, {200})
+
+
+@on_real_clock
+async def test_streams_move_off_an_engine_that_says_beside_an_answer_that_it_leaves():
+    # Guards against streams that are lost with an engine whose notice the store has not taken.
+    async with platform_site(entries=2, plain=0, engines=2) as site:
+        leaving, other = site.engines
+        for one in site.engines:
+            one.events = 200
+        readers = [await read(site, f"s-{n}", 1, entry=n % 2, deadline_ms=60_000) for n in range(6)]
+        site.store.fault = StoreFault.SILENT
+        leaving.says_leaving = True
+        number = 0
+        while not leaving.said_leaving_s:
+            number += 1
+            readers.append(await read(site, f"t-{number}", 1, deadline_ms=60_000))
+        for reader in readers:
+            await reader.ended.wait()
+            check.assertEqual(reader.ids, list(range(1, 201)))
+        check.assertGreater(len(other.continued), 0)
