A runner that says beside an answer that it leaves gets nothing more, whatever the store says

Cause: the header was read by nobody (first hypothesis). Ruled out: the list overruled it, or only the home acted on it: no instance logged runner_leaves before the list showed it. Class: a runner's own word that was left to come by another way, the store's list, which may be away.

The instance that hears it sends nothing more there from that moment, and no list or home takes that back; its next report names the runner, all reports name all leaving runners, and the home tells all. So engines are left by their streams in time too. Where the home does not know yet, an instance takes no place, no destination of a move and no continuation of a younger request at a runner that it knows to leave.

Found by its test of a restart: a runner that was leaving when an instance first heard of it was not among those that this instance knew to leave.

--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -34,6 +34,8 @@
     """Runners that ended while they ran its requests, a row each."""
     clears: list
     """Requests that runners have answered since some ended under them: content and round."""
+    leaving: list
+    """Ids of runners that are known to leave, whatever the store says."""
     limits: list
     """What runners said lately of how many requests they take, a row each."""
 
--- a/egretstack/fleet/_runner_table.py
+++ b/egretstack/fleet/_runner_table.py
@@ -129,6 +129,17 @@
         """Give since when a runner is known to get no more work; None if it may, or is silent."""
         return self._stopped_s_by_id.get(runner_id)
 
+    def is_leaving(self, runner_id: RunnerId) -> bool:
+        """Tell whether a runner leaves or has left; whoever says otherwise is late."""
+        runner = self.by_id.get(runner_id)
+        return runner is not None and runner.state in (RunnerState.LEAVING, RunnerState.GONE)
+
+    def leaving(self) -> list[RunnerId]:
+        """Give the runners that leave, in the order in which that was known."""
+        return [
+            one for one in self._stopped_s_by_id if self.by_id[one].state is RunnerState.LEAVING
+        ]
+
     def returned(self) -> list[Runner]:
         """Give the missing runners that are listed again; one that answers is to be confirmed."""
         return [self.by_id[one] for one in self._returned]
@@ -276,6 +287,8 @@
             self.by_id[known.id] = now
         for runner in listed.values():
             self._removed_s_by_id.pop(runner.id, None)
+            if runner.id not in self.by_id and runner.state is RunnerState.LEAVING:
+                self._stopped_s_by_id[runner.id] = now_s
             self.by_id.setdefault(runner.id, runner)
         return stopped
 
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -173,8 +173,11 @@
         while True:
             destination_id = await self._tools.placing.move_turn(self._run, self._refused)
             destination = self._tools.runners.by_id.get(destination_id)
-            if destination is not None:
+            if destination is not None and not self._tools.runners.is_leaving(destination_id):
                 return destination
+            self._refused.append(destination_id)
+            self._tools.placing.move_done(self._attempt, self._run.runner)
+            await trio.sleep(RETRY_S)
 
     async def _wait(self, source: Runner, destination: Runner, longest_s: float) -> bool:
         """Wait until the copy has to be renewed or stopped; False if its engine is gone."""
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -4,6 +4,7 @@
 
 from egretstack.errors import ErrorKind
 from egretstack.events import Event, log
+from egretstack.fleet import Runner
 from egretstack.http1 import (
     ConnectFailed,
     ResponseHead,
@@ -99,7 +100,7 @@
             placement = await self._place(work)
             runner = self._tools.runners.by_id.get(placement.runner)
             try:
-                if runner is not None and not self._tools.runners.is_evacuated(runner.id):
+                if runner is not None and self._may_run_at(runner):
                     self.source = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
                     self.run = Run(work, placement.runner, placement.backup)
                     self._tools.placing.begin(self.run)
@@ -112,6 +113,11 @@
             ErrorKind.NO_RUNNER, "engines do not answer", retry_after_s=REFUSED_RETRY_S
         )
 
+    def _may_run_at(self, runner: Runner) -> bool:
+        """Tell whether a runner that the home chose may be used, as far as is known here."""
+        runners = self._tools.runners
+        return not runners.is_evacuated(runner.id) and not runners.is_leaving(runner.id)
+
     async def _place(self, work: Work) -> Placement:
         """Wait for a place, or for the request to be refused. Raises RequestFailed."""
         self._check_refused()
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -253,6 +253,12 @@
             return False
         return self._may_go_on_at(self._tools.runners.by_id[self._saved.runner])
 
+    def _left_before(self, runner: Runner) -> bool:
+        """Tell whether a runner was known to leave when the request came."""
+        stopped_s = self._tools.runners.stopped_s(runner.id)
+        is_leaving = self._tools.runners.is_leaving(runner.id)
+        return is_leaving and stopped_s is not None and stopped_s < self._task.began_s
+
     def _may_go_on_at(self, runner: Runner) -> bool:
         return self._tools.bounds.allows(trio.current_time(), runner, SendPart.CONTINUED)
 
@@ -325,7 +331,7 @@
         runner = self._tools.runners.by_id.get(saved.runner) if saved else None
         if runner is None or not self._pace.events or self._is_refused():
             return False
-        if self._tools.runners.is_evacuated(runner.id):
+        if self._tools.runners.is_evacuated(runner.id) or self._left_before(runner):
             # Nothing more may be sent there; where the run is, it may go on.
             return False
         if not await self._wait_to_go_on_at(runner):
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -38,6 +38,8 @@
 """Instances that a newcomer tells of itself beside the one that it takes for the home. Any of them
 points to the home; were all of a list greeted, instances that start together would send each other
 as many datagrams as the square of their number."""
+MOST_LEAVING = 64
+"""Leaving runners in one report, some 20 bytes each; the latest to leave."""
 MAX_DATAGRAM_BYTES = 65_000
 INCARNATION_BITS = 53
 IDLE_LOOK_S = 0.25
@@ -212,6 +214,7 @@
             self.answers(),
             self.strikes(),
             self.clears(),
+            self.leaving(),
             self.limits.rows(trio.current_time()),
         )
 
@@ -276,6 +279,10 @@
         if self.is_home():
             self.tell_soon()
 
+    def leaving(self) -> list[RunnerId]:
+        """Give the runners that leave, for a report: the next home may know of none."""
+        return self.runners.leaving()[-MOST_LEAVING:]
+
     def take_limits(self, per_s_by_id: Mapping[RunnerId, float]) -> None:
         """Take all limits of runners that the home knows of."""
         for runner in self.limits.told_all(trio.current_time(), per_s_by_id):
--- a/egretstack/services/runner_words.py
+++ b/egretstack/services/runner_words.py
@@ -24,7 +24,6 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
-        self._said_leaving: set[RunnerId] = set()
         gauge = kernel.get(RelayMetrics).gauge(
             "egret_relay_limited_runners", "Runners that name how many requests a second they take."
         )
@@ -37,25 +36,27 @@
         while True:
             await trio.sleep(FORGET_PERIOD_S)
             self._port.limits.forget(self._port.runners.by_id)
-            self._said_leaving &= self._port.runners.by_id.keys()
 
     def heard(self, runner: RunnerId, answer: RunnerAnswer, sent_s: float) -> None:
         """Take what a runner says beside its answer to a request that was sent at `sent_s`."""
         if answer.misdirected:
             return  # Another runner's word.
         self._port.hear_limit(runner, answer.limit_per_s, sent_s)
-        is_news = answer.leaving and runner not in self._said_leaving
-        if is_news:
-            self._said_leaving.add(runner)
+        is_news = answer.leaving and not self._port.runners.is_leaving(runner)
         if is_news or answer.rest_s is not None:
             log(Event.RUNNER_WORD, runner=runner, leaving=answer.leaving, rest_s=answer.rest_s)
+        if answer.leaving:
+            self._port.notice(runner)
 
     def _take_report(self, instance: InstanceId, report: InstanceReport) -> None:
         try:
             limits = rows_of(report.limits, limit_of)
+            leaving = rows_of(report.leaving, lambda row: RunnerId(str(row)))
         except MessageError as error:
             log(Event.PEER_REFUSED, sender=instance, error=str(error))
             return
+        for runner in leaving:
+            self._port.notice(runner)
         for runner, per_s, age_s in limits:
             if runner in self._port.runners.by_id:
                 self._port.take_limit(runner, per_s, age_s)
