A runner that asks an instance for rest gets nothing from it until the rest is over

Cause: Retry-After of a 503 was read by nobody (first hypothesis), neither for calls, where a rejection counted as one failure of five, nor for generations, which the home placed by its own view. Class: what a runner asks of one sender has to bind every way by which that sender reaches it, whoever decides on the way.

Each instance keeps its own rests: no call, no place (the home is asked for one elsewhere, and a place that comes all the same is not used), no destination of a move, no continuation, no health question. What finds only resting runners is refused at once and told when the first rest is over. A runner that says how long it rests is not taken for a bad one on top, so that it is used again as soon as it may be. A stream whose copy lies there waits as long as its reader and the copy surely do, 0.6 of it, in place of 1 s.

--- a/egretstack/placing/__init__.py
+++ b/egretstack/placing/__init__.py
@@ -10,6 +10,7 @@
 from egretstack.placing._patience import longest_wait_s
 from egretstack.placing._placer import Placed, Placer, PlaceRefused
 from egretstack.placing._run import Placement, Run, Work, run_of, run_row, work_of, work_row
+from egretstack.placing._runner_rests import RunnerRests
 from egretstack.placing._send_bounds import SendBound, SendBounds, SendPart
 from egretstack.placing._split import FleetSplit
 from egretstack.placing._strikes import (
@@ -37,6 +38,7 @@
     "PlainBalancer",
     "RecentAnswers",
     "Run",
+    "RunnerRests",
     "SendBound",
     "SendBounds",
     "SendPart",
--- a/egretstack/placing/_balancer.py
+++ b/egretstack/placing/_balancer.py
@@ -71,6 +71,11 @@
         """Note a call that goes out."""
         self._seen(runner_id).in_flight += 1
 
+    def turned_away(self, runner_id: RunnerId) -> None:
+        """Note that a runner turned a call away and said for how long; it is no worse for that."""
+        seen = self._seen(runner_id)
+        seen.in_flight = max(0, seen.in_flight - 1)
+
     def unreachable(self, now_s: float, runner_id: RunnerId) -> None:
         """Note that a runner accepts no connection: it is left alone at once."""
         self.recent.note(now_s, runner_id, broke=True)
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -171,7 +171,8 @@
 
     async def _turn(self) -> Runner:
         while True:
-            destination_id = await self._tools.placing.move_turn(self._run, self._refused)
+            refused = {*self._refused, *self._tools.rests.resting(trio.current_time())}
+            destination_id = await self._tools.placing.move_turn(self._run, refused)
             destination = self._tools.runners.by_id.get(destination_id)
             if destination is not None and not self._tools.runners.is_leaving(destination_id):
                 return destination
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -116,7 +116,9 @@
     def _may_run_at(self, runner: Runner) -> bool:
         """Tell whether a runner that the home chose may be used, as far as is known here."""
         runners = self._tools.runners
-        return not runners.is_evacuated(runner.id) and not runners.is_leaving(runner.id)
+        if runners.is_evacuated(runner.id) or runners.is_leaving(runner.id):
+            return False
+        return runner.id not in self._tools.rests.resting(trio.current_time())
 
     async def _place(self, work: Work) -> Placement:
         """Wait for a place, or for the request to be refused. Raises RequestFailed."""
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -234,6 +234,9 @@
             progress.knowledge.unknown()
         if result in (_Result.ANSWERED, _Result.FAILED):
             self._tools.crashes.answered(task.content)
+        if judged.rest_s is not None:
+            self._tools.balancer.turned_away(runner.id)
+            return result, WholeAnswer(client_head(judged), body)
         self._tools.balancer.ended(
             trio.current_time(),
             runner.id,
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -43,9 +43,13 @@
 Where it goes on it is copied anew, whole. Those copies would share the links with the runs that
 have none yet, which have to be off their runner before it ends.
 """
-GO_ON_WAIT_S = 1.0
-"""Longest wait for a runner with a copy that takes no more requests now: readers give a stream up
-after a pause of two seconds or more."""
+READER_LEAST_S = 2.0
+READER_TARGETS = 4.0
+READER_GAPS = 8.0
+"""Readers give a stream up after the longest of these: two seconds, so many times the target of its
+first event, so many times its longest pause that is in time."""
+GO_ON_WAIT_SHARE = 0.6
+"""Part of that, and of a copy's life, that a stream waits for a runner which takes nothing now."""
 COPY_LEAST_TOKENS = 120
 """Output still expected from which a run that lost its copy gets another: about a second's."""
 
@@ -262,9 +266,17 @@
     def _may_go_on_at(self, runner: Runner) -> bool:
         return self._tools.bounds.allows(trio.current_time(), runner, SendPart.CONTINUED)
 
+    def _go_on_wait_s(self) -> float:
+        """Give how long the reader and the copy surely wait."""
+        route = self._task.route
+        by_target_s = READER_TARGETS * route.target_latency_s
+        by_gap_s = READER_GAPS * (route.gap_target_s or 0.0)
+        patience_s = max(READER_LEAST_S, by_target_s, by_gap_s)
+        return GO_ON_WAIT_SHARE * min(patience_s, self._task.service.engine.copy_life_s)
+
     async def _wait_to_go_on_at(self, runner: Runner) -> bool:
         """Wait a moment for a runner that takes few requests; tell whether it takes this one."""
-        with trio.move_on_after(GO_ON_WAIT_S):
+        with trio.move_on_after(self._go_on_wait_s()):
             while not self._may_go_on_at(runner):
                 await trio.sleep(LOOK_S)
         return self._may_go_on_at(runner)
--- a/egretstack/relay/_tools.py
+++ b/egretstack/relay/_tools.py
@@ -10,7 +10,7 @@
 from egretstack.fleet import Runner, RunnerTable
 from egretstack.http1 import ConnectionPool
 from egretstack.ids import ContentId, RunnerId, ZoneName
-from egretstack.placing import Placement, PlainBalancer, Run, SendBound, Work
+from egretstack.placing import Placement, PlainBalancer, Run, RunnerRests, SendBound, Work
 from egretstack.relay._budget import RetryBudget
 from egretstack.relay._crash_guard import CrashGuard
 from egretstack.relay._runner_words import RunnerWords
@@ -76,6 +76,7 @@
     pool: ConnectionPool
     bounds: SendBound
     """What runners may get for now."""
+    rests: RunnerRests
     crashes: CrashGuard
     words: RunnerWords
     on_break: Callable[[], None] = lambda: None
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -1,6 +1,7 @@
 """Where this instance's generations run: asked of the home, decided here while it is silent."""
 
 from collections.abc import Collection
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -40,6 +41,16 @@
 """Sets ranks further apart than any run has tokens."""
 
 
+@dataclass(frozen=True, slots=True)
+class _NoPlace:
+    """No place came of a try."""
+
+    retry_s: float
+    """When a caller may come back that waits no longer."""
+    is_final: bool = False
+    """Whether none can come in time."""
+
+
 class EnginePlacingService(Service, EnginePlacing):
     """Asks for places, backups and turns, and keeps the runs of this instance."""
 
@@ -77,38 +88,53 @@
         once if no zone that it may run in is left.
         """
         began_s = trio.current_time()
-        placed = None
-        retry_s = REFUSED_RETRY_S
+        tried: Placement | _NoPlace = _NoPlace(REFUSED_RETRY_S)
         try:
             with trio.move_on_after(work.wait_s):
-                while placed is None:
-                    if self._port.runners.is_barred(work.service, work.zones):
-                        raise barred()
-                    answer = await self._ask_place(work)
-                    if answer is None:
-                        placed = self._place_alone(work, engine)
-                        free_s = 0.0 if placed else self._free_alone_after_s(work)
-                        if free_s > began_s + work.wait_s - trio.current_time():
-                            retry_s = min(MOST_RETRY_S, free_s)
-                            break
-                        await trio.sleep(0 if placed else ASK_AGAIN_S)
-                    elif answer.refused:
-                        retry_s = answer.retry_after_ms / 1000
-                        break
-                    elif answer.runner and answer.runner not in work.excluded:
-                        placed = self._take_place(answer)
-                    else:
-                        retry_s = answer.retry_after_ms / 1000
+                while isinstance(tried, _NoPlace) and not tried.is_final:
+                    left_s = began_s + work.wait_s - trio.current_time()
+                    tried = await self._try_place(work, engine, left_s)
         finally:
-            if placed is None:
+            if isinstance(tried, _NoPlace):
                 self._home.placer.ended(work.attempt)
                 self._tell(PlaceDrop(work.attempt))
         waited_ms = round((trio.current_time() - began_s) * 1000)
-        if placed is None:
+        if isinstance(tried, _NoPlace):
+            retry_s = tried.retry_s
             log(Event.PLACE_REFUSED, request=work.attempt, retry_s=retry_s, waited_ms=waited_ms)
             raise RequestFailed(ErrorKind.ENGINES_FULL, "no engine is free", retry_after_s=retry_s)
-        self._log_placed(work, placed, waited_ms)
-        return placed
+        self._log_placed(work, tried, waited_ms)
+        return tried
+
+    async def _try_place(
+        self, work: Work, engine: EnginePlan, left_s: float
+    ) -> Placement | _NoPlace:
+        """Ask for a place once, with `left_s` left to wait. Raises RequestFailed."""
+        if self._port.runners.is_barred(work.service, work.zones):
+            raise barred()
+        rested_s = self._rested_after_s(work)
+        if rested_s > 0.0:
+            await trio.sleep(min(rested_s, ASK_AGAIN_S) if rested_s <= left_s else 0.0)
+            return _NoPlace(min(MOST_RETRY_S, rested_s), rested_s > left_s)
+        asked = self._without_resting(work)
+        answer = await self._ask_place(asked)
+        if answer is None:
+            return await self._try_alone(asked, engine, left_s)
+        if answer.runner and answer.runner not in asked.excluded:
+            return self._take_place(answer)
+        return _NoPlace(answer.retry_after_ms / 1000, answer.refused)
+
+    async def _try_alone(
+        self, work: Work, engine: EnginePlan, left_s: float
+    ) -> Placement | _NoPlace:
+        """Place a work by this instance's own view."""
+        placed = self._place_alone(work, engine)
+        if placed is not None:
+            return placed
+        free_s = self._free_alone_after_s(work)
+        if free_s <= left_s:
+            await trio.sleep(ASK_AGAIN_S)
+        return _NoPlace(min(MOST_RETRY_S, free_s) or REFUSED_RETRY_S, free_s > left_s)
 
     def begin(self, run: Run) -> None:
         """Note a run that goes out."""
@@ -220,6 +246,22 @@
         decided = self._home.placer.place(now_s, work, engine, whole=self._port.is_home())
         return decided if isinstance(decided, Placement) else None
 
+    def _without_resting(self, work: Work) -> Work:
+        """Give a work that keeps off the engines which want nothing from this instance now."""
+        resting = self._home.rests.resting(trio.current_time())
+        return replace(work, excluded=(*work.excluded, *resting)) if resting else work
+
+    def _rested_after_s(self, work: Work) -> float:
+        """Give when some engine wants a work from this instance; 0 if now, or if there is none."""
+        now_s, rests = trio.current_time(), self._home.rests
+        usable = [
+            one
+            for one in self._port.runners.ready(work.service)
+            if one.id not in work.excluded and work.may_run_in(one.zone)
+        ]
+        times = (rests.free_after_s(now_s, one, SendPart.ALONE) for one in usable)
+        return min(times, default=0.0)
+
     def _free_alone_after_s(self, work: Work) -> float:
         """Give when some engine may take a work without the home's word; 0 if now."""
         placer = self._home.placer
--- a/egretstack/services/placing_home.py
+++ b/egretstack/services/placing_home.py
@@ -32,6 +32,7 @@
     Placement,
     Placer,
     Run,
+    RunnerRests,
     SendBounds,
     SendPart,
     run_of,
@@ -67,7 +68,8 @@
         self.cold = ColdRation(self.split, self._port.runners, settings.bounds)
         self.cold.plan = self._cold_plan
         limits = LimitRation(self.split, self._port.runners, self._port.limits)
-        self.bounds = SendBounds((self.cold, limits))
+        self.rests = RunnerRests(self._port.runners)
+        self.bounds = SendBounds((self.cold, limits, self.rests))
         self.placer = Placer(self._port.runners, kernel.rng, self.bounds)
         self.own_runs: Callable[[], list[Run]] = list
         """Gives the runs of this instance."""
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -70,6 +70,7 @@
             budget=RetryBudget(node.bounds),
             pool=ConnectionPool(),
             bounds=kernel.get(PlacingHome).bounds,
+            rests=kernel.get(PlacingHome).rests,
             crashes=kernel.get(CrashGuardService),
             words=kernel.get(RunnerWordsService),
         )
--- a/egretstack/services/runner_returns.py
+++ b/egretstack/services/runner_returns.py
@@ -15,6 +15,7 @@
 from egretstack.kernel import Kernel, Service
 from egretstack.services._runner_health import NoHealthAnswer, ask_health
 from egretstack.services.fleet_port import FleetPort
+from egretstack.services.placing_home import PlacingHome
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import RunnerHealth
 
@@ -27,12 +28,13 @@
     """Lets runners back that answer for themselves."""
 
     name = "runner_returns"
-    requires = ("fleet_port", "store_reading")
+    requires = ("fleet_port", "placing_home", "store_reading")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
         self._store = kernel.get(StoreReading)
+        self._rests = kernel.get(PlacingHome).rests
         self._told_not_back: set[RunnerId] = set()
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
@@ -43,7 +45,12 @@
             if not self._port.is_home():
                 continue
             evacuated = self._port.runners.evacuated
-            returned = [one for one in self._port.runners.returned() if one.zone not in evacuated]
+            resting = self._rests.resting(trio.current_time())
+            returned = [
+                one
+                for one in self._port.runners.returned()
+                if one.zone not in evacuated and one.id not in resting
+            ]
             self._told_not_back &= {runner.id for runner in returned}
             async with trio.open_nursery() as nursery:
                 for runner in returned:
--- a/egretstack/services/runner_words.py
+++ b/egretstack/services/runner_words.py
@@ -9,6 +9,7 @@
 from egretstack.messages import MessageError
 from egretstack.relay import RunnerWords
 from egretstack.services.fleet_port import FleetPort
+from egretstack.services.placing_home import PlacingHome
 from egretstack.services.relay_metrics import RelayMetrics
 from egretstack.traffic import RunnerAnswer
 
@@ -19,11 +20,12 @@
     """Learns what runners take: so many requests a second, none for a while, or no more."""
 
     name = "runner_words"
-    requires = ("fleet_port", "relay_metrics")
+    requires = ("fleet_port", "placing_home", "relay_metrics")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
+        self._rests = kernel.get(PlacingHome).rests
         gauge = kernel.get(RelayMetrics).gauge(
             "egret_relay_limited_runners", "Runners that name how many requests a second they take."
         )
@@ -47,6 +49,8 @@
             log(Event.RUNNER_WORD, runner=runner, leaving=answer.leaving, rest_s=answer.rest_s)
         if answer.leaving:
             self._port.notice(runner)
+        if answer.rest_s is not None:
+            self._rests.asked(trio.current_time(), runner, answer.rest_s)
 
     def _take_report(self, instance: InstanceId, report: InstanceReport) -> None:
         try:
--- a/tests/test_runner_rests.py
+++ b/tests/test_runner_rests.py
@@ -2,8 +2,11 @@
 
 import trio
 
+from egretstack.fleet import RunnerTable
 from egretstack.http1 import first_value
+from egretstack.placing import RunnerRests, SendPart
 from standins.platform import GENERATION, StoreFault
+from tests.fleet_fixtures import runner
 from tests.limited_site import ask_steadily
 from tests.platform_site import platform_site
 from tests.stream_reader import read
@@ -38,7 +41,7 @@
     async with platform_site(entries=2, plain=2) as site:
         resting, other = site.plain
         resting.rest_s = REST_S
-        answers = await ask_steadily(site, "/holds/1", 100, 0.05, method=b"POST")
+        answers = await ask_steadily(site, "/notes/1", 100, 0.05, method=b"POST")
         check.assertEqual(in_rests(resting, len(site.kernels)), 0)
         check.assertEqual({one.status for one in answers}, {200})
         check.assertGreater(len(other.arrived_s), 60)
@@ -50,7 +53,7 @@
     async with platform_site(entries=2, plain=2) as site:
         for one in site.plain:
             one.rest_s = REST_S
-        await ask_steadily(site, "/holds/1", 100, 0.05, method=b"POST")
+        await ask_steadily(site, "/notes/1", 100, 0.05, method=b"POST")
         for one in site.plain:
             check.assertGreater(len(one.rests), 1)
             check.assertEqual(in_rests(one, len(site.kernels)), 0)
@@ -122,3 +125,20 @@
         other.crash()
         await trio.sleep(REST_S)
         check.assertEqual(in_rests(resting, len(site.kernels)), 0)
+
+
+def test_a_rest_is_this_instances_own_and_ends_in_time():
+    # Guards against a rest that the home keeps for others, or that a shorter one cuts off.
+    table = RunnerTable()
+    one = runner("a")
+    table.take(0.0, [one], 1, 0.0)
+    rests = RunnerRests(table)
+    rests.asked(1.0, one.id, 3.0)
+    rests.asked(1.5, one.id, 1.0)
+    for part in (SendPart.PLAIN, SendPart.ALONE, SendPart.CONTINUED):
+        check.assertFalse(rests.allows(3.9, one, part))
+        check.assertEqual(rests.free_after_s(3.0, one, part), 1.0)
+        check.assertTrue(rests.allows(4.0, one, part))
+    check.assertTrue(rests.allows(2.0, one, SendPart.HOME))
+    check.assertEqual(rests.resting(2.0), {one.id})
+    check.assertEqual(rests.resting(4.0), set())
