--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -23,6 +23,7 @@
 from tests.soak.clients import ENDING, REFUSED_TYPE, Kind, Promises, Record, attempt
 from tests.soak.entries import EntryProcess
 from tests.soak.proxy import LinkFault, Proxy
+from tests.soak.words import check_leaving, check_limits, check_rests, say_for_a_while
 
 ENTRIES = 3
 REQUESTS_PER_S = 25.0
@@ -130,6 +131,8 @@
                 await self._until_served(nursery)
                 await self._stop_in_calm(self.rng.choice(self.entries))
                 await self._until_served(nursery)
+                await self._say_words_in_calm()
+                await self._until_served(nursery)
                 await self._evacuate(ZONES[1])
             finally:
                 for entry in self.entries:
@@ -139,14 +142,31 @@
             self.promises.check(record)
         return self.promises.broken
 
+    async def _say_words_in_calm(self) -> None:
+        """Let one runner of each kind name a limit, ask for rest, and say that it leaves."""
+        runners = [self.plain[0], self.engines[0]]
+        await check_limits(runners, self.promises.broken)
+        await check_rests(runners, self._entry_by_attempt, self.promises.broken)
+        await check_leaving(runners, self.promises.broken)
+        for one in runners:
+            self._replace(one, "z")
+
+    def _entry_by_attempt(self) -> dict[str, str]:
+        return {one.attempt: one.entry for one in (*self.done, *self.open)}
+
+    def _replace(self, server: PlainStandIn | EngineStandIn, tag: str) -> None:
+        """Let a runner be gone, and another one be ready in its place."""
+        self.store.remove("servers", server.runner_id)
+        server.runner_id += tag
+        server.says_leaving = False
+        self._register(server, "ready")
+
     async def _run_again_and_again(self, server: PlainStandIn | EngineStandIn) -> None:
         """Run a runner; each time that it ends, another one starts in its place."""
         while True:
             await server.run()
             await trio.sleep(BACK_AFTER_S)
-            self.store.remove("servers", server.runner_id)
-            server.runner_id += "y"
-            self._register(server, "ready")
+            self._replace(server, "y")
 
     async def _ask_ending(self) -> None:
         """Send requests under which runners end, as a caller that does not give up."""
@@ -301,6 +321,8 @@
             self._move_runner,
             self._change,
             self._crash_engine,
+            self._say_leaving,
+            self._say_word,
         ]
 
     def _length_s(self) -> float:
@@ -330,9 +352,18 @@
         self._register(server, "draining")
         await trio.sleep(self._length_s())
         # A runner that comes back does so as another one.
-        self.store.remove("servers", server.runner_id)
-        server.runner_id = f"{server.runner_id}x"
-        self._register(server, "ready")
+        self._replace(server, "x")
+
+    async def _say_leaving(self) -> None:
+        """Let a runner leave whose notice the store does not take."""
+        server = self.rng.choice((*self.plain, *self.engines))
+        server.says_leaving = True
+        await trio.sleep(self._length_s())
+        self._replace(server, "x")
+
+    async def _say_word(self) -> None:
+        server = self.rng.choice((*self.plain, *self.engines))
+        await say_for_a_while(server, self.rng, self._length_s())
 
     async def _change(self) -> None:
         for _ in range(self.rng.randint(1, 4)):
