A limited runner that takes many requests gets several at once; parts of gone runners are forgotten

A part that holds one request refused callers one by one whatever the limit: with 100 a second over six instances, 15 a second each, two calls that came together (found by reading; a test of a limit of 100 a second takes more than ten at once now, one before). Half of what a runner bears beyond the rates may be sent at once by calls, an eighth by each home; where limits are small nothing changes. The property over split fleets holds as before.

Instances that are not the home never forgot what they had sent to runners that are gone, cold ones included: forget_gone was called by the home alone.

--- a/egretstack/placing/_limit_ration.py
+++ b/egretstack/placing/_limit_ration.py
@@ -24,21 +24,34 @@
 """Part of an engine's limit, beside the home's, for what instances send without the home."""
 MOST_HOMES = 2
 """Homes of a split fleet that use the home's part: those that hear half of it or more."""
+HOME_AT_ONCE = 0.125
+"""Part of what a runner bears beyond the rates of all parts that one home may send at once."""
+CALLS_AT_ONCE = 0.5
+"""The same for calls to a plain runner, all instances together."""
 LEAST_PER_S = 0.1
 """Requests a second that a runner gets at least. Without any, nobody would hear from it that it
 takes more again."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Part:
+    """What one instance, or the home, may send of a limit."""
+
+    per_s: float
+    at_once: float
+
+
 @dataclass(slots=True)
 class _Bucket:
-    """Fills at a rate, up to one request."""
+    """What a part has not used yet, in requests."""
 
     filled_s: float
     held: float = 1.0
 
-    def fill(self, now_s: float, per_s: float) -> float:
+    def fill(self, now_s: float, part: _Part) -> float:
         """Bring it up to date; give what it holds."""
-        self.held = min(1.0, self.held + max(0.0, now_s - self.filled_s) * per_s)
+        gained = max(0.0, now_s - self.filled_s) * part.per_s
+        self.held = min(part.at_once, self.held + gained)
         self.filled_s = now_s
         return self.held
 
@@ -59,20 +72,20 @@
 
     def free_after_s(self, now_s: float, runner: Runner, part: SendPart, ahead: int = 0) -> float:
         """Give when a request may go to a runner, `ahead` others before it; 0 if at once."""
-        per_s = self._per_s(runner.id, part)
-        if per_s is None:
+        own = self._part(runner.id, part)
+        if own is None:
             return 0.0
-        if per_s <= 0.0:
+        if own.per_s <= 0.0:
             return float("inf")
-        held = self._bucket(now_s, runner.id, part).fill(now_s, per_s)
-        return max(0.0, 1.0 + ahead - held) / per_s
+        held = self._bucket(now_s, runner.id, part).fill(now_s, own)
+        return max(0.0, 1.0 + ahead - held) / own.per_s
 
     def sent(self, now_s: float, runner_id: RunnerId, part: SendPart) -> None:
         """Note a request that goes to a runner."""
-        per_s = self._per_s(runner_id, part)
-        if per_s is not None:
+        own = self._part(runner_id, part)
+        if own is not None:
             bucket = self._bucket(now_s, runner_id, part)
-            bucket.held = bucket.fill(now_s, per_s) - 1.0
+            bucket.held = bucket.fill(now_s, own) - 1.0
 
     def forget_gone(self) -> None:
         """Forget runners that are no longer known."""
@@ -83,22 +96,27 @@
         """Tell whether a runner takes too little to go on there with streams that broke off."""
         return self._limits.per_s(runner.id) is not None
 
-    def _per_s(self, runner_id: RunnerId, part: SendPart) -> float | None:
+    def _part(self, runner_id: RunnerId, part: SendPart) -> _Part | None:
         """Give this instance's part of a runner's limit; None if it names none."""
         named = self._limits.per_s(runner_id)
         if named is None:
             return None
         limit = max(LEAST_PER_S, named)
+        if part is SendPart.PLAIN:
+            spare = WINDOW_S * (OVERAGE * named - MAIN_SHARE * limit) + SLACK
+            return self._even_part(runner_id, MAIN_SHARE * limit, spare, CALLS_AT_ONCE * spare)
+        spare = WINDOW_S * (OVERAGE * named - (MAIN_SHARE + OWN_SHARE) * limit) + SLACK
+        homes = max(1.0, HOME_AT_ONCE * spare)
         if self._is_home_use(part):
-            return MAIN_SHARE * limit * self._split.heard_share
-        plain = part is SendPart.PLAIN
-        used = MAIN_SHARE if plain else MAIN_SHARE + OWN_SHARE
-        # Beside what they fill by, parts may each be used at once after a pause.
-        at_once = WINDOW_S * (OVERAGE * named - used * limit) + SLACK - (0 if plain else MOST_HOMES)
-        most = min(self._split.instances, int(at_once))
+            return _Part(MAIN_SHARE * limit * self._split.heard_share, homes)
+        return self._even_part(runner_id, OWN_SHARE * limit, spare - MOST_HOMES * homes, 0.0)
+
+    def _even_part(self, runner_id: RunnerId, per_s: float, spare: float, at_once: float) -> _Part:
+        """Split a rate, and what may be sent at once, among as many instances as `spare` bears."""
+        most = min(self._split.instances, int(spare))
         if not self._split.is_among(runner_id, most):
-            return 0.0
-        return (MAIN_SHARE if plain else OWN_SHARE) * limit / most
+            return _Part(0.0, 0.0)
+        return _Part(per_s / most, max(1.0, at_once / most))
 
     def _is_home_use(self, part: SendPart) -> bool:
         """Tell whether a part is the home's; one that hears few places by its own part alone."""
--- a/egretstack/services/runner_words.py
+++ b/egretstack/services/runner_words.py
@@ -26,6 +26,7 @@
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
         self._rests = kernel.get(PlacingHome).rests
+        self._bounds = kernel.get(PlacingHome).bounds
         gauge = kernel.get(RelayMetrics).gauge(
             "egret_relay_limited_runners", "Runners that name how many requests a second they take."
         )
@@ -38,6 +39,7 @@
         while True:
             await trio.sleep(FORGET_PERIOD_S)
             self._port.limits.forget(self._port.runners.by_id)
+            self._bounds.forget_gone()
 
     def heard(self, runner: RunnerId, answer: RunnerAnswer, sent_s: float) -> None:
         """Take what a runner says beside its answer to a request that was sent at `sent_s`."""
--- a/tests/test_limit_ration.py
+++ b/tests/test_limit_ration.py
@@ -79,13 +79,25 @@
     # Guards against parts that leave a limited runner idle, however large the fleet.
     if plain:
         parts = [ration_of(number, instances, per_s=per_s) for number in range(instances)]
-        rates = [one[0]._per_s(A, SendPart.PLAIN) for one in parts]
+        rates = [one[0]._part(A, SendPart.PLAIN).per_s for one in parts]
     else:
-        rates = [ration_of(0, instances, per_s=per_s)[0]._per_s(A, SendPart.HOME)]
+        rates = [ration_of(0, instances, per_s=per_s)[0]._part(A, SendPart.HOME).per_s]
     check.assertGreater(sum(rates), 0.85 * per_s)
     check.assertLessEqual(sum(rates), per_s)
 
 
+def test_a_runner_that_takes_many_gets_several_at_once():
+    # Guards against callers that are refused one by one where a runner takes hundreds a second.
+    for part in (SendPart.HOME, SendPart.PLAIN):
+        ration, one = ration_of(instances=6, per_s=100.0)
+        ration.allows(0.0, one, part)
+        sent = 0
+        while ration.allows(1.0, one, part):
+            ration.sent(1.0, A, part)
+            sent += 1
+        check.assertGreater(sent, 10)
+
+
 def test_a_runner_that_takes_nothing_is_asked_now_and_then():
     # Guards against a limit of nothing that nobody ever hears taken back.
     ration, one = ration_of(per_s=0.0)
