A run that is stopped for a move has its part of what the engine takes set aside first

Found by reading: runs that left one engine side by side each saw the same free part at a limited engine, stopped, and all but the first had nowhere to go on. The part is drawn before the run is stopped, and the continuation does not draw it again.

--- a/egretstack/placing/_placer.py
+++ b/egretstack/placing/_placer.py
@@ -124,13 +124,14 @@
 
         Whether it has room is another matter.
         """
-        loads = self.book.loads(now_s, whole=part is SendPart.HOME)
-        candidates = self._candidates(work, loads)
-        if self._bounds is None or not candidates:
+        engines = self._allowed(work)
+        if self._bounds is None or not engines:
             return 0.0
-        ahead = self._waiting.before(work) // len(candidates)
         bounds = self._bounds
-        return min(bounds.free_after_s(now_s, one, part, ahead) for one in candidates)
+        if any(bounds.allows(now_s, one, part) for one in engines):
+            return 0.0
+        ahead = self._waiting.before(work) // len(engines)
+        return min(bounds.free_after_s(now_s, one, part, ahead) for one in engines)
 
     def ended(self, attempt: str) -> None:
         """Note that a work has given up, or is over."""
@@ -224,14 +225,16 @@
 
     def _candidates(self, work: Work, loads: Loads) -> list[Runner]:
         """Give the engines to choose from; a suspected one only if there is no other."""
-        ready = [
+        ready = [one for one in self._allowed(work) if one.id in loads]
+        return [one for one in ready if one.id not in self._runners.suspects] or ready
+
+    def _allowed(self, work: Work) -> list[Runner]:
+        """Give the engines that may run a work, whatever runs there."""
+        return [
             runner
             for runner in self._runners.ready(work.service)
-            if runner.id not in work.excluded
-            and runner.id in loads
-            and work.may_run_in(runner.zone)
+            if runner.id not in work.excluded and work.may_run_in(runner.zone)
         ]
-        return [one for one in ready if one.id not in self._runners.suspects] or ready
 
     def _is_short(self, work: Work) -> bool:
         return self.book.expected_output(work) < SHORT_TOKENS
--- a/egretstack/relay/_engine_calls.py
+++ b/egretstack/relay/_engine_calls.py
@@ -43,18 +43,28 @@
 
 
 async def continue_at(
-    tools: RelayTools, task: Task, run: Run, runner: Runner, origin: ContinueFrom
+    tools: RelayTools,
+    task: Task,
+    run: Run,
+    runner: Runner,
+    origin: ContinueFrom,
+    *,
+    is_reserved: bool,
 ) -> UpstreamConnection | None:
-    """Let a run go on at an engine that has its copy; None if it does not."""
+    """Let a run go on at an engine that has its copy; None if it does not.
+
+    `is_reserved`: what bounds the engine's requests has counted this one already.
+    """
     try:
         connection = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
     except ConnectFailed as error:
         log(Event.CONNECT_FAILED, request=task.request.attempt_id, error=str(error))
         return None
-    if not tools.bounds.allows(trio.current_time(), runner, SendPart.CONTINUED):
-        connection.close()
-        return None
-    tools.bounds.sent(trio.current_time(), runner.id, SendPart.CONTINUED)
+    if not is_reserved:
+        if not tools.bounds.allows(trio.current_time(), runner, SendPart.CONTINUED):
+            connection.close()
+            return None
+        tools.bounds.sent(trio.current_time(), runner.id, SendPart.CONTINUED)
     answer = None
     sent_s = trio.current_time()
     try:
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -54,6 +54,8 @@
     origin_address: str
     """The engine that the copy is named by."""
     copy_id: str
+    is_reserved: bool = False
+    """Whether the run's part of what its runner takes is set aside already."""
 
 
 class Mover:
@@ -224,18 +226,22 @@
 
     async def _stop(self, source: Runner, destination: Runner) -> bool:
         self._stopping = True
+        # Runs that stop side by side would all count on the same part of what the engine takes.
+        self._tools.bounds.sent(trio.current_time(), destination.id, SendPart.CONTINUED)
         began_s = trio.current_time()
         answer = await self._order(source, destination, stop=True)
         self._told(source, destination, answer, began_s, stop=True)
         if answer.handle:
             # Without room for the last part the source keeps the memory, and the run goes on there.
             where = destination if answer.outcome is MoveOutcome.COPIED else source
-            self._keep(source, where, answer.handle)
+            self._keep(source, where, answer.handle, is_reserved=where is destination)
         return True
 
-    def _keep(self, source: Runner, where: Runner, handle: str) -> None:
+    def _keep(
+        self, source: Runner, where: Runner, handle: str, *, is_reserved: bool = False
+    ) -> None:
         self._handle = handle
-        self._saved(SavedCopy(where.id, source.address, handle))
+        self._saved(SavedCopy(where.id, source.address, handle, is_reserved))
 
     def _told(
         self, source: Runner, destination: Runner, answer: MoveAnswer, began_s: float, *, stop: bool
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -264,7 +264,10 @@
         return is_leaving and stopped_s is not None and stopped_s < self._task.began_s
 
     def _may_go_on_at(self, runner: Runner) -> bool:
-        return self._tools.bounds.allows(trio.current_time(), runner, SendPart.CONTINUED)
+        now_s = trio.current_time()
+        if self._saved is not None and self._saved.is_reserved:
+            return runner.id not in self._tools.rests.resting(now_s)
+        return self._tools.bounds.allows(now_s, runner, SendPart.CONTINUED)
 
     def _go_on_wait_s(self) -> float:
         """Give how long the reader and the copy surely wait."""
@@ -355,7 +358,9 @@
             self._run, self._task.service.engine, before
         )
         began_s = trio.current_time()
-        connection = await continue_at(self._tools, self._task, self._run, runner, origin)
+        connection = await continue_at(
+            self._tools, self._task, self._run, runner, origin, is_reserved=saved.is_reserved
+        )
         log(
             Event.STREAM_CONTINUED if connection else Event.STREAM_NOT_CONTINUED,
             request=self._attempt,
