egretctl explain tells what a runner of the request said of itself

A request that found no runner was explained without the runners' words: that one names a limit, asks for rest or leaves. Only the command's list of event names changes, nothing that serves.

--- a/egretstack/reports/_explain.py
+++ b/egretstack/reports/_explain.py
@@ -15,7 +15,16 @@
     "stream_out_of_time": "the stream was broken off at its deadline",
     "client_left": "the client closed its connection first",
 }
-_ABOUT_RUNNERS = frozenset({"runner_leaves", "runners_silent", "report_unreadable"})
+_ABOUT_RUNNERS = frozenset(
+    {
+        "report_unreadable",
+        "runner_leaves",
+        "runner_limited",
+        "runner_unlimited",
+        "runner_word",
+        "runners_silent",
+    }
+)
 _ABOUT_INSTANCE = frozenset(
     {"relay_started", "drain_begun", "stopped", "store_away", "store_back", "config_in_force"}
 )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -72,6 +72,18 @@
     check.assertIn("ended while they ran it: i-1", found.cause)
 
 
+def test_what_a_runner_of_the_request_said_of_itself_is_told():
+    # Guards against a story in which a runner is left alone for no reason that shows.
+    found = story(
+        line(1, "e-1", "runner_limited", runner="i-7", per_s=2.4),
+        line(2, "e-1", "send_ended", request=ID, runner="i-7", result="rejected", send=1),
+        line(3, "e-1", "runner_word", runner="i-7", leaving=False, rest_s=3.0),
+        line(4, "e-1", "runner_word", runner="i-8", leaving=True, rest_s=None),
+    )
+    names = [one.name for one in found.lines]
+    check.assertEqual(names, ["runner_limited", "send_ended", "runner_word"])
+
+
 def test_a_process_that_ended_within_a_request():
     found = story(
         line(1, "e-1", "placed", request=ID, runner="i-7"),
