--- a/egretstack/placing/_limit_ration.py
+++ b/egretstack/placing/_limit_ration.py
@@ -14,6 +14,7 @@
 from egretstack.placing._split import FleetSplit
 
 WINDOW_S = 4.0
+"""Time over which what a runner bears is counted."""
 OVERAGE = 1.5
 """What a runner bears in a window, as a multiple of its limit."""
 SLACK = 5
@@ -34,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Part:
+class _Allowance:
     """What one instance, or the home, may send of a limit."""
 
     per_s: float
@@ -43,15 +44,15 @@
 
 @dataclass(slots=True)
 class _Bucket:
-    """What a part has not used yet, in requests."""
+    """What of an allowance is not used yet, in requests."""
 
     filled_s: float
     held: float = 1.0
 
-    def fill(self, now_s: float, part: _Part) -> float:
+    def fill(self, now_s: float, allowance: _Allowance) -> float:
         """Bring it up to date; give what it holds."""
-        gained = max(0.0, now_s - self.filled_s) * part.per_s
-        self.held = min(part.at_once, self.held + gained)
+        gained = max(0.0, now_s - self.filled_s) * allowance.per_s
+        self.held = min(allowance.at_once, self.held + gained)
         self.filled_s = now_s
         return self.held
 
@@ -72,20 +73,20 @@
 
     def free_after_s(self, now_s: float, runner: Runner, part: SendPart, ahead: int = 0) -> float:
         """Give when a request may go to a runner, `ahead` others before it; 0 if at once."""
-        own = self._part(runner.id, part)
-        if own is None:
+        allowance = self._allowance(runner.id, part)
+        if allowance is None:
             return 0.0
-        if own.per_s <= 0.0:
+        if allowance.per_s <= 0.0:
             return float("inf")
-        held = self._bucket(now_s, runner.id, part).fill(now_s, own)
-        return max(0.0, 1.0 + ahead - held) / own.per_s
+        held = self._bucket(now_s, runner.id, part).fill(now_s, allowance)
+        return max(0.0, 1.0 + ahead - held) / allowance.per_s
 
     def sent(self, now_s: float, runner_id: RunnerId, part: SendPart) -> None:
         """Note a request that goes to a runner."""
-        own = self._part(runner_id, part)
-        if own is not None:
+        allowance = self._allowance(runner_id, part)
+        if allowance is not None:
             bucket = self._bucket(now_s, runner_id, part)
-            bucket.held = bucket.fill(now_s, own) - 1.0
+            bucket.held = bucket.fill(now_s, allowance) - 1.0
 
     def forget_gone(self) -> None:
         """Forget runners that are no longer known."""
@@ -96,27 +97,29 @@
         """Tell whether a runner takes too little to go on there with streams that broke off."""
         return self._limits.per_s(runner.id) is not None
 
-    def _part(self, runner_id: RunnerId, part: SendPart) -> _Part | None:
-        """Give this instance's part of a runner's limit; None if it names none."""
+    def _allowance(self, runner_id: RunnerId, part: SendPart) -> _Allowance | None:
+        """Give what may be sent to a runner from a part of its limit; None if it names none."""
         named = self._limits.per_s(runner_id)
         if named is None:
             return None
         limit = max(LEAST_PER_S, named)
         if part is SendPart.PLAIN:
             spare = WINDOW_S * (OVERAGE * named - MAIN_SHARE * limit) + SLACK
-            return self._even_part(runner_id, MAIN_SHARE * limit, spare, CALLS_AT_ONCE * spare)
+            return self._even_allowance(runner_id, MAIN_SHARE * limit, spare, CALLS_AT_ONCE * spare)
         spare = WINDOW_S * (OVERAGE * named - (MAIN_SHARE + OWN_SHARE) * limit) + SLACK
         homes = max(1.0, HOME_AT_ONCE * spare)
         if self._is_home_use(part):
-            return _Part(MAIN_SHARE * limit * self._split.heard_share, homes)
-        return self._even_part(runner_id, OWN_SHARE * limit, spare - MOST_HOMES * homes, 0.0)
+            return _Allowance(MAIN_SHARE * limit * self._split.heard_share, homes)
+        return self._even_allowance(runner_id, OWN_SHARE * limit, spare - MOST_HOMES * homes, 0.0)
 
-    def _even_part(self, runner_id: RunnerId, per_s: float, spare: float, at_once: float) -> _Part:
+    def _even_allowance(
+        self, runner_id: RunnerId, per_s: float, spare: float, at_once: float
+    ) -> _Allowance:
         """Split a rate, and what may be sent at once, among as many instances as `spare` bears."""
         most = min(self._split.instances, int(spare))
         if not self._split.is_among(runner_id, most):
-            return _Part(0.0, 0.0)
-        return _Part(per_s / most, max(1.0, at_once / most))
+            return _Allowance(0.0, 0.0)
+        return _Allowance(per_s / most, max(1.0, at_once / most))
 
     def _is_home_use(self, part: SendPart) -> bool:
         """Tell whether a part is the home's; one that hears few places by its own part alone."""
--- a/tests/test_limit_ration.py
+++ b/tests/test_limit_ration.py
@@ -79,9 +79,9 @@
     # Guards against parts that leave a limited runner idle, however large the fleet.
     if plain:
         parts = [ration_of(number, instances, per_s=per_s) for number in range(instances)]
-        rates = [one[0]._part(A, SendPart.PLAIN).per_s for one in parts]
+        rates = [one[0]._allowance(A, SendPart.PLAIN).per_s for one in parts]
     else:
-        rates = [ration_of(0, instances, per_s=per_s)[0]._part(A, SendPart.HOME).per_s]
+        rates = [ration_of(0, instances, per_s=per_s)[0]._allowance(A, SendPart.HOME).per_s]
     check.assertGreater(sum(rates), 0.85 * per_s)
     check.assertLessEqual(sum(rates), per_s)
 
