Soak: it records what its processes had of the processor, and why waits for service fail

Kept per second now: how late the loop of that process was, the share of a processor that it and each entry used, and the streams that run at engines beside those open at clients; and each attempt of a wait that was not served, with status and events.

--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -95,6 +95,10 @@
         """Return whether an attempt is in progress here."""
         return attempt in self._run_by_attempt
 
+    def running(self) -> list[str]:
+        """Return the attempts in progress here."""
+        return list(self._run_by_attempt)
+
     def crash(self) -> None:
         """End every run immediately, as a process that restarts does."""
         for run in self._run_by_attempt.values():
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -36,6 +36,7 @@
     cut_streams,
     make_uneven,
 )
+from tests.soak.observer import Observer
 from tests.soak.proxy import LinkFault, Proxy
 from tests.soak.signals import check_backoffs, check_leaving, check_limits, signal_temporarily
 
@@ -82,6 +83,8 @@
     checked: int
     broken: tuple[str, ...]
     logs: tuple[str, ...] = ()
+    observed: tuple[str, ...] = ()
+    """What the soak's and the entries' processes had of the processor, one line a second."""
 
 
 class Soak:
@@ -130,10 +133,12 @@
         self.promises = PromiseChecker(self.plain, self.engines, max_sends=MAX_SENDS)
         self.open: list[Record] = []
         self.done: list[Record] = []
+        self.observer = Observer(self.entries, self.engines, self._open_streams)
 
     async def run(self, seconds: float) -> list[str]:
         """Run the scenario; return the broken promises."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.observer.run)
             await nursery.start(self.store.run)
             for server in (*self.plain, *self.engines):
                 nursery.start_soon(self._run_with_replacements, server)
@@ -325,17 +330,23 @@
             async with trio.open_nursery() as waiting:
                 for entry in self.entries:
                     waiting.start_soon(self._wait_for_each_kind, entry)
+        self.observer.note("wait for service ended")
         if scope.cancelled_caught:
             self.promises.broken.append("requests were not served in calm")
 
+    def _open_streams(self) -> int:
+        return sum(record.kind.is_stream for record in self.open)
+
     async def _wait_for_each_kind(self, entry: EntryProcess) -> None:
         for kind in Kind:
             await self._wait_for_success(entry, kind)
 
     async def _wait_for_success(self, entry: EntryProcess, kind: Kind) -> None:
         while True:
-            record = self._new_record(entry, kind)
+            record, began_s = self._new_record(entry, kind), trio.current_time()
             await attempt(record, entry.front, KEY, random.Random(1))
+            self._close(record)
+            self.observer.note_attempt(record, trio.current_time() - began_s)
             if record.status == 200 and record.whole:
                 return
             await trio.sleep(0.2)
@@ -480,4 +491,5 @@
             logs = tuple(
                 entry.log.read_text(errors="replace")[-MAX_LOG_CHARS:] for entry in soak.entries
             )
-        return Outcome(seed, soak.promises.checked, tuple(broken), logs)
+        observed = tuple(soak.observer.lines)
+        return Outcome(seed, soak.promises.checked, tuple(broken), logs, observed)
