Planned stops: requests still in progress at the end of the grace period are answered

Cause: near the end of the grace period the services are cancelled, and a cancelled relay closes its connection. Nothing answered the request before.

Then without any load: the new test, whose runners take 4 s, failed before the change for a call of each kind and for a stream without a response head ("not an answer: can't handle event type ConnectionClosed").

Ruled out: an early end of the process, and late acceptance as the cause; that makes it more frequent on a busy machine, and a slow runner is enough.

Now the front port ends requests without an answer 0.6 s before the end of the grace period and waits up to 0.2 s until their clients were told 504, may have run. Streams that have begun still break off; the product's own interface waits for its calls without a limit. Left: a call that no runner got yet is told "may have run" too.

--- a/egretstack/services/front_port.py
+++ b/egretstack/services/front_port.py
@@ -46,6 +46,8 @@
 DRAIN_CHECK_INTERVAL_S = 0.05
 STOP_MARGIN_S = 0.6
 """Time before the end of the grace period at which the process stops by itself."""
+LAST_ANSWERS_S = 0.2
+"""Part of that margin in which the requests still in progress are answered."""
 _CLOSE = (b"connection", b"close")
 _KIND_BY_STATUS = {
     413: ErrorKind.BODY_TOO_LARGE,
@@ -66,6 +68,8 @@
         self._store = kernel.get(StoreReading)
         self._metrics = kernel.get(RelayMetrics)
         self._in_progress = 0
+        self._relays: dict[ClientConnection, trio.CancelScope] = {}
+        """Scope of each request that is relayed, until its answer has been sent."""
         self.body_memory = BodyMemory(MAX_BODY_BYTES_IN_PROGRESS)
         gauge = self._metrics.gauge("egret_relay_in_progress", "Requests in progress.")
         gauge.set_function(lambda: self._in_progress)
@@ -91,6 +95,16 @@
         max_s = node.bounds.grace_s - STOP_MARGIN_S
         while trio.current_time() - began_s < max_s:
             await trio.sleep(DRAIN_CHECK_INTERVAL_S)
+        await self._end_unanswered()
+
+    async def _end_unanswered(self) -> None:
+        """End the requests without an answer, so that their clients are told they may have run."""
+        unanswered = [one for one in self._relays if one.can_start_response()]
+        for connection in unanswered:
+            self._relays[connection].cancel()
+        with trio.move_on_after(LAST_ANSWERS_S):
+            while any(one in self._relays for one in unanswered):
+                await trio.sleep(DRAIN_CHECK_INTERVAL_S)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         connection = ClientConnection(stream, self._limits(), self.body_memory)
@@ -150,6 +164,14 @@
 
     async def _relay(
         self, connection: ClientConnection, request: ClientRequest, began_s: float
+    ) -> None:
+        try:
+            await self._relay_one(connection, request, began_s)
+        finally:
+            self._relays.pop(connection, None)
+
+    async def _relay_one(
+        self, connection: ClientConnection, request: ClientRequest, began_s: float
     ) -> None:
         kind = None
         try:
@@ -158,7 +180,7 @@
             if task.route.kind is RouteKind.STREAM and task.service.engine is not None:
                 answer = await self._relay_stream(connection, task)
             else:
-                answer = await self._relay_whole(task)
+                answer = await self._relay_whole(connection, task)
         except RequestFailed as error:
             self._metrics.count_request(kind, error.kind.value)
             await self._refuse(connection, request.attempt_id, error)
@@ -177,19 +199,21 @@
                 took_ms=round((trio.current_time() - began_s) * 1000),
             )
 
-    async def _relay_whole(self, task: RelayTask) -> BufferedResponse:
-        with trio.move_on_at(task.deadline_s):
+    async def _relay_whole(self, connection: ClientConnection, task: RelayTask) -> BufferedResponse:
+        with trio.move_on_at(task.deadline_s) as scope:
+            self._relays[connection] = scope
             return await PlainRelay(self._relaying.context).serve(task)
-        raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time")
+        raise _out_of_time(task)
 
     async def _relay_stream(
         self, connection: ClientConnection, task: RelayTask
     ) -> BufferedResponse | None:
         client = _FrontStream(connection, self._closing())
-        with trio.move_on_at(task.deadline_s):
+        with trio.move_on_at(task.deadline_s) as scope:
+            self._relays[connection] = scope
             return await StreamRelay(self._relaying.context, task, client).serve()
         if connection.can_start_response():
-            raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time")
+            raise _out_of_time(task)
         log(Event.STREAM_OUT_OF_TIME, request=task.request.attempt_id)
         connection.abort()
         return None
@@ -229,6 +253,13 @@
         return LIMITS_AT_START if table is None else table.configuration.limits
 
 
+def _out_of_time(task: RelayTask) -> RequestFailed:
+    """Return the failure of a request that was ended at its deadline or at this instance's stop."""
+    is_stop = task.time_left_s() > 0
+    detail = "no answer before this instance ended" if is_stop else "no answer in time"
+    return RequestFailed(ErrorKind.OUT_OF_TIME, detail)
+
+
 class _FrontStream(ClientStream):
     """The response stream to a client."""
 
--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -65,6 +65,8 @@
         self.cuts: list[int] = []
         """Events after which the next runs break off in the middle of an event; engines may share
         the list. A run breaks off before its response head if the next one is `BEFORE_HEAD`."""
+        self.delays_head = False
+        """Whether new runs start without sending a response head."""
         self.stores_copies = True
         self.leaving = False
         self.started_ms: int | None = None
@@ -194,6 +196,8 @@
                 self.cuts.pop(0)
                 connection.abort()
                 return
+            if self.delays_head:
+                await trio.sleep_forever()
             await connection.start_stream(ResponseHead(200, b"", headers))
             while run.generated < run.events and not run.stop.is_set():
                 with trio.move_on_after(self.gap_s):
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -5,6 +5,7 @@
 import trio
 
 from egretstack.http1 import ConnectFailed, UpstreamBroken
+from standins.platform import GENERATION
 from tests.platform_site import platform_site
 from tests.support import check, on_real_clock, tests_of
 
@@ -40,3 +41,29 @@
             if any(runner.runs_by_attempt[attempt] for runner in site.plain)
         ]
         check.assertEqual(ran, [])
+
+
+@on_real_clock
+async def test_requests_that_outlast_the_grace_period_are_answered_before_the_process_ends():
+    # Guards against clients whose connection closes without an answer, though the request may run.
+    async with platform_site(plain=2, engines=1) as site:
+        for runner in site.plain:
+            runner.delay_s = 4.0
+        site.engines[0].delays_head = True
+        answers = {}
+
+        async def call(path, attempt, headers=()):
+            try:
+                head, _ = await site.call(path, attempt, method=b"POST", headers=headers)
+                answers[attempt] = head.status
+            except UpstreamBroken as error:
+                answers[attempt] = str(error)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call, "/holds/1", "hold")
+            nursery.start_soon(call, "/notes/1", "note")
+            nursery.start_soon(call, "/plans/1", "plan", GENERATION)
+            runners = [*site.plain, *site.engines]
+            await site.until(lambda: sum(len(runner.heads) for runner in runners) == 3)
+            site.kernels[0].begin_drain()
+        check.assertEqual(answers, {"hold": 504, "note": 504, "plan": 504})
