Crash guard: a busy machine no longer hides the end of a runner

Callers saw: a request that ends every runner that runs it was not refused after the third end; five runners ended under it, and with each the work of others (soak, "5 runners ended in calm", "the last one got 502").

Cause: after a broken run the runner's health is requested, and the answer of the process that follows at its address is what shows that it ended. The request had 0.2 s; three without an answer counted as "has not ended".

The logs did not tell a probe without a result from one that found the runner alive: runner_probed does now. The new test, without load, has the next process take 0.6 s for its health answer; it failed before (no suspicion within 20 s) and passes now.

A health answer has 1 s, and there are four probes. A request that is suspected already waits up to 1 s for the first one before it goes to another runner, as it waited 0.35 s before.

Not looked into: a connection that takes over 0.15 s counts as an end.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -153,6 +153,11 @@
     ZONE_BACK = (451, Level.INFO, "An evacuation was revoked; the zone's runners get requests.")
     EVACUATION_UNREADABLE = (452, Level.WARNING, "An evacuation entry in the store is invalid.")
     RUN_BROKEN = (453, Level.WARNING, "A run broke off; `ended` says if its runner ended as well.")
+    RUNNER_PROBED = (
+        484,
+        Level.INFO,
+        "The health of a runner whose runs broke off was requested; `result` says what it showed.",
+    )
     CONTENT_REFUSED = (
         454,
         Level.WARNING,
--- a/egretstack/services/crash_guard.py
+++ b/egretstack/services/crash_guard.py
@@ -25,8 +25,10 @@
 from egretstack.services.store_reading import StoreReading
 
 CONNECT_TIMEOUT_S = 0.15
-HEALTH_TIMEOUT_S = 0.2
-MAX_PROBES = 3
+HEALTH_TIMEOUT_S = 1.0
+"""Time for a health answer. Most take some 5 ms; on a busy machine the process that follows a
+runner at its address, whose answer shows that the runner has ended, may take much longer."""
+MAX_PROBES = 4
 PROBE_RETRY_S = 0.5
 """Pause after a probe without a result: the runner's replacement may not be up yet."""
 PLANNED_END_NOTICE_S = 0.5
@@ -137,14 +139,22 @@
 
     async def _probe(self, runner: Runner) -> None:
         """Probe a runner until it is known whether it has ended, a few times at most."""
+        began_s = trio.current_time()
+        probes = 1
         result = await self._probe_once(runner)
-        for _ in range(MAX_PROBES - 1):
-            if result is not _ProbeResult.UNKNOWN:
-                break
+        while result is _ProbeResult.UNKNOWN and probes < MAX_PROBES:
             for broken in self._broken_by_runner[runner.id]:
                 broken.decided.set()
             await trio.sleep(PROBE_RETRY_S)
             result = await self._probe_once(runner)
+            probes += 1
+        log(
+            Event.RUNNER_PROBED,
+            runner=runner.id,
+            result=result.value,
+            probes=probes,
+            took_ms=round((trio.current_time() - began_s) * 1000),
+        )
         if (
             result is _ProbeResult.UNKNOWN
             and self._port.runners.stopped_since_s(runner.id) is not None
--- a/standins/platform/_plain.py
+++ b/standins/platform/_plain.py
@@ -43,6 +43,8 @@
         self.runner_id = runner_id
         self.delay_s = delay_s
         self.healthy = True
+        self.health_delay_s = 0.0
+        """Time that it takes for the answer to a health request."""
         self.load_header = b"1,0,6"
         """What it states as its load in every answer."""
         self.fatal_body: bytes | None = None
@@ -61,6 +63,7 @@
     async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
         """Answer one request."""
         if head.target == HEALTH_PATH:
+            await trio.sleep(self.health_delay_s)
             status = 200 if self.healthy else 503
             await send(connection, status, headers=((b"runner-id", self.runner_id.encode()),))
             return
--- a/tests/test_runner_crashes.py
+++ b/tests/test_runner_crashes.py
@@ -222,6 +222,18 @@
         check.assertTrue(refused_everywhere(site, "/notes/1"))
 
 
+@on_real_clock
+async def test_a_runner_whose_successor_answers_late_counts_as_ended():
+    # Guards against ends that are not seen on a busy machine, so that a request ends more runners.
+    async with platform_site(plain=1) as site:
+        end_runners_on_request(site)
+        [runner] = site.plain
+        runner.restarts_immediately = True
+        runner.health_delay_s = 0.6
+        await send_ending_request(site, "/holds/1", "e-1")
+        await site.until(lambda: crash_table(site).is_suspected(content_of("/holds/1")))
+
+
 @on_real_clock
 async def test_a_runner_behind_a_proxy_counts_as_ended_once_its_entry_is_removed():
     # Guards against ends hidden by a proxy that still accepts connections for the ended runner.
