Store: a read that is answered late is heard, so that evacuations are known on busy machines

Cause: reads of the store have fixed timeouts, 1 s for a list and 0.7 s beyond a watch's own time. Where the store answers later than that, each read is given up shortly before its answer and begun anew: nobody ever learns of an evacuation.

While all is well every instance logs zone_evacuated within 0.3 s; after the home's first store_away none does, for up to 40 s, though the store answers. The new test needs no load: a store that takes 1.8 s for each answer is not heard within 20 s before the change, and is after it.

Now a read after one without an answer in time waits for three timeouts and is repeated on a further connection after each. The first failure is noticed as soon as before, and so is a store that is back.

--- a/egretstack/platform/_store.py
+++ b/egretstack/platform/_store.py
@@ -1,7 +1,9 @@
 """Client of the platform's store: objects by kind and name, with revisions, lists and watches.
 
 Every call has a timeout, since a connection may stop answering for good. A connection on which a
-call failed is not reused.
+call failed is not reused. After a read without an answer the next reads wait for longer, and are
+repeated on further connections meanwhile: a store that only answers late would otherwise never be
+heard, and one that is back is heard at once.
 """
 
 import json
@@ -28,6 +30,8 @@
 CALL_TIMEOUT_S = 1.0
 """Timeout of one call; a healthy store answers in a few milliseconds."""
 CONNECT_TIMEOUT_S = 0.5
+MAX_READS = 3
+"""Times that a read is sent after one without an answer; all wait for that many timeouts."""
 WATCH_MARGIN_S = 0.7
 """How long after its requested time a watch may stay unanswered before its connection is closed."""
 
@@ -106,6 +110,8 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._pool = ConnectionPool(max_idle=2)
+        self._late_kinds: set[ObjectKind] = set()
+        """Kinds of objects whose last read was not answered within its timeout."""
         self.calls_by_kind = dict.fromkeys(ObjectKind, 0)
         """Number of calls made so far, answered or not; every call has a cost."""
 
@@ -122,8 +128,7 @@
             if allow_stale:
                 query.append("allow-stale=1")
             path = _object_path(kind) + ("?" + "&".join(query) if query else "")
-            self.calls_by_kind[kind] += 1
-            status, body = await self._call(b"GET", path, None, CALL_TIMEOUT_S)
+            status, body = await self._read(kind, path, CALL_TIMEOUT_S)
             page, more = _decode_answer(body, status, _decode_page)
             objects.extend(page.objects)
             unnamed += page.unnamed
@@ -135,8 +140,7 @@
     async def watch(self, kind: ObjectKind, since: int, wait_s: float) -> Changes:
         """Wait up to `wait_s` for changes after a revision. Raises StoreAway, HistoryGone."""
         path = f"{_object_path(kind)}?watch={since}&wait-ms={round(wait_s * 1000)}"
-        self.calls_by_kind[kind] += 1
-        status, body = await self._call(b"GET", path, None, wait_s + WATCH_MARGIN_S)
+        status, body = await self._read(kind, path, wait_s + WATCH_MARGIN_S)
         if status == 410:
             raise HistoryGone(f"since {since}")
         return _decode_answer(body, status, _decode_changes)
@@ -167,6 +171,55 @@
         """Close all connections."""
         self._pool.close()
 
+    async def _read(self, kind: ObjectKind, path: str, timeout_s: float) -> tuple[int, bytes]:
+        """Read once, or several times at once if the last read was answered late or not at all.
+
+        Raises StoreAway.
+        """
+        began_s = trio.current_time()
+        try:
+            if kind in self._late_kinds:
+                return await self._read_repeatedly(kind, path, timeout_s)
+            return await self._read_once(kind, path, timeout_s)
+        finally:
+            if trio.current_time() - began_s < timeout_s:
+                self._late_kinds.discard(kind)
+            else:
+                self._late_kinds.add(kind)
+
+    async def _read_once(self, kind: ObjectKind, path: str, timeout_s: float) -> tuple[int, bytes]:
+        self.calls_by_kind[kind] += 1
+        return await self._call(b"GET", path, None, timeout_s)
+
+    async def _read_repeatedly(
+        self, kind: ObjectKind, path: str, timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Send a read again after each timeout; return the first answer to any of them."""
+        answers: list[tuple[int, bytes]] = []
+        errors: list[StoreAway] = []
+        ended = trio.Event()
+
+        async def read() -> None:
+            try:
+                answers.append(await self._read_once(kind, path, MAX_READS * timeout_s))
+            except StoreAway as error:
+                errors.append(error)
+            ended.set()
+
+        async with trio.open_nursery() as nursery:
+            for sent in range(1, MAX_READS + 1):
+                nursery.start_soon(read)
+                with trio.move_on_after(timeout_s):
+                    while not answers and len(errors) < sent:
+                        ended = trio.Event()
+                        await ended.wait()
+                if answers or len(errors) == sent:
+                    break
+            nursery.cancel_scope.cancel()
+        if not answers:
+            raise errors[0] if errors else _Unanswered("no answer to any read")
+        return answers[0]
+
     async def _write(self, method: bytes, path: str, document: object) -> bool:
         try:
             status, _ = await self._call(method, path, document, CALL_TIMEOUT_S)
--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -30,6 +30,8 @@
     def __init__(self, address: str) -> None:
         super().__init__(address)
         self.fault = StoreFault.NONE
+        self.answer_delay_s = 0.0
+        """Time from each call until it is handled."""
         self.calls: list[tuple[str, str]] = []
         self.oldest = 0
         """Watches from before this revision are answered 410, as after the history was dropped."""
@@ -74,6 +76,7 @@
         if self.fault is StoreFault.BUSY:
             await send(connection, 503)
             return
+        await trio.sleep(self.answer_delay_s)
         kind, _, name = url.path.removeprefix(PREFIX).partition("/")
         status, document = await self._handle(head.method, kind, name, parse_qs(url.query), body)
         if self.fault is StoreFault.LOST and head.method != b"GET" and status < 300:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -205,6 +205,18 @@
         await site.until(lambda: evacuated_everywhere(site, "leon-b"))
 
 
+@on_real_clock
+async def test_a_store_that_answers_late_does_not_hide_an_evacuation():
+    # Guards against reads that are all given up shortly before their answer, on a busy machine.
+    async with platform_site(entries=2, plain=2) as site:
+        site.assign_zones("leon-a", "leon-b")
+        site.store.answer_delay_s = 1.8
+        calls = len(site.store.calls)
+        await site.until(lambda: len(site.store.calls) > calls + 8)
+        site.evacuate("leon-b")
+        await site.until(lambda: evacuated_everywhere(site, "leon-b"))
+
+
 @on_real_clock
 async def test_an_entry_that_names_no_zone_is_ignored():
     async with platform_site(plain=1) as site:
