Streams are limited while most of them are late on slow engines

Callers saw: for 20 s no stream of any instance ended, in calm, while plain calls were answered (soak, "requests were not served in calm").

Cause: once engines are slow enough for streams to be late, streams stay longer, so that more of them run and each gets less; clients that return add to it. All run until their deadline, and nothing ends that while clients come. Nothing limited the streams in progress by whether they end.

Excluded: streams that run on after their client left (never more than one or two), home_silent (median wait for a place 17 ms). "Load" alone is not the cause: at the same load fewer streams end.

Now each instance lowers its number of streams in progress when at least half of the latest ended ones were late with gaps of 1.5 times the usual or more, refuses streams beyond it at once with a time to return, the least urgent first, and raises it with each whole stream. Streams that are long with the usual gaps, that stall or whose client left don't count.

Not covered: with a lasting load some streams are refused, so that the soak's check after scarce slots (none refused) can't hold there.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -314,6 +314,12 @@
         Level.INFO,
         "Without an answer of the home this instance saw no place in time for a generation.",
     )
+    STREAMS_LIMITED = (
+        487,
+        Level.WARNING,
+        "Most streams of a service were late on slow engines; `limit` may be in progress here.",
+    )
+    STREAMS_UNLIMITED = (488, Level.INFO, "The streams of a service are no longer limited here.")
     MOVE_ENDED = (436, Level.INFO, "Copying a run's memory to another runner succeeded or failed.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
--- a/egretstack/relay/__init__.py
+++ b/egretstack/relay/__init__.py
@@ -10,6 +10,7 @@
 from egretstack.relay._plain import BufferedResponse, PlainRelay
 from egretstack.relay._runner_signals import RunnerSignals
 from egretstack.relay._stream import StreamRelay
+from egretstack.relay._stream_limits import LimitChange, StreamLimits, StreamProgress
 
 __all__ = [
     "ClientStream",
@@ -24,8 +25,11 @@
     "RequestFailed",
     "RetryBudget",
     "ExecutionStatus",
+    "LimitChange",
     "RunnerSignals",
     "StreamEvent",
+    "StreamLimits",
+    "StreamProgress",
     "StreamRelay",
     "RelayTask",
     "BufferedResponse",
--- a/egretstack/relay/_context.py
+++ b/egretstack/relay/_context.py
@@ -22,6 +22,7 @@
 from egretstack.relay._crash_guard import CrashGuard
 from egretstack.relay._cursor import EventSteps
 from egretstack.relay._runner_signals import RunnerSignals
+from egretstack.relay._stream_limits import StreamLimits
 from egretstack.routing import ClientAccount, EngineConfig, Route, ServiceConfig
 from egretstack.traffic import ClientRequest, RunnerAnswer, SendOptions
 
@@ -93,6 +94,7 @@
     backoffs: RunnerBackoffs
     crash_guard: CrashGuard
     signals: RunnerSignals
+    stream_limits: StreamLimits = field(default_factory=StreamLimits)
     event_steps: EventSteps = field(default_factory=EventSteps)
     on_runner_failure: Callable[[], None] = lambda: None
     """Called when a runner failed a request that was sent to it."""
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -27,6 +27,7 @@
 from egretstack.relay._plain import MAX_RESPONSE_BYTES, BufferedResponse, implies_not_run
 from egretstack.relay._resuming import StreamResumer
 from egretstack.relay._send_limits import SendLimits
+from egretstack.relay._stream_limits import StreamProgress
 from egretstack.relay._timing import StreamTiming
 
 POLL_INTERVAL_S = 0.1
@@ -89,6 +90,7 @@
         """When the stream's first event arrived, from whichever runner."""
         self._ended = False
         """Whether the run has ended, with or without success."""
+        self._progress: StreamProgress | None = None
         self._leaving_since_s: float | None = None
         self._mover: Mover | None = None
         self._nursery: trio.Nursery | None = None
@@ -100,6 +102,10 @@
         """
         if self._task.last_event_id:
             log(Event.STREAM_RETURNED, request=self._attempt, after=self._task.last_event_id)
+        task, stream_limits = self._task, self._context.stream_limits
+        self._progress = stream_limits.begin(
+            trio.current_time(), task.service.name, task.rank, task.deadline_s
+        )
         try:
             head = await self._opening.head()
             self._sent_s = self._opening.sent_s
@@ -107,6 +113,7 @@
             self._use_backup_as_copy()
             return await self._relay(head)
         finally:
+            stream_limits.end(trio.current_time(), self._progress)
             self._record_cancelled()
             self._opening.close()
             if self._source is not None:
@@ -176,6 +183,7 @@
                 self._end()
                 self._context.event_steps.record(self._task.service.name, self._cursor.step)
                 await self._client.finish()
+                self._progress.is_whole = True
                 self._log_ended()
                 if self._mover is not None:
                     await self._mover.free()
@@ -314,6 +322,7 @@
             )
         elif self._timing.last_gap_s is not None:
             self._context.placing.record_gap(self._run, self._timing.last_gap_s, len(events))
+        self._progress.record_events(trio.current_time(), len(events))
         self._run.started = True
         new_tokens = self._timing.events * self._task.service.engine.tokens_per_event
         self._run.generated_tokens = self._resumed_tokens + new_tokens
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -5,12 +5,20 @@
 import trio
 
 from egretstack.errors import ErrorKind
+from egretstack.events import Event, log
 from egretstack.http1 import ConnectionPool
 from egretstack.ids import ZoneName
 from egretstack.kernel import Kernel, Service
 from egretstack.placing import PlainBalancer
 from egretstack.platform import NodeSettings
-from egretstack.relay import RelayContext, RelayTask, RequestFailed, RetryBudget, no_eligible_runner
+from egretstack.relay import (
+    LimitChange,
+    RelayContext,
+    RelayTask,
+    RequestFailed,
+    RetryBudget,
+    no_eligible_runner,
+)
 from egretstack.routing import (
     ClientAccount,
     Route,
@@ -23,6 +31,7 @@
 from egretstack.services.engine_placing import EnginePlacingService
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
+from egretstack.services.relay_metrics import RelayMetrics
 from egretstack.services.runner_words import RunnerSignalsService
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import ClientRequest
@@ -52,6 +61,7 @@
         "engine_placing",
         "fleet_port",
         "placing_home",
+        "relay_metrics",
         "runner_words",
         "store_reading",
     )
@@ -75,6 +85,13 @@
             crash_guard=kernel.get(CrashGuardService),
             signals=kernel.get(RunnerSignalsService),
         )
+        stream_limits = self.context.stream_limits
+        stream_limits.on_change = _log_limit_change
+        gauge = kernel.get(RelayMetrics).gauge(
+            "egret_relay_limited_services",
+            "Services whose streams are limited, since most of them were late.",
+        )
+        gauge.set_function(stream_limits.limited_count)
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Keep the shared context up to date."""
@@ -117,6 +134,7 @@
             raise no_eligible_runner()
         task = RelayTask(request, route, service, account, began_s, began_s + limit_s, zones)
         self._refuse_while_leaving(task)
+        self._refuse_over_limit(task)
         self.context.budget.record_request(trio.current_time(), service.name)
         return task
 
@@ -164,6 +182,17 @@
                 ErrorKind.DRAINING, "this instance leaves", retry_after_s=LEAVING_RETRY_S
             )
 
+    def _refuse_over_limit(self, task: RelayTask) -> None:
+        """Refuse a stream for which the engines are too slow beside those in progress."""
+        if task.route.kind is not RouteKind.STREAM or task.service.engine is None:
+            return
+        now_s, service = trio.current_time(), task.service.name
+        retry_s = self.context.stream_limits.refuse(now_s, service, task.rank)
+        if retry_s is not None:
+            raise RequestFailed(
+                ErrorKind.ENGINES_FULL, "the engines are slow", retry_after_s=retry_s
+            )
+
     @staticmethod
     def _required_s(task: RelayTask, left_s: float) -> float:
         if task.route.kind is not RouteKind.STREAM:
@@ -172,3 +201,14 @@
         return STREAM_START_S + (
             generation.max_output_tokens * TOKEN_TIME_S if generation else left_s
         )
+
+
+def _log_limit_change(change: LimitChange) -> None:
+    log(
+        Event.STREAMS_UNLIMITED if change.limit is None else Event.STREAMS_LIMITED,
+        service=change.service,
+        limit=None if change.limit is None else round(change.limit, 1),
+        in_progress=change.in_progress,
+        late=change.late,
+        ended=change.ended,
+    )
