Limit of late streams: it sets in at a quarter, goes down to what ends in time, and leaves a margin

The first version held the streams at the edge: it set in when half were late, and lowered by a fixed factor, so that those it admitted were often late as well.

Now it sets in at a quarter, goes at once to the number at which a stream of the usual length ends in 0.8 of its time, and is raised only by streams that had time to spare. The floor is a tenth of the streams before there was a limit.

The soak's logs of a failed seed begin with what it observed.

--- a/egretstack/relay/_stream_limits.py
+++ b/egretstack/relay/_stream_limits.py
@@ -17,13 +17,19 @@
 
 RECENT_STREAMS = 16
 """Ended streams from which the share of late ones is taken."""
-MIN_LATE = 4
-MIN_LATE_SHARE = 0.5
+MIN_LATE = 3
+MIN_LATE_SHARE = 0.25
 """Late streams, and their share, from which the limit is lowered."""
 LOWER_FACTOR = 0.6
+"""Factor by which it is lowered while the usual length of a whole stream is not known."""
+MIN_LOWER_FACTOR = 0.3
+MAX_LOWER_FACTOR = 0.8
+SAFE_TIME_SHARE = 0.8
+"""Share of its time in which a stream of the usual length has to end, so that the limit is low
+enough; a stream that takes longer does not raise it."""
 RAISE_STEP = 1.0
 """Raise of the limit for as many whole streams as it admits."""
-MIN_SHARE = 0.25
+MIN_SHARE = 0.1
 """Smallest limit, as a share of the streams in progress before there was one."""
 RELEASE_S = 10.0
 """Time without a refusal and a late stream after which there is no limit any more."""
@@ -38,7 +44,8 @@
 LOWER_GAP_WEIGHT = 0.3
 RAISE_GAP_WEIGHT = 0.02
 """Weights of one stream's gap in the usual gap, which is that of times without load."""
-DURATION_WEIGHT = 0.1
+WHOLE_WEIGHT = 0.1
+"""Weight of one whole stream in the usual duration and length."""
 MIN_RETRY_S = 0.3
 MAX_RETRY_S = 5.0
 
@@ -63,6 +70,11 @@
         self._events += count
         self._last_s = now_s
 
+    @property
+    def events(self) -> int:
+        """Number of events so far."""
+        return self._events
+
     def gap_s(self) -> float | None:
         """Return the mean time between two events; None with fewer than two."""
         return (self._last_s - self._first_s) / (self._events - 1) if self._events > 1 else None
@@ -100,6 +112,7 @@
         """Whether each of the latest ended streams was late."""
         self._usual_gap_s: float | None = None
         self._duration_s = MIN_RETRY_S
+        self._usual_events: float | None = None
 
     def refuse(self, now_s: float, rank: int) -> float | None:
         """Return after which time the caller of a new stream may return; None if it may start.
@@ -129,13 +142,16 @@
         if is_late:
             self._needed_s = now_s
         if is_late and late >= MIN_LATE and late >= MIN_LATE_SHARE * len(self._recent):
-            return self._lower(now_s, in_progress, late)
+            return self._lower(now_s, in_progress, late, self._lower_factor(stream))
         if self.limit is not None and now_s - self._needed_s > RELEASE_S:
             return self._change(now_s, None, in_progress, late)
         return None
 
     def _record_whole(self, now_s: float, stream: StreamProgress) -> None:
-        self._duration_s += DURATION_WEIGHT * (now_s - stream.began_s - self._duration_s)
+        took_s = now_s - stream.began_s
+        self._duration_s += WHOLE_WEIGHT * (took_s - self._duration_s)
+        usual = stream.events if self._usual_events is None else self._usual_events
+        self._usual_events = usual + WHOLE_WEIGHT * (stream.events - usual)
         gap_s = stream.gap_s()
         if gap_s is not None:
             usual_s = gap_s if self._usual_gap_s is None else self._usual_gap_s
@@ -144,7 +160,8 @@
             elif self.limit is None:
                 usual_s += RAISE_GAP_WEIGHT * (gap_s - usual_s)
             self._usual_gap_s = usual_s
-        if self.limit is not None:
+        is_safe = took_s <= SAFE_TIME_SHARE * (stream.deadline_s - stream.began_s)
+        if self.limit is not None and is_safe:
             self.limit += RAISE_STEP / self.limit
 
     def _is_slow(self, stream: StreamProgress) -> bool:
@@ -153,10 +170,19 @@
             return gap_s is not None
         return gap_s >= SLOW_FACTOR * self._usual_gap_s
 
-    def _lower(self, now_s: float, in_progress: int, late: int) -> LimitChange:
+    def _lower_factor(self, late: StreamProgress) -> float:
+        """Return by which factor fewer streams end in time, from the gaps of a late one."""
+        gap_s = late.gap_s()
+        if self._usual_events is None or gap_s is None:
+            return LOWER_FACTOR
+        safe_s = SAFE_TIME_SHARE * (late.deadline_s - late.began_s)
+        factor = safe_s / (self._usual_events * gap_s)
+        return min(MAX_LOWER_FACTOR, max(MIN_LOWER_FACTOR, factor))
+
+    def _lower(self, now_s: float, in_progress: int, late: int, factor: float) -> LimitChange:
         if self.limit is None:
             self._min_limit = max(1.0, MIN_SHARE * in_progress)
-        lowered = max(self._min_limit, LOWER_FACTOR * min(self.limit or inf, in_progress))
+        lowered = max(self._min_limit, factor * min(self.limit or inf, in_progress))
         return self._change(now_s, lowered, in_progress, late)
 
     def _change(
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -487,9 +487,10 @@
         soak = Soak(seed, Path(folder))
         broken = trio.run(soak.run, seconds)
         logs = ()
+        observed = tuple(soak.observer.lines)
         if broken:
-            logs = tuple(
-                entry.log.read_text(errors="replace")[-MAX_LOG_CHARS:] for entry in soak.entries
+            logs = (
+                "\n".join(observed),
+                *(entry.log.read_text(errors="replace")[-MAX_LOG_CHARS:] for entry in soak.entries),
             )
-        observed = tuple(soak.observer.lines)
         return Outcome(seed, soak.promises.checked, tuple(broken), logs, observed)
