Evacuations: a runner's zone is checked again after the connecting

Cause: whether a runner may get a request was checked before the connecting, which takes up to 0.15 s on a busy machine. An instance that learnt of an evacuation meanwhile sent the request there all the same: calls, streams and continuations.

The new test evacuates the zone during the connecting; before the change both the call and the stream ran in that zone, now they run in the other one. A call is not sent either if its runner stopped being ready meanwhile.

--- a/egretstack/relay/_engine_calls.py
+++ b/egretstack/relay/_engine_calls.py
@@ -65,6 +65,9 @@
     except ConnectFailed as error:
         log(Event.CONNECT_FAILED, request=task.request.attempt_id, error=str(error))
         return None
+    if context.runners.is_evacuated(runner.id):
+        connection.close()
+        return None
     if not is_reserved:
         if not context.send_bounds.allows(trio.current_time(), runner, SendOrigin.CONTINUED):
             connection.close()
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -205,8 +205,7 @@
             placement = await self._place(request)
             runner = self._context.runners.by_id.get(placement.runner)
             try:
-                if runner is not None and self._may_run_at(runner):
-                    self.source = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
+                if runner is not None and await self._connect_to(runner):
                     self.run = Run(
                         request, placement.runner, placement.backup, request.generated_tokens
                     )
@@ -221,6 +220,17 @@
             ErrorKind.NO_RUNNER, "engines do not answer", retry_after_s=REFUSED_RETRY_S
         )
 
+    async def _connect_to(self, runner: Runner) -> bool:
+        """Connect to a runner; return whether it may get the request. Raises ConnectFailed."""
+        if not self._may_run_at(runner):
+            return False
+        source = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
+        if not self._may_run_at(runner):
+            source.close()
+            return False
+        self.source = source
+        return True
+
     def _may_run_at(self, runner: Runner) -> bool:
         """Return whether nothing known to this instance rules out a runner that the home chose."""
         runners = self._context.runners
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -172,7 +172,10 @@
         if self._context.crash_guard.is_refused(task.content_id):
             connection.close()
             return _Result.NOT_SENT, None
-        if not self._context.send_bounds.allows(trio.current_time(), runner, SendOrigin.PLAIN):
+        may_send = self._context.runners.is_ready(runner.id) and self._context.send_bounds.allows(
+            trio.current_time(), runner, SendOrigin.PLAIN
+        )
+        if not may_send:
             self._context.pool.release(connection)
             return _Result.NOT_SENT, None
         progress.sends += 1
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -1,18 +1,19 @@
 """Evacuated zones: where requests go, what happens to streams there, and what clients get."""
 
 import json
+from unittest.mock import patch
 
 import trio
 
 from egretstack.fleet import Evacuations, RunnerTable
-from egretstack.http1 import first_value
+from egretstack.http1 import connect_upstream, first_value
 from egretstack.ids import ZoneName
 from egretstack.platform import Change, EvacuationEntries, StoredObject
 from egretstack.platform._evacuations import MAX_ZONES
 from egretstack.relay._execution_status import NO_ELIGIBLE_RUNNER_RETRY_S
 from egretstack.services.directory_port import DirectoryPort
 from egretstack.services.fleet_port import FleetPort
-from standins.platform import StoreFault, runner_spec
+from standins.platform import GENERATION, StoreFault, runner_spec
 from tests.fleet_fixtures import ENGINES, runner
 from tests.platform_site import platform_site
 from tests.stream_reader import start_reader
@@ -205,6 +206,38 @@
         await site.until(lambda: evacuated_everywhere(site, "leon-b"))
 
 
+@on_real_clock
+async def test_nothing_is_sent_to_a_zone_that_is_evacuated_during_the_connecting():
+    # Guards against requests that are sent after the evacuation is known to their instance.
+    async with platform_site(plain=2, engines=2) as site:
+        site.assign_zones("leon-a", "leon-b")
+        port = site.kernels[0].get(FleetPort)
+        await site.until(lambda: len({one.zone for one in port.runners.by_id.values()}) > 1)
+        runners = [*site.plain, *site.engines]
+
+        async def connect_and_evacuate(address, timeout_s):
+            connection = await connect_upstream(address, timeout_s)
+            zone = next(one.zone for one in port.runners.by_id.values() if one.address == address)
+            if not port.runners.evacuated:
+                port.runners.set_evacuated(trio.current_time(), frozenset({zone}))
+                evacuated.extend(
+                    one.runner_id
+                    for one in runners
+                    if port.runners.by_id[one.runner_id].zone == zone
+                )
+            return connection
+
+        for module, path in (("_plain", "/holds/1"), ("_opening", "/plans/1")):
+            evacuated = []
+            with patch(f"egretstack.relay.{module}.connect_upstream", connect_and_evacuate):
+                head, _ = await site.call(path, path, method=b"POST", headers=GENERATION)
+            check.assertEqual(head.status, 200)
+            check.assertEqual(len(evacuated), 2)
+            ran = [one.runner_id for one in runners if one.runs_by_attempt[path]]
+            check.assertEqual(set(ran) & set(evacuated), set())
+            port.runners.set_evacuated(trio.current_time(), frozenset())
+
+
 @on_real_clock
 async def test_a_store_that_answers_late_does_not_hide_an_evacuation():
     # Guards against reads that are all given up shortly before their answer, on a busy machine.
