Limit of late streams: a forecast at a quarter of their time replaces the wait for their deadline

Now it is forecast once a stream has had a quarter of its time, from its own gaps and the number of events that whole streams usually have; resumed streams, which have only a part, are left out. The rule for streams that reach their deadline stays.

--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -104,7 +104,11 @@
             log(Event.STREAM_RETURNED, request=self._attempt, after=self._task.last_event_id)
         task, stream_limits = self._task, self._context.stream_limits
         self._progress = stream_limits.begin(
-            trio.current_time(), task.service.name, task.rank, task.deadline_s
+            trio.current_time(),
+            task.service.name,
+            task.rank,
+            task.deadline_s,
+            is_resumed=bool(task.last_event_id),
         )
         try:
             head = await self._opening.head()
@@ -322,7 +326,8 @@
             )
         elif self._timing.last_gap_s is not None:
             self._context.placing.record_gap(self._run, self._timing.last_gap_s, len(events))
-        self._progress.record_events(trio.current_time(), len(events))
+        now_s = trio.current_time()
+        self._context.stream_limits.record_events(now_s, self._progress, len(events))
         self._run.started = True
         new_tokens = self._timing.events * self._task.service.engine.tokens_per_event
         self._run.generated_tokens = self._resumed_tokens + new_tokens
--- a/egretstack/relay/_stream_limits.py
+++ b/egretstack/relay/_stream_limits.py
@@ -20,6 +20,8 @@
 MIN_LATE = 3
 MIN_LATE_SHARE = 0.25
 """Late streams, and their share, from which the limit is lowered."""
+FORECAST_SHARE = 0.25
+"""Share of its time after which it is forecast whether a stream will be late."""
 LOWER_FACTOR = 0.6
 """Factor by which it is lowered while the usual length of a whole stream is not known."""
 MIN_LOWER_FACTOR = 0.3
@@ -52,13 +54,17 @@
 
 @dataclass(eq=False, slots=True)
 class StreamProgress:
-    """A stream in progress; `record_events` is called with each of its events."""
+    """A stream in progress."""
 
     service: ServiceName
     rank: int
     began_s: float
     deadline_s: float
+    is_resumed: bool = False
+    """Whether its client had a part before, so that its length says nothing about others."""
     is_whole: bool = False
+    is_counted: bool = False
+    """Whether it was counted as late already, by a forecast."""
     _events: int = 0
     _first_s: float = 0.0
     _last_s: float = -inf
@@ -79,6 +85,17 @@
         """Return the mean time between two events; None with fewer than two."""
         return (self._last_s - self._first_s) / (self._events - 1) if self._events > 1 else None
 
+    def will_be_late(self, now_s: float, usual_events: float) -> bool:
+        """Return whether a stream of the usual length would be late at the present pace."""
+        gap_s = self.gap_s()
+        if self.is_resumed or gap_s is None:
+            return False
+        return now_s + (usual_events - self._events) * gap_s > self.deadline_s
+
+    def is_forecast_due(self, now_s: float) -> bool:
+        """Return whether the stream has lasted long enough for a forecast."""
+        return now_s >= self.began_s + FORECAST_SHARE * (self.deadline_s - self.began_s)
+
     def is_late(self, now_s: float) -> bool:
         """Return whether the deadline has passed while events were still coming."""
         if now_s < self.deadline_s - DEADLINE_MARGIN_S:
@@ -128,6 +145,15 @@
         retry_s = (excess + 1) * self._duration_s / self.limit
         return min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
 
+    def record_events(self, now_s: float, stream: StreamProgress) -> LimitChange | None:
+        """Forecast whether a stream will be late; return the change of the limit if it has one."""
+        if stream.is_counted or self._usual_events is None or not stream.is_forecast_due(now_s):
+            return None
+        if not stream.will_be_late(now_s, self._usual_events) or not self._is_slow(stream):
+            return None
+        stream.is_counted = True
+        return self._record(now_s, stream, len(self.streams), is_late=True)
+
     def record_ended(self, now_s: float, stream: StreamProgress) -> LimitChange | None:
         """Record that a stream has ended; return the change of the limit if there is one."""
         in_progress = len(self.streams)
@@ -135,6 +161,11 @@
         is_late = not stream.is_whole and stream.is_late(now_s) and self._is_slow(stream)
         if stream.is_whole:
             self._record_whole(now_s, stream)
+        return self._record(now_s, stream, in_progress, is_late=is_late and not stream.is_counted)
+
+    def _record(
+        self, now_s: float, stream: StreamProgress, in_progress: int, *, is_late: bool
+    ) -> LimitChange | None:
         # A stream that began before the last change says nothing about the present limit.
         if (stream.is_whole or is_late) and stream.began_s >= self._changed_s:
             self._recent.append(is_late)
@@ -150,8 +181,9 @@
     def _record_whole(self, now_s: float, stream: StreamProgress) -> None:
         took_s = now_s - stream.began_s
         self._duration_s += WHOLE_WEIGHT * (took_s - self._duration_s)
-        usual = stream.events if self._usual_events is None else self._usual_events
-        self._usual_events = usual + WHOLE_WEIGHT * (stream.events - usual)
+        if not stream.is_resumed:
+            usual = stream.events if self._usual_events is None else self._usual_events
+            self._usual_events = usual + WHOLE_WEIGHT * (stream.events - usual)
         gap_s = stream.gap_s()
         if gap_s is not None:
             usual_s = gap_s if self._usual_gap_s is None else self._usual_gap_s
@@ -212,16 +244,29 @@
         return None if known is None else known.refuse(now_s, rank)
 
     def begin(
-        self, now_s: float, service: ServiceName, rank: int, deadline_s: float
+        self,
+        now_s: float,
+        service: ServiceName,
+        rank: int,
+        deadline_s: float,
+        *,
+        is_resumed: bool = False,
     ) -> StreamProgress:
         """Record a stream that is accepted; `end` has to be called once it has ended."""
-        stream = StreamProgress(service, rank, now_s, deadline_s)
+        stream = StreamProgress(service, rank, now_s, deadline_s, is_resumed)
         known = self._limit_by_service.setdefault(service, _ServiceLimit(service))
         known.streams.add(stream)
         return stream
 
+    def record_events(self, now_s: float, stream: StreamProgress, count: int) -> None:
+        """Record events of a stream that were forwarded to its client."""
+        stream.record_events(now_s, count)
+        self._notify(self._limit_by_service[stream.service].record_events(now_s, stream))
+
     def end(self, now_s: float, stream: StreamProgress) -> None:
         """Record that a stream has ended, whole or not."""
-        change = self._limit_by_service[stream.service].record_ended(now_s, stream)
+        self._notify(self._limit_by_service[stream.service].record_ended(now_s, stream))
+
+    def _notify(self, change: LimitChange | None) -> None:
         if change is not None:
             self.on_change(change)
