Engine speeds: an instance that starts slowly gets those in the first update

Seen: an instance that had started on a busy machine did not know which engines are slow, for as long as nothing about them changed (test_speeds_outlast_their_home).

Cause: the home's rows are handed to a service as they come or change. The service of the speeds asked for them once it ran; a first update that came after the start of the updates and before that went to nobody.

The new test lets the service start after the first update; it failed before.

Now the rows are asked for before any service runs.

--- a/egretstack/services/engine_speeds.py
+++ b/egretstack/services/engine_speeds.py
@@ -62,6 +62,8 @@
         self._has_new = False
         self._run_counts: Counter[RunnerId] = Counter()
         self._counted_s = float("-inf")
+        # Before any service runs: rows are applied only as they come or change.
+        kernel.get(FleetUpdatesService).add_row_kind(SPEED, self._rows, self._apply_rows)
         self._timings_invalid = _InvalidRows(Event.ENGINE_TIMINGS_INVALID)
         self._speeds_invalid = _InvalidRows(Event.ENGINE_SPEEDS_INVALID)
         gauge = kernel.get(RelayMetrics).gauge(
@@ -78,7 +80,6 @@
         """Send and accept timings until cancelled."""
         self._port.handle(EngineTimings, self._on_timings)
         self._port.on_report_sent(self._on_report_sent)
-        self.kernel.get(FleetUpdatesService).add_row_kind(SPEED, self._rows, self._apply_rows)
         task_status.started()
         await trio.sleep_forever()
 
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -1,5 +1,7 @@
 """Speeds of engines: learned within a few runs, never from noise, kept by a new home."""
 
+from unittest.mock import patch
+
 import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -21,6 +23,7 @@
     timing_from_row,
     timing_row,
 )
+from egretstack.services.engine_speeds import EngineSpeedsService
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
 from tests.engine_play import STEP_S, TOKENS_PER_EVENT, EnginePlay
@@ -271,6 +274,31 @@
         await site.until(lambda: all(speeds_of(one).speed(slow) == DIFFERENT for one in left))
 
 
+@on_real_clock
+async def test_an_instance_that_starts_slowly_knows_the_speeds():
+    # Guards against speeds in updates that come while the instance is still starting its services.
+    run = EngineSpeedsService.run
+
+    async def run_late(service, task_status):
+        port = service.kernel.get(FleetPort)
+        while not port.held_updates().version:
+            await trio.sleep(0.01)
+        await run(service, task_status)
+
+    async with platform_site(entries=2, plain=0, engines=2) as site:
+        slow = site.engines[0].runner_id
+        ports = [one.get(FleetPort) for one in site.kernels]
+        await site.until(lambda: sum(one.is_home() for one in ports) == 1)
+        home = next(one for one in site.kernels if one.get(FleetPort).is_home())
+        speeds_of(home).apply({slow: DIFFERENT})
+        await site.until(
+            lambda: all(speeds_of(one).speed(slow) == DIFFERENT for one in site.kernels)
+        )
+        with patch.object(EngineSpeedsService, "run", run_late):
+            late = await site.start_entry(2)
+        await site.until(lambda: speeds_of(late).speed(slow) == DIFFERENT)
+
+
 @on_real_clock
 async def test_a_slow_engine_is_found_from_its_streams():
     async with platform_site(entries=2, plain=0, engines=3) as site:
