--- a/egretstack/relay/_stream_limits.py
+++ b/egretstack/relay/_stream_limits.py
@@ -4,8 +4,9 @@
 many streams gets too little time: all of them run until their deadline and are given up, and
 callers that return add to the load. With fewer streams in progress, those that are accepted end.
 
-For services whose engines share something that is scarce. The limit follows what the streams of
-this instance show, and needs no forecast of their lengths. Does no I/O; the time is passed in.
+For services whose engines share something that is scarce. Lateness is told from the gaps of this
+instance's streams and from how many events whole ones usually have; the length of a single stream
+need not be known. Does no I/O; the time is passed in.
 """
 
 from collections import deque
@@ -16,7 +17,7 @@
 from egretstack.ids import ServiceName
 
 RECENT_STREAMS = 16
-"""Ended streams from which the share of late ones is taken."""
+"""Latest streams, ended or forecast to be late, of which the share of late ones is taken."""
 MIN_LATE = 3
 MIN_LATE_SHARE = 0.25
 """Late streams, and their share, from which the limit is lowered."""
@@ -111,7 +112,8 @@
     limit: float | None
     in_progress: int
     late: int
-    ended: int
+    of: int
+    """Number of the latest streams, of which `late` were late or will be."""
 
 
 class _ServiceLimit:
@@ -126,7 +128,7 @@
         self._needed_s = -inf
         """When the limit last refused a stream, or one was late."""
         self._recent: deque[bool] = deque(maxlen=RECENT_STREAMS)
-        """Whether each of the latest ended streams was late."""
+        """Whether each of the latest streams was late, or is forecast to be."""
         self._usual_gap_s: float | None = None
         self._duration_s = MIN_RETRY_S
         self._usual_events: float | None = None
@@ -146,7 +148,7 @@
         return min(MAX_RETRY_S, max(MIN_RETRY_S, retry_s))
 
     def record_events(self, now_s: float, stream: StreamProgress) -> LimitChange | None:
-        """Forecast whether a stream will be late; return the change of the limit if it has one."""
+        """Count a stream that is forecast to be late; return the change of the limit, if any."""
         if stream.is_counted or self._usual_events is None or not stream.is_forecast_due(now_s):
             return None
         if not stream.will_be_late(now_s, self._usual_events) or not self._is_slow(stream):
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -212,5 +212,5 @@
         limit=None if change.limit is None else round(change.limit, 1),
         in_progress=change.in_progress,
         late=change.late,
-        ended=change.ended,
+        of=change.of,
     )
