Links to runners: each instance tells when none accepts a connection, and when one does again

Needed to tell 'no way past the instance' from 'the runners are down'.

All connections to runners now go through one service, runner_links. Requests are served as before: connections are opened directly only.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -320,6 +320,12 @@
         "Most streams of a service were late on slow engines; `limit` may be in progress here.",
     )
     STREAMS_UNLIMITED = (488, Level.INFO, "The streams of a service are no longer limited here.")
+    RUNNERS_UNREACHED = (
+        489,
+        Level.WARNING,
+        "No runner that was tried accepts a connection of this instance.",
+    )
+    RUNNERS_REACHED = (490, Level.INFO, "This instance can connect to runners again.")
     MOVE_ENDED = (436, Level.INFO, "Copying a run's memory to another runner succeeded or failed.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
--- a/egretstack/http1/__init__.py
+++ b/egretstack/http1/__init__.py
@@ -3,6 +3,8 @@
 from egretstack.http1._body_memory import BodyMemory, BodyMemoryFull
 from egretstack.http1._client import (
     ConnectFailed,
+    Dialer,
+    DirectDialer,
     UpstreamBroken,
     UpstreamConnection,
     connect_upstream,
@@ -24,7 +26,7 @@
     ServerLimits,
     SlowSender,
 )
-from egretstack.http1._sockets import open_connection, open_listener
+from egretstack.http1._sockets import Link, open_connection, open_listener, reset_on_close
 
 __all__ = [
     "AnswerTooLarge",
@@ -34,9 +36,12 @@
     "ClientDisconnected",
     "ConnectFailed",
     "ConnectionPool",
+    "Dialer",
+    "DirectDialer",
     "Header",
     "Headers",
     "BodyMemoryFull",
+    "Link",
     "RequestHead",
     "ResponseHead",
     "ServerLimits",
@@ -49,4 +54,5 @@
     "first_value",
     "open_connection",
     "open_listener",
+    "reset_on_close",
 ]
--- a/egretstack/http1/_client.py
+++ b/egretstack/http1/_client.py
@@ -1,12 +1,12 @@
 """Client side of one connection to an upstream."""
 
-import socket
+from abc import ABC, abstractmethod
 
 import h11
 import trio
 
 from egretstack.http1._messages import RequestHead, ResponseHead
-from egretstack.http1._sockets import is_open_and_quiet, open_connection
+from egretstack.http1._sockets import Link, SocketLink, open_connection
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -24,14 +24,13 @@
 class UpstreamConnection:
     """An open connection with at most one request in progress."""
 
-    def __init__(self, stream: trio.SocketStream, raw: socket.socket, address: str) -> None:
+    def __init__(self, link: Link, address: str) -> None:
         self.address = address
         self.request_count = 0
         self.idle_since_s = 0.0
         self.idle_limit_s: float | None = None
         """How long the upstream keeps an idle connection open, from its `Keep-Alive` header."""
-        self._stream = stream
-        self._raw = raw
+        self._link = link
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._sending = True
 
@@ -51,7 +50,7 @@
             if body:
                 parts.append(self._http.send(h11.Data(data=body)))
             parts.append(self._http.send(h11.EndOfMessage()))
-            await self._stream.send_all(b"".join(parts))
+            await self._link.send_all(b"".join(parts))
         except h11.LocalProtocolError as error:
             raise UpstreamBroken(f"closed before the request: {error}") from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -97,11 +96,11 @@
     def is_fresh(self, now_s: float, max_idle_s: float) -> bool:
         """Return whether the idle connection may still be used."""
         limit_s = max_idle_s if self.idle_limit_s is None else min(max_idle_s, self.idle_limit_s)
-        return now_s - self.idle_since_s < limit_s and is_open_and_quiet(self._raw)
+        return now_s - self.idle_since_s < limit_s and self._link.is_open_and_quiet()
 
     def close(self) -> None:
         """Close immediately; an upstream that is still working sees its client disconnect."""
-        self._stream.socket.close()
+        self._link.close()
 
     async def _next_event(self) -> h11.Event | type:
         try:
@@ -109,7 +108,7 @@
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+                self._http.receive_data(await self._link.receive_some(READ_BYTES))
         except h11.RemoteProtocolError as error:
             raise UpstreamBroken(f"not an answer: {error}") from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -124,4 +123,20 @@
             stream, raw = await open_connection(host, int(port))
     except (OSError, ValueError, trio.TooSlowError) as error:
         raise ConnectFailed(f"{address}: {error!r}") from error
-    return UpstreamConnection(stream, raw, address)
+    return UpstreamConnection(SocketLink(stream, raw), address)
+
+
+class Dialer(ABC):
+    """Opens connections to upstreams."""
+
+    @abstractmethod
+    async def connect(self, address: str, timeout_s: float) -> UpstreamConnection:
+        """Connect to `HOST:PORT`. Raises ConnectFailed."""
+
+
+class DirectDialer(Dialer):
+    """Opens TCP connections."""
+
+    async def connect(self, address: str, timeout_s: float) -> UpstreamConnection:
+        """Connect to `HOST:PORT`. Raises ConnectFailed."""
+        return await connect_upstream(address, timeout_s)
--- a/egretstack/http1/_pool.py
+++ b/egretstack/http1/_pool.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from egretstack.http1._client import UpstreamConnection, connect_upstream
+from egretstack.http1._client import Dialer, DirectDialer, UpstreamConnection
 
 MAX_IDLE_S = 2.0
 """Longest idle time after which a connection is reused if the upstream sends no `Keep-Alive`."""
@@ -13,8 +13,9 @@
 class ConnectionPool:
     """Provides connections by address, the most recently used idle one first."""
 
-    def __init__(self, max_idle: int = MAX_IDLE_PER_ADDRESS) -> None:
+    def __init__(self, max_idle: int = MAX_IDLE_PER_ADDRESS, dialer: Dialer | None = None) -> None:
         self._max_idle = max_idle
+        self._dialer = dialer or DirectDialer()
         self._idle_by_address: dict[str, list[UpstreamConnection]] = {}
 
     async def acquire(self, address: str, connect_timeout_s: float) -> UpstreamConnection:
@@ -25,7 +26,7 @@
             if connection.is_fresh(trio.current_time(), MAX_IDLE_S):
                 return connection
             connection.close()
-        return await connect_upstream(address, connect_timeout_s)
+        return await self._dialer.connect(address, connect_timeout_s)
 
     def release(self, connection: UpstreamConnection) -> None:
         """Keep a connection if its response was read completely, else close it."""
--- a/egretstack/http1/_sockets.py
+++ b/egretstack/http1/_sockets.py
@@ -1,6 +1,7 @@
 """TCP sockets with options for unreliable networks."""
 
 import socket
+from abc import ABC, abstractmethod
 
 import trio
 
@@ -45,6 +46,53 @@
     return trio.SocketStream(connecting), raw
 
 
+class Link(ABC):
+    """The bytes of one connection to an upstream, whatever path they take."""
+
+    @abstractmethod
+    async def send_all(self, data: bytes) -> None:
+        """Send data. Raises trio.BrokenResourceError, trio.ClosedResourceError."""
+
+    @abstractmethod
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Receive data; empty once the upstream has closed the connection.
+
+        Raises trio.BrokenResourceError, trio.ClosedResourceError.
+        """
+
+    @abstractmethod
+    def is_open_and_quiet(self) -> bool:
+        """Return whether the connection, while idle, is open and has no bytes to read."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close immediately."""
+
+
+class SocketLink(Link):
+    """A TCP connection to the upstream itself."""
+
+    def __init__(self, stream: trio.SocketStream, raw: socket.socket) -> None:
+        self._stream = stream
+        self._raw = raw
+
+    async def send_all(self, data: bytes) -> None:
+        """Send data."""
+        await self._stream.send_all(data)
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Receive data."""
+        return await self._stream.receive_some(max_bytes)
+
+    def is_open_and_quiet(self) -> bool:
+        """Return whether the connection is open and has no bytes to read."""
+        return is_open_and_quiet(self._raw)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._stream.socket.close()
+
+
 def is_open_and_quiet(raw: socket.socket) -> bool:
     """Return whether an idle connection is open and has no bytes to read."""
     try:
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -17,6 +17,7 @@
     "relay_metrics",
     "fleet_port",
     "fleet_news",
+    "runner_links",
     "store_reading",
     "runner_list",
     "evacuation_list",
--- a/egretstack/relay/_context.py
+++ b/egretstack/relay/_context.py
@@ -8,7 +8,7 @@
 import trio
 
 from egretstack.fleet import Runner, RunnerTable
-from egretstack.http1 import ConnectionPool
+from egretstack.http1 import ConnectionPool, Dialer
 from egretstack.ids import ContentId, RunnerId, ZoneName
 from egretstack.placing import (
     GenerationRequest,
@@ -88,6 +88,8 @@
     balancer: PlainBalancer
     placing: EnginePlacing
     budget: RetryBudget
+    dialer: Dialer
+    """Opens the connections to runners."""
     pool: ConnectionPool
     send_bounds: SendBound
     """Limits on what may currently be sent to each runner."""
--- a/egretstack/relay/_engine_calls.py
+++ b/egretstack/relay/_engine_calls.py
@@ -9,7 +9,6 @@
     ResponseHead,
     UpstreamBroken,
     UpstreamConnection,
-    connect_upstream,
 )
 from egretstack.placing import Run, SendOrigin
 from egretstack.platform import runner_answer, runner_request
@@ -61,7 +60,7 @@
     `is_reserved`: the engine's send bounds have counted this request already.
     """
     try:
-        connection = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
+        connection = await context.dialer.connect(runner.address, CONNECT_TIMEOUT_S)
     except ConnectFailed as error:
         log(Event.CONNECT_FAILED, request=task.request.attempt_id, error=str(error))
         return None
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -13,7 +13,7 @@
 
 from egretstack.events import Event, log
 from egretstack.fleet import Runner
-from egretstack.http1 import ConnectFailed, UpstreamBroken, connect_upstream, exchange
+from egretstack.http1 import ConnectFailed, UpstreamBroken, exchange
 from egretstack.ids import RunnerId
 from egretstack.placing import Run, SendOrigin, copy_time_s
 from egretstack.platform import BadBody, free_copy_request, move_answer, move_request
@@ -116,7 +116,7 @@
             return
         head = free_copy_request(source.address, self._handle)
         try:
-            connection = await connect_upstream(source.address, FREE_TIMEOUT_S)
+            connection = await self._context.dialer.connect(source.address, FREE_TIMEOUT_S)
         except ConnectFailed:
             return  # Copies that are not freed expire after a few seconds.
         try:
@@ -274,7 +274,7 @@
     async def _order_move(self, source: Runner, destination: Runner, *, stop: bool) -> MoveAnswer:
         head, body = move_request(source.address, self._attempt, destination.address, stop=stop)
         try:
-            connection = await connect_upstream(source.address, CONNECT_TIMEOUT_S)
+            connection = await self._context.dialer.connect(source.address, CONNECT_TIMEOUT_S)
         except ConnectFailed:
             return MoveAnswer(MoveOutcome.FAILED, "", 0)
         try:
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -10,7 +10,6 @@
     ResponseHead,
     UpstreamBroken,
     UpstreamConnection,
-    connect_upstream,
 )
 from egretstack.ids import RunnerId
 from egretstack.placing import GenerationRequest, Placement, Run, longest_wait_s
@@ -224,7 +223,7 @@
         """Connect to a runner; return whether it may get the request. Raises ConnectFailed."""
         if not self._may_run_at(runner):
             return False
-        source = await connect_upstream(runner.address, CONNECT_TIMEOUT_S)
+        source = await self._context.dialer.connect(runner.address, CONNECT_TIMEOUT_S)
         if not self._may_run_at(runner):
             source.close()
             return False
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -17,7 +17,6 @@
     ResponseHead,
     UpstreamBroken,
     UpstreamConnection,
-    connect_upstream,
     exchange,
 )
 from egretstack.ids import RunnerId
@@ -200,7 +199,7 @@
             return await self._context.pool.acquire(runner.address, timeout_s)
         # A pooled connection may be dead without any sign. A request sent on it may have run, and
         # one that is not idempotent could then neither be retried nor be reported as not run.
-        return await connect_upstream(runner.address, timeout_s)
+        return await self._context.dialer.connect(runner.address, timeout_s)
 
     async def _exchange(
         self, task: RelayTask, runner: Runner, connection: UpstreamConnection, progress: _Progress
--- a/egretstack/services/_runner_health.py
+++ b/egretstack/services/_runner_health.py
@@ -3,7 +3,7 @@
 import trio
 
 from egretstack.fleet import Runner
-from egretstack.http1 import ResponseHead, UpstreamBroken, connect_upstream, exchange
+from egretstack.http1 import Dialer, ResponseHead, UpstreamBroken, exchange
 from egretstack.platform import health_request, runner_health
 from egretstack.traffic import RunnerHealth
 
@@ -15,17 +15,19 @@
 
 
 async def fetch_health(
-    runner: Runner, path: str, connect_s: float, answer_s: float
+    dialer: Dialer, runner: Runner, path: str, connect_s: float, answer_s: float
 ) -> RunnerHealth | None:
     """Return the health of a healthy runner at a runner's address; None if it is not healthy.
 
     Raises ConnectFailed, NoHealthAnswer.
     """
-    return runner_health(await _answer(runner, path, connect_s, answer_s))
+    return runner_health(await _answer(dialer, runner, path, connect_s, answer_s))
 
 
-async def _answer(runner: Runner, path: str, connect_s: float, answer_s: float) -> ResponseHead:
-    connection = await connect_upstream(runner.address, connect_s)
+async def _answer(
+    dialer: Dialer, runner: Runner, path: str, connect_s: float, answer_s: float
+) -> ResponseHead:
+    connection = await dialer.connect(runner.address, connect_s)
     request = health_request(runner.address, path)
     try:
         with trio.fail_after(answer_s):
--- a/egretstack/services/crash_guard.py
+++ b/egretstack/services/crash_guard.py
@@ -22,6 +22,7 @@
 from egretstack.services.engine_reports import EngineReports
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.relay_metrics import RelayMetrics
+from egretstack.services.runner_links import RunnerLinks
 from egretstack.services.store_reading import StoreReading
 
 CONNECT_TIMEOUT_S = 0.15
@@ -58,12 +59,13 @@
     """Probes runners whose runs broke, and shares the results."""
 
     name = "crash_guard"
-    requires = ("engine_reports", "fleet_port", "relay_metrics", "store_reading")
+    requires = ("engine_reports", "fleet_port", "relay_metrics", "runner_links", "store_reading")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
         self._store = kernel.get(StoreReading)
+        self._links = kernel.get(RunnerLinks)
         self._engine_reports = kernel.get(EngineReports)
         self._reports = CrashReports()
         self._broken_by_runner: dict[RunnerId, list[_BrokenRun]] = {}
@@ -174,7 +176,9 @@
         plan = self._store.service(runner.service)
         path = "/" if plan is None else plan.health_path
         try:
-            health = await fetch_health(runner, path, CONNECT_TIMEOUT_S, HEALTH_TIMEOUT_S)
+            health = await fetch_health(
+                self._links, runner, path, CONNECT_TIMEOUT_S, HEALTH_TIMEOUT_S
+            )
         except ConnectFailed:
             return _ProbeResult.ENDED
         except NoHealthAnswer:
--- a/egretstack/services/engine_reports.py
+++ b/egretstack/services/engine_reports.py
@@ -15,6 +15,7 @@
 from egretstack.kernel import Kernel, Service
 from egretstack.platform import BadBody, report_request, runner_report
 from egretstack.services.fleet_port import IDLE_POLL_INTERVAL_S, FleetPort
+from egretstack.services.runner_links import RunnerLinks
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import RunnerReport
 
@@ -33,13 +34,14 @@
     """Learns from engines whether they leave or do not answer."""
 
     name = "engine_reports"
-    requires = ("fleet_port", "store_reading")
+    requires = ("fleet_port", "runner_links", "store_reading")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
         self._store = kernel.get(StoreReading)
-        self._pool = ConnectionPool(max_idle=1)
+        links = kernel.get(RunnerLinks)
+        self._pool = ConnectionPool(max_idle=1, dialer=links)
         self._unanswered = UnansweredQueries()
         self._requested_s = float("-inf")
         self._listeners: list[Callable[[RunnerId, RunnerReport], None]] = []
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -32,6 +32,7 @@
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
 from egretstack.services.relay_metrics import RelayMetrics
+from egretstack.services.runner_links import RunnerLinks
 from egretstack.services.runner_words import RunnerSignalsService
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import ClientRequest
@@ -62,6 +63,7 @@
         "fleet_port",
         "placing_home",
         "relay_metrics",
+        "runner_links",
         "runner_words",
         "store_reading",
     )
@@ -74,12 +76,14 @@
         self._store = kernel.get(StoreReading)
         self._split = kernel.get(PlacingHome).split
         self._leaving_since_s: float | None = None
+        links = kernel.get(RunnerLinks)
         self.context = RelayContext(
             runners=self._port.runners,
             balancer=PlainBalancer(node.zone, kernel.rng),
             placing=kernel.get(EnginePlacingService),
             budget=RetryBudget(node.bounds),
-            pool=ConnectionPool(),
+            dialer=links,
+            pool=ConnectionPool(dialer=links),
             send_bounds=kernel.get(PlacingHome).send_bounds,
             backoffs=kernel.get(PlacingHome).backoffs,
             crash_guard=kernel.get(CrashGuardService),
--- a/egretstack/services/runner_returns.py
+++ b/egretstack/services/runner_returns.py
@@ -16,6 +16,7 @@
 from egretstack.services._runner_health import NoHealthAnswer, fetch_health
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
+from egretstack.services.runner_links import RunnerLinks
 from egretstack.services.store_reading import StoreReading
 from egretstack.traffic import RunnerHealth
 
@@ -28,12 +29,13 @@
     """Accepts relisted runners again that answer under their own name."""
 
     name = "runner_returns"
-    requires = ("fleet_port", "placing_home", "store_reading")
+    requires = ("fleet_port", "placing_home", "runner_links", "store_reading")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
         self._store = kernel.get(StoreReading)
+        self._links = kernel.get(RunnerLinks)
         self._backoffs = kernel.get(PlacingHome).backoffs
         self._logged_not_back: set[RunnerId] = set()
 
@@ -72,7 +74,7 @@
     async def _health(self, runner: Runner, path: str) -> RunnerHealth | None:
         """Return the health of a healthy runner at a runner's address; None if none answers."""
         try:
-            return await fetch_health(runner, path, TIMEOUT_S, TIMEOUT_S)
+            return await fetch_health(self._links, runner, path, TIMEOUT_S, TIMEOUT_S)
         except ConnectFailed:
             return None
         except NoHealthAnswer as error:
