--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from standins.platform._engine import BEFORE_HEAD, EngineFault, EngineStandIn
 from standins.platform._http import StandInServer, json_body
+from standins.platform._links import LinkCut, RunnerLinks
 from standins.platform._operator import (
     ACCOUNT,
     GENERATION,
@@ -27,8 +28,10 @@
     "runner_spec",
     "EngineFault",
     "EngineStandIn",
+    "LinkCut",
     "PlainFault",
     "PlainStandIn",
+    "RunnerLinks",
     "StandInServer",
     "StoreFault",
     "StoreStandIn",
--- /dev/null
+++ b/standins/platform/_links.py
@@ -0,0 +1,142 @@
+"""Cuts the links between one entry and all runners, for entries that run in one process.
+
+An entry's tasks are told apart from those of others by a context variable, so that a cut holds for
+one entry while others, the store and clients are not affected.
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
+from enum import Enum
+from unittest.mock import patch
+
+import trio
+
+from egretstack.http1 import _client
+from egretstack.http1._sockets import open_connection
+
+_entry: ContextVar[str] = ContextVar("entry", default="")
+
+
+class LinkCut(Enum):
+    """How an entry loses its runners."""
+
+    RESET = "reset"
+    """Open connections are reset, and new ones are refused."""
+    DROPPED = "dropped"
+    """Nothing arrives in either direction; new connections hang."""
+    NEW_REFUSED = "new-refused"
+    """Open connections live on, and new ones are refused."""
+
+
+class RunnerLinks:
+    """The links of all entries to the runners; `is_runner` tells a runner's host from others."""
+
+    def __init__(self, is_runner: Callable[[str], bool]) -> None:
+        self._is_runner = is_runner
+        self._cut_by_entry: dict[str, LinkCut] = {}
+        self._open: set[_CuttableStream] = set()
+        self.connects_by_entry: dict[str, int] = {}
+        """Number of connections that each entry has opened to runners."""
+
+    @contextmanager
+    def installed(self) -> Iterator[None]:
+        """Carry all connections to upstreams while the context lasts."""
+        with patch.object(_client, "open_connection", self._open_connection):
+            yield
+
+    @staticmethod
+    def enter(entry: str) -> None:
+        """Count the connections of this task and of those that it starts as an entry's."""
+        _entry.set(entry)
+
+    def cut(self, entry: str, how: LinkCut) -> None:
+        """Cut an entry off from all runners."""
+        self._cut_by_entry[entry] = how
+        self._notify(entry)
+
+    def heal(self, entry: str) -> None:
+        """End a cut; what it held up arrives now."""
+        self._cut_by_entry.pop(entry, None)
+        self._notify(entry)
+
+    def cut_of(self, entry: str) -> LinkCut | None:
+        """Return how an entry is cut off now; None if it is not."""
+        return self._cut_by_entry.get(entry)
+
+    def forget(self, stream: "_CuttableStream") -> None:
+        """Forget a closed connection."""
+        self._open.discard(stream)
+
+    def _notify(self, entry: str) -> None:
+        for stream in [one for one in self._open if one.entry == entry]:
+            stream.on_change()
+
+    async def _open_connection(self, host: str, port: int):
+        entry = _entry.get()
+        if not entry or not self._is_runner(host):
+            return await open_connection(host, port)
+        cut = self.cut_of(entry)
+        if cut is LinkCut.DROPPED:
+            await trio.sleep_forever()
+        if cut is not None:
+            await trio.lowlevel.checkpoint()
+            raise ConnectionRefusedError(f"{host}:{port}")
+        stream, raw = await open_connection(host, port)
+        self.connects_by_entry[entry] = self.connects_by_entry.get(entry, 0) + 1
+        carried = _CuttableStream(self, entry, stream)
+        self._open.add(carried)
+        return carried, raw
+
+
+class _CuttableStream:
+    """A connection of an entry to a runner."""
+
+    def __init__(self, links: RunnerLinks, entry: str, stream: trio.SocketStream) -> None:
+        self.entry = entry
+        self._links = links
+        self._stream = stream
+        self._is_reset = False
+        self._changed = trio.Event()
+        self._scopes: set[trio.CancelScope] = set()
+
+    @property
+    def socket(self) -> "_CuttableStream":
+        """What `close` is called on."""
+        return self
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._links.forget(self)
+        self._stream.socket.close()
+
+    def on_change(self) -> None:
+        """Apply the entry's cut."""
+        self._is_reset = self._is_reset or self._links.cut_of(self.entry) is LinkCut.RESET
+        for scope in self._scopes:
+            scope.cancel()
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def send_all(self, data: bytes) -> None:
+        """Send data once it can arrive."""
+        await self._until_carried()
+        await self._stream.send_all(data)
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Receive data."""
+        while True:
+            await self._until_carried()
+            scope = trio.CancelScope()
+            self._scopes.add(scope)
+            try:
+                with scope:
+                    return await self._stream.receive_some(max_bytes)
+            finally:
+                self._scopes.discard(scope)
+
+    async def _until_carried(self) -> None:
+        while not self._is_reset and self._links.cut_of(self.entry) is LinkCut.DROPPED:
+            await self._changed.wait()
+        if self._is_reset:
+            raise trio.BrokenResourceError("reset by a cut")
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -19,6 +19,7 @@
     KEY,
     EngineStandIn,
     PlainStandIn,
+    RunnerLinks,
     StoreStandIn,
     client_request,
     configuration,
@@ -43,6 +44,8 @@
     cold_overage=1.5,
     cold_slack=5,
 )
+RUNNER_NETS = ("2", "3")
+"""Third octet of the addresses of plain runners and of engines."""
 REGION_BY_ZONE = {
     ZoneName("leon-a"): RegionName("bajio"),
     ZoneName("leon-b"): RegionName("bajio"),
@@ -56,6 +59,8 @@
 
     nursery: trio.Nursery
     store: StoreStandIn
+    links: RunnerLinks
+    """The entries' links to the runners."""
     plain: list[PlainStandIn] = field(default_factory=list)
     engines: list[EngineStandIn] = field(default_factory=list)
     kernels: list[Kernel] = field(default_factory=list)
@@ -112,6 +117,7 @@
         scope = self.scope_by_instance[kernel.settings.instance] = trio.CancelScope()
 
         async def run(task_status: trio.TaskStatus[None]) -> None:
+            self.links.enter(kernel.settings.instance)
             with scope:
                 await kernel.run(task_status)
 
@@ -147,6 +153,11 @@
             connection.close()
 
 
+def is_runner_host(host: str) -> bool:
+    """Return whether a loopback address is one of a runner stand-in."""
+    return host.split(".")[2] in RUNNER_NETS
+
+
 def node_settings(number: int, store: str, seeds: list[Kernel]) -> NodeSettings:
     """Return the settings of an entry on its own loopback address."""
     ip = f"127.{free_loopback_net()}.1.{number + 1}"
@@ -199,28 +210,30 @@
     """Start a deployment with the store, runners and ready entries."""
     EngineStandIn.peers_by_address.clear()
     net = free_loopback_net()
-    async with trio.open_nursery() as nursery:
-        site = Deployment(nursery, StoreStandIn(f"127.{net}.0.10:8742"))
-        await nursery.start(site.store.run)
-        for number in range(plain):
-            runner = PlainStandIn(f"127.{net}.2.{number + 1}:8080", f"i-desk-{number}")
-            site.plain.append(runner)
-            await nursery.start(runner.run)
-            site.register(runner.runner_id, "desk", runner.address)
-        for number in range(engines):
-            engine = EngineStandIn(f"127.{net}.3.{number + 1}:8080", f"i-llm-{number}")
-            site.engines.append(engine)
-            await nursery.start(engine.run)
-            site.register(engine.runner_id, "llm", engine.address)
-        site.routes = [
-            route("notes", "idempotent", "desk"),
-            route("holds", "non_idempotent", "desk"),
-            route("plans", "streaming", "llm", **{"timeout-ms": STREAM_TIMEOUT_MS}),
-            route("open", "idempotent", "desk", **{"allow-anonymous": True}),
-        ]
-        site.configure()
-        for number in range(entries):
-            await site.start_entry(number)
-        await site.until_ready()
-        yield site
-        nursery.cancel_scope.cancel()
+    links = RunnerLinks(is_runner_host)
+    with links.installed():
+        async with trio.open_nursery() as nursery:
+            site = Deployment(nursery, StoreStandIn(f"127.{net}.0.10:8742"), links=links)
+            await nursery.start(site.store.run)
+            for number in range(plain):
+                runner = PlainStandIn(f"127.{net}.2.{number + 1}:8080", f"i-desk-{number}")
+                site.plain.append(runner)
+                await nursery.start(runner.run)
+                site.register(runner.runner_id, "desk", runner.address)
+            for number in range(engines):
+                engine = EngineStandIn(f"127.{net}.3.{number + 1}:8080", f"i-llm-{number}")
+                site.engines.append(engine)
+                await nursery.start(engine.run)
+                site.register(engine.runner_id, "llm", engine.address)
+            site.routes = [
+                route("notes", "idempotent", "desk"),
+                route("holds", "non_idempotent", "desk"),
+                route("plans", "streaming", "llm", **{"timeout-ms": STREAM_TIMEOUT_MS}),
+                route("open", "idempotent", "desk", **{"allow-anonymous": True}),
+            ]
+            site.configure()
+            for number in range(entries):
+                await site.start_entry(number)
+            await site.until_ready()
+            yield site
+            nursery.cancel_scope.cancel()
