Partitioned instances: connections to runners go through another instance

One service opens all connections to runners. Where a runner accepts none and no other does either, another instance is asked for a tunnel: it connects and says how that ended before any byte is sent, so that 'not run' and 'unknown' stay what they are. All decisions stay with the instance that has the request: shares, retry budget, deadlines and ids count once.

The directory names instances that reach no runner only if no other is ready. Their reports of broken calls no longer make runners suspects, and a probe that could not connect no longer shows that a runner has ended unless another instance or another runner's answer says so.

The test of an evacuation during the connecting patches the dialer instead of a name in two modules; what it checks is the same.

--- a/egretstack/detour/_reach.py
+++ b/egretstack/detour/_reach.py
@@ -9,7 +9,7 @@
 """How long a failed connection to a runner counts."""
 MIN_FAILED_RUNNERS = 2
 """Runners in a row that accept no connection before the links are doubted: one may have ended."""
-PROOF_S = 0.5
+PROOF_S = 0.05
 """How long a connection to any runner shows that the links are sound."""
 
 
--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -326,6 +326,12 @@
         "No runner that was tried accepts a connection of this instance.",
     )
     RUNNERS_REACHED = (490, Level.INFO, "This instance can connect to runners again.")
+    TUNNEL_REFUSED = (
+        491,
+        Level.WARNING,
+        "Another instance opened no connection to a runner for this one; `reason` says why.",
+    )
+    TUNNEL_ENDED = (492, Level.INFO, "A connection to a runner for another instance has ended.")
     MOVE_ENDED = (436, Level.INFO, "Copying a run's memory to another runner succeeded or failed.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
--- a/egretstack/fleet/_fleet.py
+++ b/egretstack/fleet/_fleet.py
@@ -244,6 +244,11 @@
         record = self._record_by_id.get(instance)
         return None if record is None else record.known
 
+    def reaches_runners(self, instance: InstanceId) -> bool:
+        """Return whether an instance, as far as is known here, can connect to runners itself."""
+        known = self.own if instance == self.own.instance.id else self.last_known(instance)
+        return known is None or known.reaches_runners
+
     def configuration_holders(self, now_s: float) -> tuple[int, list[InstanceId]]:
         """Return the newest configuration version of the live instances, and which ones have it."""
         live = self.live(now_s)
--- a/egretstack/fleet/_instance.py
+++ b/egretstack/fleet/_instance.py
@@ -50,3 +50,5 @@
     state: InstanceState
     store: StoreReachability
     config_version: int
+    reaches_runners: bool = True
+    """Whether it can connect to runners itself."""
--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -198,6 +198,7 @@
         known.incarnation,
         known.state.value,
         known.store.value,
+        known.reaches_runners,
         known.config_version,
     ]
 
@@ -219,12 +220,17 @@
 def instance_from_row(row: object) -> KnownInstance:
     """Parse the row of an instance. Raises MessageError."""
     try:
-        name, zone, front, peer, strength, incarnation, state, store, version = row
+        name, zone, front, peer, strength, incarnation, state, store, reaches, version = row
         instance = Instance(
             InstanceId(str(name)), ZoneName(str(zone)), str(front), str(peer), int(strength)
         )
         return KnownInstance(
-            instance, int(incarnation), InstanceState(state), StoreReachability(store), int(version)
+            instance,
+            int(incarnation),
+            InstanceState(state),
+            StoreReachability(store),
+            int(version),
+            bool(reaches),
         )
     except (TypeError, ValueError) as error:
         raise MessageError(f"invalid instance row: {error}") from error
--- a/egretstack/http1/__init__.py
+++ b/egretstack/http1/__init__.py
@@ -5,8 +5,10 @@
     ConnectFailed,
     Dialer,
     DirectDialer,
+    NotReached,
     UpstreamBroken,
     UpstreamConnection,
+    connect_link,
     connect_upstream,
 )
 from egretstack.http1._exchange import AnswerTooLarge, exchange
@@ -26,9 +28,18 @@
     ServerLimits,
     SlowSender,
 )
-from egretstack.http1._sockets import Link, open_connection, open_listener, reset_on_close
+from egretstack.http1._sockets import (
+    USER_TIMEOUT_MS,
+    Link,
+    SocketLink,
+    is_open_and_quiet,
+    open_connection,
+    open_listener,
+    reset_on_close,
+)
 
 __all__ = [
+    "USER_TIMEOUT_MS",
     "AnswerTooLarge",
     "BadRequest",
     "BodyMemory",
@@ -42,16 +53,20 @@
     "Headers",
     "BodyMemoryFull",
     "Link",
+    "NotReached",
     "RequestHead",
     "ResponseHead",
     "ServerLimits",
     "SlowSender",
+    "SocketLink",
     "UpstreamBroken",
     "UpstreamConnection",
+    "connect_link",
     "connect_upstream",
     "hop_by_hop_headers",
     "exchange",
     "first_value",
+    "is_open_and_quiet",
     "open_connection",
     "open_listener",
     "reset_on_close",
--- a/egretstack/http1/_client.py
+++ b/egretstack/http1/_client.py
@@ -17,6 +17,10 @@
     """No connection was established, so no byte of the request was sent."""
 
 
+class NotReached(ConnectFailed):
+    """No connection was established, and it is not known whether the upstream accepts any."""
+
+
 class UpstreamBroken(Exception):
     """The connection ended or violated the protocol; a request sent on it may have run."""
 
@@ -115,15 +119,20 @@
             raise UpstreamBroken(f"while reading: {error!r}") from error
 
 
-async def connect_upstream(address: str, timeout_s: float) -> UpstreamConnection:
-    """Connect to `HOST:PORT`. Raises ConnectFailed."""
+async def connect_link(address: str, timeout_s: float) -> Link:
+    """Connect to `HOST:PORT` by TCP. Raises ConnectFailed."""
     host, _, port = address.rpartition(":")
     try:
         with trio.fail_after(timeout_s):
             stream, raw = await open_connection(host, int(port))
     except (OSError, ValueError, trio.TooSlowError) as error:
         raise ConnectFailed(f"{address}: {error!r}") from error
-    return UpstreamConnection(SocketLink(stream, raw), address)
+    return SocketLink(stream, raw)
+
+
+async def connect_upstream(address: str, timeout_s: float) -> UpstreamConnection:
+    """Connect to `HOST:PORT` by TCP. Raises ConnectFailed."""
+    return UpstreamConnection(await connect_link(address, timeout_s), address)
 
 
 class Dialer(ABC):
@@ -131,7 +140,7 @@
 
     @abstractmethod
     async def connect(self, address: str, timeout_s: float) -> UpstreamConnection:
-        """Connect to `HOST:PORT`. Raises ConnectFailed."""
+        """Connect to `HOST:PORT`. Raises ConnectFailed, NotReached."""
 
 
 class DirectDialer(Dialer):
--- a/egretstack/placing/_balancer.py
+++ b/egretstack/placing/_balancer.py
@@ -93,6 +93,12 @@
         self.recent_answers.record(now_s, runner_id, broke=True)
         self._stats(runner_id).avoid_until_s = now_s + AVOID_S
 
+    def withdraw_failures(self) -> None:
+        """Forget all failures, whose cause were this instance's links and not the runners."""
+        self.recent_answers = RecentAnswers()
+        for stats in self._stats_by_id.values():
+            stats.failures, stats.avoid_until_s = 0.0, 0.0
+
     def record_ended(
         self,
         now_s: float,
--- a/egretstack/placing/_strikes.py
+++ b/egretstack/placing/_strikes.py
@@ -70,6 +70,8 @@
         self._counts_by_instance: dict[InstanceId, tuple[float, tuple[AnswerCount, ...]]] = {}
         self._broke_s_by_id: dict[RunnerId, float] = {}
         """When each suspect was last reported to have broken a call."""
+        self._accusers_by_id: dict[RunnerId, set[InstanceId]] = {}
+        """The instances that reported so, since the runner is a suspect."""
 
     def record_report(
         self, now_s: float, instance: InstanceId, counts: Iterable[AnswerCount]
@@ -77,6 +79,17 @@
         """Replace an instance's counts."""
         self._counts_by_instance[instance] = (now_s, tuple(counts))
 
+    def withdraw_reports(self, instance: InstanceId) -> None:
+        """Forget what an instance reported: it reaches no runner, whatever the cause.
+
+        Runners that no other instance accused are no suspects any more.
+        """
+        self._counts_by_instance.pop(instance, None)
+        for runner_id, accusers in list(self._accusers_by_id.items()):
+            accusers.discard(instance)
+            if not accusers:
+                self._clear(runner_id)
+
     def suspects(self, now_s: float, engines: Collection[RunnerId] = ()) -> frozenset[RunnerId]:
         """Return the runners that get no calls that may not be repeated.
 
@@ -90,17 +103,29 @@
             known = runner_id in self._broke_s_by_id
             if (known and breaks) or (breaks >= MIN_SUSPECT_BREAKS and share >= MIN_SUSPECT_SHARE):
                 self._broke_s_by_id[runner_id] = now_s
+                self._accusers_by_id.setdefault(runner_id, set()).update(self._accusers(runner_id))
         for runner_id, broke_s in list(self._broke_s_by_id.items()):
             expired = runner_id in engines and now_s - broke_s > ENGINE_CLEAR_AFTER_S
             if expired or (now_s - broke_s > CLEAR_AFTER_S and answered.get(runner_id)):
-                del self._broke_s_by_id[runner_id]
+                self._clear(runner_id)
         return frozenset(self._broke_s_by_id)
 
     def retain(self, kept: Iterable[RunnerId]) -> None:
         """Forget runners that are not in `kept`."""
         kept = set(kept)
         for runner_id in set(self._broke_s_by_id) - kept:
-            del self._broke_s_by_id[runner_id]
+            self._clear(runner_id)
+
+    def _clear(self, runner_id: RunnerId) -> None:
+        self._broke_s_by_id.pop(runner_id, None)
+        self._accusers_by_id.pop(runner_id, None)
+
+    def _accusers(self, runner_id: RunnerId) -> set[InstanceId]:
+        return {
+            instance
+            for instance, (_, counts) in self._counts_by_instance.items()
+            if any(one.runner == runner_id and one.broke for one in counts)
+        }
 
     def _sums(self, now_s: float) -> tuple[dict[RunnerId, int], dict[RunnerId, int]]:
         answered: dict[RunnerId, int] = {}
--- a/egretstack/platform/_node_settings.py
+++ b/egretstack/platform/_node_settings.py
@@ -78,6 +78,15 @@
     """Whether scarce engine memory is shared fairly by client accounts, and callers that find none
     get a time to return."""
 
+    @property
+    def detour_port(self) -> int | None:
+        """Port for other instances that reach no runner: the third of the internal ports, if any.
+
+        It is the same on all instances.
+        """
+        port = self.first_peer_port + 2
+        return port if port <= self.last_peer_port else None
+
 
 def read_node_settings(path: Path) -> NodeSettings:
     """Read and validate the file. Raises UserError with the file, the key and what is allowed."""
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -37,6 +37,7 @@
     "settings_file",
     "front_port",
     "directory_port",
+    "detour_port",
 )
 
 
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -7,6 +7,7 @@
 from egretstack.fleet import Runner
 from egretstack.http1 import (
     ConnectFailed,
+    NotReached,
     ResponseHead,
     UpstreamBroken,
     UpstreamConnection,
@@ -213,7 +214,8 @@
                     return
             except ConnectFailed as error:
                 log(Event.CONNECT_FAILED, request=request.attempt, error=str(error))
-                self._context.record_engine_result(placement.runner, broke=True)
+                if not isinstance(error, NotReached):
+                    self._context.record_engine_result(placement.runner, broke=True)
             self._excluded = (*self._excluded, placement.runner)
         raise RequestFailed(
             ErrorKind.NO_RUNNER, "engines do not answer", retry_after_s=REFUSED_RETRY_S
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -14,6 +14,7 @@
 from egretstack.fleet import Runner
 from egretstack.http1 import (
     ConnectFailed,
+    NotReached,
     ResponseHead,
     UpstreamBroken,
     UpstreamConnection,
@@ -165,8 +166,9 @@
         except ConnectFailed as error:
             log(Event.CONNECT_FAILED, request=task.request.attempt_id, error=str(error))
             progress.connect_attempts += 1
-            self._context.balancer.record_unreachable(trio.current_time(), runner.id)
-            self._context.on_runner_failure()
+            if not isinstance(error, NotReached):
+                self._context.balancer.record_unreachable(trio.current_time(), runner.id)
+                self._context.on_runner_failure()
             return _Result.NOT_SENT, None
         if self._context.crash_guard.is_refused(task.content_id):
             connection.close()
--- a/egretstack/services/crash_guard.py
+++ b/egretstack/services/crash_guard.py
@@ -13,7 +13,7 @@
 from egretstack.crashes import CrashReports, Strike, clear_from_row, strike_from_row, strike_weight
 from egretstack.events import Event, log
 from egretstack.fleet import InstanceReport, Runner
-from egretstack.http1 import ConnectFailed
+from egretstack.http1 import ConnectFailed, NotReached
 from egretstack.ids import ContentId, InstanceId, RunnerId
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import MessageError
@@ -179,6 +179,8 @@
             health = await fetch_health(
                 self._links, runner, path, CONNECT_TIMEOUT_S, HEALTH_TIMEOUT_S
             )
+        except NotReached:
+            return _ProbeResult.UNKNOWN
         except ConnectFailed:
             return _ProbeResult.ENDED
         except NoHealthAnswer:
--- a/egretstack/services/directory_port.py
+++ b/egretstack/services/directory_port.py
@@ -126,7 +126,9 @@
     def ready_addresses(self, region: RegionName, host: str) -> list[str]:
         """Return the addresses for clients of a region, no more than they use of one answer."""
         live = self._port.fleet.live(trio.current_time())
-        ready = [known.instance for known in live if known.state is InstanceState.READY]
+        known_ready = [known for known in live if known.state is InstanceState.READY]
+        reaching = [known for known in known_ready if known.reaches_runners]
+        ready = [known.instance for known in reaching or known_ready]
         table = self._store.gate.table
         allowed = frozenset() if table is None else table.allowed_regions(host)
         near = nearest(ready, self._region_by_zone, region, allowed)
--- a/egretstack/services/engine_reports.py
+++ b/egretstack/services/engine_reports.py
@@ -42,6 +42,7 @@
         self._store = kernel.get(StoreReading)
         links = kernel.get(RunnerLinks)
         self._pool = ConnectionPool(max_idle=1, dialer=links)
+        links.on_change(self._pool.close)
         self._unanswered = UnansweredQueries()
         self._requested_s = float("-inf")
         self._listeners: list[Callable[[RunnerId, RunnerReport], None]] = []
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -89,6 +89,7 @@
             crash_guard=kernel.get(CrashGuardService),
             signals=kernel.get(RunnerSignalsService),
         )
+        links.on_change(self._on_links_changed)
         stream_limits = self.context.stream_limits
         stream_limits.on_change = _log_limit_change
         gauge = kernel.get(RelayMetrics).gauge(
@@ -118,6 +119,11 @@
         self._split.others = tuple(one.id for one in others)
         self._split.reachable = len(self._port.fleet.live(now_s)) - 1
 
+    def _on_links_changed(self) -> None:
+        """Use no connection that takes the former way, and blame no runner for the links."""
+        self.context.pool.close()
+        self.context.balancer.withdraw_failures()
+
     def begin_leaving(self) -> None:
         """Accept no new requests that could not end before the process has to."""
         self._leaving_since_s = trio.current_time()
--- a/egretstack/services/runner_links.py
+++ b/egretstack/services/runner_links.py
@@ -1,4 +1,8 @@
-"""Opens all connections to runners, and finds out whether this instance reaches them at all."""
+"""Opens all connections to runners: directly, or through another instance.
+
+Whether this instance reaches the runners at all follows from the connections that it opens, and
+from trying a few runners while that is in doubt.
+"""
 
 from collections.abc import Callable
 
@@ -7,8 +11,9 @@
 from egretstack.detour import LinkState, RunnerReach
 from egretstack.events import Event, log
 from egretstack.fleet import RunnerState
-from egretstack.http1 import ConnectFailed, Dialer, UpstreamConnection, connect_upstream
+from egretstack.http1 import ConnectFailed, Dialer, Link, UpstreamConnection, connect_link
 from egretstack.kernel import Kernel, Service
+from egretstack.services._tunnels import Tunnels
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.relay_metrics import RelayMetrics
 
@@ -16,6 +21,8 @@
 PROBE_TIMEOUT_S = 0.15
 PROBED_RUNNERS = 3
 """Runners that are tried in each round while the links are not known to be sound."""
+OTHER_RUNNER_S = 0.03
+"""Time that another runner has to accept a connection before other instances are asked."""
 
 
 class RunnerLinks(Service, Dialer):
@@ -27,6 +34,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
+        self._tunnels = Tunnels(kernel)
         self._reach = RunnerReach()
         self._reported_state = LinkState.SOUND
         self._doubted = trio.Event()
@@ -40,6 +48,11 @@
         )
         gauge.set_function(lambda: int(self._reach.state is not LinkState.CUT))
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether nothing speaks against this instance's own links."""
+        return self._reach.state is LinkState.SOUND
+
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call `listener` when this instance has lost all runners, or reaches them again."""
         self._listeners.append(listener)
@@ -49,18 +62,19 @@
         task_status.started()
         while True:
             await self._doubted.wait()
-            while self._reach.state is not LinkState.SOUND:
+            while not self.is_sound:
                 await self._probe()
                 await trio.sleep(PROBE_INTERVAL_S)
             self._doubted = trio.Event()
 
     async def connect(self, address: str, timeout_s: float) -> UpstreamConnection:
-        """Connect to a runner. Raises ConnectFailed."""
-        return await self._connect_directly(address, timeout_s)
+        """Connect to a runner by whatever way there is. Raises ConnectFailed, NotReached."""
+        return UpstreamConnection(await self._open(address, timeout_s), address)
 
-    async def _connect_directly(self, address: str, timeout_s: float) -> UpstreamConnection:
+    async def open_directly(self, address: str, timeout_s: float) -> Link:
+        """Connect to a runner without another instance. Raises ConnectFailed."""
         try:
-            connection = await connect_upstream(address, timeout_s)
+            link = await connect_link(address, timeout_s)
         except ConnectFailed:
             self._connects.labels("failed").inc()
             self._reach.record_failed(trio.current_time(), address, len(self._addresses()))
@@ -69,7 +83,48 @@
         self._connects.labels("direct").inc()
         self._reach.record_connected(trio.current_time())
         self._on_state()
-        return connection
+        return link
+
+    async def _open(self, address: str, timeout_s: float) -> Link:
+        if not self.is_sound:
+            return await self._open_tunnel(address, timeout_s)
+        try:
+            return await self.open_directly(address, timeout_s)
+        except ConnectFailed:
+            if self._reach.is_proven(trio.current_time()):
+                raise
+        return await self._open_unless_others_accept(address, timeout_s)
+
+    async def _open_tunnel(self, address: str, timeout_s: float) -> Link:
+        link = await self._tunnels.open(address, timeout_s)
+        self._connects.labels("tunnel").inc()
+        return link
+
+    async def _open_unless_others_accept(self, address: str, timeout_s: float) -> Link:
+        """Connect through another instance to a runner that accepted no connection.
+
+        Raises ConnectFailed also if another runner accepts one, so that this runner is the cause.
+        """
+        link = None
+        failure = ConnectFailed(f"{address}: another runner accepts connections")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._try_other_runner, address, nursery.cancel_scope)
+            await trio.sleep(OTHER_RUNNER_S)
+            try:
+                link = await self._open_tunnel(address, timeout_s)
+            except ConnectFailed as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        if link is None:
+            raise failure
+        self._reach.record_cut()
+        self._on_state()
+        return link
+
+    async def _try_other_runner(self, address: str, scope: trio.CancelScope) -> None:
+        others = [one for one in self._addresses() if one != address]
+        if others:
+            await self._try_runner(self.kernel.rng.choice(others), scope)
 
     async def _probe(self) -> None:
         """Try some runners; the links are cut if none of them accepts a connection."""
@@ -83,11 +138,12 @@
             self._on_state()
 
     async def _try_runner(self, address: str, scope: trio.CancelScope) -> None:
+        """Connect to a runner, and cancel the scope if it accepts."""
         try:
-            connection = await self._connect_directly(address, PROBE_TIMEOUT_S)
+            link = await self.open_directly(address, PROBE_TIMEOUT_S)
         except ConnectFailed:
             return
-        connection.close()
+        link.close()
         scope.cancel()
 
     def _addresses(self) -> list[str]:
@@ -102,5 +158,7 @@
             return
         self._reported_state = state
         log(Event.RUNNERS_REACHED if state is LinkState.SOUND else Event.RUNNERS_UNREACHED)
+        self._port.update_own(reaches_runners=state is LinkState.SOUND)
+        self._port.report_soon()
         for listener in self._listeners:
             listener()
--- a/egretstack/services/runner_strikes.py
+++ b/egretstack/services/runner_strikes.py
@@ -44,6 +44,9 @@
         return [count_row(one) for one in self._balancer.recent_answers.counts(trio.current_time())]
 
     def _on_report(self, instance: InstanceId, report: InstanceReport) -> None:
+        if not self._port.fleet.reaches_runners(instance):
+            self._strikes.withdraw_reports(instance)
+            return
         counts = parse_rows(report.answers, count_from_row)
         self._strikes.record_report(trio.current_time(), instance, counts)
         if self._port.is_home() and any(one.broke for one in counts):
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -6,13 +6,14 @@
 import trio
 
 from egretstack.fleet import Evacuations, RunnerTable
-from egretstack.http1 import connect_upstream, first_value
+from egretstack.http1 import first_value
 from egretstack.ids import ZoneName
 from egretstack.platform import Change, EvacuationEntries, StoredObject
 from egretstack.platform._evacuations import MAX_ZONES
 from egretstack.relay._execution_status import NO_ELIGIBLE_RUNNER_RETRY_S
 from egretstack.services.directory_port import DirectoryPort
 from egretstack.services.fleet_port import FleetPort
+from egretstack.services.runner_links import RunnerLinks
 from standins.platform import GENERATION, StoreFault, runner_spec
 from tests.fleet_fixtures import ENGINES, runner
 from tests.platform_site import platform_site
@@ -214,9 +215,11 @@
         port = site.kernels[0].get(FleetPort)
         await site.until(lambda: len({one.zone for one in port.runners.by_id.values()}) > 1)
         runners = [*site.plain, *site.engines]
+        links = site.kernels[0].get(RunnerLinks)
+        connect = links.connect
 
         async def connect_and_evacuate(address, timeout_s):
-            connection = await connect_upstream(address, timeout_s)
+            connection = await connect(address, timeout_s)
             zone = next(one.zone for one in port.runners.by_id.values() if one.address == address)
             if not port.runners.evacuated:
                 port.runners.set_evacuated(trio.current_time(), frozenset({zone}))
@@ -227,9 +230,9 @@
                 )
             return connection
 
-        for module, path in (("_plain", "/holds/1"), ("_opening", "/plans/1")):
+        for path in ("/holds/1", "/plans/1"):
             evacuated = []
-            with patch(f"egretstack.relay.{module}.connect_upstream", connect_and_evacuate):
+            with patch.object(links, "connect", connect_and_evacuate):
                 head, _ = await site.call(path, path, method=b"POST", headers=GENERATION)
             check.assertEqual(head.status, 200)
             check.assertEqual(len(evacuated), 2)
--- a/tests/test_runner_reach.py
+++ b/tests/test_runner_reach.py
@@ -19,8 +19,8 @@
     reach = RunnerReach()
     for now_s, address in enumerate("abab"):
         reach.record_connected(now_s)
-        reach.record_failed(now_s + 0.1, address, 3)
-        check.assertTrue(reach.is_proven(now_s + 0.1))
+        reach.record_failed(now_s + 0.01, address, 3)
+        check.assertTrue(reach.is_proven(now_s + 0.01))
     check.assertIs(reach.state, LinkState.SOUND)
 
 
