Soak: entries lose their links to all runners, at random and once in calm

The entries run with the stand-in of the links, which a file controls. In calm all but one entry are cut off, and first tries there have to be served two thirds as often as at the other.

--- a/standins/platform/_links.py
+++ b/standins/platform/_links.py
@@ -42,7 +42,7 @@
     @contextmanager
     def installed(self) -> Iterator[None]:
         """Carry all connections to upstreams while the context lasts."""
-        with patch.object(_client, "open_connection", self._open_connection):
+        with patch.object(_client, "open_connection", self.open_connection):
             yield
 
     @staticmethod
@@ -72,7 +72,8 @@
         for stream in [one for one in self._open if one.entry == entry]:
             stream.on_change()
 
-    async def _open_connection(self, host: str, port: int):
+    async def open_connection(self, host: str, port: int):
+        """Open a connection, if it is not cut."""
         entry = _entry.get()
         if not entry or not self._is_runner(host):
             return await open_connection(host, port)
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 
 from egretstack.platform import SETTINGS_VARIABLE
+from standins.platform import LinkCut
+from tests.soak.linked_entry import CUT_FILE_VARIABLE, RUNNERS_VARIABLE
 
 ROOT = Path(__file__).parent.parent.parent
 GRACE_S = 3.0
@@ -39,6 +41,8 @@
     ip: str
     store: str
     seeds: str
+    runners: tuple[str, ...]
+    """Hosts of all runners, as they are listed."""
     folder: Path
     shares_capacity: bool = False
     process: subprocess.Popen | None = None
@@ -78,14 +82,29 @@
         self.starts += 1
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "egretstack.programs.platform_entry"],
+                [sys.executable, "-m", "tests.soak.linked_entry"],
                 cwd=ROOT,
-                env={SETTINGS_VARIABLE: str(settings), "PATH": "/usr/bin:/bin"},
+                env={
+                    SETTINGS_VARIABLE: str(settings),
+                    CUT_FILE_VARIABLE: str(self._cut_file),
+                    RUNNERS_VARIABLE: ",".join(self.runners),
+                    "PATH": "/usr/bin:/bin",
+                },
                 stdout=log,
                 stderr=log,
             )
         self.is_paused = False
 
+    @property
+    def _cut_file(self) -> Path:
+        return self.folder / f"{self.name}.cut"
+
+    def cut_from_runners(self, how: LinkCut | None) -> None:
+        """Cut the links to all runners, also those of processes that start later; None heals."""
+        partial = self._cut_file.with_suffix(".new")
+        partial.write_text("" if how is None else how.value)
+        partial.replace(self._cut_file)
+
     def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         if self.process is not None and self.process.poll() is None:
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -37,6 +37,7 @@
     make_uneven,
 )
 from tests.soak.observer import Observer
+from tests.soak.partitions import check_partition, cut_temporarily
 from tests.soak.proxy import LinkFault, Proxy
 from tests.soak.signals import check_backoffs, check_leaving, check_limits, signal_temporarily
 
@@ -119,6 +120,7 @@
                 f"127.{net}.1.{n + 1}",
                 self.proxies[self.store.address].address,
                 seed_address,
+                self._runner_hosts(),
                 folder,
                 self.shares_capacity,
             )
@@ -135,6 +137,10 @@
         self.done: list[Record] = []
         self.observer = Observer(self.entries, self.engines, self._open_streams)
 
+    def _runner_hosts(self) -> tuple[str, ...]:
+        runners = (*self.plain, *self.engines)
+        return tuple(self.proxies[one.address].address.rpartition(":")[0] for one in runners)
+
     async def run(self, seconds: float) -> list[str]:
         """Run the scenario; return the broken promises."""
         async with trio.open_nursery() as nursery:
@@ -162,6 +168,10 @@
                 await self._wait_until_served(nursery)
                 await self._check_signals()
                 await self._wait_until_served(nursery)
+                await check_partition(
+                    self.rng, self.entries, self._send_first_try, self.promises.broken
+                )
+                await self._wait_until_served(nursery)
                 if self.shares_capacity:
                     await check_scarcity(
                         self._send_stream, self._set_engine_slots, self.promises.broken
@@ -285,7 +295,10 @@
 
     async def _send_stream(self, kind: Kind) -> Record:
         """Send a request for a stream to any entry; its client waits for the whole answer."""
-        entry = self.rng.choice(self.entries)
+        return await self._send_first_try(self.rng.choice(self.entries), kind)
+
+    async def _send_first_try(self, entry: EntryProcess, kind: Kind) -> Record:
+        """Send a request once; its client waits for the whole answer."""
         record = self._new_record(entry, kind)
         await attempt(record, entry.front, KEY, random.Random(1))
         self._close(record)
@@ -413,6 +426,7 @@
             self._send_runner_signals,
             self._cut_streams,
             self._cut_streams,
+            self._cut_from_runners,
         ]
 
     def _draw_duration_s(self) -> float:
@@ -460,6 +474,9 @@
     async def _cut_streams(self) -> None:
         await cut_streams(self.rng, self.engines, EVENTS, self._draw_duration_s())
 
+    async def _cut_from_runners(self) -> None:
+        await cut_temporarily(self.rng, self.entries, self._draw_duration_s())
+
     async def _change_configuration(self) -> None:
         for _ in range(self.rng.randint(1, 4)):
             self._configure()
@@ -477,6 +494,7 @@
             engine.cuts = []
         self.is_calm = True
         for entry in self.entries:
+            entry.cut_from_runners(None)
             entry.send(signal.SIGCONT)
         await trio.sleep(SETTLE_S)
 
