Store: its returns from a copy are logged, and so are readings that are set aside

The timeline of the late drain showed a home that reads ten times a second and learns nothing for seconds, and no line that says why. store_returned tells when the Store-Era of an answer rises, reading_ignored when a reading of the runners is older than what is known. No logic is changed.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -332,6 +332,12 @@
         "Another instance opened no connection to a runner for this one; `reason` says why.",
     )
     TUNNEL_ENDED = (492, Level.INFO, "A connection to a runner for another instance has ended.")
+    STORE_RETURNED = (493, Level.WARNING, "The store says that it came back from an older copy.")
+    READING_IGNORED = (
+        494,
+        Level.INFO,
+        "A reading of the runners is older than what is known; logged for the first of a row.",
+    )
     MOVE_ENDED = (436, Level.INFO, "Copying a run's memory to another runner succeeded or failed.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
--- a/egretstack/platform/_store.py
+++ b/egretstack/platform/_store.py
@@ -7,6 +7,7 @@
 """
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from urllib.parse import quote
@@ -16,14 +17,17 @@
 from egretstack.http1 import (
     ConnectFailed,
     ConnectionPool,
+    Headers,
     RequestHead,
     UpstreamBroken,
     exchange,
+    first_value,
 )
 from egretstack.platform._bodies import BadBody, Body, integer, parse_object
 
 _OBJECTS_PATH = "/egretstack/objects/"
 _JSON_TYPE = b"application/json"
+_ERA = b"store-era"
 MAX_ANSWER_BYTES = 8_388_608
 """A list is sent in pages of about 1 MB, so a much larger answer is invalid."""
 MAX_PAGES = 200
@@ -32,6 +36,7 @@
 CONNECT_TIMEOUT_S = 0.5
 MAX_READS = 3
 """Times that a read is sent after one without an answer; all wait for that many timeouts."""
+MAX_ERA_DIGITS = 9
 WATCH_MARGIN_S = 0.7
 """How long after its requested time a watch may stay unanswered before its connection is closed."""
 
@@ -104,6 +109,13 @@
     """Number of changes without a readable object name; they are skipped."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+    era: int
+
+
 class Store:
     """Client of the store at one address."""
 
@@ -114,6 +126,10 @@
         """Kinds of objects whose last read was not answered within its timeout."""
         self.calls_by_kind = dict.fromkeys(ObjectKind, 0)
         """Number of calls made so far, answered or not; every call has a cost."""
+        self.era = 0
+        """Number of times that the store came back from an older copy, as far as it has said."""
+        self.on_return: Callable[[], None] = lambda: None
+        """Called when the store has said that it came back from an older copy once more."""
 
     async def list(self, kind: ObjectKind, *, allow_stale: bool = False) -> Listing:
         """Read all objects of a kind. Raises StoreAway.
@@ -128,8 +144,8 @@
             if allow_stale:
                 query.append("allow-stale=1")
             path = _object_path(kind) + ("?" + "&".join(query) if query else "")
-            status, body = await self._read(kind, path, CALL_TIMEOUT_S)
-            page, more = _decode_answer(body, status, _decode_page)
+            answer = await self._read(kind, path, CALL_TIMEOUT_S)
+            page, more = _decode_answer(answer, _decode_page)
             objects.extend(page.objects)
             unnamed += page.unnamed
             if not more or not page.objects:
@@ -140,10 +156,10 @@
     async def watch(self, kind: ObjectKind, since: int, wait_s: float) -> Changes:
         """Wait up to `wait_s` for changes after a revision. Raises StoreAway, HistoryGone."""
         path = f"{_object_path(kind)}?watch={since}&wait-ms={round(wait_s * 1000)}"
-        status, body = await self._read(kind, path, wait_s + WATCH_MARGIN_S)
-        if status == 410:
+        answer = await self._read(kind, path, wait_s + WATCH_MARGIN_S)
+        if answer.status == 410:
             raise HistoryGone(f"since {since}")
-        return _decode_answer(body, status, _decode_changes)
+        return _decode_answer(answer, _decode_changes)
 
     async def create(self, kind: ObjectKind, name: str, spec: Body) -> None:
         """Create an object. Raises RevisionConflict, StoreAway, StoreOutcomeUnknown."""
@@ -171,7 +187,7 @@
         """Close all connections."""
         self._pool.close()
 
-    async def _read(self, kind: ObjectKind, path: str, timeout_s: float) -> tuple[int, bytes]:
+    async def _read(self, kind: ObjectKind, path: str, timeout_s: float) -> _Answer:
         """Read once, or several times at once if the last read was answered late or not at all.
 
         Raises StoreAway.
@@ -187,15 +203,13 @@
             else:
                 self._late_kinds.add(kind)
 
-    async def _read_once(self, kind: ObjectKind, path: str, timeout_s: float) -> tuple[int, bytes]:
+    async def _read_once(self, kind: ObjectKind, path: str, timeout_s: float) -> _Answer:
         self.calls_by_kind[kind] += 1
         return await self._call(b"GET", path, None, timeout_s)
 
-    async def _read_repeatedly(
-        self, kind: ObjectKind, path: str, timeout_s: float
-    ) -> tuple[int, bytes]:
+    async def _read_repeatedly(self, kind: ObjectKind, path: str, timeout_s: float) -> _Answer:
         """Send a read again after each timeout; return the first answer to any of them."""
-        answers: list[tuple[int, bytes]] = []
+        answers: list[_Answer] = []
         errors: list[StoreAway] = []
         ended = trio.Event()
 
@@ -222,7 +236,7 @@
 
     async def _write(self, method: bytes, path: str, document: object) -> bool:
         try:
-            status, _ = await self._call(method, path, document, CALL_TIMEOUT_S)
+            status = (await self._call(method, path, document, CALL_TIMEOUT_S)).status
         except _Unanswered as error:
             raise StoreOutcomeUnknown(str(error)) from error
         if status == 409:
@@ -233,9 +247,7 @@
             raise StoreAway(f"status {status}")
         return True
 
-    async def _call(
-        self, method: bytes, path: str, document: object, timeout_s: float
-    ) -> tuple[int, bytes]:
+    async def _call(self, method: bytes, path: str, document: object, timeout_s: float) -> _Answer:
         body = b"" if document is None else json.dumps(document).encode()
         head = RequestHead(method, path.encode(), self._headers(body))
         try:
@@ -252,7 +264,18 @@
             connection.close()
             raise
         self._pool.release(connection)
-        return answer.status, data
+        return _Answer(answer.status, data, self._note_era(answer.headers))
+
+    def _note_era(self, headers: Headers) -> int:
+        """Return the era of an answer; one that cannot be read is taken for the known one."""
+        text = first_value(headers, _ERA) or b""
+        if not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+            return self.era
+        era = int(text)
+        if era > self.era:
+            self.era = era
+            self.on_return()
+        return era
 
     def _headers(self, body: bytes) -> tuple[tuple[bytes, bytes], ...]:
         host = (b"host", self._address.encode())
@@ -269,11 +292,11 @@
     return _OBJECTS_PATH + kind.value + (f"/{quote(name, safe='')}" if name else "")
 
 
-def _decode_answer(body: bytes, status: int, decode):
-    if status != 200:
-        raise StoreAway(f"status {status}")
+def _decode_answer(answer: _Answer, decode):
+    if answer.status != 200:
+        raise StoreAway(f"status {answer.status}")
     try:
-        return decode(parse_object(body))
+        return decode(parse_object(answer.body))
     except BadBody as error:
         raise StoreAway(f"an answer that cannot be read: {error}") from error
 
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -86,6 +86,8 @@
         """Returns the rows of the runners that ended while they ran requests of this instance."""
         self.clear_rows: Callable[[], list] = list
         """Returns the rows of the requests that were answered since."""
+        self._ignores_readings = False
+        """Whether the latest reading of the runners was older than what is known."""
         self.report_now = trio.Event()
         self._handler_by_kind: dict[type[Message], Handler] = {
             InstanceReport: self._on_report,
@@ -265,6 +267,10 @@
     ) -> None:
         """Apply a reading of the list of runners, made by this instance or by the home."""
         now_s = trio.current_time()
+        is_older = revision < self.runners.revision
+        if is_older and not self._ignores_readings:
+            log(Event.READING_IGNORED, revision=revision, known=self.runners.revision)
+        self._ignores_readings = is_older
         stopped = self.runners.apply_reading(now_s, runners, revision, read_s, from_home=from_home)
         for runner in stopped:
             log(Event.RUNNER_LEAVES, runner=runner.id, service=runner.service, revision=revision)
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -70,6 +70,7 @@
         self._packed: bytes | None = None
         self._node = node
         self.store = Store(node.store_address)
+        self.store.on_return = lambda: log(Event.STORE_RETURNED, era=self.store.era)
         self._port = kernel.get(FleetPort)
         self._watch = StoreWatch()
         self._add_gauges(kernel.get(RelayMetrics))
