--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from egretstack.http1 import ClientConnection, RequestHead
+from egretstack.http1 import ClientConnection, Header, RequestHead
 from standins.platform._http import StandInServer, json_body, send
 
 PREFIX = "/egretstack/objects/"
@@ -35,6 +35,8 @@
         self.calls: list[tuple[str, str]] = []
         self.oldest = 0
         """Watches from before this revision are answered 410, as after the history was dropped."""
+        self.era = 0
+        """Number of times that it came back from a copy."""
         self._revision = 1
         self._objects: dict[tuple[str, str], dict] = {}
         self._history: list[tuple[int, str, dict, bool]] = []
@@ -61,6 +63,17 @@
         stored = self._objects.get((kind, name))
         return None if stored is None else stored["spec"]
 
+    def copy(self) -> tuple[int, dict]:
+        """Return a copy of all objects, for `return_from`."""
+        return self._revision, dict(self._objects)
+
+    def return_from(self, copy: tuple[int, dict]) -> None:
+        """Come back as the store was when it was copied; what was written since is gone."""
+        self._revision, self._objects = copy[0], dict(copy[1])
+        self._history = [one for one in self._history if one[0] <= self._revision]
+        self.era += 1
+        self._notify_watches()
+
     def forget_history(self) -> None:
         """Drop the history, so that every watch has to list again."""
         self._revision += 1
@@ -74,14 +87,17 @@
         if self.fault is StoreFault.SILENT:
             await trio.sleep_forever()
         if self.fault is StoreFault.BUSY:
-            await send(connection, 503)
+            await send(connection, 503, headers=self._era_header())
             return
         await trio.sleep(self.answer_delay_s)
         kind, _, name = url.path.removeprefix(PREFIX).partition("/")
         status, document = await self._handle(head.method, kind, name, parse_qs(url.query), body)
         if self.fault is StoreFault.LOST and head.method != b"GET" and status < 300:
             await trio.sleep_forever()
-        await send(connection, status, json_body(document))
+        await send(connection, status, json_body(document), self._era_header())
+
+    def _era_header(self) -> tuple[Header, ...]:
+        return ((b"store-era", b"%d" % self.era),)
 
     async def _handle(
         self, method: bytes, kind: str, name: str, query: dict[str, list[str]], body: bytes
@@ -111,12 +127,15 @@
 
     async def _watch(self, kind: str, since: int, wait_ms: int) -> tuple[int, object]:
         with trio.move_on_after(wait_ms / 1000):
-            while since >= self.oldest and not self._changes(kind, since):
+            while self._has_history(since) and not self._changes(kind, since):
                 await self._changed.wait()
-        if since < self.oldest:
+        if not self._has_history(since):
             return 410, {}
         return 200, {"events": self._changes(kind, since), "as-of": self._revision}
 
+    def _has_history(self, since: int) -> bool:
+        return self.oldest <= since <= self._revision
+
     def _changes(self, kind: str, since: int) -> list[dict]:
         return [
             {"deleted": deleted, "object": stored}
