--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -63,6 +63,10 @@
         stored = self._objects.get((kind, name))
         return None if stored is None else stored["spec"]
 
+    def names(self, kind: str) -> set[str]:
+        """Return the names of all objects of a kind."""
+        return {name for other, name in self._objects if other == kind}
+
     def copy(self) -> tuple[int, dict]:
         """Return a copy of all objects, for `return_from`."""
         return self._revision, dict(self._objects)
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -40,6 +40,7 @@
 from tests.soak.partitions import check_partition, cut_temporarily
 from tests.soak.proxy import LinkFault, Proxy
 from tests.soak.signals import check_backoffs, check_leaving, check_limits, signal_temporarily
+from tests.soak.store_returns import return_from_copy
 
 ENTRIES = 3
 REQUESTS_PER_S = 25.0
@@ -177,6 +178,7 @@
                         self._send_stream, self._set_engine_slots, self.promises.broken
                     )
                     await self._wait_until_served(nursery)
+                await self._return_store()
                 await self._check_evacuation(ZONES[1])
             finally:
                 for entry in self.entries:
@@ -427,6 +429,7 @@
             self._cut_streams,
             self._cut_streams,
             self._cut_from_runners,
+            self._return_store,
         ]
 
     def _draw_duration_s(self) -> float:
@@ -474,6 +477,16 @@
     async def _cut_streams(self) -> None:
         await cut_streams(self.rng, self.engines, EVENTS, self._draw_duration_s())
 
+    async def _return_store(self) -> None:
+        runners = (*self.plain, *self.engines)
+        await return_from_copy(
+            self.store,
+            self.rng,
+            self._draw_duration_s(),
+            lambda: {runner.runner_id for runner in runners},
+            self._write_configuration,
+        )
+
     async def _cut_from_runners(self) -> None:
         await cut_temporarily(self.rng, self.entries, self._draw_duration_s())
 
