Streams stay on a runner that is silent for a second

A sound runner may fall silent for a second and go on, which is no disruption. A stream went on at its copy after 0.7 s, while its runner still worked on it. It waits for 1.2 s now; readers wait for two seconds at least.

--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -32,11 +32,11 @@
 
 POLL_INTERVAL_S = 0.1
 """How often a stream without events checks whether its runner is leaving."""
-UNRESPONSIVE_S = 0.7
+UNRESPONSIVE_S = 1.2
 """Time without events after which a run with a copy elsewhere continues there.
 
-Events come some 40 to 70 ms apart, and the longest gap that a reader accepts is some 0.2 s, so the
-stream is late by then. A runner that stopped gives no other sign.
+A sound runner may be silent for a second, and would still work on its run beside the new one.
+Readers wait for at least two seconds.
 """
 SWITCH_DELAY_S = 0.7
 """How long a run with a copy stays on a leaving runner, whose notice is some 1.5 to 2 s.
