--- a/standins/platform/_http.py
+++ b/standins/platform/_http.py
@@ -34,6 +34,9 @@
         self.connections = 0
         self.limit_per_s: float | None = None
         """Limit in requests per second that a runner announces in its answers; not enforced."""
+        self.brittle: int | None = None
+        """Requests that a runner may have to reject in a second, beyond which it falls over; it
+        says so in its answers. None if it bears any number."""
         self.says_leaving = False
         """Whether a runner announces in its answers that it is leaving."""
         self.said_leaving_s: list[float] = []
@@ -106,6 +109,8 @@
         headers: list[Header] = []
         if self.limit_per_s is not None:
             headers.append((b"server-limit", str(self.limit_per_s).encode()))
+        if self.brittle is not None:
+            headers.append((b"server-brittle", b"%d" % self.brittle))
         if self.says_leaving:
             self.said_leaving_s.append(trio.current_time())
             headers.append((b"server-leaving", b"1"))
--- a/standins/platform/_plain.py
+++ b/standins/platform/_plain.py
@@ -9,6 +9,7 @@
 from standins.platform._http import StandInServer, json_body, send
 
 HEALTH_PATH = b"/health"
+BRITTLE_WINDOW_S = 1.0
 
 
 class PlainFault(Enum):
@@ -42,6 +43,17 @@
         super().__init__(address)
         self.runner_id = runner_id
         self.delay_s = delay_s
+        self.slots: int | None = None
+        """Requests that it processes at the same time; None for any number."""
+        self.max_waiting = 0
+        """Requests that may wait for a slot; it rejects others."""
+        self.rejected_s: list[float] = []
+        """Times at which it rejected a request for want of room."""
+        self.falls_s: list[float] = []
+        """Times at which it fell over, as it had to reject too many requests in a second."""
+        self._accepted = 0
+        self._running = 0
+        self._slots_free = trio.Event()
         self.healthy = True
         self.health_delay_s = 0.0
         """Time that it takes for the answer to a health request."""
@@ -76,6 +88,56 @@
         if fault is PlainFault.FULL or self.backoff_s is not None:
             await self.reject(connection, attempt)
             return
+        if self.slots is not None and self._accepted >= self.slots + self.max_waiting:
+            await self._reject_for_room(connection, attempt)
+            return
+        self._accepted += 1
+        try:
+            await self._run_in_turn(connection, head, body, attempt, fault)
+        finally:
+            self._accepted -= 1
+
+    async def _reject_for_room(self, connection: ClientConnection, attempt: str) -> None:
+        now_s = trio.current_time()
+        self.rejected_s.append(now_s)
+        recent = sum(now_s - at_s <= BRITTLE_WINDOW_S for at_s in self.rejected_s)
+        if self.brittle is not None and recent > self.brittle:
+            self.falls_s.append(now_s)
+            self.rejected_s.clear()
+            self.stop()
+            await trio.sleep_forever()
+        await self.reject(connection, attempt)
+
+    async def _run_in_turn(
+        self,
+        connection: ClientConnection,
+        head: RequestHead,
+        body: bytes,
+        attempt: str,
+        fault: PlainFault,
+    ) -> None:
+        """Run a request once a slot is free."""
+        if self.slots is None:
+            await self._run(connection, head, body, attempt, fault)
+            return
+        while self._running >= self.slots:
+            await self._slots_free.wait()
+        self._running += 1
+        try:
+            await self._run(connection, head, body, attempt, fault)
+        finally:
+            self._running -= 1
+            self._slots_free.set()
+            self._slots_free = trio.Event()
+
+    async def _run(
+        self,
+        connection: ClientConnection,
+        head: RequestHead,
+        body: bytes,
+        attempt: str,
+        fault: PlainFault,
+    ) -> None:
         self.heads.append(head)
         self.runs_by_attempt[attempt] += 1
         if body == self.fatal_body:
--- /dev/null
+++ b/tests/test_brittle_runners.py
@@ -0,0 +1,75 @@
+"""Runners that fall over if they have to reject more than a few requests in a second."""
+
+import trio
+
+from tests.limited_site import send_steadily
+from tests.platform_site import platform_site
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+RUNNERS = 4
+SLOTS = 3
+WORK_S = 0.1
+BRITTLE = 2
+FALLEN_S = 4.0
+STATED_S = 3.0
+"""Time from the first statement that they are brittle until fewer requests may wait."""
+OBSERVED_S = 6.0
+CAPACITY_PER_S = RUNNERS * SLOTS / WORK_S
+
+
+async def run_with_falls(runner):
+    """Run a runner that was stopped; each time it falls over, it is back after some seconds."""
+    while True:
+        await runner.run()
+        await trio.sleep(FALLEN_S)
+
+
+async def play_brittle(share, path):
+    """Offer a share of what all runners bear; return the runners and the share that was served."""
+    async with platform_site(entries=4, plain=RUNNERS) as site:
+        for runner in site.plain:
+            runner.slots, runner.max_waiting, runner.delay_s = SLOTS, 6, WORK_S
+            runner.stop()
+            site.nursery.start_soon(run_with_falls, runner)
+        await trio.sleep(0.2)
+        for runner in site.plain:
+            site.register(runner.runner_id, "desk", runner.address)
+            runner.brittle = BRITTLE
+        gap_s = 1 / (share * CAPACITY_PER_S)
+        await send_steadily(site, path, round(STATED_S / gap_s), gap_s, tag="a", method=b"POST")
+        for runner in site.plain:
+            runner.max_waiting = 1
+        before = sum(len(one.heads) for one in site.plain)
+        count = round(OBSERVED_S / gap_s)
+        answers = await send_steadily(site, path, count, gap_s, tag="b", method=b"POST")
+        ran = sum(len(one.heads) for one in site.plain) - before
+        served = sum(one.status == 200 for one in answers) / count
+        return site.plain, ran / (CAPACITY_PER_S * OBSERVED_S), served
+
+
+def falls(runners):
+    """Return how often runners fell over."""
+    return sum(len(one.falls_s) for one in runners)
+
+
+@on_real_clock
+async def test_brittle_runners_do_not_fall_over_under_more_calls_than_they_bear():
+    runners, used, _ = await play_brittle(1.5, "/holds/1")
+    check.assertLessEqual(falls(runners), 2 + RUNNERS / 10)
+    check.assertGreater(used, 0.6)
+
+
+@on_real_clock
+async def test_second_sends_do_not_make_brittle_runners_fall_over():
+    runners, used, _ = await play_brittle(1.5, "/notes/1")
+    check.assertLessEqual(falls(runners), 2 + RUNNERS / 10)
+    check.assertGreater(used, 0.6)
+
+
+@on_real_clock
+async def test_calls_are_served_by_brittle_runners_with_room():
+    # Guards against refusals while the runners have room.
+    _, _, served = await play_brittle(0.4, "/holds/1")
+    check.assertGreater(served, 0.95)
