Brittle runners: no more requests at one than it has slots

Nothing read Server-Brittle.

The number is told as limits are: in reports, and by the home to all. Each instance has an equal part of a brittle runner's slots for its calls, the home nine tenths of an engine's; after a rejection an instance pauses, so that the rejections of all together stay within the number. A call for which a slot may be free in a moment waits for a quarter of its time at most.

The test registers the runners with the slots that they have, and measures the time that the sends took.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -338,6 +338,12 @@
         Level.INFO,
         "A reading of the runners is older than what is known; logged for the first of a row.",
     )
+    RUNNER_BRITTLE = (
+        495,
+        Level.WARNING,
+        "A runner falls over if it has to reject more than `per_s` requests a second.",
+    )
+    RUNNER_NOT_BRITTLE = (496, Level.INFO, "A runner no longer says that it is brittle.")
     MOVE_ENDED = (436, Level.INFO, "Copying a run's memory to another runner succeeded or failed.")
 
     def __init__(self, number: int, level: Level, meaning: str) -> None:
--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -39,6 +39,8 @@
     """Ids of runners that are known to be leaving, whatever the store lists."""
     limits: list
     """Rate limits that runners lately gave, a row each."""
+    brittle: list
+    """Rejections a second that brittle runners lately said to bear, a row each."""
 
 
 @dataclass(frozen=True)
--- a/egretstack/placing/__init__.py
+++ b/egretstack/placing/__init__.py
@@ -1,6 +1,7 @@
 """Decides where generations and calls run. Does no I/O; the time is passed in."""
 
 from egretstack.placing._balancer import PlainBalancer
+from egretstack.placing._brittle_allocation import BrittleAllocation
 from egretstack.placing._capacity_forecast import CapacityForecast
 from egretstack.placing._capacity_sharing import CapacitySharing
 from egretstack.placing._cold_allocation import ColdAllocation
@@ -54,6 +55,7 @@
 from egretstack.placing._wait_limit import longest_wait_s
 
 __all__ = [
+    "BrittleAllocation",
     "AnswerCount",
     "CapacityForecast",
     "CapacitySharing",
--- a/egretstack/placing/_balancer.py
+++ b/egretstack/placing/_balancer.py
@@ -79,6 +79,11 @@
         ]
         return min(rows, key=lambda row: row[:3])[3]
 
+    def in_flight(self, runner_id: RunnerId) -> int:
+        """Return how many calls of this instance are in progress at a runner."""
+        stats = self._stats_by_id.get(runner_id)
+        return 0 if stats is None else stats.in_flight
+
     def record_sent(self, runner_id: RunnerId) -> None:
         """Record a call that is sent to a runner."""
         self._stats(runner_id).in_flight += 1
--- a/egretstack/platform/_runner_wire.py
+++ b/egretstack/platform/_runner_wire.py
@@ -42,6 +42,7 @@
 _LOAD = b"runner-load"
 _COLD_MS = b"cold-ms"
 _LIMIT = b"server-limit"
+_BRITTLE = b"server-brittle"
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
 _DEADLINE_MS = b"deadline-ms"
@@ -131,6 +132,7 @@
         load=load,
         load_invalid=not load_valid,
         limit_per_s=_parse_limit(first_value(head.headers, _LIMIT)),
+        brittle_per_s=_parse_limit(first_value(head.headers, _BRITTLE)),
         leaving=first_value(head.headers, _LEAVING) == b"1",
         backoff_s=_parse_backoff_s(head),
     )
--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -31,6 +31,7 @@
     "placing_status",
     "crash_guard",
     "crash_list",
+    "brittle_runners",
     "runner_words",
     "relaying",
     "runner_strikes",
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -36,6 +36,10 @@
 MIN_SEND_S = 0.02
 """With less time than this a request is not sent: no runner answers faster."""
 MAX_CONNECT_ATTEMPTS = 3
+BRIEF_WAIT_S = 0.03
+"""A runner that may get a request within this time is waited for."""
+WAIT_SHARE = 0.25
+"""Share of the remaining time for which a call waits so."""
 NO_RUNNER_RETRY_S = 0.5
 REJECTED_RETRY_S = 0.2
 MAX_RETRY_AFTER_S = 10.0
@@ -81,7 +85,7 @@
         while True:
             if self._context.crash_guard.is_refused(task.content_id):
                 return self._refuse(progress)
-            runner = self._choose(task, progress)
+            runner = await self._choose_or_wait(task, progress)
             if runner is None or task.time_left_s() < MIN_SEND_S:
                 return self._give_up(task, progress, "no runner to send to")
             result, response = await self._send(task, runner, progress)
@@ -100,6 +104,18 @@
             if not self._may_send_again(task, progress, result):
                 return self._give_up(task, progress, result.value)
 
+    async def _choose_or_wait(self, task: RelayTask, progress: _Progress) -> Runner | None:
+        """Choose a runner; wait for one if that takes no longer than a refusal is worth."""
+        until_s = trio.current_time() + WAIT_SHARE * task.time_left_s()
+        while True:
+            runner = self._choose(task, progress)
+            if runner is not None or trio.current_time() >= until_s:
+                return runner
+            wait_s = self._time_until_allowed_s(task)
+            if not 0.0 < wait_s <= BRIEF_WAIT_S:
+                return None
+            await trio.sleep(wait_s)
+
     def _choose(self, task: RelayTask, progress: _Progress) -> Runner | None:
         now_s = trio.current_time()
         candidates = [
--- a/egretstack/services/_news_rows.py
+++ b/egretstack/services/_news_rows.py
@@ -12,6 +12,7 @@
 ZONE = "z"
 CRASH = "c"
 LIMIT = "l"
+BRITTLE = "b"
 UNRESPONSIVE = 1
 SUSPECT = 2
 
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -76,6 +76,8 @@
         self.evacuations = Evacuations()
         self.crashes = CrashTable()
         self.limits = RunnerLimits()
+        self.brittle = RunnerLimits()
+        """How many rejections a second brittle runners bear."""
         self.run_rows: Callable[[], list] = list
         """Returns the rows of the runs of this instance."""
         self.held_updates: Callable[[], HeldVersion] = HeldVersion
@@ -228,6 +230,7 @@
             self.clear_rows(),
             self.leaving(),
             self.limits.rows(trio.current_time()),
+            self.brittle.rows(trio.current_time()),
         )
 
     async def _receive(self, receiving: trio.socket.SocketType) -> None:
--- a/egretstack/services/placing_home.py
+++ b/egretstack/services/placing_home.py
@@ -25,6 +25,7 @@
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import Message
 from egretstack.placing import (
+    BrittleAllocation,
     ColdAllocation,
     CombinedSendBounds,
     FleetSplit,
@@ -76,7 +77,12 @@
         self.cold_allocation.config_for = self._cold_plan
         limits = LimitAllocation(self.split, self._port.runners, self._port.limits)
         self.backoffs = RunnerBackoffs(self._port.runners)
-        self.send_bounds = CombinedSendBounds((self.cold_allocation, limits, self.backoffs))
+        self.brittle_allocation = BrittleAllocation(
+            self.split, self._port.runners, self._port.brittle
+        )
+        self.send_bounds = CombinedSendBounds(
+            (self.cold_allocation, limits, self.brittle_allocation, self.backoffs)
+        )
         self.placer = Placer(
             self._port.runners,
             kernel.rng,
@@ -84,6 +90,8 @@
             shares_capacity=settings.shares_capacity,
             split=self.split,
         )
+        self.brittle_allocation.fleet_runs_at = self._fleet_runs_at
+        self.brittle_allocation.own_runs_at = self._own_runs_at
         self.refusal_records = RefusalRecords(kernel.get(RelayMetrics))
         self.own_runs: Callable[[], list[Run]] = list
         """Returns the runs of this instance."""
@@ -92,6 +100,12 @@
         self._permits = MovePermits()
         self._requester_by_attempt: dict[str, InstanceId] = {}
 
+    def _fleet_runs_at(self, runner: RunnerId) -> int:
+        return sum(run.runner == runner for run in self.placer.registry.runs())
+
+    def _own_runs_at(self, runner: RunnerId) -> int:
+        return sum(run.runner == runner for run in self.own_runs())
+
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Answer peers until cancelled."""
         self._port.run_rows = lambda: [run_row(run) for run in self.own_runs()]
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -90,6 +90,7 @@
             signals=kernel.get(RunnerSignalsService),
         )
         links.on_change(self._on_links_changed)
+        kernel.get(PlacingHome).brittle_allocation.calls_at = self.context.balancer.in_flight
         stream_limits = self.context.stream_limits
         stream_limits.on_change = _log_limit_change
         gauge = kernel.get(RelayMetrics).gauge(
--- a/egretstack/services/runner_words.py
+++ b/egretstack/services/runner_words.py
@@ -8,6 +8,7 @@
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import MessageError
 from egretstack.relay import RunnerSignals
+from egretstack.services.brittle_runners import BrittleRunners
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
 from egretstack.services.relay_metrics import RelayMetrics
@@ -20,13 +21,14 @@
     """Learns a runner's limit of requests per second, its backoff, or that it leaves."""
 
     name = "runner_words"
-    requires = ("fleet_port", "placing_home", "relay_metrics")
+    requires = ("brittle_runners", "fleet_port", "placing_home", "relay_metrics")
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
         self._backoffs = kernel.get(PlacingHome).backoffs
         self._send_bounds = kernel.get(PlacingHome).send_bounds
+        self._brittle = kernel.get(BrittleRunners)
         gauge = kernel.get(RelayMetrics).gauge(
             "egret_relay_limited_runners", "Runners that name how many requests a second they take."
         )
@@ -51,6 +53,7 @@
         if answer.load_invalid:
             self._invalid_loads.inc()
         self._port.record_runner_limit(runner, answer.limit_per_s, sent_s)
+        self._brittle.on_answer(runner, answer, sent_s)
         is_new = answer.leaving and not self._port.runners.is_leaving(runner)
         if is_new or answer.backoff_s is not None:
             log(Event.RUNNER_WORD, runner=runner, leaving=answer.leaving, rest_s=answer.backoff_s)
--- a/egretstack/traffic/_send.py
+++ b/egretstack/traffic/_send.py
@@ -75,6 +75,8 @@
 
     The limit holds as long as the runner's answers state it.
     """
+    brittle_per_s: float | None = None
+    """Rejections a second beyond which the runner falls over; None if it states no number."""
     leaving: bool = False
     """Whether the runner states that it is leaving."""
     backoff_s: float | None = None
--- a/standins/platform/_operator.py
+++ b/standins/platform/_operator.py
@@ -101,6 +101,7 @@
     *,
     zone: str = "leon-a",
     cold_ms: int = 0,
+    slots: int = 24,
 ) -> dict:
     """Return a runner's entry in the store, in the format that the runner writes."""
     start_time = {} if started_ms is None else {"born": started_ms}
@@ -109,7 +110,7 @@
         "address": address,
         "zone": zone,
         "version": "v1",
-        "slots": 24,
+        "slots": slots,
         "state": state,
         "cold-remaining-ms": cold_ms,
         "seq-no": 1,
--- a/tests/test_brittle_runners.py
+++ b/tests/test_brittle_runners.py
@@ -10,7 +10,7 @@
 
 RUNNERS = 4
 SLOTS = 3
-WORK_S = 0.1
+WORK_S = 0.2
 BRITTLE = 2
 FALLEN_S = 4.0
 STATED_S = 3.0
@@ -35,7 +35,7 @@
             site.nursery.start_soon(run_with_falls, runner)
         await trio.sleep(0.2)
         for runner in site.plain:
-            site.register(runner.runner_id, "desk", runner.address)
+            site.register(runner.runner_id, "desk", runner.address, slots=SLOTS)
             runner.brittle = BRITTLE
         gap_s = 1 / (share * CAPACITY_PER_S)
         await send_steadily(site, path, round(STATED_S / gap_s), gap_s, tag="a", method=b"POST")
@@ -43,10 +43,12 @@
             runner.max_waiting = 1
         before = sum(len(one.heads) for one in site.plain)
         count = round(OBSERVED_S / gap_s)
+        began_s = trio.current_time()
         answers = await send_steadily(site, path, count, gap_s, tag="b", method=b"POST")
         ran = sum(len(one.heads) for one in site.plain) - before
         served = sum(one.status == 200 for one in answers) / count
-        return site.plain, ran / (CAPACITY_PER_S * OBSERVED_S), served
+        took_s = trio.current_time() - began_s
+        return site.plain, ran / (CAPACITY_PER_S * took_s), served
 
 
 def falls(runners):
