--- a/tests/soak/signals.py
+++ b/tests/soak/signals.py
@@ -16,6 +16,8 @@
 PROPAGATION_S = 3.0
 """Time from a runner's first signal until the entries have to respect it."""
 BACKOFF_S = 2.0
+BRITTLE = 2
+"""Rejections a second that a brittle runner says it bears."""
 BACKOFF_GRACE_S = 0.5
 MAX_IN_BACKOFF = 2
 LEAVING_TIMEOUT_S = 2.0
@@ -100,10 +102,12 @@
 
 
 async def signal_temporarily(runner: Server, rng: random.Random, length_s: float) -> None:
-    """Let a runner signal a limit or backoff for some time while faults are injected."""
-    if rng.random() < 0.5:
+    """Let a runner signal a limit, a backoff or that it is brittle for some time."""
+    if rng.random() < 0.3:
+        runner.brittle = BRITTLE
+    elif rng.random() < 0.5:
         runner.limit_per_s = rng.choice((0.0, 0.5, LIMIT_PER_S, 10.0))
     else:
         runner.backoff_s = rng.uniform(0.2, BACKOFF_S)
     await trio.sleep(length_s)
-    runner.limit_per_s = runner.backoff_s = None
+    runner.limit_per_s = runner.backoff_s = runner.brittle = None
