Streams that all engines have rejected are refused at once

A stream that each engine had rejected, with a time to come back, waited for a place for its longest wait of 1.0 to 1.3 s, though no engine was left for it: the time left of the engines' backoffs was taken over the engines that are not excluded, of which there were none, and so was 0. It is refused with the least of those times now.

--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -122,6 +122,9 @@
         """Request a place once, with `left_s` left to wait. Raises RequestFailed."""
         if self._port.runners.has_only_evacuated(request.service, request.zones):
             raise no_eligible_runner()
+        rejected_s = self._all_rejected_s(request)
+        if rejected_s > 0.0:
+            return _NotPlaced(min(MAX_RETRY_AFTER_S, rejected_s), is_final=True)
         backoff_s = self._backoff_left_s(request)
         if backoff_s > 0.0:
             await trio.sleep(min(backoff_s, RENEW_INTERVAL_S) if backoff_s <= left_s else 0.0)
@@ -300,6 +303,24 @@
         )
         return min(times, default=0.0)
 
+    def _all_rejected_s(self, request: GenerationRequest) -> float:
+        """Return the time until one of the engines accepts requests again if all rejected this one.
+
+        0 if an engine is left for it, or if none of them asked for a backoff.
+        """
+        now_s, backoffs = trio.current_time(), self._home.backoffs
+        eligible = [
+            runner
+            for runner in self._port.runners.ready(request.service)
+            if request.may_run_in(runner.zone)
+        ]
+        if any(runner.id not in request.excluded for runner in eligible):
+            return 0.0
+        times = (
+            backoffs.time_until_allowed_s(now_s, runner, SendOrigin.ALONE) for runner in eligible
+        )
+        return min((one for one in times if one > 0.0), default=0.0)
+
     def _free_locally_after_s(self, request: GenerationRequest) -> float:
         """Return the time until an engine may get a request without the home; 0 if now."""
         placer = self._home.placer
