Tunnels: a request with a time out of bounds is refused

A negative or undefined time to connect raised ValueError in the task that serves the tunnel, which ends the process; anyone who reaches the port could send one. Found by reading; the test sends such requests.

Also: a tunnel that opens while another runner accepts connections no longer shows lost links, and an era of more digits than a revision carries is not read.

--- a/egretstack/detour/_carrier.py
+++ b/egretstack/detour/_carrier.py
@@ -7,7 +7,6 @@
 from egretstack.detour._wire import (
     END_FRAME,
     MAX_FRAME_BYTES,
-    BadTunnelRequest,
     decode_request,
     encode_frame,
     request_length,
@@ -29,8 +28,6 @@
         if not received:
             return None
         data += received
-        if length is None and len(data) > MAX_FRAME_BYTES:
-            raise BadTunnelRequest("no request")
     return (*decode_request(bytes(data[:length])), bytes(data[length:]))
 
 
--- a/egretstack/detour/_wire.py
+++ b/egretstack/detour/_wire.py
@@ -10,6 +10,8 @@
 import msgpack
 
 MAX_REQUEST_BYTES = 512
+MAX_CONNECT_S = 10.0
+"""Longest time to connect that may be asked for."""
 MAX_FRAME_BYTES = 65_536
 _LENGTH_BYTES = 4
 END_FRAME = bytes(_LENGTH_BYTES)
@@ -62,6 +64,8 @@
         raise BadTunnelRequest(repr(error)) from error
     if not isinstance(address, str) or not isinstance(timeout_s, int | float):
         raise BadTunnelRequest("fields of other types")
+    if not 0.0 <= timeout_s <= MAX_CONNECT_S:
+        raise BadTunnelRequest("a time to connect out of bounds")
     return address, float(timeout_s)
 
 
--- a/egretstack/platform/_store.py
+++ b/egretstack/platform/_store.py
@@ -38,7 +38,7 @@
 CONNECT_TIMEOUT_S = 0.5
 MAX_READS = 3
 """Times that a read is sent after one without an answer; all wait for that many timeouts."""
-MAX_ERA_DIGITS = 9
+MAX_ERA_DIGITS = 5
 WATCH_MARGIN_S = 0.7
 """How long after its requested time a watch may stay unanswered before its connection is closed."""
 
--- a/egretstack/services/runner_links.py
+++ b/egretstack/services/runner_links.py
@@ -120,8 +120,9 @@
             nursery.cancel_scope.cancel()
         if link is None:
             raise failure
-        self._reach.record_cut()
-        self._on_state()
+        if not self._reach.is_proven(trio.current_time()):
+            self._reach.record_cut()
+            self._on_state()
         return link
 
     async def _probe(self) -> None:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -1,14 +1,17 @@
 """Tunnels over loopback sockets: how the ends of a runner, a helper and an instance show."""
 
 import trio
+import trio.testing
 
 from egretstack.detour import (
+    BadTunnelRequest,
     TunnelOutcome,
     TunnelRefused,
     carry,
     open_tunnel,
     read_request,
 )
+from egretstack.detour._wire import encode_request
 from egretstack.http1 import (
     RequestHead,
     UpstreamBroken,
@@ -185,3 +188,20 @@
                 await open_tunnel(site.runner, "127.0.0.1:1", 0.1, 0.2)
             check.assertIsNone(refused.exception.outcome)
             nursery.cancel_scope.cancel()
+
+
+@on_real_clock
+async def test_requests_for_tunnels_that_make_no_sense_are_refused():
+    # Guards against a process that ends by what anyone may send to its port.
+    bad = [
+        encode_request("127.0.0.1:1", -1.0),
+        encode_request("127.0.0.1:1", float("nan")),
+        encode_request(["127.0.0.1:1"], 1.0),
+        (2_000_000_000).to_bytes(4, "big"),
+        (3).to_bytes(4, "big") + b"\xc1\xff\x00",
+    ]
+    for data in bad:
+        requester, helper = trio.testing.memory_stream_pair()
+        await requester.send_all(data)
+        with check.assertRaises(BadTunnelRequest):
+            await read_request(helper)
