Brittle runners: an instance that starts slowly gets them in the first update

The kind of rows was registered when the service ran; rows are applied only as they come or change, so that an instance whose service runs after the first update would have missed them, as once the speeds of engines. Registered at the construction now. Found by reading: the new test passes before as well, as reports of the others reach the instance in it.

--- a/egretstack/services/brittle_runners.py
+++ b/egretstack/services/brittle_runners.py
@@ -27,11 +27,12 @@
         self._port = kernel.get(FleetPort)
         self._stated = self._port.brittle
         self._allocation = kernel.get(PlacingHome).brittle_allocation
+        # Before any service runs: rows are applied only as they come or change.
+        kernel.get(FleetUpdatesService).add_row_kind(BRITTLE, self._rows, self._apply_rows)
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Drop the state of removed runners until cancelled."""
         self._port.on_report_received(self._on_report)
-        self.kernel.get(FleetUpdatesService).add_row_kind(BRITTLE, self._rows, self._apply_rows)
         task_status.started()
         while True:
             await trio.sleep(FORGET_PERIOD_S)
--- a/standins/platform/_plain.py
+++ b/standins/platform/_plain.py
@@ -49,6 +49,8 @@
         """Requests that may wait for a slot; it rejects others."""
         self.rejected_s: list[float] = []
         """Times at which it rejected a request for want of room."""
+        self.busy_s = 0.0
+        """Time that its slots were in use, added up over them."""
         self.falls_s: list[float] = []
         """Times at which it fell over, as it had to reject too many requests in a second."""
         self._accepted = 0
@@ -123,9 +125,11 @@
         while self._running >= self.slots:
             await self._slots_free.wait()
         self._running += 1
+        began_s = trio.current_time()
         try:
             await self._run(connection, head, body, attempt, fault)
         finally:
+            self.busy_s += trio.current_time() - began_s
             self._running -= 1
             self._slots_free.set()
             self._slots_free = trio.Event()
--- a/tests/test_brittle_runners.py
+++ b/tests/test_brittle_runners.py
@@ -1,8 +1,13 @@
 """Runners that fall over if they have to reject more than a few requests in a second."""
 
+from unittest.mock import patch
+
 import trio
 
+from egretstack.services.brittle_runners import BrittleRunners
+from egretstack.services.fleet_port import FleetPort
 from tests.limited_site import send_steadily
+from tests.partition_site import until_one_home
 from tests.platform_site import platform_site
 from tests.support import check, on_real_clock, tests_of
 
@@ -27,7 +32,10 @@
 
 
 async def play_brittle(share, path):
-    """Offer a share of what all runners bear; return the runners and the share that was served."""
+    """Offer a share of what all runners bear.
+
+    Returns the runners, the share of their slots that was in use, and that of the calls served.
+    """
     async with platform_site(entries=4, plain=RUNNERS) as site:
         for runner in site.plain:
             runner.slots, runner.max_waiting, runner.delay_s = SLOTS, 6, WORK_S
@@ -41,14 +49,14 @@
         await send_steadily(site, path, round(STATED_S / gap_s), gap_s, tag="a", method=b"POST")
         for runner in site.plain:
             runner.max_waiting = 1
-        before = sum(len(one.heads) for one in site.plain)
+        before_s = sum(one.busy_s for one in site.plain)
         count = round(OBSERVED_S / gap_s)
         began_s = trio.current_time()
         answers = await send_steadily(site, path, count, gap_s, tag="b", method=b"POST")
-        ran = sum(len(one.heads) for one in site.plain) - before
+        busy_s = sum(one.busy_s for one in site.plain) - before_s
         served = sum(one.status == 200 for one in answers) / count
         took_s = trio.current_time() - began_s
-        return site.plain, ran / (CAPACITY_PER_S * took_s), served
+        return site.plain, busy_s / (RUNNERS * SLOTS * took_s), served
 
 
 def falls(runners):
@@ -70,6 +78,32 @@
     check.assertGreater(used, 0.6)
 
 
+@on_real_clock
+async def test_an_instance_that_starts_slowly_knows_brittle_runners():
+    # Guards against rows in updates that come while the instance is still starting its services.
+    run = BrittleRunners.run
+
+    async def run_late(service, task_status):
+        port = service.kernel.get(FleetPort)
+        while not port.held_updates().version:
+            await trio.sleep(0.01)
+        await run(service, task_status)
+
+    async with platform_site(entries=4, plain=1) as site:
+        await until_one_home(site)
+        site.plain[0].brittle = BRITTLE
+        await site.call("/notes/1", "first")
+        await site.until(lambda: all(knows_brittle(one, site.plain[0]) for one in site.kernels))
+        with patch.object(BrittleRunners, "run", run_late):
+            late = await site.start_entry(4)
+        await site.until(lambda: knows_brittle(late, site.plain[0]))
+
+
+def knows_brittle(kernel, runner):
+    """Return whether an instance knows a runner as brittle."""
+    return kernel.get(FleetPort).brittle.per_s(runner.runner_id) == runner.brittle
+
+
 @on_real_clock
 async def test_calls_are_served_by_brittle_runners_with_room():
     # Guards against refusals while the runners have room.
