New home: takes over what an earlier home had learned from whoever holds it

Seen: when an instance that is preferred as home starts and the updates to it are late or lost, the whole fleet forgets which engines are slow, for good.

Cause: the new home sends the rows that it happens to hold; all others drop theirs for them. Nothing tells it what it lacks, and the predecessor follows it like the others.

Evidence: a test that drops the updates to a starting instance for a second, without load: it is the home 0.5 s later, and the speed is gone on all three.

Ruled out: a home that waits for its predecessor's rows. Runners that leave, evacuations and limits must not wait for them, and a predecessor that is gone never sends them.

Now an instance that has to start over with another home's rows keeps the learned ones for 3 s, uses them until the home has listed their keys, and sends them to the home, every 0.3 s while it has not. The home adds what was never among its own rows. A home that is replaced brings its rows up to date first, and one that had received a part of an update uses it. The rule holds for every kind of rows that a service adds.

Tests: first updates lost, in part, predecessor killed, two new homes in short succession, messages lost, changes not sent yet, withdrawn speeds, invalid rows.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -269,6 +269,12 @@
     )
     REPORT_UNREADABLE = (438, Level.WARNING, "An engine sent no readable load report.")
     NEWS_GAP = (445, Level.INFO, "Updates from the home were lost; they are requested again.")
+    HOME_ROWS_TAKEN_OVER = (
+        497,
+        Level.INFO,
+        "This instance, the home since a moment, lacked what an earlier home had learned, such as "
+        "the speeds of engines; another instance sent it.",
+    )
     RUNNER_INTRODUCED = (
         446,
         Level.INFO,
--- a/egretstack/fleet/__init__.py
+++ b/egretstack/fleet/__init__.py
@@ -3,6 +3,7 @@
 from egretstack.fleet._configuration_link import fetch_text, pack_text, send_packed, unpack_text
 from egretstack.fleet._evacuations import EvacuationChange, Evacuations
 from egretstack.fleet._fleet import REPORT_PERIOD_S, Fleet
+from egretstack.fleet._former_rows import FormerRows, held_rows_messages, unpack_held_rows
 from egretstack.fleet._instance import Instance, InstanceState, KnownInstance, StoreReachability
 from egretstack.fleet._messages import (
     BackupAnswer,
@@ -11,6 +12,7 @@
     FleetLoads,
     FleetNews,
     FleetView,
+    HeldRows,
     InstanceReport,
     MoveAsk,
     MoveDone,
@@ -27,6 +29,7 @@
 )
 from egretstack.fleet._nearest import nearest
 from egretstack.fleet._news import (
+    MAX_KEYS,
     REPEAT_AFTER_S,
     ApplyResult,
     HeldVersion,
@@ -44,6 +47,7 @@
 from egretstack.fleet._versioned_rows import VersionedRows
 
 __all__ = [
+    "MAX_KEYS",
     "REPEAT_AFTER_S",
     "REPORT_PERIOD_S",
     "ApplyResult",
@@ -56,6 +60,8 @@
     "FleetLoads",
     "FleetNews",
     "FleetView",
+    "FormerRows",
+    "HeldRows",
     "HeldVersion",
     "Incarnation",
     "Instance",
@@ -84,6 +90,7 @@
     "checked_limit",
     "era_of",
     "fetch_text",
+    "held_rows_messages",
     "instance_from_row",
     "instance_row",
     "limit_from_row",
@@ -95,5 +102,6 @@
     "runner_row",
     "send_packed",
     "store_revision",
+    "unpack_held_rows",
     "unpack_text",
 ]
--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -100,6 +100,16 @@
     instances: list
 
 
+@dataclass(frozen=True)
+class HeldRows(Message):
+    """An instance sends a new home rows that it holds of an earlier one, and the new one lacks."""
+
+    number: ClassVar[int] = 83
+    sender: str
+    rows: bytes
+    """Packed changes, as in `FleetNews`."""
+
+
 @dataclass(frozen=True)
 class PlaceAsk(Message):
     """Requests a runner for one generation from the home."""
--- a/egretstack/fleet/_news.py
+++ b/egretstack/fleet/_news.py
@@ -178,7 +178,7 @@
             self._parts_version, self._parts_by_base = state, {}
         parts = self._parts_by_base.get(base)
         if parts is None:
-            parts = list(_split_changes(base, self.rows.version, self.rows.changes_since(base)))
+            parts = list(split_changes(base, self.rows.version, self.rows.changes_since(base)))
             self._parts_by_base[base] = parts
         return parts
 
@@ -201,6 +201,7 @@
         self.rows = VersionedRows()
         self._epoch = 0
         self._changed: set[str] = set()
+        self._replaced: dict[str, Row] = {}
         self.missed = False
         """Whether an update came that builds on a version which is not held."""
 
@@ -232,6 +233,11 @@
         changed, self._changed = self._changed, set()
         return changed
 
+    def pop_replaced(self) -> dict[str, Row]:
+        """Return the rows of a home that were dropped for those of another, since the last call."""
+        replaced, self._replaced = self._replaced, {}
+        return replaced
+
     def _switch_epoch(self, update: FleetNews) -> bool:
         """Renumber the held rows for another home, or start over; False if neither works."""
         continues = update.continued_epoch == self._epoch != 0
@@ -240,7 +246,8 @@
             return True
         if update.base > 0:
             return False
-        self._changed.update(self.rows.rows())
+        self._replaced = self.rows.rows()
+        self._changed.update(self._replaced)
         self.rows, self._epoch = VersionedRows(), update.epoch
         return True
 
@@ -309,7 +316,7 @@
     return [change_from_row(row) for row in rows]
 
 
-def _split_changes(base: int, latest: int, changes: list[RowChange]) -> Iterator[UpdatePart]:
+def split_changes(base: int, latest: int, changes: list[RowChange]) -> Iterator[UpdatePart]:
     """Yield parts that each fit a datagram; the last one reaches the latest version."""
     packed = pack_changes(changes)
     if len(packed) <= MAX_PACKED_BYTES or len(changes) == 1:
@@ -317,5 +324,5 @@
         return
     middle = len(changes) // 2
     middle_version = changes[middle - 1].version
-    yield from _split_changes(base, middle_version, changes[:middle])
-    yield from _split_changes(middle_version, latest, changes[middle:])
+    yield from split_changes(base, middle_version, changes[:middle])
+    yield from split_changes(middle_version, latest, changes[middle:])
--- a/egretstack/fleet/_versioned_rows.py
+++ b/egretstack/fleet/_versioned_rows.py
@@ -35,6 +35,10 @@
     def __len__(self) -> int:
         return len(self._change_by_key)
 
+    def knows(self, key: str) -> bool:
+        """Return whether there is a row with a key, or was one."""
+        return key in self._change_by_key
+
     def replace_all(self, row_by_key: Mapping[str, Row]) -> bool:
         """Replace all rows with the current ones; return whether any changed."""
         before = self.version
--- a/egretstack/services/engine_speeds.py
+++ b/egretstack/services/engine_speeds.py
@@ -157,15 +157,20 @@
         }
 
     def _apply_rows(self, rows: dict[str, list]) -> None:
-        """Apply all speeds that the home has sent; ignore those that are invalid."""
+        """Apply all speeds that the home has sent; ignore those that are invalid.
+
+        The home itself applies them with those of an earlier home, and keeps what it has measured.
+        """
         speed_by_id = {}
         for key, row in rows.items():
             try:
                 speed_by_id[RunnerId(key[len(SPEED) :])] = speed_from_row(row)
             except MessageError as error:
                 self._speeds_invalid.record(trio.current_time(), key, error)
+        event_s_by_service = self._speeds.typical_events_s() if self._port.is_home() else None
         self._speeds.apply(
-            {runner: speed for runner, speed in speed_by_id.items() if speed != TYPICAL}
+            {runner: speed for runner, speed in speed_by_id.items() if speed != TYPICAL},
+            event_s_by_service,
         )
 
     def _count(self, matches: Callable[[EngineSpeed], bool]) -> int:
--- a/egretstack/services/fleet_news.py
+++ b/egretstack/services/fleet_news.py
@@ -4,7 +4,7 @@
 service sends the updates and puts them to use.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import trio
@@ -12,26 +12,34 @@
 from egretstack.crashes import record_from_row, record_row
 from egretstack.events import Event, log
 from egretstack.fleet import (
+    MAX_KEYS,
     REPEAT_AFTER_S,
     REPORT_PERIOD_S,
     ApplyResult,
     FleetLoads,
     FleetNews,
     FleetView,
+    FormerRows,
+    HeldRows,
+    Instance,
     InstanceReport,
     KnownInstance,
     RunnerState,
+    UpdateFollower,
     UpdatePart,
+    UpdatePublisher,
     UpdateReplica,
     broadcast_instance_row,
+    held_rows_messages,
     instance_from_row,
     instance_row,
     runner_from_row,
     runner_row,
+    unpack_held_rows,
 )
 from egretstack.ids import ContentId, InstanceId, RunnerId, ZoneName
 from egretstack.kernel import Kernel, Service
-from egretstack.messages import Message, encode
+from egretstack.messages import Message, MessageError, encode
 from egretstack.services._news_rows import (
     CRASH,
     INSTANCE,
@@ -102,7 +110,9 @@
         self.load_rows: Callable[[], list] = list
         """Returns the rows of the loads of all engines."""
         self._row_kinds: dict[str, RowKind] = {}
-        """Kinds of rows that other services make and apply."""
+        """Kinds of rows that other services make and apply: what the home has learned."""
+        self._former = FormerRows()
+        """Rows of these kinds that a new home may lack."""
         self._table_revision: int | None = None
         """Revision of the table of runners as the home's updates last left it; None if this
         instance has read a later one itself since."""
@@ -124,6 +134,7 @@
         self._port.on_report_sent(self._send_updates)
         self._port.on_report_received(self._on_report)
         self._port.handle(FleetNews, self._on_update)
+        self._port.handle(HeldRows, self._on_held_rows)
         task_status.started()
         await self._repeat_urgent()
 
@@ -133,7 +144,7 @@
         if not self._port.is_home():
             self._hand_over(now_s)
             return
-        publisher = self._replica.lead()
+        publisher = self._lead()
         others = self._port.fleet.recently_reported(now_s)
         publisher.retain({known.instance.id for known in others})
         before = publisher.rows.version
@@ -148,6 +159,27 @@
             self._loads_sent_s = now_s
             self._send_loads(others)
 
+    def _lead(self) -> UpdatePublisher:
+        """Return the home's side; what was received in part is put to use first."""
+        if self._replica.publisher is None:
+            self._apply_part()
+            self._former = FormerRows()
+        return self._replica.lead()
+
+    def _apply_part(self) -> None:
+        """Put to use, as a new home, what came in part."""
+        kinds = {key[0] for key in self._replica.follow().pop_changed()}
+        try:
+            self._apply_learned(self._row_kinds.keys() & kinds)
+        except MessageError as error:  # No message is handled here; the port catches it elsewhere.
+            log(Event.PEER_REFUSED, sender="", error=str(error))
+
+    def _follow(self) -> UpdateFollower:
+        """Return the follower's side, with what this instance learned as the home until now."""
+        if self._replica.publisher is not None:
+            self._refresh_rows(self._port.fleet.recently_reported(trio.current_time()))
+        return self._replica.follow()
+
     def _refresh_rows(self, others: list[KnownInstance]) -> bool:
         """Refresh the rows and the revisions they reflect; return whether any row changed.
 
@@ -198,7 +230,7 @@
         longer the home, they would otherwise not notice until they find it unresponsive.
         """
         if self._replica.publisher is not None:
-            self._replica.follow()
+            self._follow()
             self._handovers_left = HANDOVER_REPEATS
         if not self._handovers_left:
             return
@@ -312,12 +344,15 @@
             return
         holders = [InstanceId(str(one)) for one in update.config_holders]
         self._port.fleet.record_newest_config(update.config_version, holders)
-        result = self._replica.follow().apply(update)
+        follower = self._follow()
+        result = follower.apply(update)
+        self._keep_former(now_s, follower.pop_replaced())
         if result is ApplyResult.GAP:
             self._on_gap(now_s, home.instance.id, update)
         elif result is ApplyResult.WHOLE:
             self._gap_requested_s = None
             self._apply(now_s, home.instance.id, update)
+            self._send_former(now_s, home.instance)
 
     def _on_gap(self, now_s: float, home: InstanceId, update: FleetNews) -> None:
         """Request what was lost: at once the first time, and only once for a burst of updates."""
@@ -345,9 +380,8 @@
         is_other_home = update.epoch != self._received_epoch
         self._received_epoch = update.epoch
         self._apply_evacuations(now_s, update, is_other_home or ZONE in kinds)
-        for letter, kind in self._row_kinds.items():
-            if is_other_home or letter in kinds:
-                kind.apply(self._rows_by_key(letter))
+        lapsed = {key[0] for key in self._settle_former(now_s)}
+        self._apply_learned(self._row_kinds if is_other_home else kinds | lapsed)
         read_s = now_s - update.runners_age_ms / 1000
         table = self._port.runners
         changed = RUNNER in kinds or table.revision != self._table_revision
@@ -358,6 +392,50 @@
         was_applied = table.revision == update.runners_revision
         self._table_revision = table.revision if was_applied else None
 
+    def _apply_learned(self, letters: Iterable[str]) -> None:
+        """Put rows of some kinds to use, with those that the home has not taken over yet."""
+        for letter in letters:
+            kind = self._row_kinds.get(letter)
+            if kind is not None:
+                kind.apply(self._former.of_kind(letter) | self._rows_by_key(letter))
+
+    def _keep_former(self, now_s: float, rows: RowByKey) -> None:
+        """Keep the learned rows among those of another home, if there are any."""
+        learned = {key: row for key, row in rows.items() if key[0] in self._row_kinds}
+        if learned:
+            self._former.keep(now_s, learned)
+
+    def _settle_former(self, now_s: float) -> set[str]:
+        """Drop the rows that the home knows by now; return the keys of those without a row now."""
+        if not self._former:
+            return set()
+        return self._former.settle(now_s, self._replica.follow().rows.rows())
+
+    def _send_former(self, now_s: float, home: Instance) -> None:
+        """Send the home what it has not taken over yet."""
+        rows = self._former.take_due(now_s) if self._former else {}
+        for message in held_rows_messages(self._port.fleet.own.instance.id, rows):
+            self._port.send(home.peer_address, message)
+
+    def _on_held_rows(self, message: HeldRows, sender: tuple[str, int]) -> None:
+        """Take over, as the home, what an earlier home had learned. Raises MessageError."""
+        held = unpack_held_rows(message)
+        if self._port.fleet.find(InstanceId(message.sender)) is None or not self._port.is_home():
+            return
+        for letter, kind in self._row_kinds.items():
+            self._take_over(InstanceId(message.sender), kind, _of_kind(held, letter))
+
+    def _take_over(self, source: InstanceId, kind: RowKind, held: RowByKey) -> None:
+        """Add, as the home, rows of a kind that were never among its own. Raises MessageError."""
+        known, own = self._lead().rows, kind.make()
+        new = {key: row for key, row in held.items() if key not in own and not known.knows(key)}
+        if len(known) + len(own) + len(new) > MAX_KEYS:
+            raise MessageError(f"{len(new)} more rows are too many")
+        if new:
+            kind.apply(new | own)
+            log(Event.HOME_ROWS_TAKEN_OVER, source=source, rows=len(new))
+            self._port.report_soon()
+
     def _apply_crash_records(self, now_s: float, changed_keys: set[str]) -> None:
         """Apply the changed records; those that the home has dropped expire here by themselves."""
         keys = [key for key in changed_keys if key[0] == CRASH]
@@ -379,8 +457,7 @@
         return {RunnerId(key[1:]): parse_limit_row(row) for key, row in rows if key[0] == LIMIT}
 
     def _rows_by_key(self, kind: str) -> RowByKey:
-        rows = self._replica.follow().rows.rows().items()
-        return {key: row for key, row in rows if key[0] == kind}
+        return _of_kind(self._replica.follow().rows.rows(), kind)
 
     def _rows_of_kind(self, kind: str) -> list[list]:
         return list(self._rows_by_key(kind).values())
@@ -395,3 +472,8 @@
             name for name, flags in flags_by_id.items() if flags & UNRESPONSIVE
         )
         table.suspects = frozenset(name for name, flags in flags_by_id.items() if flags & SUSPECT)
+
+
+def _of_kind(rows: RowByKey, kind: str) -> RowByKey:
+    """Return the rows whose keys begin with a letter."""
+    return {key: row for key, row in rows.items() if key[0] == kind}
