New home: goes on with the marks of runners that its predecessor set

Callers then get an engine that does not answer for 2 s more, and an engine that broke several streams within the 4 s for which it is to rest; a plain runner that breaks calls gets some that may not be repeated until it breaks two again.

Cause: the marks are computed by the home from its own health requests and from reports of the last second. A new home has neither, and publishes what it computes.

A new home takes the marks in the rows that it holds, and those that others send it, into its own records: an engine is marked until it answers a health request, a suspect until it would be cleared if it had broken a call just now.

--- a/egretstack/placing/_strikes.py
+++ b/egretstack/placing/_strikes.py
@@ -90,6 +90,11 @@
             if not accusers:
                 self._clear(runner_id)
 
+    def take_over(self, now_s: float, suspects: Iterable[RunnerId]) -> None:
+        """Add the suspects of an earlier home, as if they had broken a call just now."""
+        for runner_id in suspects:
+            self._broke_s_by_id.setdefault(runner_id, now_s)
+
     def suspects(self, now_s: float, engines: Collection[RunnerId] = ()) -> frozenset[RunnerId]:
         """Return the runners that get no calls that may not be repeated.
 
--- a/egretstack/services/_news_rows.py
+++ b/egretstack/services/_news_rows.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from egretstack.fleet import HeldVersion, checked_limit
+from egretstack.ids import RunnerId
 from egretstack.messages import MessageError
 
 MAX_AGE_S = 3600.0
@@ -13,6 +14,8 @@
 CRASH = "c"
 LIMIT = "l"
 BRITTLE = "b"
+MARKS = "m"
+"""Marks of a runner, in what a new home is sent; the home's own updates have them in its row."""
 UNRESPONSIVE = 1
 SUSPECT = 2
 
@@ -35,11 +38,22 @@
 
 def parse_flags(row: list) -> int:
     """Parse the flags at the end of a runner's row. Raises MessageError."""
-    if not isinstance(row[-1], int):
+    if not row or not isinstance(row[-1], int):
         raise MessageError("a runner row has no flags")
     return row[-1]
 
 
+def mark_rows(rows: RowByKey) -> RowByKey:
+    """Return the marks of the runners that have any. Raises MessageError."""
+    flags_by_key = {key: parse_flags(row) for key, row in rows.items() if key[0] == RUNNER}
+    return {f"{MARKS}{key[1:]}": [flags] for key, flags in flags_by_key.items() if flags}
+
+
+def marked(rows: RowByKey, mark: int) -> frozenset[RunnerId]:
+    """Return the runners that have a mark. Raises MessageError."""
+    return frozenset(RunnerId(key[1:]) for key, row in rows.items() if parse_flags(row) & mark)
+
+
 def parse_limit_row(row: list) -> float:
     """Parse the row of a runner's limit. Raises MessageError."""
     if len(row) != 1:
--- a/egretstack/services/engine_reports.py
+++ b/egretstack/services/engine_reports.py
@@ -64,6 +64,7 @@
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Read reports while this instance is the home."""
+        self._port.on_marks_taken_over(self._on_marks_taken_over)
         task_status.started()
         try:
             async with trio.open_nursery() as nursery:
@@ -76,6 +77,13 @@
         finally:
             self._pool.close()
 
+    def _on_marks_taken_over(
+        self, unresponsive: frozenset[RunnerId], suspects: frozenset[RunnerId]
+    ) -> None:
+        for runner in unresponsive:
+            self._unanswered.record_ended(runner)
+        self._publish_unresponsive(self._engines())
+
     def _is_due(self) -> bool:
         now_s = trio.current_time()
         unavailable = self._port.runners.age_s(now_s) > STORE_UNAVAILABLE_AGE_S
--- a/egretstack/services/fleet_news.py
+++ b/egretstack/services/fleet_news.py
@@ -44,6 +44,7 @@
     CRASH,
     INSTANCE,
     LIMIT,
+    MARKS,
     RUNNER,
     SUSPECT,
     UNRESPONSIVE,
@@ -51,7 +52,8 @@
     RowByKey,
     RowKind,
     age_ms,
-    parse_flags,
+    mark_rows,
+    marked,
     parse_held,
     parse_limit_row,
 )
@@ -167,10 +169,11 @@
         return self._replica.lead()
 
     def _apply_part(self) -> None:
-        """Put to use, as a new home, what came in part."""
+        """Put to use, as a new home, what came in part, and the marks of the former home."""
         kinds = {key[0] for key in self._replica.follow().pop_changed()}
         try:
             self._apply_learned(self._row_kinds.keys() & kinds)
+            self._take_over_marks(self._marks())
         except MessageError as error:  # No message is handled here; the port catches it elsewhere.
             log(Event.PEER_REFUSED, sender="", error=str(error))
 
@@ -384,7 +387,7 @@
         self._apply_learned(self._row_kinds if is_other_home else kinds | lapsed)
         read_s = now_s - update.runners_age_ms / 1000
         table = self._port.runners
-        changed = RUNNER in kinds or table.revision != self._table_revision
+        changed = MARKS in lapsed or RUNNER in kinds or table.revision != self._table_revision
         if changed or table.has_missing():
             self._apply_runners(update.runners_revision, read_s)
         else:
@@ -401,15 +404,20 @@
 
     def _keep_former(self, now_s: float, rows: RowByKey) -> None:
         """Keep the learned rows among those of another home, if there are any."""
-        learned = {key: row for key, row in rows.items() if key[0] in self._row_kinds}
+        learned = self._learned(rows)
         if learned:
             self._former.keep(now_s, learned)
 
+    def _learned(self, rows: RowByKey) -> RowByKey:
+        """Return those of a home's rows that only the home knows, with the marks of runners."""
+        own_kinds = {key: row for key, row in rows.items() if key[0] in self._row_kinds}
+        return own_kinds | mark_rows(rows)
+
     def _settle_former(self, now_s: float) -> set[str]:
         """Drop the rows that the home knows by now; return the keys of those without a row now."""
         if not self._former:
             return set()
-        return self._former.settle(now_s, self._replica.follow().rows.rows())
+        return self._former.settle(now_s, self._learned(self._replica.follow().rows.rows()))
 
     def _send_former(self, now_s: float, home: Instance) -> None:
         """Send the home what it has not taken over yet."""
@@ -424,6 +432,20 @@
             return
         for letter, kind in self._row_kinds.items():
             self._take_over(InstanceId(message.sender), kind, _of_kind(held, letter))
+        self._take_over_marks(_of_kind(held, MARKS))
+
+    def _marks(self) -> RowByKey:
+        """Return the marks of runners, with those that the home has not taken over yet."""
+        current = mark_rows(self._replica.follow().rows.rows())
+        return self._former.of_kind(MARKS) | current
+
+    def _take_over_marks(self, rows: RowByKey) -> None:
+        """Mark runners, as the home, as another home did. Raises MessageError."""
+        known = self._port.runners.by_id
+        self._port.take_over_marks(
+            unresponsive=marked(rows, UNRESPONSIVE) & known.keys(),
+            suspects=marked(rows, SUSPECT) & known.keys(),
+        )
 
     def _take_over(self, source: InstanceId, kind: RowKind, held: RowByKey) -> None:
         """Add, as the home, rows of a kind that were never among its own. Raises MessageError."""
@@ -466,12 +488,10 @@
         table = self._port.runners
         rows = self._rows_of_kind(RUNNER)
         listed = [runner_from_row(row[:-1]) for row in rows]
-        flags_by_id = {one.id: parse_flags(row) for one, row in zip(listed, rows, strict=True)}
+        marks = self._marks()
         self._port.apply_runner_list(listed, revision, read_s, from_home=True)
-        table.unresponsive = frozenset(
-            name for name, flags in flags_by_id.items() if flags & UNRESPONSIVE
-        )
-        table.suspects = frozenset(name for name, flags in flags_by_id.items() if flags & SUSPECT)
+        table.unresponsive = marked(marks, UNRESPONSIVE)
+        table.suspects = marked(marks, SUSPECT)
 
 
 def _of_kind(rows: RowByKey, kind: str) -> RowByKey:
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -50,6 +50,7 @@
 """How often an instance that is not the home checks whether it has become the home: the period of
 the reports. Loops that check more often wake idle processes up for nothing."""
 Handler = Callable[[Message, tuple[str, int]], None]
+MarksListener = Callable[[frozenset[RunnerId], frozenset[RunnerId]], None]
 
 
 class FleetPort(Service):
@@ -99,6 +100,7 @@
         }
         self._report_sent_listeners: list[Callable[[], None]] = []
         self._crash_listeners: list[Callable[[], None]] = []
+        self._marks_listeners: list[MarksListener] = []
         self._runner_end_listeners: list[Callable[[Runner], None]] = []
         self._report_listeners: list[Callable[[InstanceId, InstanceReport], None]] = []
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -293,6 +295,21 @@
         if stopped and self.is_home():
             self.report_soon()
 
+    def on_marks_taken_over(self, listener: MarksListener) -> None:
+        """Call `listener` with runners that an earlier home found unresponsive, and its suspects.
+
+        This instance is the home then.
+        """
+        self._marks_listeners.append(listener)
+
+    def take_over_marks(
+        self, *, unresponsive: frozenset[RunnerId], suspects: frozenset[RunnerId]
+    ) -> None:
+        """Mark runners, as the home, until this instance has found out by itself."""
+        if unresponsive or suspects:
+            for listener in self._marks_listeners:
+                listener(unresponsive, suspects)
+
     def apply_evacuations(self, zones: frozenset[ZoneName], revision: int, read_s: float) -> None:
         """Apply a reading of the evacuated zones, made by this instance or by the home."""
         change = self.evacuations.apply_reading(zones, revision, read_s)
--- a/egretstack/services/runner_strikes.py
+++ b/egretstack/services/runner_strikes.py
@@ -33,6 +33,7 @@
         """Report counts and determine suspects until cancelled."""
         self._port.answer_count_rows = self._rows
         self._port.on_report_received(self._on_report)
+        self._port.on_marks_taken_over(self._on_marks_taken_over)
         self.kernel.get(Relaying).context.on_runner_failure = self._port.report_soon
         task_status.started()
         while True:
@@ -52,6 +53,12 @@
         if self._port.is_home() and any(one.broke for one in counts):
             self._update_suspects()
 
+    def _on_marks_taken_over(
+        self, unresponsive: frozenset[RunnerId], suspects: frozenset[RunnerId]
+    ) -> None:
+        self._strikes.take_over(trio.current_time(), suspects)
+        self._update_suspects()
+
     def _engines(self) -> set[RunnerId]:
         runners = self._port.runners.by_id.values()
         return {runner.id for runner in runners if self._store.engine(runner.service)}
--- a/tests/test_home_succession.py
+++ b/tests/test_home_succession.py
@@ -11,12 +11,14 @@
 from egretstack.fleet._messages import MAX_ROWS
 from egretstack.fleet._news import pack_changes
 from egretstack.fleet._versioned_rows import RowChange
-from egretstack.ids import RunnerId
-from egretstack.placing import TYPICAL, EngineSpeed, speed_row
+from egretstack.ids import InstanceId, RunnerId
+from egretstack.placing import TYPICAL, AnswerCount, EngineSpeed, speed_row
+from egretstack.services.engine_reports import PERIOD_S, EngineReports
 from egretstack.services.engine_speeds import SPEED
 from egretstack.services.fleet_news import FleetUpdatesService
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
+from egretstack.services.runner_strikes import RunnerStrikes
 from tests.fleet_fixtures import known_instance
 from tests.platform_site import WAIT_S, platform_site
 from tests.support import check, on_real_clock, tests_of
@@ -28,6 +30,8 @@
 SLOWER_MBPS = 10.0
 """A slower link than the other instances have."""
 SLOW = EngineSpeed(2.0, 1.5)
+UNRESPONSIVE_AFTER_S = PERIOD_S
+"""Least time in which a home finds by itself that an engine does not answer."""
 LOST_S = 1.0
 """How long a new instance gets no updates."""
 
@@ -223,6 +227,71 @@
             check.assertEqual([speed_at(one, slow) for one in site.kernels], [TYPICAL] * 3)
 
 
+async def make_suspect(site):
+    """Make the home of a site suspect a plain runner, and wait until all do; return it."""
+    await until(lambda: sum(map(is_home, site.kernels)) == 1)
+    await until(lambda: follow_same_home(site.kernels, home_of(site.kernels)))
+    suspect = RunnerId(site.plain[0].runner_id)
+    strikes = home_of(site.kernels).get(RunnerStrikes)._strikes
+    counts = [AnswerCount(suspect, 0, 3)]
+    strikes.record_report(trio.current_time(), InstanceId("entry-9"), counts)
+    await until(lambda: all(suspect in marks_at(one).suspects for one in site.kernels))
+    return suspect
+
+
+def marks_at(kernel):
+    return kernel.get(FleetPort).runners
+
+
+async def check_suspected(site, home, suspect):
+    """Check that a runner stays a suspect under a new home while nothing clears it."""
+    await until(lambda: follow_same_home(site.kernels, home))
+    await until(lambda: suspect in marks_at(home).suspects)
+    await trio.sleep(KEEP_S + 1.0)
+    check.assertTrue(all(suspect in marks_at(one).suspects for one in site.kernels))
+
+
+@on_real_clock
+async def test_suspects_outlast_their_home():
+    # Guards against a new home that clears the runners that its predecessor suspected.
+    async with platform_site(entries=2, plain=2) as site:
+        suspect = await make_suspect(site)
+        new = await site.start_entry(2, link_mbps=PREFERRED_MBPS)
+        await check_suspected(site, new, suspect)
+
+
+@on_real_clock
+async def test_suspects_outlast_a_new_home_that_got_no_update():
+    # Guards against a runner that breaks calls and gets them again when an instance starts.
+    lost = LostUpdates()
+    with lost.installed():
+        async with platform_site(entries=2, plain=2) as site:
+            suspect = await make_suspect(site)
+            new = await start_late(site, 2, lost)
+            await check_suspected(site, new, suspect)
+
+
+@on_real_clock
+async def test_a_new_home_need_not_find_out_again_which_engines_do_not_answer():
+    # Guards against requests to a silent engine in the two seconds that a new home would take.
+    request_report = EngineReports._request_report
+
+    async def request(service, engine):
+        return None if engine.id == silent else await request_report(service, engine)
+
+    lost = LostUpdates()
+    with lost.installed(), patch.object(EngineReports, "_request_report", request):
+        async with platform_site(entries=2, plain=0, engines=3) as site:
+            silent = RunnerId(site.engines[0].runner_id)
+            await until(lambda: all(silent in marks_at(one).unresponsive for one in site.kernels))
+            new = await start_late(site, 2, lost)
+            await until(lambda: is_home(new))
+            with trio.fail_after(UNRESPONSIVE_AFTER_S):
+                await until(lambda: silent in marks_at(new).unresponsive)
+                await until(lambda: follow_same_home(site.kernels, new))
+            check.assertTrue(all(silent in marks_at(one).unresponsive for one in site.kernels))
+
+
 @on_real_clock
 async def test_invalid_rows_held_of_a_former_home_end_no_new_home():
     # Guards against an error outside the handling of messages, which would end the process.
