Learned rows: a module of their own, out of the service of updates

What only a home knows, in either role, is in services/_learned_rows.py now; no behaviour changes. The rows are put to use only if some changed, another home sent them, or some of an earlier home are kept.

--- a/egretstack/services/_news_rows.py
+++ b/egretstack/services/_news_rows.py
@@ -43,6 +43,11 @@
     return row[-1]
 
 
+def of_kind(rows: RowByKey, kind: str) -> RowByKey:
+    """Return the rows whose keys begin with a letter."""
+    return {key: row for key, row in rows.items() if key[0] == kind}
+
+
 def mark_rows(rows: RowByKey) -> RowByKey:
     """Return the marks of the runners that have any. Raises MessageError."""
     flags_by_key = {key: parse_flags(row) for key, row in rows.items() if key[0] == RUNNER}
--- a/egretstack/services/fleet_news.py
+++ b/egretstack/services/fleet_news.py
@@ -4,7 +4,7 @@
 service sends the updates and puts them to use.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
 import trio
@@ -12,16 +12,13 @@
 from egretstack.crashes import record_from_row, record_row
 from egretstack.events import Event, log
 from egretstack.fleet import (
-    MAX_KEYS,
     REPEAT_AFTER_S,
     REPORT_PERIOD_S,
     ApplyResult,
     FleetLoads,
     FleetNews,
     FleetView,
-    FormerRows,
     HeldRows,
-    Instance,
     InstanceReport,
     KnownInstance,
     RunnerState,
@@ -30,7 +27,6 @@
     UpdatePublisher,
     UpdateReplica,
     broadcast_instance_row,
-    held_rows_messages,
     instance_from_row,
     instance_row,
     runner_from_row,
@@ -39,7 +35,8 @@
 )
 from egretstack.ids import ContentId, InstanceId, RunnerId, ZoneName
 from egretstack.kernel import Kernel, Service
-from egretstack.messages import Message, MessageError, encode
+from egretstack.messages import Message, encode
+from egretstack.services._learned_rows import LearnedRows
 from egretstack.services._news_rows import (
     CRASH,
     INSTANCE,
@@ -50,10 +47,9 @@
     UNRESPONSIVE,
     ZONE,
     RowByKey,
-    RowKind,
     age_ms,
-    mark_rows,
     marked,
+    of_kind,
     parse_held,
     parse_limit_row,
 )
@@ -111,10 +107,7 @@
         """When lost updates were last requested; None if nothing is missing."""
         self.load_rows: Callable[[], list] = list
         """Returns the rows of the loads of all engines."""
-        self._row_kinds: dict[str, RowKind] = {}
-        """Kinds of rows that other services make and apply: what the home has learned."""
-        self._former = FormerRows()
-        """Rows of these kinds that a new home may lack."""
+        self._learned = LearnedRows(self._port)
         self._table_revision: int | None = None
         """Revision of the table of runners as the home's updates last left it; None if this
         instance has read a later one itself since."""
@@ -127,7 +120,7 @@
         self, kind: str, make: Callable[[], RowByKey], apply: Callable[[RowByKey], None]
     ) -> None:
         """Add a kind of rows of another service; all keys begin with the letter `kind`."""
-        self._row_kinds[kind] = RowKind(make, apply)
+        self._learned.add_kind(kind, make, apply)
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Send or apply updates until cancelled."""
@@ -162,21 +155,13 @@
             self._send_loads(others)
 
     def _lead(self) -> UpdatePublisher:
-        """Return the home's side; what was received in part is put to use first."""
+        """Return the home's side; a new home goes on from what it holds."""
         if self._replica.publisher is None:
-            self._apply_part()
-            self._former = FormerRows()
+            follower = self._replica.follow()
+            kinds = {key[0] for key in follower.pop_changed()}
+            self._learned.begin_as_home(follower.rows.rows(), kinds)
         return self._replica.lead()
 
-    def _apply_part(self) -> None:
-        """Put to use, as a new home, what came in part, and the marks of the former home."""
-        kinds = {key[0] for key in self._replica.follow().pop_changed()}
-        try:
-            self._apply_learned(self._row_kinds.keys() & kinds)
-            self._take_over_marks(self._marks())
-        except MessageError as error:  # No message is handled here; the port catches it elsewhere.
-            log(Event.PEER_REFUSED, sender="", error=str(error))
-
     def _follow(self) -> UpdateFollower:
         """Return the follower's side, with what this instance learned as the home until now."""
         if self._replica.publisher is not None:
@@ -261,9 +246,7 @@
         for known in (self._port.fleet.own, *others):
             name = known.instance.id
             rows[f"{INSTANCE}{name}"] = broadcast_instance_row(known, watches=name in watchers)
-        for kind in self._row_kinds.values():
-            rows |= kind.make()
-        return rows
+        return rows | self._learned.make()
 
     def _flags(self, runner: RunnerId) -> int:
         unresponsive = UNRESPONSIVE if runner in self._port.runners.unresponsive else 0
@@ -349,13 +332,13 @@
         self._port.fleet.record_newest_config(update.config_version, holders)
         follower = self._follow()
         result = follower.apply(update)
-        self._keep_former(now_s, follower.pop_replaced())
+        self._learned.keep(now_s, follower.pop_replaced())
         if result is ApplyResult.GAP:
             self._on_gap(now_s, home.instance.id, update)
         elif result is ApplyResult.WHOLE:
             self._gap_requested_s = None
             self._apply(now_s, home.instance.id, update)
-            self._send_former(now_s, home.instance)
+            self._learned.send(now_s, home.instance)
 
     def _on_gap(self, now_s: float, home: InstanceId, update: FleetNews) -> None:
         """Request what was lost: at once the first time, and only once for a burst of updates."""
@@ -383,11 +366,14 @@
         is_other_home = update.epoch != self._received_epoch
         self._received_epoch = update.epoch
         self._apply_evacuations(now_s, update, is_other_home or ZONE in kinds)
-        lapsed = {key[0] for key in self._settle_former(now_s)}
-        self._apply_learned(self._row_kinds if is_other_home else kinds | lapsed)
+        expired: set[str] = set()
+        if is_other_home or kinds or self._learned.keeps_rows:
+            held = self._replica.follow().rows.rows()
+            expired = self._learned.settle(now_s, held)
+            self._learned.apply(held, None if is_other_home else kinds | expired)
         read_s = now_s - update.runners_age_ms / 1000
         table = self._port.runners
-        changed = MARKS in lapsed or RUNNER in kinds or table.revision != self._table_revision
+        changed = MARKS in expired or RUNNER in kinds or table.revision != self._table_revision
         if changed or table.has_missing():
             self._apply_runners(update.runners_revision, read_s)
         else:
@@ -395,68 +381,12 @@
         was_applied = table.revision == update.runners_revision
         self._table_revision = table.revision if was_applied else None
 
-    def _apply_learned(self, letters: Iterable[str]) -> None:
-        """Put rows of some kinds to use, with those that the home has not taken over yet."""
-        for letter in letters:
-            kind = self._row_kinds.get(letter)
-            if kind is not None:
-                kind.apply(self._former.of_kind(letter) | self._rows_by_key(letter))
-
-    def _keep_former(self, now_s: float, rows: RowByKey) -> None:
-        """Keep the learned rows among those of another home, if there are any."""
-        learned = self._learned(rows)
-        if learned:
-            self._former.keep(now_s, learned)
-
-    def _learned(self, rows: RowByKey) -> RowByKey:
-        """Return those of a home's rows that only the home knows, with the marks of runners."""
-        own_kinds = {key: row for key, row in rows.items() if key[0] in self._row_kinds}
-        return own_kinds | mark_rows(rows)
-
-    def _settle_former(self, now_s: float) -> set[str]:
-        """Drop the rows that the home knows by now; return the keys of those without a row now."""
-        if not self._former:
-            return set()
-        return self._former.settle(now_s, self._learned(self._replica.follow().rows.rows()))
-
-    def _send_former(self, now_s: float, home: Instance) -> None:
-        """Send the home what it has not taken over yet."""
-        rows = self._former.take_due(now_s) if self._former else {}
-        for message in held_rows_messages(self._port.fleet.own.instance.id, rows):
-            self._port.send(home.peer_address, message)
-
     def _on_held_rows(self, message: HeldRows, sender: tuple[str, int]) -> None:
-        """Take over, as the home, what an earlier home had learned. Raises MessageError."""
-        held = unpack_held_rows(message)
-        if self._port.fleet.find(InstanceId(message.sender)) is None or not self._port.is_home():
-            return
-        for letter, kind in self._row_kinds.items():
-            self._take_over(InstanceId(message.sender), kind, _of_kind(held, letter))
-        self._take_over_marks(_of_kind(held, MARKS))
-
-    def _marks(self) -> RowByKey:
-        """Return the marks of runners, with those that the home has not taken over yet."""
-        current = mark_rows(self._replica.follow().rows.rows())
-        return self._former.of_kind(MARKS) | current
-
-    def _take_over_marks(self, rows: RowByKey) -> None:
-        """Mark runners, as the home, as another home did. Raises MessageError."""
-        known = self._port.runners.by_id
-        self._port.take_over_marks(
-            unresponsive=marked(rows, UNRESPONSIVE) & known.keys(),
-            suspects=marked(rows, SUSPECT) & known.keys(),
-        )
-
-    def _take_over(self, source: InstanceId, kind: RowKind, held: RowByKey) -> None:
-        """Add, as the home, rows of a kind that were never among its own. Raises MessageError."""
-        known, own = self._lead().rows, kind.make()
-        new = {key: row for key, row in held.items() if key not in own and not known.knows(key)}
-        if len(known) + len(own) + len(new) > MAX_KEYS:
-            raise MessageError(f"{len(new)} more rows are too many")
-        if new:
-            kind.apply(new | own)
-            log(Event.HOME_ROWS_TAKEN_OVER, source=source, rows=len(new))
-            self._port.report_soon()
+        """Add, as the home, what an earlier home had learned. Raises MessageError."""
+        rows = unpack_held_rows(message)
+        source = InstanceId(message.sender)
+        if self._port.is_home() and self._port.fleet.find(source) is not None:
+            self._learned.take_over(source, rows, self._lead().rows)
 
     def _apply_crash_records(self, now_s: float, changed_keys: set[str]) -> None:
         """Apply the changed records; those that the home has dropped expire here by themselves."""
@@ -479,7 +409,7 @@
         return {RunnerId(key[1:]): parse_limit_row(row) for key, row in rows if key[0] == LIMIT}
 
     def _rows_by_key(self, kind: str) -> RowByKey:
-        return _of_kind(self._replica.follow().rows.rows(), kind)
+        return of_kind(self._replica.follow().rows.rows(), kind)
 
     def _rows_of_kind(self, kind: str) -> list[list]:
         return list(self._rows_by_key(kind).values())
@@ -488,12 +418,7 @@
         table = self._port.runners
         rows = self._rows_of_kind(RUNNER)
         listed = [runner_from_row(row[:-1]) for row in rows]
-        marks = self._marks()
+        marks = self._learned.marks(self._replica.follow().rows.rows())
         self._port.apply_runner_list(listed, revision, read_s, from_home=True)
         table.unresponsive = marked(marks, UNRESPONSIVE)
         table.suspects = marked(marks, SUSPECT)
-
-
-def _of_kind(rows: RowByKey, kind: str) -> RowByKey:
-    """Return the rows whose keys begin with a letter."""
-    return {key: row for key, row in rows.items() if key[0] == kind}
--- a/tests/test_home_succession.py
+++ b/tests/test_home_succession.py
@@ -274,6 +274,7 @@
 @on_real_clock
 async def test_a_new_home_need_not_find_out_again_which_engines_do_not_answer():
     # Guards against requests to a silent engine in the two seconds that a new home would take.
+    silent = RunnerId("i-llm-0")
     request_report = EngineReports._request_report
 
     async def request(service, engine):
@@ -282,7 +283,6 @@
     lost = LostUpdates()
     with lost.installed(), patch.object(EngineReports, "_request_report", request):
         async with platform_site(entries=2, plain=0, engines=3) as site:
-            silent = RunnerId(site.engines[0].runner_id)
             await until(lambda: all(silent in marks_at(one).unresponsive for one in site.kernels))
             new = await start_late(site, 2, lost)
             await until(lambda: is_home(new))
