Soak: its engines keep their pace when its own process is late

Cause, in the test's own process: the stand-in engines run in it and wait a fixed time after each event, so that every delay of the loop is added to every event. The engines are slow then, and the entries limit streams, as they should.

An engine has a machine of its own; now an event that is late is followed by the next on time.

--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -199,8 +199,11 @@
             if self.delays_head:
                 await trio.sleep_forever()
             await connection.start_stream(ResponseHead(200, b"", headers))
+            # An engine has a machine of its own: a busy test process delays events, not its pace.
+            due_s = trio.current_time()
             while run.generated < run.events and not run.stop.is_set():
-                with trio.move_on_after(self.gap_s):
+                due_s += self.gap_s
+                with trio.move_on_at(due_s):
                     await run.stop.wait()
                 if self.fault is EngineFault.SILENT:
                     await trio.sleep_forever()
