Review case 2: one spoilt byte of an engine's answer ends the entry

What callers see: an engine answers an order to copy a run with one wrong byte in the handle. When that run's stream is complete, the entry's process ends, and with it all other clients' calls and streams there. Bookings that sound runners run are never answered.

Nothing is fixed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,10 +6,10 @@
 import trio
 
 from review.harness import (
+    Calls,
     Client,
     ConnectionLost,
     DeskRunner,
-    Entry,
     Site,
     configuration,
     route,
@@ -29,50 +29,6 @@
 """The rule's own limit."""
 
 
-class Calls:
-    """The calls of all callers."""
-
-    def __init__(self, site: Site) -> None:
-        self.site = site
-        self.sent = 0
-        self.answered = 0
-        self.closed: list[str] = []
-        """Attempts on kept connections that closed without an answer, at entries whose process
-        was started once, long before, and that were in touch all the while."""
-        self.ids = count(1)
-
-    async def repeat(self, entry: Entry) -> None:
-        """Make one booking after the other on a connection; open a new one once it has closed."""
-        while True:
-            client = Client(entry.front)
-            try:
-                await client.open()
-                while True:
-                    await self._call(client, entry)
-            except ConnectionLost:
-                await trio.sleep(0.2)
-            finally:
-                client.close()
-
-    async def _call(self, client: Client, entry: Entry) -> None:
-        attempt = f"hold-{next(self.ids)}"
-        headers = {
-            "Attempt-Id": attempt,
-            "Deadline-Ms": "1500",
-            "Authorization": f"Bearer {KEY}",
-        }
-        self.sent += 1
-        try:
-            answer = await client.call("POST", "/holds/2f", headers, b"a seat")
-        except ConnectionLost:
-            self.site.record.write(f"{entry.name} closed without an answer to {attempt}")
-            if client.requests > 1 and entry.starts == 1:
-                self.closed.append(attempt)
-            raise
-        self.answered += 1
-        self.site.record.write(f"{attempt} gets {answer.status} from {entry.name}")
-
-
 async def monitor(site: Site) -> None:
     """Ask for the heads of a lookup with HEAD; an idempotent request is tried again once."""
     for number in count(1):
@@ -113,7 +69,7 @@
     tenants = {"halls": [KEY], "tablets": [MONITOR_KEY]}
     site.store.put("config", "main", configuration(1, routes, tenants))
     await site.until_in_touch()
-    calls = Calls(site)
+    calls = Calls(site.record, KEY)
     async with trio.open_nursery() as nursery:
         for entry in site.entries:
             nursery.start_soon(entry.keep_running, RESTART_S)
--- a/review/harness.py
+++ b/review/harness.py
@@ -279,6 +279,17 @@
         await stream.send_all(answer)
 
 
+COPY_S = 0.03
+"""How long a copy of a run's memory takes."""
+
+
+@dataclass
+class Flag:
+    """A flag that several stand-ins share."""
+
+    value: bool = False
+
+
 @dataclass
 class Work:
     """One span in which an engine worked on a request."""
@@ -302,16 +313,23 @@
         self.first_s = first_s
         """Time to the first event of a new run."""
         self.gap_s = gap_s
+        self.events: int | None = None
+        """Most events of a stream; None for as many as the request allows."""
         self.copies: set[str] = set()
         self.work: list[Work] = []
+        self.stops: dict[str, trio.Event] = {}
+        """Set for a run that stops, as the last part of it is copied."""
         self.leaving = False
-        self.lost_answers = 0
-        """How many of the next continued runs lose their answer."""
-        self.has_lost: list[str] = []
+        self.answers = 0
+        """How many requests and calls it has answered."""
+        self.spoil_next_copy = Flag()
+        """Set while the next answer to an order to copy a run that goes on is to be spoilt; engines
+        may share it."""
         Engine.by_address[address] = self
 
     async def serve(self, stream: trio.SocketStream, request: Message, target: str) -> None:
         """Answer a report or a call about copies, or run a request."""
+        self.answers += 1
         if target == "/egretstack/report":
             await stream.send_all(encode("HTTP/1.1 200 OK", {}, self._report()))
         elif target == "/egretstack/kv-move":
@@ -339,10 +357,24 @@
         return json.dumps(report).encode()
 
     async def _move(self, stream: trio.SocketStream, order: dict) -> None:
-        # There is room for copies in case, which runs bring along, and for no others.
-        running = any(work.attempt == order["id"] and work.ended_s is None for work in self.work)
-        start = "HTTP/1.1 503 Service Unavailable" if running else "HTTP/1.1 404 Not Found"
-        await stream.send_all(encode(start, {}, b"{}"))
+        attempt, peer = order["id"], self.by_address.get(order["to"])
+        runs = any(work.attempt == attempt and work.ended_s is None for work in self.work)
+        if not runs or peer is None:
+            await stream.send_all(encode("HTTP/1.1 404 Not Found", {}, b"{}"))
+            return
+        if order["last"]:
+            self.stops[attempt].set()
+        await trio.sleep(COPY_S)
+        handle = f"c-{attempt}"
+        peer.copies.add(handle)
+        body = json.dumps({"handle": handle, "created": 1}).encode()
+        if self.spoil_next_copy.value and not order["last"] and not self.leaving:
+            self.spoil_next_copy.value = False
+            at = body.index(b"c-") + 1
+            body = body[:at] + bytes([body[at] ^ 0x80]) + body[at + 1 :]
+            self.record.write(f"{self.name} spoils a byte of its answer about {attempt}: {body!r}")
+        await stream.send_all(encode("HTTP/1.1 200 OK", {}, body))
+        self.record.write(f"{self.name} has copied {attempt} to {peer.name}")
 
     async def _generate(self, stream: trio.SocketStream, request: Message) -> None:
         headers = request.headers
@@ -357,6 +389,7 @@
             backup.copies.add(attempt)
         work = Work(self.name, attempt, self.record.now(), bool(origin))
         self.work.append(work)
+        self.stops[attempt] = trio.Event()
         what = f"goes on with {attempt} after event" if origin else f"runs {attempt}"
         self.record.write(f"{self.name} {what} {headers.get('last-event-id', '')}".rstrip())
         ended = "without its end"
@@ -369,30 +402,27 @@
 
     async def _write(self, stream: trio.SocketStream, request: Message, after: int) -> None:
         attempt = request.headers["attempt-id"]
-        tokens = int(request.headers["token-count"].split(",")[1])
-        loses = self.lost_answers > 0 and "kv-from" in request.headers
-        if loses:
-            self.lost_answers -= 1
-            self.has_lost.append(attempt)
-            self.record.write(f"the answer of {self.name} to {attempt} is lost")
+        events = int(request.headers["token-count"].split(",")[1]) // 4
+        if self.events is not None:
+            events = min(self.events, events)
         due_s = trio.current_time() + (self.gap_s if after else self.first_s)
         await trio.sleep_until(due_s)
-        if not loses:
-            await stream.send_all(
-                (
-                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                    f"Attempt-Id: {attempt}\r\nRunner-Seal: s\r\n"
-                    "Transfer-Encoding: chunked\r\n\r\n"
-                ).encode()
-            )
-        for number in range(after + 1, tokens // 4 + 1):
+        await stream.send_all(
+            (
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                f"Attempt-Id: {attempt}\r\nRunner-Seal: s\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n"
+            ).encode()
+        )
+        for number in range(after + 1, events + 1):
             event = b"id: %d\ndata: xxxx\n\n" % number
-            if not loses:
-                await stream.send_all(b"%x\r\n%s\r\n" % (len(event), event))
+            await stream.send_all(b"%x\r\n%s\r\n" % (len(event), event))
             due_s += self.gap_s
-            await trio.sleep_until(due_s)
-        if not loses:
-            await stream.send_all(b"0\r\n\r\n")
+            with trio.move_on_at(due_s):
+                await self.stops[attempt].wait()
+                stream.socket.close()
+                return
+        await stream.send_all(b"0\r\n\r\n")
 
 
 # --- clients ------------------------------------------------------------------------------------
@@ -468,6 +498,99 @@
         return data
 
 
+KEPT_S = 2.0
+"""How long a client keeps its connection after a stream; it might send another request."""
+
+
+@dataclass
+class Stream:
+    """What a client sees of one stream."""
+
+    attempt: str
+    record: "Record"
+    sent_s: float = 0.0
+    events: int = 0
+    outcome: str = "open"
+    ended_s: float = 0.0
+
+    async def read(self, address: str, key: str, tokens: int) -> None:
+        """Send the request and read the stream to its end."""
+        client = Client(address)
+        headers = {
+            "Attempt-Id": self.attempt,
+            "Model": "m",
+            "Token-Count": f"600,{tokens}",
+            "Prompt-Prefix": f"5c1e07a2:350,{self.attempt.encode().hex()}:250",
+            "Deadline-Ms": "39000",
+            "Authorization": f"Bearer {key}",
+        }
+        try:
+            await client.open()
+            self.sent_s = self.record.now()
+            self.record.write(f"{self.attempt} is sent to {address}")
+            head = await client.send("POST", "/plans/2f", headers, b"a ride")
+            self.outcome = str(head.status)
+            if head.status == 200:
+                while data := await client.next_chunk():
+                    self.events += data.count(b"id:")
+                self.outcome = "complete"
+        except ConnectionLost as error:
+            self.outcome = f"cut ({error})"
+        self.ended_s = self.record.now()
+        self.record.write(f"{self.attempt}: {self.outcome} after {self.events} events")
+        await trio.sleep(KEPT_S)
+        client.close()
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether nothing more will come."""
+        return self.outcome not in ("open", "200")
+
+
+@dataclass
+class Calls:
+    """Bookings on kept connections, one after the other on each."""
+
+    record: "Record"
+    key: str
+    sent: int = 0
+    answered: int = 0
+    closed: list[str] = field(default_factory=list)
+    """Attempts on kept connections that closed without an answer, at entries whose process was
+    started once, long before, and that were in touch all the while."""
+
+    async def repeat(self, entry: "Entry") -> None:
+        """Make one booking after the other on a connection; open a new one once it has closed."""
+        while True:
+            client = Client(entry.front)
+            try:
+                await client.open()
+                while True:
+                    await self._call(client, entry)
+            except ConnectionLost:
+                await trio.sleep(0.2)
+            finally:
+                client.close()
+
+    async def _call(self, client: Client, entry: "Entry") -> None:
+        self.sent += 1
+        attempt = f"hold-{self.sent}"
+        headers = {
+            "Attempt-Id": attempt,
+            "Deadline-Ms": "1500",
+            "Authorization": f"Bearer {self.key}",
+        }
+        try:
+            answer = await client.call("POST", "/holds/2f", headers, b"a seat")
+        except ConnectionLost:
+            self.record.write(f"{entry.name} closed without an answer to {attempt}")
+            if client.requests > 1 and entry.starts == 1:
+                self.closed.append(attempt)
+            raise
+        self.answered += 1
+        self.record.write(f"{attempt} gets {answer.status} from {entry.name}")
+
+
 # --- entries ------------------------------------------------------------------------------------
 
 
