--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,6 +25,8 @@
 RESTART_S = 0.5
 MAX_CLOSED = 3
 """The rule's own limit."""
+BORN_MS = 1_796_000_000_000
+"""When the runners started, in Unix milliseconds; on this site their entries say so."""
 CUT_SERVICE = "bazaar-app \ud83d"
 """A service that the configuration doesn't name: a text that was cut within a character outside of
 the basic plane, as programs that count in UTF-16 write it. It comes as a JSON escape."""
@@ -45,7 +47,7 @@
         for number in (1, 2, 3)
     ]
     for runner in runners:
-        await site.add_runner(runner, "desk", 6)
+        await site.add_runner(runner, "desk", 6, born=BORN_MS)
     routes = [route("holds", "non_idempotent", "desk", 1500, 200)]
     site.store.put("config", "main", configuration(1, routes, {"collective": [KEY]}))
     await site.until_in_touch()
@@ -59,7 +61,7 @@
         await trio.sleep(QUIET_S)
         if site.trouble:
             nobody = DeskRunner(f"{site.net}.2.99:8080", "i-5be07d91", site.record, WORK_S)
-            foreign = entry_of(nobody, CUT_SERVICE, 6)
+            foreign = entry_of(nobody, CUT_SERVICE, 6) | {"born": BORN_MS}
             site.store.put("servers", nobody.name, foreign)
             site.record.write(f"another writer's entry: {nobody.name} {foreign!r}")
         await trio.sleep(PLAYED_S)
--- a/review/harness.py
+++ b/review/harness.py
@@ -698,10 +698,10 @@
     trouble: bool
     """Whether the disruption is played."""
 
-    async def add_runner(self, runner: Runner, service: str, slots: int) -> None:
-        """Start a runner, which registers in the store."""
+    async def add_runner(self, runner: Runner, service: str, slots: int, **more) -> None:
+        """Start a runner, which registers in the store; `more` are further fields of its entry."""
         await self.nursery.start(runner.run)
-        self.store.put("servers", runner.name, entry_of(runner, service, slots))
+        self.store.put("servers", runner.name, entry_of(runner, service, slots) | more)
 
     async def until_in_touch(self) -> None:
         """Start the entries; wait until all are ready, and then for the stable window."""
