--- a/review/harness.py
+++ b/review/harness.py
@@ -812,6 +812,17 @@
     raise RuntimeError("no free loopback addresses")
 
 
+def end_on_sigterm(entries: list[Entry]) -> None:
+    """End the entries too if this script is ended from outside."""
+
+    def end(signal_number: int, frame: object) -> None:
+        for entry in entries:
+            entry.kill()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, end)
+
+
 Play = Callable[[Site], Awaitable[bool]]
 
 
@@ -828,6 +839,7 @@
                 Entry, net=net, store=store.address, folder=Path(temporary), record=record
             )
             site = Site(net, record, store, [make(n + 1) for n in range(entries)], nursery, trouble)
+            end_on_sigterm(site.entries)
             try:
                 with trio.fail_after(MAX_SECONDS):
                     held = await play(site)
