Error boundaries: an unforeseen error ends one piece of work, not the process

Callers saw every request of an instance end when one of them met a bug: an error that nobody handles ends the nursery of its task, its service and the process.

Evidence: a script that lets one method fail, on, two entries, in ten kinds of work (a request, connections of the directory, metrics, configuration and detour ports, a listener of reports, an update of the home, a runner's entry, an engine's report, a configuration): the process ended in 10 of 10.

kernel.UnforeseenErrors makes contexts around a connection, a datagram, a row, an exchange and a pass of a loop. Errors are logged with their traceback (one line of code once in 10 s), counted as egret_relay_unforeseen_errors_total, and bounded: a loop whose passes all fail for 5 s, 20 of them at least, still ends the process. A reading of the store that fails counts as one that was not answered. Cancellation, lost memory and errors of trio pass through. A client whose answer has not begun gets 500, may have run.

What a request holds is given back on that way too: the call in flight at its runner is counted down once, and a stream releases its run, its connection and its count whatever becomes of the others.

Ruled out: a handler around each service, which drops its other connections, and letting the process end, after which the same row ends it again.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -21,6 +21,12 @@
     DRAIN_BEGUN = (101, Level.INFO, "A graceful shutdown has begun; no request in progress is cut.")
     STOPPED = (102, Level.INFO, "The process has no request in progress and exits.")
     SERVICE_FAILED = (103, Level.ERROR, "A service stopped with an error; the process exits.")
+    ERROR_CONFINED = (
+        104,
+        Level.ERROR,
+        "A connection, datagram, row, exchange or pass of a loop (`work`) met a bug and was given "
+        "up; all else goes on. Report it with this line.",
+    )
     REQUEST_REFUSED = (200, Level.INFO, "A request was answered with an error.")
     REQUEST_BUG = (201, Level.ERROR, "A request hit a bug; report it with this line.")
     SESSION_STARTED = (210, Level.DEBUG, "An engine accepted a session's generation.")
@@ -371,6 +377,21 @@
         "One request with a part of prompts that is withheld is let through, to make sure.",
     )
     PART_RECORD_UNREADABLE = (499, Level.WARNING, "A part's record in the store is invalid.")
+    MESSAGE_UNENCODABLE = (
+        502,
+        Level.ERROR,
+        "A message to another instance holds what cannot be encoded; it was not sent.",
+    )
+    HOME_ROW_UNSENDABLE = (
+        503,
+        Level.ERROR,
+        "The home cannot send a row, which holds what cannot be encoded; the other rows are sent.",
+    )
+    HOME_ROWS_INVALID = (
+        504,
+        Level.WARNING,
+        "Rows of the home cannot be read here and are left out; the other rows are used.",
+    )
     RUNNER_NOT_BRITTLE = (496, Level.INFO, "A runner no longer says that it is brittle.")
     MOVE_ENDED = (436, Level.INFO, "Copying a run's memory to another runner succeeded or failed.")
 
--- a/egretstack/kernel/__init__.py
+++ b/egretstack/kernel/__init__.py
@@ -3,5 +3,24 @@
 from egretstack.kernel._kernel import Kernel
 from egretstack.kernel._loading import load_services
 from egretstack.kernel._service import Service, ServiceFailed
+from egretstack.kernel._unforeseen import (
+    MAX_FAILING_S,
+    MAX_FAILURES_IN_A_ROW,
+    ConfinedWork,
+    RepeatedWork,
+    UnforeseenErrors,
+    WorkKind,
+)
 
-__all__ = ["Kernel", "Service", "ServiceFailed", "load_services"]
+__all__ = [
+    "MAX_FAILING_S",
+    "MAX_FAILURES_IN_A_ROW",
+    "ConfinedWork",
+    "Kernel",
+    "RepeatedWork",
+    "Service",
+    "ServiceFailed",
+    "UnforeseenErrors",
+    "WorkKind",
+    "load_services",
+]
--- a/egretstack/kernel/_kernel.py
+++ b/egretstack/kernel/_kernel.py
@@ -10,6 +10,7 @@
 from egretstack.errors import UserError
 from egretstack.events import Event, log
 from egretstack.kernel._service import Service, ServiceFailed
+from egretstack.kernel._unforeseen import UnforeseenErrors
 
 S = TypeVar("S", bound=Service)
 ANNOUNCE_STOP_TIMEOUT_S = 2.0
@@ -23,6 +24,7 @@
         """Their type is the one that the program's services expect."""
         self.rng = rng or random.Random()
         self.epoch = EpochClock.start()
+        self.unforeseen = UnforeseenErrors()
         self.draining = trio.Event()
         self._service_by_name: dict[str, Service] = {}
 
--- a/egretstack/relay/_context.py
+++ b/egretstack/relay/_context.py
@@ -10,6 +10,7 @@
 from egretstack.fleet import Runner, RunnerTable
 from egretstack.http1 import ConnectionPool, Dialer
 from egretstack.ids import RunnerId, ZoneName
+from egretstack.kernel import UnforeseenErrors
 from egretstack.placing import (
     GenerationRequest,
     Placement,
@@ -96,6 +97,7 @@
     backoffs: RunnerBackoffs
     crash_guard: CrashGuard
     signals: RunnerSignals
+    unforeseen: UnforeseenErrors
     stream_limits: StreamLimits = field(default_factory=StreamLimits)
     event_steps: EventSteps = field(default_factory=EventSteps)
     on_runner_failure: Callable[[], None] = lambda: None
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -72,6 +72,8 @@
     excluded: set[RunnerId] = field(default_factory=set)
     failure: BufferedResponse | None = None
     """A runner's own error response, forwarded if no other send succeeds."""
+    in_flight: bool = False
+    """Whether the balancer counts a send as in progress."""
 
 
 class PlainRelay:
@@ -201,6 +203,7 @@
         if progress.sends > 1:
             self._context.budget.record_retry(trio.current_time(), task.service.name)
         self._context.balancer.record_sent(runner.id)
+        progress.in_flight = True
         self._context.send_bounds.record_sent(trio.current_time(), runner.id, SendOrigin.PLAIN)
         sent_s = trio.current_time()
         try:
@@ -208,7 +211,7 @@
         except BaseException:
             # The client disconnected or the process is ending; closing cancels the runner's work.
             connection.close()
-            self._ended(runner, failed=False)
+            self._ended(runner, progress, failed=False)
             if not self._context.runners.is_ready(runner.id):
                 self._record_broken(task, runner, sent_s)
             raise
@@ -236,7 +239,7 @@
             connection.close()
             progress.execution.mark_unknown()
             self._record_failure(runner)
-            self._ended(runner, failed=True)
+            self._ended(runner, progress, failed=True)
             await self._record_broken(task, runner, sent_s).wait()
             log(Event.UPSTREAM_BROKEN, request=task.request.attempt_id, error=repr(error))
             return _Result.UNKNOWN, None
@@ -263,6 +266,7 @@
             self._context.crash_guard.record_answered(task.fingerprint)
         if result is _Result.ANSWERED:
             self._context.crash_guard.record_writing(task.fingerprint, sent_s)
+        progress.in_flight = False
         if answer.backoff_s is not None:
             self._context.balancer.record_rejected(runner.id)
             return result, BufferedResponse(client_head(answer), body)
@@ -294,8 +298,11 @@
         self._context.balancer.recent_answers.record(trio.current_time(), runner.id, broke=True)
         self._context.on_runner_failure()
 
-    def _ended(self, runner: Runner, *, failed: bool) -> None:
-        self._context.balancer.record_ended(trio.current_time(), runner.id, failed=failed)
+    def _ended(self, runner: Runner, progress: _Progress, *, failed: bool) -> None:
+        """Record the end of a send, unless it was recorded before."""
+        if progress.in_flight:
+            progress.in_flight = False
+            self._context.balancer.record_ended(trio.current_time(), runner.id, failed=failed)
 
 
 def _classify(task: RelayTask, answer: RunnerAnswer) -> _Result:
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -4,6 +4,7 @@
 KV cache, after the last event that the client has; on resumable routes, a new run may do so too.
 """
 
+from contextlib import ExitStack
 from enum import Enum
 
 import trio
@@ -15,6 +16,7 @@
     UpstreamConnection,
 )
 from egretstack.ids import RunnerId
+from egretstack.kernel import WorkKind
 from egretstack.placing import Run
 from egretstack.platform import client_head, runner_answer
 from egretstack.relay._client_stream import ClientStream
@@ -100,6 +102,8 @@
         self._progress: StreamProgress | None = None
         self._leaving_since_s: float | None = None
         self._mover: Mover | None = None
+        self._may_move = True
+        """Whether the run may be copied; no longer after that failed unforeseen."""
         self._nursery: trio.Nursery | None = None
 
     async def serve(self) -> BufferedResponse | None:
@@ -124,11 +128,16 @@
             self._use_backup_as_copy()
             return await self._relay(head)
         finally:
-            stream_limits.end(trio.current_time(), self._progress)
-            self._record_cancelled()
-            self._opening.close()
-            if self._source is not None:
-                self._source.close()
+            # Each of these is done whatever becomes of those before it.
+            with ExitStack() as held:
+                held.callback(self._close_source)
+                held.callback(self._opening.close)
+                held.callback(self._record_cancelled)
+                held.callback(lambda: stream_limits.end(trio.current_time(), self._progress))
+
+    def _close_source(self) -> None:
+        if self._source is not None:
+            self._source.close()
 
     async def _relay(self, head: ResponseHead) -> BufferedResponse | None:
         answer = runner_answer(head)
@@ -205,7 +214,7 @@
                 self._progress.is_whole = True
                 self._log_ended()
                 if self._mover is not None:
-                    await self._mover.free()
+                    await self._free_copy(self._mover)
                 return
             if end is not _ReadEnd.LEAVING:
                 await self._record_broken(self._run.runner).wait()
@@ -230,6 +239,10 @@
                 self._client.abort()
                 return
 
+    async def _free_copy(self, mover: Mover) -> None:
+        with self._context.unforeseen.confined(WorkKind.EXCHANGE, request=self._attempt):
+            await mover.free()
+
     async def _find_source(self, end: _ReadEnd) -> bool:
         """Return whether the stream goes on: from its copy, with a new run, or where it is."""
         if await self._continue_from_copy() or end is _ReadEnd.LEAVING:
@@ -372,10 +385,19 @@
         self._context.crash_guard.record_writing(self._task.fingerprint, began_s)
 
     def _start_mover(self) -> None:
-        if not self._task.service.engine.moves:
+        if not self._task.service.engine.moves or not self._may_move:
             return
         self._mover = Mover(self._context, self._task, self._run, self._set_copy)
-        self._nursery.start_soon(self._mover.run)
+        self._nursery.start_soon(self._move, self._mover)
+
+    async def _move(self, mover: Mover) -> None:
+        """Copy the run; the stream goes on without a copy if that fails unforeseen."""
+        with self._context.unforeseen.confined(WorkKind.EXCHANGE, request=self._attempt) as work:
+            await mover.run()
+        if work.failed:
+            self._may_move = False
+            if self._mover is mover and not mover.is_stopping:
+                self._mover = None
 
     def _drop_mover(self) -> None:
         """Stop copying the run, unless the run has already stopped to continue from the copy."""
--- a/egretstack/services/_stored_records.py
+++ b/egretstack/services/_stored_records.py
@@ -13,11 +13,11 @@
 
 from egretstack.events import Event, log
 from egretstack.fleet import StoreReachability
-from egretstack.kernel import Kernel
+from egretstack.kernel import Kernel, WorkKind
 from egretstack.messages import MessageError
 from egretstack.platform import Change, ObjectKind, RevisionConflict, StoreAway
 from egretstack.services.fleet_port import IDLE_POLL_INTERVAL_S
-from egretstack.services.store_following import StoreFollower
+from egretstack.services.store_following import MAX_NAME_LOGGED, StoreFollower
 from egretstack.services.store_reading import UNAVAILABLE_PAUSE_S
 
 WATCH_S = 5.0
@@ -25,7 +25,6 @@
 FIELD = "record"
 """Name under which an object's spec holds the record's row."""
 MAX_BAD_LOGGED = 8
-MAX_NAME_LOGGED = 128
 
 Key = TypeVar("Key", bound=str)
 Record = TypeVar("Record")
@@ -96,29 +95,36 @@
         else:
             watched = await store.watch(self.kind, self._revision, WATCH_S)
             changes, revision = watched.changes, watched.revision
-        bad = [name for change in changes if (name := self._apply(change)) is not None]
-        for name in bad[:MAX_BAD_LOGGED]:
+        for name in self._apply_each(changes, self._apply)[:MAX_BAD_LOGGED]:
             log(self.unreadable, object=name[:MAX_NAME_LOGGED])
         self._revision = revision
         self._changed.set()
 
-    def _apply(self, change: Change) -> str | None:
+    def _apply(self, change: Change) -> list[str]:
         """Apply an object of the store; return its name if it cannot be read."""
         key: Key = change.object.name
         if change.deleted:
             # It was deleted by an operator, unless this instance has dropped the record itself.
             if self._stored_by_key.pop(key, None) is not None:
                 self._apply_deletion(key)
-            return None
+            return []
         try:
             record = self._parse(change.object.spec.get(FIELD))
         except MessageError:
-            return change.object.name
+            return [change.object.name]
         self._stored_by_key[key] = record
         self._apply_record(key, record)
-        return None
+        return []
 
     async def _write_changes(self) -> None:
+        writes = self.kernel.unforeseen.repeated(WorkKind.ROUND, loop=f"{self.name} writes")
+        while True:
+            with writes.attempt():
+                await self._write_until_error()
+            self._changed.set()
+            await trio.sleep(UNAVAILABLE_PAUSE_S)
+
+    async def _write_until_error(self) -> None:
         while True:
             await self._changed.wait()
             if self._port.is_home() and (self._revision is None or not self._may_read()):
--- a/egretstack/services/configuration_relay.py
+++ b/egretstack/services/configuration_relay.py
@@ -1,11 +1,14 @@
 """Sends the configuration in force to peers that cannot reach the store."""
 
+from functools import partial
+
 import trio
 
 from egretstack.fleet import send_packed
 from egretstack.http1 import open_listener
 from egretstack.kernel import Service
 from egretstack.platform import NodeSettings
+from egretstack.services._serving import serve_connections
 from egretstack.services.store_reading import StoreReading
 
 
@@ -20,7 +23,8 @@
         node: NodeSettings = self.kernel.settings
         listener = await open_listener(node.ip, node.first_peer_port)
         async with trio.open_nursery() as nursery:
-            await nursery.start(trio.serve_listeners, self._serve, [listener])
+            serve = partial(serve_connections, port="configuration")
+            await nursery.start(serve, self.kernel, listener, self._serve)
             task_status.started()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
--- a/egretstack/services/crash_guard.py
+++ b/egretstack/services/crash_guard.py
@@ -24,7 +24,7 @@
 from egretstack.fleet import InstanceReport, Runner
 from egretstack.http1 import ConnectFailed, NotReached
 from egretstack.ids import AttemptId, ContentId, InstanceId, RunnerId
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.messages import MessageError
 from egretstack.relay import CrashGuard, Refusal
 from egretstack.services._runner_health import NoHealthAnswer, fetch_health
@@ -191,6 +191,13 @@
         return stopped_s is not None and trio.current_time() - stopped_s > PLANNED_END_NOTICE_S
 
     async def _probe(self, runner: Runner) -> None:
+        """Probe a runner, and let those that wait for the result go on in any case."""
+        with self.kernel.unforeseen.confined(WorkKind.EXCHANGE, runner=runner.id):
+            await self._probe_until_known(runner)
+        for broken in self._broken_by_runner.pop(runner.id, ()):
+            broken.decided.set()
+
+    async def _probe_until_known(self, runner: Runner) -> None:
         """Probe a runner until it is known whether it has ended, a few times at most."""
         began_s = trio.current_time()
         probes = 1
--- a/egretstack/services/detour_port.py
+++ b/egretstack/services/detour_port.py
@@ -10,6 +10,7 @@
 from egretstack.http1 import ConnectFailed, Link, open_listener
 from egretstack.kernel import Kernel, Service
 from egretstack.platform import NodeSettings
+from egretstack.services._serving import serve_connections
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.relay_metrics import RelayMetrics
 from egretstack.services.runner_links import RunnerLinks
@@ -44,7 +45,8 @@
             await trio.sleep_forever()
         listener = await open_listener(node.ip, node.detour_port)
         async with trio.open_nursery() as nursery:
-            await nursery.start(partial(trio.serve_listeners, self._serve, [listener]))
+            serve = partial(serve_connections, port="detour")
+            await nursery.start(serve, self.kernel, listener, self._serve)
             task_status.started()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
--- a/egretstack/services/directory_port.py
+++ b/egretstack/services/directory_port.py
@@ -25,6 +25,7 @@
     requested_host,
     requested_region,
 )
+from egretstack.services._serving import serve_connections
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
 
@@ -63,8 +64,8 @@
             for address in sorted(addresses):
                 host, _, port = address.rpartition(":")
                 listener = await open_listener(host, int(port))
-                serve = partial(trio.serve_listeners, self._serve, [listener])
-                await nursery.start(serve)
+                serve = partial(serve_connections, port="directory")
+                await nursery.start(serve, self.kernel, listener, self._serve)
             task_status.started()
             nursery.start_soon(self._leave_on_drain)
             while True:
--- a/egretstack/services/engine_reports.py
+++ b/egretstack/services/engine_reports.py
@@ -12,7 +12,7 @@
 from egretstack.fleet import Runner, RunnerState, UnansweredQueries
 from egretstack.http1 import ConnectFailed, ConnectionPool, UpstreamBroken, exchange
 from egretstack.ids import RunnerId
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.platform import BadBody, report_request, runner_report
 from egretstack.services.fleet_port import IDLE_POLL_INTERVAL_S, FleetPort
 from egretstack.services.runner_links import RunnerLinks
@@ -66,14 +66,16 @@
         """Read reports while this instance is the home."""
         self._port.on_marks_taken_over(self._on_marks_taken_over)
         task_status.started()
+        rounds = self.kernel.unforeseen.repeated(WorkKind.ROUND, loop=self.name)
         try:
             async with trio.open_nursery() as nursery:
                 while True:
                     await trio.sleep(
                         POLL_INTERVAL_S if self._port.is_home() else IDLE_POLL_INTERVAL_S
                     )
-                    if self._port.is_home() and self._is_due():
-                        self._check_all(nursery)
+                    with rounds.attempt():
+                        if self._port.is_home() and self._is_due():
+                            self._check_all(nursery)
         finally:
             self._pool.close()
 
@@ -115,6 +117,10 @@
             self._port.report_soon()
 
     async def _check(self, runner: Runner) -> None:
+        with self.kernel.unforeseen.confined(WorkKind.EXCHANGE, runner=runner.id):
+            await self._check_report(runner)
+
+    async def _check_report(self, runner: Runner) -> None:
         report = await self._request_report(runner)
         if report is None:
             self._unanswered.record_miss(runner.id)
--- a/egretstack/services/evacuation_list.py
+++ b/egretstack/services/evacuation_list.py
@@ -11,7 +11,7 @@
 from egretstack.kernel import Kernel
 from egretstack.platform import Change, EvacuationEntries, ObjectKind
 from egretstack.services.relay_metrics import RelayMetrics
-from egretstack.services.store_following import StoreFollower
+from egretstack.services.store_following import MAX_NAME_LOGGED, StoreFollower
 
 WATCH_SHARE = 0.25
 """Share of the time in which an evacuation has to be known everywhere that one watch may last: a
@@ -22,7 +22,6 @@
 """Share of the same time after which an instance without updates from the home reads for itself;
 its call times out after 1 s, and a second one is answered within the bound."""
 MAX_BAD_LOGGED = 8
-MAX_NAME_LOGGED = 128
 
 
 class EvacuationList(StoreFollower):
@@ -72,7 +71,8 @@
                 ObjectKind.EVACUATION, self._revision, min(MAX_WATCH_S, watch_s)
             )
             changes, revision = watched.changes, watched.revision
-        for bad in self._entries.apply(changes)[:MAX_BAD_LOGGED]:
+        invalid = self._apply_each(changes, lambda change: self._entries.apply([change]))
+        for bad in invalid[:MAX_BAD_LOGGED]:
             log(Event.EVACUATION_UNREADABLE, zone=bad.name[:MAX_NAME_LOGGED], error=bad.error)
         self._revision = revision
         self._port.apply_evacuations(self._entries.zones(), revision, trio.current_time())
--- a/egretstack/services/fleet_port.py
+++ b/egretstack/services/fleet_port.py
@@ -32,7 +32,7 @@
     parse_rows,
 )
 from egretstack.ids import ContentId, InstanceId, RunnerId, ZoneName
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, RepeatedWork, Service, WorkKind
 from egretstack.messages import Message, MessageError, decode, encode
 from egretstack.platform import NodeSettings
 
@@ -51,6 +51,7 @@
 the reports. Loops that check more often wake idle processes up for nothing."""
 Handler = Callable[[Message, tuple[str, int]], None]
 MarksListener = Callable[[frozenset[RunnerId], frozenset[RunnerId]], None]
+ReportListener = Callable[[InstanceId, InstanceReport], None]
 
 
 class FleetPort(Service):
@@ -100,11 +101,11 @@
             InstanceReport: self._on_report,
             FleetView: self._on_view,
         }
-        self._report_sent_listeners: list[Callable[[], None]] = []
+        self._report_sent_listeners: list[tuple[Callable[[], None], RepeatedWork]] = []
         self._crash_listeners: list[Callable[[], None]] = []
         self._marks_listeners: list[MarksListener] = []
         self._runner_end_listeners: list[Callable[[Runner], None]] = []
-        self._report_listeners: list[Callable[[InstanceId, InstanceReport], None]] = []
+        self._report_listeners: list[ReportListener] = []
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
 
@@ -114,9 +115,10 @@
 
     def on_report_sent(self, listener: Callable[[], None]) -> None:
         """Call `listener` each time this instance has sent its report."""
-        self._report_sent_listeners.append(listener)
+        rounds = self.kernel.unforeseen.repeated(WorkKind.ROUND, loop=listener.__qualname__)
+        self._report_sent_listeners.append((listener, rounds))
 
-    def on_report_received(self, listener: Callable[[InstanceId, InstanceReport], None]) -> None:
+    def on_report_received(self, listener: ReportListener) -> None:
         """Call `listener` with each report of another instance."""
         self._report_listeners.append(listener)
 
@@ -140,7 +142,12 @@
 
     def send(self, address: str, message: Message) -> None:
         """Send a message; like any datagram it may be lost."""
-        data = encode(message)
+        try:
+            data = encode(message)
+        except (TypeError, ValueError, OverflowError) as error:
+            kind = type(message).__name__
+            log(Event.MESSAGE_UNENCODABLE, kind=kind, to=address, error=type(error).__name__)
+            return
         if len(data) > MAX_DATAGRAM_BYTES:
             log(Event.DATAGRAM_TOO_LARGE, kind=type(message).__name__, size=len(data))
             return
@@ -206,15 +213,18 @@
             self.send(instance.peer_address, report)
 
     async def _report_periodically(self) -> None:
+        reports = self.kernel.unforeseen.repeated(WorkKind.ROUND, loop="reports")
         while True:
             with trio.move_on_after(REPORT_PERIOD_S):
                 await self.report_now.wait()
             self.report_now = trio.Event()
-            self._send_report()
-            if len(self.fleet.live(trio.current_time())) == 1:
-                self._announce_to_seeds()
-            for listener in self._report_sent_listeners:
-                listener()
+            with reports.attempt():
+                self._send_report()
+                if len(self.fleet.live(trio.current_time())) == 1:
+                    self._announce_to_seeds()
+            for listener, rounds in self._report_sent_listeners:
+                with rounds.attempt():
+                    listener()
 
     def _send_report(self) -> None:
         report = self._own_report()
@@ -245,26 +255,40 @@
             except OSError as error:
                 log(Event.DATAGRAM_UNSENT, to="", error=str(error))
                 continue
-            try:
-                message = decode(msgpack.unpackb(data))
-                handler = self._handler_by_kind.get(type(message))
-                if handler is None:
-                    raise MessageError(f"no handler for {type(message).__name__}")
-                handler(message, sender)
-            except (ValueError, msgpack.UnpackException, MessageError) as error:
-                log(Event.PEER_REFUSED, sender=sender[0], error=str(error))
+            with self.kernel.unforeseen.confined(WorkKind.DATAGRAM, sender=sender[0]):
+                self._handle_datagram(data, sender)
+
+    def _handle_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+        try:
+            message = decode(msgpack.unpackb(data))
+            handler = self._handler_by_kind.get(type(message))
+            if handler is None:
+                raise MessageError(f"no handler for {type(message).__name__}")
+            handler(message, sender)
+        except (ValueError, msgpack.UnpackException, MessageError) as error:
+            log(Event.PEER_REFUSED, sender=sender[0], error=str(error))
 
     def _on_report(self, report: InstanceReport, sender: tuple[str, int]) -> None:
         known = instance_from_row(report.sender)
         now_s = trio.current_time()
         self.fleet.record_report(now_s, known)
         for listener in self._report_listeners:
-            listener(known.instance.id, report)
+            self._notify_of_report(listener, known.instance.id, report)
         home = self.fleet.home(now_s)
         if home not in (report.home, self.fleet.own.instance.id):
             rows = [instance_row(one) for one in self.fleet.live(now_s) if one.instance.id == home]
             self.send(known.instance.peer_address, FleetView(rows))
 
+    def _notify_of_report(
+        self, listener: ReportListener, instance: InstanceId, report: InstanceReport
+    ) -> None:
+        """Pass a report on; rows that one listener cannot read are kept from no other."""
+        with self.kernel.unforeseen.confined(WorkKind.DATAGRAM, sender=instance):
+            try:
+                listener(instance, report)
+            except MessageError as error:
+                log(Event.PEER_REFUSED, sender=instance, error=str(error))
+
     def _on_view(self, view: FleetView, sender: tuple[str, int]) -> None:
         now_s = trio.current_time()
         before = self.fleet.home(now_s)
--- a/egretstack/services/front_port.py
+++ b/egretstack/services/front_port.py
@@ -19,7 +19,7 @@
     SlowSender,
     open_listener,
 )
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.platform import NodeSettings, decode_request, json_answer
 from egretstack.relay import (
     BufferedResponse,
@@ -30,6 +30,7 @@
     StreamRelay,
 )
 from egretstack.routing import RouteKind
+from egretstack.services._serving import serve_connections
 from egretstack.services.relay_metrics import RelayMetrics
 from egretstack.services.relaying import Relaying
 from egretstack.services.store_reading import StoreReading
@@ -81,9 +82,8 @@
         host, _, port = node.front_address.rpartition(":")
         listener = await open_listener(host, int(port))
         async with trio.open_nursery() as nursery:
-            await nursery.start(
-                partial(trio.serve_listeners, self._serve, [listener], handler_nursery=nursery)
-            )
+            serve = partial(serve_connections, port="front")
+            await nursery.start(serve, self.kernel, listener, self._serve)
             task_status.started()
 
     async def drain(self) -> None:
@@ -111,13 +111,22 @@
         try:
             while await self._serve_one(connection):
                 connection.limits = self._limits()
-        except ClientDisconnected:
-            connection.abort()
         finally:
             connection.close()
 
     async def _serve_one(self, connection: ClientConnection) -> bool:
-        """Serve one request; return whether the connection may be kept."""
+        """Serve one request; return whether the connection may be kept.
+
+        After an unforeseen error the client is told that its request may have run.
+        """
+        with self.kernel.unforeseen.confined(WorkKind.CONNECTION, port="front"):
+            return await self._read_and_answer(connection)
+        self._metrics.count_request(None, ErrorKind.INTERNAL.value)
+        await self._refuse(connection, "", RequestFailed(ErrorKind.INTERNAL, "see the log"))
+        return False
+
+    async def _read_and_answer(self, connection: ClientConnection) -> bool:
+        """Read and answer one request; return whether the connection may be kept."""
         try:
             head = await connection.read_head()
             if head is None:
@@ -141,6 +150,9 @@
             failed = RequestFailed(ErrorKind.INSTANCE_FULL, str(error), retry_after_s=FULL_RETRY_S)
             await self._refuse(connection, "", failed)
             return False
+        except ClientDisconnected:
+            connection.abort()
+            return False
         return connection.start_next()
 
     async def _answer(
--- a/egretstack/services/placing_home.py
+++ b/egretstack/services/placing_home.py
@@ -22,7 +22,7 @@
     runner_row,
 )
 from egretstack.ids import InstanceId, RunnerId, ServiceName
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.messages import Message
 from egretstack.placing import (
     BrittleAllocation,
@@ -119,15 +119,20 @@
         self._port.handle(MoveDone, self._on_peer_request)
         self.kernel.get(EngineReports).on_report(self._on_engine_report)
         task_status.started()
+        rounds = self.kernel.unforeseen.repeated(WorkKind.ROUND, loop=self.name)
         while True:
-            if self._port.is_home():
-                self._place_waiting()
-                if self.placer.refusals is not None:
-                    self.placer.refusals.slots.drop_lapsed(trio.current_time())
-                    self.refusal_records.record_outcomes(self.placer.refusals)
-                await trio.sleep(QUEUE_POLL_INTERVAL_S)
-            else:
-                await trio.sleep(IDLE_POLL_INTERVAL_S)
+            is_home = self._port.is_home()
+            if is_home:
+                with rounds.attempt():
+                    self._place_due()
+            await trio.sleep(QUEUE_POLL_INTERVAL_S if is_home else IDLE_POLL_INTERVAL_S)
+
+    def _place_due(self) -> None:
+        """Place what waits, and drop the return times that have passed."""
+        self._place_waiting()
+        if self.placer.refusals is not None:
+            self.placer.refusals.slots.drop_lapsed(trio.current_time())
+            self.refusal_records.record_outcomes(self.placer.refusals)
 
     def _cold_plan(self, service: ServiceName) -> ColdStartConfig | None:
         plan = self._store.service(service)
--- a/egretstack/services/relay_metrics.py
+++ b/egretstack/services/relay_metrics.py
@@ -17,9 +17,10 @@
     SlowSender,
     open_listener,
 )
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.platform import NodeSettings
 from egretstack.routing import RouteKind
+from egretstack.services._serving import serve_connections
 
 LIMITS = ServerLimits(header_bytes=8_192, body_bytes=1_024, header_timeout_s=2, idle_timeout_s=60)
 BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 2.5, 4.0, 8.0, 20.0, 40.0)
@@ -62,6 +63,14 @@
             "egret_log_events", "Events by name, as logged.", ["event"], registry=self.registry
         )
         add_event_counter(lambda event: self._events.labels(event.name.lower()).inc())
+        errors = self.counter(
+            "egret_relay_unforeseen_errors",
+            "Bugs that ended one connection, datagram, row, exchange or pass of a loop.",
+            "work",
+        )
+        for kind in WorkKind:
+            errors.labels(kind.value)
+        kernel.unforeseen.on_error(lambda kind: errors.labels(kind.value).inc())
 
     def add_page(self, path: bytes, make: Callable[[], Page]) -> None:
         """Serve what `make` returns at a path; it must not raise."""
@@ -89,7 +98,8 @@
         host, _, port = node.metrics_address.rpartition(":")
         listener = await open_listener(host, int(port))
         async with trio.open_nursery() as nursery:
-            await nursery.start(partial(trio.serve_listeners, self._serve, [listener]))
+            serve = partial(serve_connections, port="metrics")
+            await nursery.start(serve, self.kernel, listener, self._serve)
             task_status.started()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -88,6 +88,7 @@
             backoffs=kernel.get(PlacingHome).backoffs,
             crash_guard=kernel.get(CrashGuardService),
             signals=kernel.get(RunnerSignalsService),
+            unforeseen=kernel.unforeseen,
         )
         links.on_change(self._on_links_changed)
         kernel.get(PlacingHome).brittle_allocation.calls_at = self.context.balancer.in_flight
--- a/egretstack/services/runner_links.py
+++ b/egretstack/services/runner_links.py
@@ -12,7 +12,7 @@
 from egretstack.events import Event, log
 from egretstack.fleet import RunnerState
 from egretstack.http1 import ConnectFailed, Dialer, Link, UpstreamConnection, connect_link
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.services._tunnels import Tunnels
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.relay_metrics import RelayMetrics
@@ -60,10 +60,12 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Try runners whenever the links are not known to be sound, until cancelled."""
         task_status.started()
+        rounds = self.kernel.unforeseen.repeated(WorkKind.ROUND, loop=self.name)
         while True:
             await self._doubted.wait()
             while not self.is_sound:
-                await self._probe()
+                with rounds.attempt():
+                    await self._probe()
                 await trio.sleep(PROBE_INTERVAL_S)
             self._doubted = trio.Event()
 
--- a/egretstack/services/runner_list.py
+++ b/egretstack/services/runner_list.py
@@ -13,7 +13,7 @@
 from egretstack.platform import Change, ObjectKind, RunnerEntries
 from egretstack.services.fleet_port import IDLE_POLL_INTERVAL_S
 from egretstack.services.relay_metrics import RelayMetrics
-from egretstack.services.store_following import StoreFollower
+from egretstack.services.store_following import MAX_NAME_LOGGED, StoreFollower
 
 RUNNER_WATCH_S = 0.6
 OWN_READING_SHARE = 0.6
@@ -24,8 +24,6 @@
 MAX_BAD_LOGGED = 8
 """Limit on the log lines about bad entries of one reading; anyone may write entries, and a log line
 costs some 50 us."""
-MAX_NAME_LOGGED = 128
-"""Limit on the logged characters of a bad entry's name."""
 
 
 class RunnerList(StoreFollower):
@@ -82,7 +80,7 @@
         self._port.apply_runner_list(self._entries.runners(), self._revision, trio.current_time())
 
     def _apply_entries(self, changes: Iterable[Change], unnamed: int) -> None:
-        bad = self._entries.apply(changes)
+        bad = self._apply_each(changes, lambda change: self._entries.apply([change]))
         for entry in bad[:MAX_BAD_LOGGED]:
             log(Event.RUNNER_UNREADABLE, runner=entry.name[:MAX_NAME_LOGGED], error=entry.error)
         if unnamed or len(bad) > MAX_BAD_LOGGED:
--- a/egretstack/services/runner_returns.py
+++ b/egretstack/services/runner_returns.py
@@ -12,7 +12,7 @@
 from egretstack.fleet import Runner
 from egretstack.http1 import ConnectFailed
 from egretstack.ids import RunnerId
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.services._runner_health import NoHealthAnswer, fetch_health
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
@@ -42,23 +42,31 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Check runners while this instance is the home."""
         task_status.started()
+        rounds = self.kernel.unforeseen.repeated(WorkKind.ROUND, loop=self.name)
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
-            if not self._port.is_home():
-                continue
-            evacuated = self._port.runners.evacuated
-            backed_off = self._backoffs.in_backoff(trio.current_time())
-            returned = [
-                runner
-                for runner in self._port.runners.relisted()
-                if runner.zone not in evacuated and runner.id not in backed_off
-            ]
-            self._logged_not_back &= {runner.id for runner in returned}
-            async with trio.open_nursery() as nursery:
-                for runner in returned:
-                    nursery.start_soon(self._check, runner)
+            with rounds.attempt():
+                if self._port.is_home():
+                    await self._check_all()
+
+    async def _check_all(self) -> None:
+        evacuated = self._port.runners.evacuated
+        backed_off = self._backoffs.in_backoff(trio.current_time())
+        returned = [
+            runner
+            for runner in self._port.runners.relisted()
+            if runner.zone not in evacuated and runner.id not in backed_off
+        ]
+        self._logged_not_back &= {runner.id for runner in returned}
+        async with trio.open_nursery() as nursery:
+            for runner in returned:
+                nursery.start_soon(self._check, runner)
 
     async def _check(self, runner: Runner) -> None:
+        with self.kernel.unforeseen.confined(WorkKind.EXCHANGE, runner=runner.id):
+            await self._check_health(runner)
+
+    async def _check_health(self, runner: Runner) -> None:
         plan = self._store.service(runner.service)
         if plan is None:
             return
--- a/egretstack/services/runner_strikes.py
+++ b/egretstack/services/runner_strikes.py
@@ -5,7 +5,7 @@
 from egretstack.events import Event, log
 from egretstack.fleet import InstanceReport, parse_rows
 from egretstack.ids import InstanceId, RunnerId
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.placing import FleetStrikes, count_from_row, count_row
 from egretstack.services.fleet_port import IDLE_POLL_INTERVAL_S, FleetPort
 from egretstack.services.relaying import Relaying
@@ -36,10 +36,12 @@
         self._port.on_marks_taken_over(self._on_marks_taken_over)
         self.kernel.get(Relaying).context.on_runner_failure = self._port.report_soon
         task_status.started()
+        rounds = self.kernel.unforeseen.repeated(WorkKind.ROUND, loop=self.name)
         while True:
             await trio.sleep(CHECK_INTERVAL_S if self._port.is_home() else IDLE_POLL_INTERVAL_S)
-            if self._port.is_home():
-                self._update_suspects()
+            with rounds.attempt():
+                if self._port.is_home():
+                    self._update_suspects()
 
     def _rows(self) -> list:
         return [count_row(one) for one in self._balancer.recent_answers.counts(trio.current_time())]
--- a/egretstack/services/settings_file.py
+++ b/egretstack/services/settings_file.py
@@ -9,7 +9,7 @@
 
 from egretstack.errors import UserError
 from egretstack.events import Event, log
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.platform import SETTINGS_VARIABLE, read_node_settings
 from egretstack.services.placing_home import PlacingHome
 from egretstack.services.relaying import Relaying
@@ -52,6 +52,10 @@
         return (status.st_mtime_ns, status.st_size)
 
     def _reload(self) -> None:
+        with self.kernel.unforeseen.confined(WorkKind.ROUND, loop=self.name):
+            self._read_again()
+
+    def _read_again(self) -> None:
         self._seen = self._file_stamp()
         try:
             settings = read_node_settings(self._path)
--- a/egretstack/services/store_following.py
+++ b/egretstack/services/store_following.py
@@ -5,11 +5,13 @@
 """
 
 from abc import abstractmethod
+from collections.abc import Callable, Iterable
+from typing import TypeVar
 
 import trio
 
-from egretstack.kernel import Kernel, Service
-from egretstack.platform import HistoryGone, StoreAway
+from egretstack.kernel import Kernel, Service, WorkKind
+from egretstack.platform import Change, HistoryGone, StoreAway
 from egretstack.services.fleet_port import IDLE_POLL_INTERVAL_S, FleetPort
 from egretstack.services.store_reading import (
     START_POLL_INTERVAL_S,
@@ -17,6 +19,9 @@
     StoreReading,
 )
 
+T = TypeVar("T")
+MAX_NAME_LOGGED = 128
+"""Limit on the logged characters of an object's name."""
 HOME_PAUSE_S = 0.1
 """Pause between two watches of the home; a watch ends at each change."""
 OWN_READING_PAUSE_S = 0.6
@@ -54,6 +59,17 @@
         return True
 
     async def _follow(self) -> None:
+        """Read until cancelled; a reading that fails unforeseen counts as not answered."""
+        while True:
+            with self.kernel.unforeseen.confined(WorkKind.ROUND, loop=self.name) as reading:
+                await self._follow_until_error()
+            if reading.failed:
+                self._revision = None
+                self._store_reading.record_unavailable(StoreAway("its answer cannot be applied"))
+                is_home = self._port.is_home()
+                await trio.sleep(UNAVAILABLE_PAUSE_S if is_home else UNAVAILABLE_OWN_PAUSE_S)
+
+    async def _follow_until_error(self) -> None:
         while True:
             home = self._port.is_home()
             if self._store_reading.is_starting():
@@ -76,6 +92,20 @@
                 self._revision = None
                 await trio.sleep(UNAVAILABLE_PAUSE_S if home else UNAVAILABLE_OWN_PAUSE_S)
 
+    def _apply_each(
+        self, changes: Iterable[Change], apply: Callable[[Change], Iterable[T]]
+    ) -> list[T]:
+        """Apply each change; one that fails unforeseen keeps no other from its use.
+
+        Returns all that `apply` has returned.
+        """
+        results: list[T] = []
+        for change in changes:
+            name = change.object.name[:MAX_NAME_LOGGED]
+            with self.kernel.unforeseen.confined(WorkKind.ROW, list=self.name, object=name):
+                results.extend(apply(change))
+        return results
+
     async def _becomes_current(self) -> bool:
         """Wait for a home that reaches the store, if this instance's home does not.
 
--- a/egretstack/services/store_reading.py
+++ b/egretstack/services/store_reading.py
@@ -13,7 +13,7 @@
 from egretstack.events import Event, log
 from egretstack.fleet import Instance, StoreReachability, StoreWatch, fetch_text, pack_text
 from egretstack.ids import ServiceName
-from egretstack.kernel import Kernel, Service
+from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.platform import (
     CONFIGURATION_NAME,
     BadBody,
@@ -127,6 +127,10 @@
 
     def apply_configuration(self, spec: dict[str, object], source: str) -> None:
         """Put a configuration in force if it is newer."""
+        with self.kernel.unforeseen.confined(WorkKind.ROW, configuration_of=source):
+            self._apply_configuration(spec, source)
+
+    def _apply_configuration(self, spec: dict[str, object], source: str) -> None:
         try:
             configuration = decode_configuration(spec)
         except BadBody as error:
@@ -139,6 +143,15 @@
         log(Event.CONFIG_IN_FORCE, version=configuration.version, source=source)
 
     async def _follow_configuration(self) -> None:
+        """Read until cancelled; a reading that fails unforeseen counts as not answered."""
+        while True:
+            with self.kernel.unforeseen.confined(WorkKind.ROUND, loop="configuration") as reading:
+                await self._follow_until_error()
+            if reading.failed:
+                self.record_unavailable(StoreAway("its answer cannot be applied"))
+                await trio.sleep(UNAVAILABLE_PAUSE_S)
+
+    async def _follow_until_error(self) -> None:
         revision: int | None = None
         while True:
             try:
@@ -200,13 +213,15 @@
 
     async def _follow_peers(self) -> None:
         """Fetch a newer configuration from a peer that has it."""
+        rounds = self.kernel.unforeseen.repeated(WorkKind.ROUND, loop="configuration of peers")
         while True:
             await trio.sleep(PEER_CHECK_INTERVAL_S)
-            self._watch.expire(trio.current_time())
-            self._publish_reachability("")
-            holders = self._port.fleet.newer_config_holders(trio.current_time())
-            if holders:
-                await self._fetch_from(self.kernel.rng.choice(holders).instance)
+            with rounds.attempt():
+                self._watch.expire(trio.current_time())
+                self._publish_reachability("")
+                holders = self._port.fleet.newer_config_holders(trio.current_time())
+                if holders:
+                    await self._fetch_from(self.kernel.rng.choice(holders).instance)
 
     async def _fetch_from(self, instance: Instance) -> None:
         try:
