Rows that cannot be sent on: refused at the door, left out of updates

Cause: the decoder of entries let a text in that has no UTF-8 encoding. msgpack met it in pack_changes, on the task that sends all reports (service_failed: fleet_port, UnicodeEncodeError, 0.08 s after the entry was written on the home, 0.85 s on the next one; logs of the case's processes). Ruled out: that the entry cannot be read, as the home had put it to use.

Fix: texts from outside have to be encodable, and an entry with another one names no runner. A row that the home cannot encode is left out of its updates, and rows that an instance cannot read are left out there, since a home may run an earlier build: before, one of them kept an instance from all others. The same on the way from a peer: a report whose address was "nowhere" ended each instance that heard it (ValueError as the next report was sent), and one list of a report that cannot be read hid its other lists.

--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -10,6 +10,7 @@
 
 from egretstack.fleet._instance import Instance, InstanceState, KnownInstance, StoreReachability
 from egretstack.fleet._runner import Incarnation, Runner, RunnerState
+from egretstack.http1 import is_address, is_header_text
 from egretstack.ids import InstanceId, RunnerName, ServiceName, ZoneName
 from egretstack.messages import Message, MessageError
 
@@ -240,7 +241,11 @@
     try:
         name, zone, front, peer, strength, incarnation, state, store, reaches, version = row
         instance = Instance(
-            InstanceId(str(name)), ZoneName(str(zone)), str(front), str(peer), int(strength)
+            InstanceId(str(name)),
+            ZoneName(str(zone)),
+            _checked_address(front),
+            _checked_address(peer),
+            int(strength),
         )
         return KnownInstance(
             instance,
@@ -250,7 +255,7 @@
             int(version),
             bool(reaches),
         )
-    except (TypeError, ValueError) as error:
+    except (TypeError, ValueError, OverflowError) as error:
         raise MessageError(f"invalid instance row: {error}") from error
 
 
@@ -274,19 +279,33 @@
     try:
         name, started_ms, service, address, zone, slots, state, cold_ms, confirmed_at = row
         return Runner(
-            Incarnation(RunnerName(str(name)), None if started_ms is None else int(started_ms)),
+            Incarnation(_checked_name(name), None if started_ms is None else int(started_ms)),
             ServiceName(str(service)),
-            str(address),
+            _checked_address(address),
             ZoneName(str(zone)),
             int(slots),
             RunnerState(state),
             int(cold_ms) / 1000,
             int(confirmed_at),
         )
-    except (TypeError, ValueError) as error:
+    except (TypeError, ValueError, OverflowError) as error:
         raise MessageError(f"invalid runner row: {error}") from error
 
 
+def _checked_address(value: object) -> str:
+    """Return an address to which a connection can be opened. Raises ValueError."""
+    if not isinstance(value, str) or not is_address(value):
+        raise ValueError("not an address")
+    return value
+
+
+def _checked_name(value: object) -> RunnerName:
+    """Return a runner's name, which is sent in a header. Raises ValueError."""
+    if not isinstance(value, str) or not is_header_text(value):
+        raise ValueError("not a runner's name")
+    return RunnerName(value)
+
+
 def parse_rows(rows: Iterable, parse_row) -> list:
     """Parse the rows of a message. Raises MessageError if there are too many or one is invalid."""
     rows = list(rows)
--- a/egretstack/fleet/_versioned_rows.py
+++ b/egretstack/fleet/_versioned_rows.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+import msgpack
+
 from egretstack.messages import MessageError
 
 MAX_KEY_LENGTH = 256
@@ -31,6 +33,8 @@
         self._change_by_key: dict[str, RowChange] = {}
         self.removed = 0
         """Removed rows, which are kept so that instances which still hold them can be informed."""
+        self.unsendable: frozenset[str] = frozenset()
+        """Keys of the current rows that cannot be encoded, and so are left out."""
 
     def __len__(self) -> int:
         return len(self._change_by_key)
@@ -40,15 +44,24 @@
         return key in self._change_by_key
 
     def replace_all(self, row_by_key: Mapping[str, Row]) -> bool:
-        """Replace all rows with the current ones; return whether any changed."""
+        """Replace all rows with the current ones; return whether any changed.
+
+        A row that cannot be encoded is left out, as if it were not there.
+        """
         before = self.version
+        unsendable = set()
         for key, row in row_by_key.items():
             known = self._change_by_key.get(key)
-            if known is None or known.row != row:
+            if known is not None and known.row == row:
+                continue
+            if _is_encodable(key, row):
                 self._put(key, row)
+            else:
+                unsendable.add(key)
         for key, known in list(self._change_by_key.items()):
-            if known.row is not None and key not in row_by_key:
+            if known.row is not None and (key not in row_by_key or key in unsendable):
                 self._put(key, None)
+        self.unsendable = frozenset(unsendable)
         return self.version != before
 
     def apply(self, changes: Iterable[RowChange], version: int) -> list[str]:
@@ -83,6 +96,14 @@
         self._change_by_key[change.key] = change
 
 
+def _is_encodable(key: str, row: Row) -> bool:
+    try:
+        msgpack.packb([key, row])
+    except (TypeError, ValueError, OverflowError):
+        return False
+    return True
+
+
 def change_from_row(row: object) -> RowChange:
     """Parse the change of a row. Raises MessageError."""
     try:
--- a/egretstack/http1/__init__.py
+++ b/egretstack/http1/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on trio streams with h11, with explicit control over bytes, closes and reuse."""
 
+from egretstack.http1._addresses import is_address
 from egretstack.http1._body_memory import BodyMemory, BodyMemoryFull
 from egretstack.http1._client import (
     ConnectFailed,
@@ -19,6 +20,7 @@
     ResponseHead,
     first_value,
     hop_by_hop_headers,
+    is_header_text,
 )
 from egretstack.http1._pool import ConnectionPool
 from egretstack.http1._server import (
@@ -64,6 +66,8 @@
     "connect_link",
     "connect_upstream",
     "hop_by_hop_headers",
+    "is_address",
+    "is_header_text",
     "exchange",
     "first_value",
     "is_open_and_quiet",
--- a/egretstack/http1/_messages.py
+++ b/egretstack/http1/_messages.py
@@ -1,5 +1,6 @@
 """Heads of requests and responses, shared by the client and the server side."""
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -27,6 +28,18 @@
     headers: Headers
 
 
+_HEADER_TEXT = re.compile(r"[!-~\u0080-\U0010ffff]([ -~\u0080-\U0010ffff]*[!-~\u0080-\U0010ffff])?")
+
+
+def is_header_text(value: str) -> bool:
+    """Return whether a text can be sent in a header: no control characters, no blanks around it."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return _HEADER_TEXT.fullmatch(value) is not None
+
+
 def first_value(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header; `name` is in lower case."""
     for header_name, value in headers:
--- a/egretstack/platform/__init__.py
+++ b/egretstack/platform/__init__.py
@@ -3,7 +3,7 @@
 All external input is decoded here, once, into the types of the system.
 """
 
-from egretstack.platform._bodies import BadBody, is_address, parse_object
+from egretstack.platform._bodies import BadBody, parse_object
 from egretstack.platform._configuration import decode_configuration, read_configuration
 from egretstack.platform._entry_wire import (
     decode_request,
@@ -78,7 +78,6 @@
     "directory_answer",
     "free_copy_request",
     "health_request",
-    "is_address",
     "is_directory_request",
     "is_readiness_request",
     "json_answer",
--- a/egretstack/platform/_bodies.py
+++ b/egretstack/platform/_bodies.py
@@ -1,13 +1,10 @@
 """Parses JSON bodies in the platform's formats; every mismatch is raised as BadBody."""
 
-import ipaddress
 import json
 import math
 
 Body = dict[str, object]
 
-_MAX_PORT = 65_535
-_MAX_PORT_DIGITS = 6
 MAX_INTEGER_DIGITS = 20
 """Longest integer that a field may hold, in digits: a 64-bit integer needs 20."""
 
@@ -36,13 +33,27 @@
 
 
 def text(body: Body, name: str, default: str | None = None) -> str:
-    """Return a string field. Raises BadBody."""
+    """Return a string field that can be encoded. Raises BadBody."""
     value = body.get(name, default)
     if not isinstance(value, str):
         raise BadBody(f"{name} is not a string")
+    if not is_unicode(value):
+        raise BadBody(f"{name} holds half of a surrogate pair")
     return value
 
 
+def is_unicode(value: str) -> bool:
+    """Return whether a string can be encoded as UTF-8.
+
+    JSON can name one half of a surrogate pair, which is no character and has no encoding.
+    """
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def number(body: Body, name: str, default: float | None = None) -> float:
     """Return a field that holds a finite number. Raises BadBody."""
     value = body.get(name)
@@ -79,15 +90,3 @@
     if not isinstance(value, list) or not all(isinstance(row, dict) for row in value):
         raise BadBody(f"{name} is not a list of objects")
     return value
-
-
-def is_address(value: str) -> bool:
-    """Return whether a text is IP:PORT with an IPv4 address that can be assigned to a host."""
-    host, _, port = value.rpartition(":")
-    try:
-        address = ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    if address.is_unspecified or address.is_multicast or address.is_reserved:
-        return False
-    return port.isascii() and port.isdigit() and 0 < int(port[:_MAX_PORT_DIGITS]) <= _MAX_PORT
--- a/egretstack/platform/_runners.py
+++ b/egretstack/platform/_runners.py
@@ -7,8 +7,9 @@
 import re
 
 from egretstack.fleet import Incarnation, Runner, RunnerState
+from egretstack.http1 import is_address
 from egretstack.ids import RunnerName, ServiceName, ZoneName
-from egretstack.platform._bodies import BadBody, Body, bounded_integer, is_address, number, text
+from egretstack.platform._bodies import BadBody, Body, bounded_integer, number, text
 from egretstack.platform._store import StoredObject
 
 _STATE_BY_NAME = {"ready": RunnerState.READY, "draining": RunnerState.LEAVING}
--- a/egretstack/services/_learned_rows.py
+++ b/egretstack/services/_learned_rows.py
@@ -10,6 +10,7 @@
 from egretstack.events import Event, log
 from egretstack.fleet import MAX_KEYS, FormerRows, Instance, VersionedRows, held_rows_messages
 from egretstack.ids import InstanceId
+from egretstack.kernel import WorkKind
 from egretstack.messages import MessageError
 from egretstack.services._news_rows import (
     MARKS,
@@ -51,33 +52,30 @@
         return rows
 
     def keep(self, now_s: float, dropped: RowByKey) -> None:
-        """Keep the learned ones of the rows of a home that another one has replaced.
-
-        Raises MessageError.
-        """
+        """Keep the learned ones of the rows of a home that another one has replaced."""
         learned = self._of(dropped)
         if learned:
             self._former.keep(now_s, learned)
 
     def apply(self, held: RowByKey, letters: Iterable[str] | None = None) -> None:
-        """Put rows of some kinds to use, of all by default, with those that the home lacks yet.
-
-        Raises MessageError.
-        """
+        """Put rows of some kinds to use, of all by default, with those that the home lacks yet."""
         for letter in self._kind_by_letter if letters is None else letters:
-            kind = self._kind_by_letter.get(letter)
-            if kind is not None:
-                kind.apply(self._former.of_kind(letter) | of_kind(held, letter))
+            self._apply_kind(letter, self._former.of_kind(letter) | of_kind(held, letter))
+
+    def _apply_kind(self, letter: str, rows: RowByKey) -> None:
+        """Put rows of one kind to use; an unforeseen error keeps no other kind from its use."""
+        kind = self._kind_by_letter.get(letter)
+        if kind is None:
+            return
+        with self._port.kernel.unforeseen.confined(WorkKind.ROW, kind=letter):
+            kind.apply(rows)
 
     def marks(self, held: RowByKey) -> RowByKey:
-        """Return the marks of runners, with those that the home lacks yet. Raises MessageError."""
+        """Return the marks of runners, with those that the home lacks yet."""
         return self._former.of_kind(MARKS) | mark_rows(held)
 
     def settle(self, now_s: float, held: RowByKey) -> set[str]:
-        """Drop the kept rows that the home has listed; return the letters of those that expired.
-
-        Raises MessageError.
-        """
+        """Drop the kept rows that the home has listed; return the letters of those that expired."""
         return {key[0] for key in self._former.settle(now_s, self._of(held))}
 
     def send(self, now_s: float, home: Instance) -> None:
@@ -91,11 +89,8 @@
 
         `letters` are the kinds with rows that came in part, and are not in use yet.
         """
-        try:
-            self.apply(held, letters)
-            self._take_over_marks(self.marks(held))
-        except MessageError as error:  # No message is handled here; the port catches it elsewhere.
-            log(Event.PEER_REFUSED, sender="", error=str(error))
+        self.apply(held, letters)
+        self._take_over_marks(self.marks(held))
         self._former = FormerRows()
 
     def take_over(self, source: InstanceId, rows: RowByKey, published: VersionedRows) -> None:
@@ -113,7 +108,7 @@
             if len(published) + len(own) + len(new) > MAX_KEYS:
                 raise MessageError(f"{len(new)} more rows are too many")
             if new:
-                kind.apply(new | own)
+                self._apply_kind(letter, new | own)
                 log(Event.HOME_ROWS_TAKEN_OVER, source=source, rows=len(new))
                 self._port.report_soon()
         self._take_over_marks(of_kind(rows, MARKS))
--- a/egretstack/services/brittle_runners.py
+++ b/egretstack/services/brittle_runners.py
@@ -7,7 +7,7 @@
 from egretstack.ids import InstanceId, RunnerId
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import MessageError
-from egretstack.services._news_rows import BRITTLE, RowByKey, parse_limit_row
+from egretstack.services._news_rows import BRITTLE, InvalidRows, RowByKey, parse_limit_row
 from egretstack.services.fleet_news import FleetUpdatesService
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.placing_home import PlacingHome
@@ -27,6 +27,7 @@
         self._port = kernel.get(FleetPort)
         self._stated = self._port.brittle
         self._allocation = kernel.get(PlacingHome).brittle_allocation
+        self._invalid_rows = InvalidRows(Event.HOME_ROWS_INVALID)
         # Before any service runs: rows are applied only as they come or change.
         kernel.get(FleetUpdatesService).add_row_kind(BRITTLE, self._rows, self._apply_rows)
 
@@ -63,7 +64,8 @@
         return {f"{BRITTLE}{runner}": [per_s] for runner, per_s in self._stated.limited().items()}
 
     def _apply_rows(self, rows: RowByKey) -> None:
-        stated = {RunnerId(key[1:]): parse_limit_row(row) for key, row in rows.items()}
+        parsed = self._invalid_rows.parse(rows, parse_limit_row)
+        stated = {RunnerId(key[1:]): per_s for key, per_s in parsed.items()}
         for runner in self._stated.apply_home_limits(trio.current_time(), stated):
             self._on_changed(runner)
 
--- a/egretstack/services/engine_speeds.py
+++ b/egretstack/services/engine_speeds.py
@@ -25,6 +25,7 @@
     timing_from_row,
     timing_row,
 )
+from egretstack.services._news_rows import InvalidRows
 from egretstack.services.engine_placing import EnginePlacingService
 from egretstack.services.fleet_news import FleetUpdatesService
 from egretstack.services.fleet_port import FleetPort
@@ -40,7 +41,6 @@
 """How often the home judges the engines again, which takes some milliseconds for 45 engines."""
 RUN_COUNTS_TTL_S = 0.25
 """How long the number of runs on each engine is kept; some 80 messages arrive each second."""
-INVALID_LOG_PERIOD_S = 10.0
 
 
 class EngineSpeedsService(Service):
@@ -64,8 +64,8 @@
         self._counted_s = float("-inf")
         # Before any service runs: rows are applied only as they come or change.
         kernel.get(FleetUpdatesService).add_row_kind(SPEED, self._rows, self._apply_rows)
-        self._timings_invalid = _InvalidRows(Event.ENGINE_TIMINGS_INVALID)
-        self._speeds_invalid = _InvalidRows(Event.ENGINE_SPEEDS_INVALID)
+        self._timings_invalid = InvalidRows(Event.ENGINE_TIMINGS_INVALID)
+        self._speeds_invalid = InvalidRows(Event.ENGINE_SPEEDS_INVALID)
         gauge = kernel.get(RelayMetrics).gauge(
             "egret_relay_differing_engines",
             "Engines that are slower or faster than the typical one of their service.",
@@ -161,12 +161,8 @@
 
         The home itself applies them with those of an earlier home, and keeps what it has measured.
         """
-        speed_by_id = {}
-        for key, row in rows.items():
-            try:
-                speed_by_id[RunnerId(key[len(SPEED) :])] = speed_from_row(row)
-            except MessageError as error:
-                self._speeds_invalid.record(trio.current_time(), key, error)
+        parsed = self._speeds_invalid.parse(rows, speed_from_row)
+        speed_by_id = {RunnerId(key[len(SPEED) :]): speed for key, speed in parsed.items()}
         event_s_by_service = self._speeds.typical_events_s() if self._port.is_home() else None
         self._speeds.apply(
             {runner: speed for runner, speed in speed_by_id.items() if speed != TYPICAL},
@@ -177,22 +173,6 @@
         return sum(map(matches, self._speeds.by_id().values()))
 
 
-class _InvalidRows:
-    """Counts invalid rows and logs them now and then."""
-
-    def __init__(self, event: Event) -> None:
-        self._event = event
-        self._rows = 0
-        self._logged_s = float("-inf")
-
-    def record(self, now_s: float, source: str, error: MessageError) -> None:
-        """Count a row that could not be parsed."""
-        self._rows += 1
-        if now_s - self._logged_s >= INVALID_LOG_PERIOD_S:
-            log(self._event, source=source, rows=self._rows, error=str(error))
-            self._logged_s, self._rows = now_s, 0
-
-
 def _is_slower(speed: EngineSpeed) -> bool:
     return max(speed.prefill_factor, speed.step_factor) > 1.0
 
--- a/egretstack/services/fleet_news.py
+++ b/egretstack/services/fleet_news.py
@@ -21,6 +21,7 @@
     HeldRows,
     InstanceReport,
     KnownInstance,
+    Runner,
     RunnerState,
     UpdateFollower,
     UpdatePart,
@@ -47,6 +48,7 @@
     SUSPECT,
     UNRESPONSIVE,
     ZONE,
+    InvalidRows,
     RowByKey,
     age_ms,
     marked,
@@ -111,6 +113,7 @@
         self.load_rows: Callable[[], list] = list
         """Returns the rows of the loads of all engines."""
         self._learned = LearnedRows(self._port)
+        self._invalid_rows = InvalidRows(Event.HOME_ROWS_INVALID)
         self._table_revision: int | None = None
         """Revision of the table of runners as the home's updates last left it; None if this
         instance has read a later one itself since."""
@@ -181,7 +184,12 @@
         self._sources = _SourceVersions(
             runners.revision, runners.read_s, evacuations.revision, evacuations.read_s
         )
-        return self._replica.lead().replace_rows(self._rows(others))
+        rows = self._replica.lead().rows
+        known_unsendable = rows.unsendable
+        changed = self._replica.lead().replace_rows(self._rows(others))
+        for key in sorted(self._replica.lead().rows.unsendable - known_unsendable):
+            log(Event.HOME_ROW_UNSENDABLE, key=key)
+        return changed
 
     def _is_urgent(self, before: int) -> bool:
         """Return whether the changes since a version are urgent.
@@ -357,9 +365,8 @@
         changed_keys = self._replica.follow().pop_changed()
         kinds = {key[0] for key in changed_keys}
         if INSTANCE in kinds:
-            self._port.fleet.record_live_instances(
-                now_s, home, [instance_from_row(row) for row in self._rows_of_kind(INSTANCE)]
-            )
+            live = self._invalid_rows.parse(self._rows_by_key(INSTANCE), instance_from_row)
+            self._port.fleet.record_live_instances(now_s, home, list(live.values()))
         else:
             self._port.fleet.record_home_alive(now_s, home)
         self._apply_crash_records(now_s, changed_keys)
@@ -393,12 +400,11 @@
 
     def _apply_crash_records(self, now_s: float, changed_keys: set[str]) -> None:
         """Apply the changed records; those that the home has dropped expire here by themselves."""
-        keys = [key for key in changed_keys if key[0] == CRASH]
-        rows = self._replica.follow().rows.rows() if keys else {}
-        for key in keys:
-            if key in rows:
-                content = ContentId(key[1:])
-                self._port.apply_crash_record(now_s, content, record_from_row(rows[key]))
+        keys = {key for key in changed_keys if key[0] == CRASH}
+        rows = self._rows_by_key(CRASH) if keys else {}
+        changed = {key: row for key, row in rows.items() if key in keys}
+        for key, record in self._invalid_rows.parse(changed, record_from_row).items():
+            self._port.apply_crash_record(now_s, ContentId(key[1:]), record)
 
     def _apply_evacuations(self, now_s: float, update: FleetNews, changed: bool) -> None:
         if changed:
@@ -408,20 +414,22 @@
         self._port.apply_evacuations(self._received_zones, update.evacuations_revision, read_s)
 
     def _received_limits(self) -> dict[RunnerId, float]:
-        rows = self._replica.follow().rows.rows().items()
-        return {RunnerId(key[1:]): parse_limit_row(row) for key, row in rows if key[0] == LIMIT}
+        per_s_by_key = self._invalid_rows.parse(self._rows_by_key(LIMIT), parse_limit_row)
+        return {RunnerId(key[1:]): per_s for key, per_s in per_s_by_key.items()}
 
     def _rows_by_key(self, kind: str) -> RowByKey:
         return of_kind(self._replica.follow().rows.rows(), kind)
 
-    def _rows_of_kind(self, kind: str) -> list[list]:
-        return list(self._rows_by_key(kind).values())
-
     def _apply_runners(self, revision: int, read_s: float) -> None:
         table = self._port.runners
-        rows = self._rows_of_kind(RUNNER)
-        listed = [runner_from_row(row[:-1]) for row in rows]
+        rows = self._rows_by_key(RUNNER)
+        listed = list(self._invalid_rows.parse(rows, _runner_of).values())
         marks = self._learned.marks(self._replica.follow().rows.rows())
         self._port.apply_runner_list(listed, revision, read_s, from_home=True)
         table.unresponsive = marked(marks, UNRESPONSIVE)
         table.suspects = marked(marks, SUSPECT)
+
+
+def _runner_of(row: list) -> Runner:
+    """Return the runner of a row, which ends with its flags. Raises MessageError."""
+    return runner_from_row(row[:-1])
--- a/egretstack/services/instance_listing.py
+++ b/egretstack/services/instance_listing.py
@@ -5,13 +5,16 @@
 the instances that follow no home or another one.
 """
 
+from collections.abc import Iterable
+
 import trio
 
 from egretstack.events import Event, log
 from egretstack.fleet import Instance, InstanceState, KnownInstance, StoreReachability
+from egretstack.http1 import is_address
 from egretstack.ids import InstanceId, ZoneName
-from egretstack.kernel import Kernel, Service
-from egretstack.platform import ObjectKind, RevisionConflict, StoreAway, StoredObject, is_address
+from egretstack.kernel import Kernel, Service, WorkKind
+from egretstack.platform import ObjectKind, RevisionConflict, StoreAway, StoredObject
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import UNAVAILABLE_PAUSE_S, StoreReading
 
@@ -45,6 +48,13 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Register and list until cancelled."""
         task_status.started()
+        rounds = self.kernel.unforeseen.repeated(WorkKind.ROUND, loop=self.name)
+        while True:
+            with rounds.attempt():
+                await self._list_until_error()
+            await trio.sleep(UNAVAILABLE_LONG_PAUSE_S)
+
+    async def _list_until_error(self) -> None:
         registered_era: int | None = None
         pause_s = FIRST_LISTING_S
         while True:
@@ -56,11 +66,7 @@
                     await self._register()
                     registered_era = store.era
                 listing = await store.list(ObjectKind.INSTANCE, allow_stale=True)
-                listed = [
-                    known
-                    for stored in listing.objects
-                    if (known := _parse_listed(stored)) is not None
-                ]
+                listed = self._parse_listed(listing.objects)
                 if len(listed) < len(listing.objects):
                     log(Event.INSTANCE_UNREADABLE, count=len(listing.objects) - len(listed))
                 self._port.fleet.add_listed(trio.current_time(), listed)
@@ -74,6 +80,16 @@
                 self._store_reading.record_unavailable(error)
                 await trio.sleep(self._unavailable_pause_s())
 
+    def _parse_listed(self, objects: Iterable[StoredObject]) -> list[KnownInstance]:
+        """Return the instances among the objects; the others are left out."""
+        listed = []
+        for stored in objects:
+            with self.kernel.unforeseen.confined(WorkKind.ROW, list=self.name):
+                known = _parse_listed(stored)
+                if known is not None:
+                    listed.append(known)
+        return listed
+
     async def _wait_without_home(self) -> None:
         """Wait until no report of another home has arrived for a while."""
         if not self._port.has_seeds() and not self._port.fleet.known_instances():
--- a/egretstack/services/part_records.py
+++ b/egretstack/services/part_records.py
@@ -28,7 +28,7 @@
 from egretstack.ids import InstanceId, PartId, RunnerId
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import MessageError
-from egretstack.services._news_rows import PART, RowByKey
+from egretstack.services._news_rows import PART, InvalidRows, RowByKey
 from egretstack.services._part_trials import TrialGrant, TrialGrants, TrialUse
 from egretstack.services.fleet_news import FleetUpdatesService
 from egretstack.services.fleet_port import FleetPort
@@ -63,6 +63,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self._port = kernel.get(FleetPort)
+        self._invalid_rows = InvalidRows(Event.HOME_ROWS_INVALID)
         self._table = PartTable()
         self._table.recently_proven = self._proven_runs
         self._reports = PartReports()
@@ -257,8 +258,9 @@
             self._on_changed()
 
     def _apply_rows(self, rows: RowByKey) -> None:
-        """Take over the home's records. Raises MessageError."""
-        listed = {PartId(key[1:]): _parse_row(row) for key, row in rows.items()}
+        """Take over the home's records."""
+        parsed = self._invalid_rows.parse(rows, _parse_row)
+        listed = {PartId(key[1:]): one for key, one in parsed.items()}
         if not self._port.is_home():
             # The home alone has the proofs of all instances.
             self._settled_s = None
--- a/egretstack/services/runner_words.py
+++ b/egretstack/services/runner_words.py
@@ -6,7 +6,6 @@
 from egretstack.fleet import InstanceReport, limit_from_row, parse_rows
 from egretstack.ids import InstanceId, RunnerId
 from egretstack.kernel import Kernel, Service
-from egretstack.messages import MessageError
 from egretstack.relay import RunnerSignals
 from egretstack.services.brittle_runners import BrittleRunners
 from egretstack.services.fleet_port import FleetPort
@@ -63,14 +62,9 @@
             self._backoffs.record_requested(trio.current_time(), runner, answer.backoff_s)
 
     def _on_report(self, instance: InstanceId, report: InstanceReport) -> None:
-        try:
-            limits = parse_rows(report.limits, limit_from_row)
-            leaving = parse_rows(report.leaving, lambda row: RunnerId(str(row)))
-        except MessageError as error:
-            log(Event.PEER_REFUSED, sender=instance, error=str(error))
-            return
-        for runner in leaving:
+        """Record what another instance has heard. Raises MessageError."""
+        for runner in parse_rows(report.leaving, lambda row: RunnerId(str(row))):
             self._port.record_leaving(runner)
-        for runner, per_s, age_s in limits:
+        for runner, per_s, age_s in parse_rows(report.limits, limit_from_row):
             if runner in self._port.runners.by_id:
                 self._port.record_peer_limit(runner, per_s, age_s)
--- /dev/null
+++ b/tests/test_odd_rows.py
@@ -0,0 +1,178 @@
+"""Rows of other writers and of peers that hold what no instance can use or send on."""
+
+import json
+import zlib
+
+import msgpack
+import trio
+
+from egretstack.fleet import (
+    FleetNews,
+    HeldVersion,
+    InstanceReport,
+    RunnerState,
+    UpdateFollower,
+    UpdatePublisher,
+    VersionedRows,
+    instance_from_row,
+    instance_row,
+    runner_from_row,
+)
+from egretstack.messages import MessageError, encode
+from egretstack.services.fleet_news import FleetUpdatesService
+from egretstack.services.fleet_port import FleetPort
+from standins.platform import runner_spec
+from tests.platform_site import platform_site
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+HALF = "bazaar \ud83d"
+"""A text that was cut within a character outside of the basic plane."""
+ROW = ["i-desk-9", None, "desk", "127.0.0.9:80", "leon-a", 6, RunnerState.READY.value, 0, 0]
+
+
+async def check_news_spread(site):
+    """Check that all entries still hear of runners, and serve calls."""
+    site.register("i-last", "desk", "127.9.2.8:8080", state="draining")
+    tables = [one.get(FleetPort).runners for one in site.kernels]
+    await site.until(lambda: all(any("i-last" in one for one in table.by_id) for table in tables))
+    for number in range(len(site.kernels)):
+        head, _ = await site.call("/notes/1", f"a-{number}", entry=number)
+        check.assertEqual(head.status, 200)
+
+
+@on_real_clock
+async def test_half_a_character_in_a_runner_entry_ends_no_instance():
+    # Guards against one entry of another writer that ends the home, since it cannot be sent to the
+    # others, and each of its successors, as they read the same entry.
+    async with platform_site(entries=3, plain=2) as site:
+        address = "127.9.2.9:8080"
+        site.register("i-service", HALF, address)
+        site.store.put("servers", "i-zone", runner_spec("desk", address, "ready", zone=HALF))
+        await check_news_spread(site)
+        for kernel in site.kernels:
+            check.assertNotIn(
+                address, [one.address for one in kernel.get(FleetPort).runners.by_id.values()]
+            )
+
+
+def test_a_row_that_cannot_be_encoded_is_left_out_of_the_others():
+    # Guards against one row that keeps all other rows from the whole fleet.
+    rows = VersionedRows()
+    check.assertTrue(rows.replace_all({"ra": [1], "rb": [HALF], "rc": [1 << 80], "rd": [2]}))
+    check.assertEqual(rows.rows(), {"ra": [1], "rd": [2]})
+    check.assertEqual(rows.unsendable, {"rb", "rc"})
+    check.assertFalse(rows.replace_all({"ra": [1], "rb": [HALF], "rd": [2]}))
+    check.assertTrue(rows.replace_all({"ra": [HALF], "rb": ["b"], "rd": [2]}))
+    check.assertEqual((rows.rows(), rows.unsendable), ({"rb": ["b"], "rd": [2]}, {"ra"}))
+    publisher = UpdatePublisher(lambda: 7, HeldVersion(), rows)
+    follower = UpdateFollower()
+    for part in publisher.parts_for(0.0, "other"):
+        follower.apply(part.fill(news(7, part.upto)))
+    check.assertEqual(follower.rows.rows(), {"rb": ["b"], "rd": [2]})
+
+
+def news(epoch, latest, rows=b"", home=(), **more):
+    """Return an update of a home."""
+    values = {
+        "home": list(home),
+        "epoch": epoch,
+        "continued_epoch": 0,
+        "continued_version": 0,
+        "base": 0,
+        "upto": latest,
+        "latest": latest,
+        "rows": rows,
+        "runners_revision": 1 << 40,
+        "runners_age_ms": 0,
+        "evacuations_revision": 0,
+        "evacuations_age_ms": 0,
+        "config_version": 0,
+        "config_holders": [],
+    }
+    return FleetNews(**(values | more))
+
+
+@on_real_clock
+async def test_a_row_of_the_home_that_cannot_be_read_is_left_out_of_the_others():
+    # Guards against one row, of a home of an earlier build, that keeps an instance from all others.
+    async with platform_site(entries=2, plain=1) as site:
+        home, other = sorted(site.kernels, key=lambda one: not one.get(FleetPort).is_home())
+        site.scope_by_instance[home.settings.instance].cancel()
+        service, port = other.get(FleetUpdatesService), other.get(FleetPort)
+        sender = home.get(FleetPort).fleet.own
+        rows = {
+            "rgood": [*ROW, 0],
+            "rname": ["i\nx", *ROW[1:], 0],
+            "raddress": [*ROW[:3], "nowhere", *ROW[4:], 0],
+            "rstate": [*ROW[:6], 99, *ROW[7:], 0],
+            "rshort": [1],
+            "iother": ["i", "z", "nowhere", "127.0.0.1:99999", 0, 1, 1, 0, True, 0],
+            "lgood": ["fast"],
+            "cgood": [[], "x"],
+            "bgood": [-1],
+            "pgood": [7],
+            "sgood": [7],
+            "mgood": [],
+        }
+        changes = [[number, key, row] for number, (key, row) in enumerate(rows.items(), 1)]
+        packed = zlib.compress(msgpack.packb(changes))
+        update = news(99, len(changes), packed, home=instance_row(sender))
+        with trio.move_on_after(0.2):
+            service._on_update(update, ("127.0.0.1", 1))
+        check.assertIn("i-desk-9", [one.incarnation.name for one in port.runners.by_id.values()])
+        check.assertNotIn("i", [one.id for one in port.fleet.known_instances()])
+
+
+def test_addresses_and_names_that_cannot_be_used_are_rejected_with_their_row():
+    # Guards against a peer's row whose address ends the instance that sends something there.
+    for address in ("nowhere", "127.0.0.1:99999", "127.0.0.1:x", "a b:80", "127.0.0.1:80\0", HALF):
+        for row in (
+            ["i", "z", address, "127.0.0.1:80", 0, 1, 1, 0, True, 0],
+            ["i", "z", "127.0.0.1:80", address, 0, 1, 1, 0, True, 0],
+        ):
+            with check.assertRaises(MessageError, msg=address):
+                instance_from_row(row)
+        with check.assertRaises(MessageError, msg=address):
+            runner_from_row([*ROW[:3], address, *ROW[4:]])
+    for name in ("", "a\r\nb", " a", HALF, 7):
+        with check.assertRaises(MessageError, msg=name):
+            runner_from_row([name, *ROW[1:]])
+
+
+@on_real_clock
+async def test_a_report_with_an_address_that_cannot_be_used_ends_no_instance():
+    # Guards against a datagram after which the instance's own reports fail, and with them all.
+    async with platform_site(entries=2) as site:
+        port = site.kernels[0].get(FleetPort)
+        row = instance_row(port.fleet.own)
+        for address in ("nowhere", "127.0.0.1:99999", "127.0.0.1:80\0"):
+            odd = ["i-odd", *row[1:3], address, *row[4:]]
+            report = InstanceReport(
+                odd, "i-odd", [0, 0, False], *[[] for _ in range(6)], 0, [], [], []
+            )
+            for kernel in site.kernels:
+                port.send_encoded(kernel.settings.ip + ":7200", encode(report))
+        await check_news_spread(site)
+
+
+@on_real_clock
+async def test_rows_of_a_report_that_cannot_be_read_keep_no_others_from_their_use():
+    # Guards against a report of which nothing is used since one of its lists cannot be read.
+    async with platform_site(entries=2) as site:
+        port = site.kernels[0].get(FleetPort)
+        other = site.kernels[1].get(FleetPort)
+        runner = next(iter(port.runners.by_id))
+        lists = [["x"], ["x"], ["x"], ["x"], ["x"], ["x"], 0, [runner], ["x"], ["x"]]
+        home = port.fleet.home(trio.current_time())
+        odd = InstanceReport(instance_row(other.fleet.own), home, [0, 0, False], *lists)
+        port.send_encoded(port.fleet.own.instance.peer_address, encode(odd))
+        await site.until(lambda: port.runners.is_leaving(runner))
+
+
+def test_half_a_character_survives_the_way_through_json():
+    # Guards against tests of half characters that hold none.
+    check.assertEqual(json.loads(json.dumps(HALF)), HALF)
+    with check.assertRaises(UnicodeEncodeError):
+        HALF.encode()
