Leaving instances: accept by measured speeds, with room for a silent second

It used the grace period of the process's start: a SIGHUP did not change it. Calls counted as 0.6 s. Ruled out as the only cause: the end 0.6 s before the kill; the streams needed up to 1.5 s more.

Fix: instances send the mean time between events and the longest time to a first event with their timings; the home sends the slowest engine's of each service to all, so that an instance which has relayed no stream knows them too. Calls go by the longest of the route's latest 16 here. 1.2 s are added for a silent runner. What was never measured is not accepted, unless its own deadline comes first. The time left is looked at as a request arrives, while it waits for a place and before a call is sent. Requests without an answer are ended 0.5 s before the kill, streams in progress go on until just before it.

--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -392,6 +392,11 @@
         Level.WARNING,
         "Rows of the home cannot be read here and are left out; the other rows are used.",
     )
+    STOP_CUTS_STREAMS = (
+        505,
+        Level.WARNING,
+        "The grace period is over; the streams that are still in progress here break off.",
+    )
     RUNNER_NOT_BRITTLE = (496, Level.INFO, "A runner no longer says that it is brittle.")
     MOVE_ENDED = (436, Level.INFO, "Copying a run's memory to another runner succeeded or failed.")
 
--- a/egretstack/placing/__init__.py
+++ b/egretstack/placing/__init__.py
@@ -2,10 +2,12 @@
 
 from egretstack.placing._balancer import PlainBalancer
 from egretstack.placing._brittle_allocation import BrittleAllocation
+from egretstack.placing._call_durations import CallDurations
 from egretstack.placing._capacity_forecast import CapacityForecast
 from egretstack.placing._capacity_sharing import CapacitySharing
 from egretstack.placing._cold_allocation import ColdAllocation
 from egretstack.placing._early_refusals import EarlyRefusals
+from egretstack.placing._engine_paces import EnginePaces, StreamPace, pace_from_row
 from egretstack.placing._engine_speeds import (
     TYPICAL,
     EngineSpeed,
@@ -57,7 +59,11 @@
 __all__ = [
     "BrittleAllocation",
     "AnswerCount",
+    "CallDurations",
     "CapacityForecast",
+    "EnginePaces",
+    "StreamPace",
+    "pace_from_row",
     "CapacitySharing",
     "ColdAllocation",
     "CopyLinks",
--- a/egretstack/placing/_engine_timings.py
+++ b/egretstack/placing/_engine_timings.py
@@ -24,6 +24,7 @@
 MAX_TIME_S = 60.0
 """Longest time of one measurement that is taken over from a message."""
 MAX_PROMPT_TOKENS = 10_000_000
+MAX_EVENTS = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,12 +46,21 @@
     gap_s: float
     """Median time for one event."""
     first_tokens: tuple[FirstTokenTiming, ...] = ()
+    events: int = 0
+    """Number of events after the first ones of their runs."""
+    mean_gap_s: float = 0.0
+    """Mean time for one of them, with whatever delayed some of them."""
+    longest_first_s: float = 0.0
+    """Longest time from a send to its first event, whatever the prompt; 0 if there was none."""
 
 
 @dataclass(slots=True)
 class _Measured:
     gaps_s: list[float] = field(default_factory=list)
     first_tokens: list[FirstTokenTiming] = field(default_factory=list)
+    events: int = 0
+    events_s: float = 0.0
+    longest_first_s: float = 0.0
 
 
 class EngineTimingLog:
@@ -63,17 +73,22 @@
         self, runner: RunnerId, attempt: str, prompt_tokens: int, read_s: float
     ) -> None:
         """Record the time from sending a prompt to its first event."""
-        if prompt_tokens < MIN_TIMED_TOKENS or not 0.0 < read_s <= MAX_TIME_S:
+        if not 0.0 < read_s <= MAX_TIME_S:
             return
-        first_tokens = self._measured(runner).first_tokens
-        if len(first_tokens) < MAX_FIRST_TOKENS:
+        measured = self._measured(runner)
+        measured.longest_first_s = max(measured.longest_first_s, read_s)
+        first_tokens = measured.first_tokens
+        if prompt_tokens >= MIN_TIMED_TOKENS and len(first_tokens) < MAX_FIRST_TOKENS:
             first_tokens.append(FirstTokenTiming(attempt, prompt_tokens, read_s))
 
     def record_gap(self, runner: RunnerId, gap_s: float, events: int) -> None:
         """Record the time from one reading of events to the next one, which held `events`."""
         if events < 1 or not 0.0 < gap_s <= MAX_TIME_S:
             return
-        gaps_s = self._measured(runner).gaps_s
+        measured = self._measured(runner)
+        measured.events += events
+        measured.events_s += gap_s
+        gaps_s = measured.gaps_s
         if len(gaps_s) < MAX_GAPS:
             gaps_s.append(gap_s / events)
 
@@ -95,7 +110,15 @@
     # Prompts that are processed beside a run lengthen some of its gaps; the median is that of the
     # usual gap as long as they take less than half of the time.
     gap_s = median(measured.gaps_s) if measured.gaps_s else 0.0
-    return EngineTiming(runner, len(measured.gaps_s), gap_s, tuple(measured.first_tokens))
+    return EngineTiming(
+        runner,
+        len(measured.gaps_s),
+        gap_s,
+        tuple(measured.first_tokens),
+        measured.events,
+        round(measured.events_s / measured.events, 6) if measured.events else 0.0,
+        measured.longest_first_s,
+    )
 
 
 def timing_row(timing: EngineTiming) -> list:
@@ -108,21 +131,33 @@
             [first.attempt, first.prompt_tokens, round(first.read_s * 1000)]
             for first in timing.first_tokens
         ],
+        min(timing.events, MAX_EVENTS),
+        round(timing.mean_gap_s * 1e6),
+        round(timing.longest_first_s * 1000),
     ]
 
 
 def timing_from_row(row: object) -> EngineTiming:
     """Parse the row of a timing. Raises MessageError."""
     try:
-        runner, gaps, gap_us, firsts, *_ = row
+        runner, gaps, gap_us, firsts, *rest = row
+        # Versions before the last three columns send rows without them.
+        events, mean_us, first_ms, *_ = (*rest, 0, 0, 0)
         if not isinstance(runner, str) or not isinstance(firsts, list):
             raise ValueError("wrong types")
         if len(firsts) > MAX_FIRST_TOKENS:
             raise ValueError("too many first tokens")
         gap_s = _checked(gap_us, MAX_TIME_S * 1e6) / 1e6
-        events = int(_checked(gaps, MAX_GAPS))
-        first_tokens = tuple(_first_token_from_row(first) for first in firsts)
-        return EngineTiming(RunnerId(runner), events if gap_s else 0, gap_s, first_tokens)
+        count = int(_checked(gaps, MAX_GAPS))
+        return EngineTiming(
+            RunnerId(runner),
+            count if gap_s else 0,
+            gap_s,
+            tuple(_first_token_from_row(first) for first in firsts),
+            int(_checked(events, MAX_EVENTS)),
+            _checked(mean_us, MAX_TIME_S * 1e6) / 1e6,
+            _checked(first_ms, MAX_TIME_S * 1000) / 1000,
+        )
     except (TypeError, ValueError) as error:
         raise MessageError(f"not an engine timing: {error}") from error
 
--- a/egretstack/placing/_run_registry.py
+++ b/egretstack/placing/_run_registry.py
@@ -10,6 +10,7 @@
 from egretstack.fleet import RunnerTable
 from egretstack.ids import InstanceId, RunnerId
 from egretstack.messages import MessageError
+from egretstack.placing._engine_paces import EnginePaces
 from egretstack.placing._engine_speeds import EngineSpeeds
 from egretstack.placing._lengths import LengthForecast
 from egretstack.placing._loads import EngineLoad, load_from_row, load_row
@@ -58,6 +59,7 @@
     def __init__(self, runners: RunnerTable) -> None:
         self.lengths = LengthForecast()
         self.speeds = EngineSpeeds()
+        self.paces = EnginePaces()
         self.prompts = PromptForecasts()
         self.prefill_per_s = PREFILL_TOKENS_PER_S
         """Prefill rate of the typical engine."""
--- a/egretstack/relay/__init__.py
+++ b/egretstack/relay/__init__.py
@@ -5,8 +5,14 @@
 from egretstack.relay._context import EnginePlacing, RelayContext, RelayTask
 from egretstack.relay._crash_guard import CrashGuard, Refusal
 from egretstack.relay._cursor import EventCursor, EventGap
+from egretstack.relay._departure import Departure
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
-from egretstack.relay._execution_status import ExecutionStatus, RequestFailed, no_eligible_runner
+from egretstack.relay._execution_status import (
+    ExecutionStatus,
+    RequestFailed,
+    instance_leaves,
+    no_eligible_runner,
+)
 from egretstack.relay._plain import BufferedResponse, PlainRelay
 from egretstack.relay._runner_signals import RunnerSignals
 from egretstack.relay._stream import StreamRelay
@@ -15,6 +21,7 @@
 __all__ = [
     "ClientStream",
     "CrashGuard",
+    "Departure",
     "EnginePlacing",
     "EventCursor",
     "EventGap",
@@ -34,5 +41,6 @@
     "StreamRelay",
     "RelayTask",
     "BufferedResponse",
+    "instance_leaves",
     "no_eligible_runner",
 ]
--- a/egretstack/relay/_context.py
+++ b/egretstack/relay/_context.py
@@ -4,14 +4,16 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from functools import cached_property
+from math import inf
 
 import trio
 
 from egretstack.fleet import Runner, RunnerTable
 from egretstack.http1 import ConnectionPool, Dialer
-from egretstack.ids import RunnerId, ZoneName
+from egretstack.ids import RunnerId, ServiceName, ZoneName
 from egretstack.kernel import UnforeseenErrors
 from egretstack.placing import (
+    CallDurations,
     GenerationRequest,
     Placement,
     PlainBalancer,
@@ -21,16 +23,19 @@
 )
 from egretstack.relay._budget import RetryBudget
 from egretstack.relay._crash_guard import CrashGuard
-from egretstack.relay._cursor import EventSteps
+from egretstack.relay._cursor import EventSteps, parse_event_number
+from egretstack.relay._departure import Departure
 from egretstack.relay._runner_signals import RunnerSignals
 from egretstack.relay._stream_limits import StreamLimits
-from egretstack.routing import ClientAccount, EngineConfig, Route, ServiceConfig
+from egretstack.routing import ClientAccount, EngineConfig, Route, RouteKind, ServiceConfig
 from egretstack.traffic import ClientRequest, Fingerprint, RunnerAnswer, SendOptions
 
 RANKS = 100
 """Number of route ranks that are distinguished within one client account rank."""
 ENGINE_RANKS = 3
 """The same for engines: an engine has ten priorities, and most accounts have one of three ranks."""
+SILENCE_S = 1.2
+"""How long a sound runner may fall silent; requests on a leaving instance have room for it."""
 CONNECT_TIMEOUT_S = 0.15
 """Connecting takes some 3 ms unless the runner has ended. A lost SYN is retransmitted only after a
 second; trying another runner is faster."""
@@ -59,6 +64,15 @@
     def record_gap(self, run: Run, gap_s: float, events: int) -> None:
         """Record the time from the events before to the last `events` of a run."""
 
+    @abstractmethod
+    def stream_time_s(
+        self, service: ServiceName, context_tokens: int, output_tokens: int, engine: EngineConfig
+    ) -> float | None:
+        """Return how long a stream takes on the slowest engine at present, once it is sent.
+
+        None if the engines of its service were not measured.
+        """
+
     @abstractmethod
     def tokens_left(self, run: Run) -> float:
         """Return the number of output tokens that a run is still expected to generate."""
@@ -100,6 +114,8 @@
     unforeseen: UnforeseenErrors
     stream_limits: StreamLimits = field(default_factory=StreamLimits)
     event_steps: EventSteps = field(default_factory=EventSteps)
+    call_durations: CallDurations = field(default_factory=CallDurations)
+    departure: Departure = field(default_factory=Departure)
     on_runner_failure: Callable[[], None] = lambda: None
     """Called when a runner failed a request that was sent to it."""
 
@@ -110,6 +126,47 @@
         if answer.attempt_id in ("", task.request.attempt_id):
             self.signals.on_answer(runner, answer, sent_s)
 
+    def resumed_tokens(self, task: "RelayTask") -> int:
+        """Return how much of the output the client has from earlier attempts, in tokens.
+
+        Until the difference between ids is known, ids are taken to count tokens.
+        """
+        generation, number = task.request.generation, parse_event_number(task.last_event_id)
+        if generation is None or number is None:
+            return 0
+        stride = task.service.engine.tokens_per_event
+        step = self.event_steps.known(task.service.name) or stride
+        return min(generation.max_output_tokens, number * stride // step)
+
+    def latest_send_s(self, task: "RelayTask") -> float:
+        """Return until when a task may be sent to a runner, so that it ends before this instance.
+
+        Infinite unless this instance leaves, and for a task whose deadline comes before that.
+        """
+        if not self.departure.is_leaving:
+            return inf
+        is_stream = task.is_engine_stream
+        until_s = self.departure.streams_until_s if is_stream else self.departure.answers_until_s
+        if task.deadline_s <= until_s:
+            return inf
+        needed_s = self._stream_time_s(task) if is_stream else self._call_time_s(task)
+        return -inf if needed_s is None else until_s - needed_s - SILENCE_S
+
+    def _call_time_s(self, task: "RelayTask") -> float | None:
+        return self.call_durations.longest_s(trio.current_time(), task.route.name)
+
+    def _stream_time_s(self, task: "RelayTask") -> float | None:
+        generation = task.request.generation
+        if generation is None:
+            return None
+        resumed = self.resumed_tokens(task)
+        return self.placing.stream_time_s(
+            task.service.name,
+            generation.prompt_tokens + resumed,
+            generation.max_output_tokens - resumed,
+            task.service.engine,
+        )
+
     def record_engine_result(self, runner: RunnerId, *, broke: bool) -> None:
         """Count whether an engine broke a run; the end of a leaving engine does not count."""
         if broke and not self.runners.is_ready(runner):
@@ -138,6 +195,11 @@
         """Ids of the request and its shared parts, equal for all attempts at the same request."""
         return self.request.fingerprint("" if self.account is None else self.account.name)
 
+    @property
+    def is_engine_stream(self) -> bool:
+        """Whether the answer is relayed event by event from an engine."""
+        return self.route.kind is RouteKind.STREAM and self.service.engine is not None
+
     @property
     def last_event_id(self) -> str:
         """Last event that the client has from an earlier attempt; empty on other routes."""
--- a/egretstack/relay/_execution_status.py
+++ b/egretstack/relay/_execution_status.py
@@ -7,6 +7,8 @@
 from egretstack.errors import ANSWERS, ErrorKind, RunState
 from egretstack.relay._crash_guard import Refusal
 
+LEAVING_RETRY_S = 0.05
+"""A leaving instance sends clients to another one, which can serve them at once."""
 NO_ELIGIBLE_RUNNER_RETRY_S = 2.0
 """An operator revokes an evacuation after many seconds; a caller waits for at most a third of the
 time it has left."""
@@ -40,6 +42,13 @@
     )
 
 
+def instance_leaves() -> RequestFailed:
+    """Return the failure of a request that would not surely end before this instance does."""
+    return RequestFailed(
+        ErrorKind.DRAINING, "this instance leaves too soon", retry_after_s=LEAVING_RETRY_S
+    )
+
+
 def crashes_runners(refusal: Refusal) -> RequestFailed:
     """Return the failure of a request that has not run and is refused because it crashes runners.
 
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -1,5 +1,7 @@
 """Finds an engine that accepts a streaming request, up to its response head."""
 
+from functools import partial
+
 import trio
 
 from egretstack.errors import ErrorKind
@@ -16,9 +18,13 @@
 from egretstack.placing import GenerationRequest, Placement, Run, longest_wait_s
 from egretstack.platform import runner_answer
 from egretstack.relay._context import CONNECT_TIMEOUT_S, RelayContext, RelayTask
-from egretstack.relay._cursor import parse_event_number
 from egretstack.relay._engine_calls import is_valid_answer, send_to_engine
-from egretstack.relay._execution_status import ExecutionStatus, RequestFailed, crashes_runners
+from egretstack.relay._execution_status import (
+    ExecutionStatus,
+    RequestFailed,
+    crashes_runners,
+    instance_leaves,
+)
 from egretstack.relay._send_limits import SendLimits
 from egretstack.relay._timing import StreamTiming
 
@@ -148,17 +154,8 @@
         return self._task.request.attempt_id
 
     def resumed_tokens(self) -> int:
-        """Return how much of the output the client has from earlier attempts, in tokens.
-
-        Until the difference between ids is known, ids are taken to count tokens.
-        """
-        generation, last_id = self._task.request.generation, self._task.last_event_id
-        number = parse_event_number(last_id)
-        if generation is None or number is None:
-            return 0
-        stride = self._task.service.engine.tokens_per_event
-        step = self._context.event_steps.known(self._task.service.name) or stride
-        return min(generation.max_output_tokens, number * stride // step)
+        """Return how much of the output the client has from earlier attempts, in tokens."""
+        return self._context.resumed_tokens(self._task)
 
     def _generated_tokens(self) -> int:
         """Return the output that the next run continues after, in tokens."""
@@ -242,7 +239,18 @@
         return runner.id not in self._context.backoffs.in_backoff(trio.current_time())
 
     async def _place(self, request: GenerationRequest) -> Placement:
-        """Wait for a placement, or for the request to be refused. Raises RequestFailed."""
+        """Wait for a placement, or for the request to be refused. Raises RequestFailed.
+
+        On a leaving instance a request that has not run waits only as long as it could still end.
+        """
+        if self._execution.may_have_run or self._timing.events:
+            return await self._wait_for_place(request)
+        latest_send_s = partial(self._context.latest_send_s, self._task)
+        with self._context.departure.waiting(latest_send_s):
+            return await self._wait_for_place(request)
+        raise instance_leaves()
+
+    async def _wait_for_place(self, request: GenerationRequest) -> Placement:
         guard, fingerprint = self._context.crash_guard, self._task.fingerprint
         while True:
             self._check_refused()
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -25,7 +25,7 @@
 from egretstack.platform import client_head, runner_answer, runner_request
 from egretstack.relay._context import CONNECT_TIMEOUT_S, RelayContext, RelayTask
 from egretstack.relay._crash_guard import Refusal
-from egretstack.relay._execution_status import ExecutionStatus, RequestFailed
+from egretstack.relay._execution_status import ExecutionStatus, RequestFailed, instance_leaves
 from egretstack.traffic import RunnerAnswer
 
 MAX_RESPONSE_BYTES = 16_777_216
@@ -72,6 +72,7 @@
     excluded: set[RunnerId] = field(default_factory=set)
     failure: BufferedResponse | None = None
     """A runner's own error response, forwarded if no other send succeeds."""
+    has_answer: bool = False
     in_flight: bool = False
     """Whether the balancer counts a send as in progress."""
 
@@ -85,7 +86,18 @@
     async def serve(self, task: RelayTask) -> BufferedResponse:
         """Return a runner's response. Raises RequestFailed."""
         progress = _Progress()
+        began_s = trio.current_time()
+        try:
+            return await self._serve(task, progress)
+        finally:
+            now_s = trio.current_time()
+            if progress.has_answer or now_s >= task.deadline_s:
+                self._context.call_durations.record(now_s, task.route.name, now_s - began_s)
+
+    async def _serve(self, task: RelayTask, progress: _Progress) -> BufferedResponse:
         while True:
+            if not progress.execution.may_have_run:
+                self._check_time_left(task)
             refusal = self._context.crash_guard.refusal(task.fingerprint)
             if refusal is not None:
                 return self._refuse(progress, refusal)
@@ -101,6 +113,7 @@
                 send=progress.sends,
             )
             if result is _Result.ANSWERED:
+                progress.has_answer = True
                 return response
             progress.excluded.add(runner.id)
             if result is _Result.FAILED:
@@ -108,6 +121,11 @@
             if not self._may_send_again(task, progress, result):
                 return self._give_up(task, progress, result.value)
 
+    def _check_time_left(self, task: RelayTask) -> None:
+        """Raise RequestFailed if this instance leaves before the task would surely end."""
+        if trio.current_time() > self._context.latest_send_s(task):
+            raise instance_leaves()
+
     async def _choose_or_wait(self, task: RelayTask, progress: _Progress) -> Runner | None:
         """Choose a runner; wait for one if that takes no longer than a refusal is worth."""
         until_s = trio.current_time() + WAIT_SHARE * task.time_left_s()
@@ -119,6 +137,8 @@
             if not 0.0 < wait_s <= BRIEF_WAIT_S:
                 return None
             await trio.sleep(wait_s)
+            if not progress.execution.may_have_run:
+                self._check_time_left(task)
 
     def _choose(self, task: RelayTask, progress: _Progress) -> Runner | None:
         now_s = trio.current_time()
--- a/egretstack/services/engine_placing.py
+++ b/egretstack/services/engine_placing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass, replace
+from math import ceil
 
 import trio
 
@@ -19,7 +20,7 @@
     parse_rows,
     runner_from_row,
 )
-from egretstack.ids import RunnerId
+from egretstack.ids import RunnerId, ServiceName
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import Message
 from egretstack.placing import (
@@ -180,6 +181,20 @@
         """Record the time from the events before to the last `events` of a run."""
         self.timings.record_gap(run.runner, gap_s, events)
 
+    def stream_time_s(
+        self, service: ServiceName, context_tokens: int, output_tokens: int, engine: EngineConfig
+    ) -> float | None:
+        """Return how long a stream takes on the slowest engine at present, once it is sent.
+
+        None if the engines of its service were not measured.
+        """
+        registry = self._home.placer.registry
+        pace = registry.paces.pace(trio.current_time(), service)
+        if pace is None:
+            return None
+        first_s = max(pace.first_s, context_tokens / registry.prefill_per_s)
+        return first_s + ceil(output_tokens / engine.tokens_per_event) * pace.event_s
+
     def tokens_left(self, run: Run) -> float:
         """Return the output that a run is still expected to generate, in tokens."""
         return self._home.placer.registry.tokens_left(run)
--- a/egretstack/services/engine_speeds.py
+++ b/egretstack/services/engine_speeds.py
@@ -10,7 +10,7 @@
 
 from egretstack.events import Event, log
 from egretstack.fleet import EngineTimings
-from egretstack.ids import InstanceId, RunnerId
+from egretstack.ids import InstanceId, RunnerId, ServiceName
 from egretstack.kernel import Kernel, Service
 from egretstack.messages import MessageError, encode
 from egretstack.placing import (
@@ -20,6 +20,7 @@
     EngineSpeedEstimator,
     EngineTiming,
     SpeedChange,
+    pace_from_row,
     speed_from_row,
     speed_row,
     timing_from_row,
@@ -34,6 +35,10 @@
 
 SPEED = "s"
 """First letter of the keys of speeds in the home's updates."""
+PACE = "t"
+"""First letter of the keys of the services' paces."""
+PACE_PERIOD_S = 1.0
+"""How often the home renews the paces that it sends."""
 SEND_PERIOD_S = 1.0
 """How often timings are sent, which the home collects by the second. With each report, four times a
 second, a home of 195 instances would get as many datagrams again as there are reports."""
@@ -63,7 +68,13 @@
         self._run_counts: Counter[RunnerId] = Counter()
         self._counted_s = float("-inf")
         # Before any service runs: rows are applied only as they come or change.
-        kernel.get(FleetUpdatesService).add_row_kind(SPEED, self._rows, self._apply_rows)
+        updates = kernel.get(FleetUpdatesService)
+        updates.add_row_kind(SPEED, self._rows, self._apply_rows)
+        updates.add_row_kind(PACE, self._pace_rows, self._apply_pace_rows)
+        self._paces = registry.paces
+        self._pace_rows_made: dict[str, list] = {}
+        self._paces_made_s = float("-inf")
+        self._paces_invalid = InvalidRows(Event.HOME_ROWS_INVALID)
         self._timings_invalid = InvalidRows(Event.ENGINE_TIMINGS_INVALID)
         self._speeds_invalid = InvalidRows(Event.ENGINE_SPEEDS_INVALID)
         gauge = kernel.get(RelayMetrics).gauge(
@@ -102,6 +113,8 @@
             self._port.send_encoded(target.peer_address, data)
         if self._port.is_home():
             self._record(now_s, own, timings)
+        else:
+            self._record_paces(now_s, timings)
 
     def _on_timings(self, message: EngineTimings, sender: tuple[str, int]) -> None:
         """Record the timings of another instance. Raises MessageError."""
@@ -120,6 +133,7 @@
         self._record(now_s, instance, timings)
 
     def _record(self, now_s: float, instance: InstanceId, timings: list[EngineTiming]) -> None:
+        self._record_paces(now_s, timings)
         table = self._port.runners
         counts = self._counts(now_s)
         for timing in timings:
@@ -128,6 +142,12 @@
                 self.estimator.record(now_s, instance, runner, timing, counts[runner.id])
                 self._has_new = True
 
+    def _record_paces(self, now_s: float, timings: list[EngineTiming]) -> None:
+        for timing in timings:
+            runner = self._port.runners.by_id.get(timing.runner)
+            if runner is not None:
+                self._paces.record(now_s, runner.service, runner.id, timing)
+
     def _counts(self, now_s: float) -> Counter[RunnerId]:
         """Return the number of runs on each engine."""
         if now_s - self._counted_s >= RUN_COUNTS_TTL_S:
@@ -169,6 +189,19 @@
             event_s_by_service,
         )
 
+    def _pace_rows(self) -> dict[str, list]:
+        now_s = trio.current_time()
+        if now_s - self._paces_made_s >= PACE_PERIOD_S:
+            self._paces_made_s = now_s
+            rows = self._paces.rows(now_s)
+            self._pace_rows_made = {f"{PACE}{service}": row for service, row in rows.items()}
+        return self._pace_rows_made
+
+    def _apply_pace_rows(self, rows: dict[str, list]) -> None:
+        """Apply all paces that the home has sent; as the home, those of an earlier one."""
+        parsed = self._paces_invalid.parse(rows, pace_from_row)
+        self._paces.apply({ServiceName(key[len(PACE) :]): pace for key, pace in parsed.items()})
+
     def _count(self, matches: Callable[[EngineSpeed], bool]) -> int:
         return sum(map(matches, self._speeds.by_id().values()))
 
--- a/egretstack/services/front_port.py
+++ b/egretstack/services/front_port.py
@@ -29,7 +29,6 @@
     RequestFailed,
     StreamRelay,
 )
-from egretstack.routing import RouteKind
 from egretstack.services._serving import serve_connections
 from egretstack.services.relay_metrics import RelayMetrics
 from egretstack.services.relaying import Relaying
@@ -45,10 +44,8 @@
 FULL_RETRY_S = 0.2
 """A body takes some 50 ms on a link of 100 Mbit/s, and other instances have free memory."""
 DRAIN_CHECK_INTERVAL_S = 0.05
-STOP_MARGIN_S = 0.6
-"""Time before the end of the grace period at which the process stops by itself."""
 LAST_ANSWERS_S = 0.2
-"""Part of that margin in which the requests still in progress are answered."""
+"""Time in which the requests that have no answer near the end are told so."""
 _CLOSE = (b"connection", b"close")
 _KIND_BY_STATUS = {
     413: ErrorKind.BODY_TOO_LARGE,
@@ -87,15 +84,21 @@
             task_status.started()
 
     async def drain(self) -> None:
-        """Serve clients that use older directory answers, until the grace period is nearly over."""
-        node: NodeSettings = self.kernel.settings
+        """Serve clients that use older directory answers, until the grace period is nearly over.
+
+        Then end what has no answer; streams go on until there is none, or the process has to end.
+        """
         self._leaving = True
         self._relaying.begin_leaving()
-        began_s = trio.current_time()
-        max_s = node.bounds.grace_s - STOP_MARGIN_S
-        while trio.current_time() - began_s < max_s:
+        departure = self._relaying.context.departure
+        while trio.current_time() < departure.answers_until_s:
             await trio.sleep(DRAIN_CHECK_INTERVAL_S)
         await self._end_unanswered()
+        while self._relays and trio.current_time() < departure.stops_s:
+            left_s = departure.stops_s - trio.current_time()
+            await trio.sleep(min(DRAIN_CHECK_INTERVAL_S, left_s))
+        if self._relays:
+            log(Event.STOP_CUTS_STREAMS, streams=len(self._relays))
 
     async def _end_unanswered(self) -> None:
         """End the requests without an answer, so that their clients are told they may have run."""
@@ -189,7 +192,7 @@
         try:
             task = self._relaying.task(request, began_s)
             kind = task.route.kind
-            if task.route.kind is RouteKind.STREAM and task.service.engine is not None:
+            if task.is_engine_stream:
                 answer = await self._relay_stream(connection, task)
             else:
                 answer = await self._relay_whole(connection, task)
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -17,12 +17,12 @@
     RelayTask,
     RequestFailed,
     RetryBudget,
+    instance_leaves,
     no_eligible_runner,
 )
 from egretstack.routing import (
     ClientAccount,
     Route,
-    RouteKind,
     RoutingTable,
     ServiceConfig,
     common_regions,
@@ -39,18 +39,6 @@
 
 INSTANCES_CHECK_INTERVAL_S = 0.5
 STARTING_RETRY_S = 0.5
-LEAVING_RETRY_S = 0.05
-"""A leaving instance sends clients to another one, which can serve them at once."""
-TOKEN_TIME_S = 0.012
-"""Time for one output token of a stream on a busy engine, by which a leaving instance estimates
-whether a stream would end before the process has to."""
-STREAM_START_S = 1.0
-CALL_TIME_S = 0.6
-"""Time reserved for a call on a leaving instance, which accepts no more calls once less is left:
-clients use their connections until it has ended, and a call that was passed on has to be
-answered."""
-STOP_MARGIN_S = 1.0
-"""Part of the grace period that is kept for sending the last bytes."""
 
 
 class Relaying(Service):
@@ -71,11 +59,9 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         node: NodeSettings = kernel.settings
-        self._node = node
         self._port = kernel.get(FleetPort)
         self._store = kernel.get(StoreReading)
         self._split = kernel.get(PlacingHome).split
-        self._leaving_since_s: float | None = None
         links = kernel.get(RunnerLinks)
         self.context = RelayContext(
             runners=self._port.runners,
@@ -127,8 +113,9 @@
         self.context.balancer.withdraw_failures()
 
     def begin_leaving(self) -> None:
-        """Accept no new requests that could not end before the process has to."""
-        self._leaving_since_s = trio.current_time()
+        """Accept no more requests than surely end before the process has to."""
+        node: NodeSettings = self.kernel.settings
+        self.context.departure.begin(trio.current_time(), node.bounds.grace_s)
 
     def task(self, request: ClientRequest, began_s: float) -> RelayTask:
         """Return a request's task, with its route, account and service. Raises RequestFailed."""
@@ -181,22 +168,17 @@
         allowed = common_regions(route, account)
         if allowed is None:
             return None
-        regions = self._node.region_by_zone.items()
+        node: NodeSettings = self.kernel.settings
+        regions = node.region_by_zone.items()
         return frozenset(zone for zone, region in regions if region in allowed)
 
     def _refuse_while_leaving(self, task: RelayTask) -> None:
-        if self._leaving_since_s is None:
-            return
-        passed_s = trio.current_time() - self._leaving_since_s
-        left_s = self._node.bounds.grace_s - STOP_MARGIN_S - passed_s
-        if self._required_s(task, left_s) >= left_s:
-            raise RequestFailed(
-                ErrorKind.DRAINING, "this instance leaves", retry_after_s=LEAVING_RETRY_S
-            )
+        if trio.current_time() > self.context.latest_send_s(task):
+            raise instance_leaves()
 
     def _refuse_over_limit(self, task: RelayTask) -> None:
         """Refuse a stream for which the engines are too slow beside those in progress."""
-        if task.route.kind is not RouteKind.STREAM or task.service.engine is None:
+        if not task.is_engine_stream:
             return
         if self.context.crash_guard.is_refused(task.fingerprint):
             return  # It is refused for good, whatever the engines have room for.
@@ -207,15 +189,6 @@
                 ErrorKind.ENGINES_FULL, "the engines are slow", retry_after_s=retry_s
             )
 
-    @staticmethod
-    def _required_s(task: RelayTask, left_s: float) -> float:
-        if task.route.kind is not RouteKind.STREAM:
-            return CALL_TIME_S
-        generation = task.request.generation
-        return STREAM_START_S + (
-            generation.max_output_tokens * TOKEN_TIME_S if generation else left_s
-        )
-
 
 def _log_limit_change(change: LimitChange) -> None:
     log(
--- a/egretstack/services/settings_file.py
+++ b/egretstack/services/settings_file.py
@@ -36,13 +36,13 @@
                 nursery.start_soon(self._poll)
                 task_status.started()
                 async for _ in signals:
-                    self._reload()
+                    self._reload_confined()
 
     async def _poll(self) -> None:
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
             if self._file_stamp() != self._seen:
-                self._reload()
+                self._reload_confined()
 
     def _file_stamp(self) -> tuple[int, int]:
         try:
@@ -51,11 +51,11 @@
             return (0, 0)  # It is being rewritten; the next check finds it.
         return (status.st_mtime_ns, status.st_size)
 
-    def _reload(self) -> None:
+    def _reload_confined(self) -> None:
         with self.kernel.unforeseen.confined(WorkKind.ROUND, loop=self.name):
-            self._read_again()
+            self._reload()
 
-    def _read_again(self) -> None:
+    def _reload(self) -> None:
         self._seen = self._file_stamp()
         try:
             settings = read_node_settings(self._path)
@@ -67,5 +67,7 @@
         changed = settings != self.kernel.settings
         log(Event.SETTINGS_READ_AGAIN, changed=changed)
         self.kernel.settings = settings
-        self.kernel.get(Relaying).context.budget.bounds = settings.bounds
+        relay = self.kernel.get(Relaying).context
+        relay.budget.bounds = settings.bounds
+        relay.departure.limit_grace(settings.bounds.grace_s)
         self.kernel.get(PlacingHome).cold_allocation.bounds = settings.bounds
