HEAD requests: answered without a body, at every port

Cause, from the logs of the case: service_failed, front_port, LocalProtocolError ("Too much data for declared Content-Length"). The answer's body was sent whatever the method, and h11 allows none after a HEAD. All four HTTP ports answer by the same method. CONNECT ended the metrics port alike: after 200 h11 takes the connection for a tunnel. Ruled out: relayed HEAD requests, which got 200 before.

Fix: the connection knows the method that it answers, and sends a HEAD the head of a GET's answer. CONNECT is answered 501 (404 at the front before).

--- a/egretstack/http1/_server.py
+++ b/egretstack/http1/_server.py
@@ -18,6 +18,8 @@
 """
 _TRANSFER_ENCODING = b"transfer-encoding"
 _CONTENT_LENGTH = b"content-length"
+_HEAD = b"HEAD"
+_CONNECT = b"CONNECT"
 _TOO_LARGE_HEAD = 431
 _LINE_EXTRA = 4
 """Colon, space and CRLF of each header."""
@@ -63,6 +65,8 @@
         self._body_bytes = 0
         self._stream = stream
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._sends_bodies = True
+        """Whether the response to the current request may have a body; that to a HEAD has none."""
         self._pipelined_bytes = 0
 
     async def read_head(self) -> RequestHead | None:
@@ -81,11 +85,14 @@
             raise SlowSender("the head did not arrive") from error
         if not isinstance(event, h11.Request):
             return None
+        self._sends_bodies = event.method != _HEAD
         head = RequestHead(
             bytes(event.method),
             bytes(event.target),
             tuple((bytes(name), bytes(value)) for name, value in event.headers),
         )
+        if head.method == _CONNECT:
+            raise BadRequest(501, "CONNECT is not supported")
         _reject_two_framings(head.headers)
         _reject_large_head(head, self.limits.header_bytes)
         return head
@@ -139,26 +146,20 @@
         await trio.sleep_forever()
 
     async def send_response(self, head: ResponseHead, body: bytes) -> None:
-        """Send a complete response. Raises ClientDisconnected."""
-        parts = [self._start(head, len(body))]
-        if body:
-            parts.append(self._http.send(h11.Data(data=body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        await self._send(b"".join(parts))
+        """Send a complete response, only its head to a HEAD request. Raises ClientDisconnected."""
+        data = self._start(head, len(body)) + self._body(body)
+        await self._send(data + self._http.send(h11.EndOfMessage()))
 
     async def start_stream(self, head: ResponseHead, body: bytes = b"") -> None:
         """Send the head of a response of unknown length and its first bytes.
 
         Raises ClientDisconnected.
         """
-        parts = [self._start(head, None)]
-        if body:
-            parts.append(self._http.send(h11.Data(data=body)))
-        await self._send(b"".join(parts))
+        await self._send(self._start(head, None) + self._body(body))
 
     async def send_chunk(self, body: bytes) -> None:
         """Send a piece of a response body. Raises ClientDisconnected."""
-        await self._send(self._http.send(h11.Data(data=body)))
+        await self._send(self._body(body))
 
     async def finish_stream(self) -> None:
         """End a response body normally. Raises ClientDisconnected."""
@@ -201,9 +202,14 @@
             return bool(data)
         return False
 
+    def _body(self, data: bytes) -> bytes:
+        """Return a piece of the body as it is sent."""
+        return self._http.send(h11.Data(data=data)) if data and self._sends_bodies else b""
+
     def _start(self, head: ResponseHead, length: int | None) -> bytes:
         headers = [*head.headers]
-        if length is not None:
+        # The length of what a runner would send to a GET is not known from its answer to a HEAD.
+        if length is not None and (length or self._sends_bodies):
             headers.append((_CONTENT_LENGTH, b"%d" % length))
         return self._http.send(
             h11.Response(status_code=head.status, reason=head.reason, headers=headers)
--- /dev/null
+++ b/tests/test_odd_requests.py
@@ -0,0 +1,96 @@
+"""Odd requests at each port: each is answered, and no other connection notices."""
+
+import trio
+
+from standins.platform import HOST, KEY
+from tests.platform_site import WAIT_S, platform_site
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+KEYED = f"host: {HOST}\r\nattempt-id: a-1\r\nauthorization: Bearer {KEY}\r\n".encode()
+
+
+async def exchange_raw(address, data):
+    """Send bytes on a connection; return what comes back until it is closed."""
+    host, _, port = address.rpartition(":")
+    received = b""
+    with trio.fail_after(WAIT_S):
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            try:
+                await stream.send_all(data)
+                while more := await stream.receive_some(65_536):
+                    received += more
+            except trio.BrokenResourceError:
+                pass
+    return received
+
+
+async def status_of(address, data):
+    """Return the status of the answer to a request on a connection of its own; None if none."""
+    answer = await exchange_raw(address, data)
+    return int(answer.split()[1]) if answer else None
+
+
+async def check_serves(site):
+    """Check that all entries still serve calls on the site."""
+    for number in range(len(site.kernels)):
+        head, _ = await site.call("/notes/1", f"after-{number}", entry=number)
+        check.assertEqual(head.status, 200)
+
+
+def http_addresses(site):
+    """Return the addresses of the first entry that speak HTTP, by name."""
+    node = site.settings(0)
+    return {
+        "front": node.front_address,
+        "ready": node.ready_address,
+        "directory": node.directory_address,
+        "metrics": node.metrics_address,
+    }
+
+
+CLOSING = b"connection: close\r\n\r\n"
+
+
+@on_real_clock
+async def test_a_head_request_is_answered_without_a_body_at_each_port():
+    # Guards against an answer of the instance's own to a HEAD request that ends the process, and
+    # its client's retry that ends the next one.
+    async with platform_site() as site:
+        cases = {
+            "front": ((b"/notes/1", 401), (b"/none/1", 404)),
+            "ready": ((b"/egretstack/ready", 200), (b"/x", 404)),
+            "directory": ((b"/egretstack/resolve?name=x&region=bajio", 200), (b"/x", 404)),
+            "metrics": ((b"/metrics", 200), (b"/placing", 200)),
+        }
+        for name, address in http_addresses(site).items():
+            for target, status in cases[name]:
+                head = b"HEAD " + target + b" HTTP/1.1\r\nhost: " + HOST.encode() + b"\r\n"
+                answer = await exchange_raw(address, head + CLOSING)
+                check.assertEqual(int(answer.split()[1]), status, name)
+                check.assertTrue(answer.endswith(b"\r\n\r\n"), name)
+                check.assertEqual(answer.count(b"\r\n\r\n"), 1, name)
+        await check_serves(site)
+
+
+@on_real_clock
+async def test_a_connection_is_kept_after_a_head_request():
+    # Guards against a client that reads the body of the answer before as its next answer.
+    async with platform_site() as site:
+        refused = b"HEAD /notes/1 HTTP/1.1\r\nhost: " + HOST.encode() + b"\r\n\r\n"
+        relayed = b"HEAD /notes/1 HTTP/1.1\r\n" + KEYED + b"\r\n"
+        get = b"GET /notes/1 HTTP/1.1\r\n" + KEYED + CLOSING
+        answer = await exchange_raw(site.settings(0).front_address, refused + relayed + get)
+        statuses = [int(one.split()[0]) for one in answer.split(b"HTTP/1.1 ")[1:]]
+        check.assertEqual(statuses, [401, 200, 200])
+
+
+@on_real_clock
+async def test_connect_is_refused_at_each_port():
+    # Guards against an answer that h11 takes for the switch to a tunnel.
+    async with platform_site() as site:
+        for name, address in http_addresses(site).items():
+            data = b"CONNECT " + HOST.encode() + b":80 HTTP/1.1\r\n" + KEYED + b"\r\n"
+            check.assertIn(await status_of(address, data), (501, None), name)
+        await check_serves(site)
