Handles of copies: only what can be sent back is one

Cause: the handle is put into the request line that frees the copy; the decoder let any text in. h11 refuses the line (LocalProtocolError: Illegal target characters) in a task of the stream, whose nursery is the front port's.

Fix: a handle is visible ASCII without blanks, 256 characters at most; another one makes the answer count as a failed copy, which is tried again.

--- a/egretstack/platform/_runner_wire.py
+++ b/egretstack/platform/_runner_wire.py
@@ -17,7 +17,7 @@
     hop_by_hop_headers,
 )
 from egretstack.ids import RunnerName
-from egretstack.platform._bodies import Body, integer, number, parse_object, text
+from egretstack.platform._bodies import BadBody, Body, integer, parse_object, text
 from egretstack.platform._runners import MAX_COLD_MS, parse_started_ms
 from egretstack.traffic import (
     ClientRequest,
@@ -85,6 +85,8 @@
 _MAX_BACKOFF_S = 3600.0
 """Longest backoff that is honoured; a runner that needs more asks for it again."""
 _UNAVAILABLE = 503
+_HANDLE_PATTERN = re.compile(r"[!-~]{1,256}")
+"""Visible ASCII without blanks, since a copy's handle is sent in a path and in a header."""
 _DECIMAL_PATTERN = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 
@@ -257,7 +259,10 @@
     """Decode the answer to a copy request. Raises BadBody."""
     outcome = _OUTCOME_BY_STATUS.get(status, MoveOutcome.FAILED)
     row = parse_object(body) if body else {}
-    return MoveAnswer(outcome, text(row, "handle", ""), int(number(row, "created", 0)))
+    handle = text(row, "handle", "")
+    if handle and not _HANDLE_PATTERN.fullmatch(handle):
+        raise BadBody("not a valid handle")
+    return MoveAnswer(outcome, handle, integer(row, "created", 0))
 
 
 def free_copy_request(address: str, handle: str) -> RequestHead:
--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -81,6 +81,8 @@
         """Whether new runs start without sending a response head."""
         self.stores_copies = True
         self.leaving = False
+        self.handle_prefix = "h-"
+        """First part of the handles of copies."""
         self.started_ms: int | None = None
         """Start time that it reports, in Unix milliseconds; None to report none."""
         self.copy_s = 0.03
@@ -283,7 +285,7 @@
         if run is None:
             await send(connection, 404, b"{}")
             return
-        handle = f"h-{attempt}"
+        handle = f"{self.handle_prefix}{attempt}"
         if stop:
             run.stop.set()
         await trio.sleep(self.copy_s)
--- /dev/null
+++ b/tests/test_odd_answers.py
@@ -0,0 +1,45 @@
+"""Odd answers of runners: what cannot be sent on is no answer, and no other request notices."""
+
+from egretstack.platform import BadBody, move_answer
+from standins.platform import GENERATION, EngineStandIn
+from tests.platform_site import free_loopback_net, platform_site
+from tests.stream_reader import start_reader
+from tests.support import check, on_real_clock, tests_of
+
+load_tests = tests_of(globals())
+
+
+def generation(tokens):
+    """Return the headers of a request for so many tokens, without a hint of its length."""
+    fields = {b"token-count": b"900,%d" % tokens}
+    return tuple(
+        (name, fields.get(name, value)) for name, value in GENERATION if name != b"length-hint"
+    )
+
+
+@on_real_clock
+async def test_a_handle_that_cannot_be_sent_back_ends_no_stream_and_no_instance():
+    # Guards against one spoilt byte in the answer to a copy, which made an illegal request line:
+    # the process ended when the stream was complete and its copy was to be freed.
+    async with platform_site(plain=1, engines=1) as site:
+        first = site.engines[0]
+        first.handle_prefix, first.events, first.gap_s = "h\u00e9-", 80, 0.03
+        reader = await start_reader(site, "s-1", 3, headers=generation(400))
+        # Only now there is an engine for a copy, so that the run is copied by an order.
+        second = EngineStandIn(f"127.{free_loopback_net()}.3.9:8080", "i-llm-9")
+        await site.nursery.start(second.run)
+        site.register(second.runner_id, "llm", second.address)
+        await site.until(lambda: first.moves)
+        await reader.ended.wait()
+        check.assertEqual((reader.ids, reader.broken), (list(range(1, 81)), False))
+        head, _ = await site.call("/notes/1", "after")
+        check.assertEqual(head.status, 200)
+
+
+def test_a_handle_has_to_fit_a_path_and_a_header():
+    # Guards against handles that are found to be unusable only when they are sent back.
+    for handle in ("h\ufffd1", "a b", "a\r\nb", "x" * 300, "h\ud83d"):
+        body = b'{"handle": "%s"}' % handle.encode("unicode_escape").replace(b"\\x", b"\\u00")
+        with check.assertRaises(BadBody, msg=handle):
+            move_answer(200, body)
+    check.assertEqual(move_answer(200, b'{"handle": "c-7.x_9~"}').handle, "c-7.x_9~")
