Directory and readiness: any target that HTTP allows is answered

Cause: urllib's urlsplit raises ValueError for a bracket without its pair, and nobody expects that of a path. The front port splits targets itself and was not affected.

Fix: the path and the query are split off without a parser of URLs; a target in absolute form keeps its meaning.

--- a/egretstack/platform/_entry_wire.py
+++ b/egretstack/platform/_entry_wire.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
 
 from egretstack.http1 import Header, RequestHead, ResponseHead, first_value
 from egretstack.ids import ModelName, RegionName
@@ -60,12 +60,12 @@
 
 def is_directory_request(head: RequestHead) -> bool:
     """Return whether a request asks the directory which instances to use."""
-    return urlsplit(head.target.decode("latin-1")).path == DIRECTORY_PATH
+    return _split_target(head)[0] == DIRECTORY_PATH
 
 
 def is_readiness_request(head: RequestHead) -> bool:
     """Return whether a request asks if this instance is ready."""
-    return urlsplit(head.target.decode("latin-1")).path == READY_PATH
+    return _split_target(head)[0] == READY_PATH
 
 
 def requested_region(head: RequestHead) -> RegionName:
@@ -79,10 +79,21 @@
 
 
 def _query_parameter(head: RequestHead, name: str) -> str:
-    query = parse_qs(urlsplit(head.target.decode("latin-1")).query)
+    query = parse_qs(_split_target(head)[1])
     return query.get(name, [""])[0]
 
 
+def _split_target(head: RequestHead) -> tuple[str, str]:
+    """Return the path and the query of a request's target, whatever it holds.
+
+    A library's parser of URLs raises an error for some of the targets that HTTP allows.
+    """
+    path, _, query = head.target.decode("latin-1").partition("#")[0].partition("?")
+    if not path.startswith("/") and "://" in path:
+        path = "/" + path.partition("://")[2].partition("/")[2]
+    return path, query
+
+
 def directory_answer(addresses: list[str], ttl_s: float) -> tuple[ResponseHead, bytes]:
     """Return the answer to a directory request; clients may cache it for `ttl_s`."""
     return json_answer(200, {"addresses": addresses, "ttl-s": ttl_s})
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -94,3 +94,19 @@
             data = b"CONNECT " + HOST.encode() + b":80 HTTP/1.1\r\n" + KEYED + b"\r\n"
             check.assertIn(await status_of(address, data), (501, None), name)
         await check_serves(site)
+
+
+@on_real_clock
+async def test_targets_that_no_library_parses_are_answered_at_each_port():
+    # Guards against a target that HTTP allows and a parser of URLs raises an error for.
+    async with platform_site() as site:
+        targets = (b"//[", b"http://[::1/egretstack/ready", b"http://[x]:y/", b"*", b"/%zz?%=&=&")
+        for name, address in http_addresses(site).items():
+            for target in targets:
+                request = b"GET " + target + b" HTTP/1.1\r\n" + KEYED + CLOSING
+                status = await status_of(address, request)
+                check.assertIn(status, (200, 404, 503), f"{name} {target}")
+        ready = site.settings(0).ready_address
+        whole = b"GET http://x/egretstack/ready HTTP/1.1\r\n" + KEYED + CLOSING
+        check.assertEqual(await status_of(ready, whole), 200)
+        await check_serves(site)
