Requests whose Connection header names what makes them are answered 400

Cause: headers that Connection lists are dropped as a request is sent on, also Host, without which h11 refuses the head (LocalProtocolError). The same way a client could have dropped its Attempt-Id, Model or Token-Count, and so have had a runner run another request than the one it sent.

Fix: a request that lists one of the headers that the system decodes is answered 400. All Connection headers are read, not the first one only.

--- a/egretstack/http1/_messages.py
+++ b/egretstack/http1/_messages.py
@@ -50,8 +50,13 @@
 
 def hop_by_hop_headers(headers: Headers) -> frozenset[bytes]:
     """Return the names of the hop-by-hop headers, including those named in `Connection`."""
-    listed = first_value(headers, b"connection") or b""
-    return _HOP_BY_HOP | {name.strip().lower() for name in listed.split(b",")}
+    return _HOP_BY_HOP | connection_options(headers)
+
+
+def connection_options(headers: Headers) -> frozenset[bytes]:
+    """Return the lower-case names that all `Connection` headers list."""
+    listed = [value for name, value in headers if name == b"connection"]
+    return frozenset(name.strip().lower() for name in b",".join(listed).split(b","))
 
 
 _HOP_BY_HOP = frozenset(
--- a/egretstack/platform/_entry_wire.py
+++ b/egretstack/platform/_entry_wire.py
@@ -7,7 +7,14 @@
 import json
 from urllib.parse import parse_qs
 
-from egretstack.http1 import Header, RequestHead, ResponseHead, first_value
+from egretstack.http1 import (
+    BadRequest,
+    Header,
+    RequestHead,
+    ResponseHead,
+    connection_options,
+    first_value,
+)
 from egretstack.ids import ModelName, RegionName
 from egretstack.traffic import ClientRequest, Generation, PromptPart
 
@@ -42,8 +49,29 @@
 }
 
 
+_END_TO_END = frozenset(
+    {
+        b"host",
+        _ATTEMPT_ID,
+        _DEADLINE_MS,
+        _MODEL,
+        _TOKEN_COUNT,
+        _PROMPT_PREFIX,
+        _LENGTH_HINT,
+        _LAST_EVENT_ID,
+        _AUTHORIZATION,
+    }
+)
+"""Headers that make a request what it is. A client that names one of them in `Connection` asks to
+drop it on the way, and for another request to be run."""
+
+
 def decode_request(head: RequestHead, body: bytes) -> ClientRequest:
-    """Decode a client's request; an unreadable hint counts as missing."""
+    """Decode a client's request; an unreadable hint counts as missing. Raises BadRequest."""
+    dropped = connection_options(head.headers) & _END_TO_END
+    if dropped:
+        names = b", ".join(sorted(dropped)).decode()
+        raise BadRequest(400, f"Connection names what is not for one connection: {names}")
     deadline_ms = _parse_number(_header_value(head, _DEADLINE_MS))
     return ClientRequest(
         attempt_id=_header_value(head, _ATTEMPT_ID),
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -110,3 +110,27 @@
         whole = b"GET http://x/egretstack/ready HTTP/1.1\r\n" + KEYED + CLOSING
         check.assertEqual(await status_of(ready, whole), 200)
         await check_serves(site)
+
+
+@on_real_clock
+async def test_a_request_that_asks_to_drop_what_makes_it_is_rejected():
+    # Guards against a request that is sent on without its host, which h11 refuses, or without its
+    # id, its model or its size, which makes another request of it.
+    async with platform_site() as site:
+        front = site.settings(0).front_address
+        for options in (
+            b"host",
+            b"close, Host",
+            b"keep-alive, attempt-id",
+            b"model",
+            b"TOKEN-COUNT",
+        ):
+            request = b"GET /notes/1 HTTP/1.1\r\n" + KEYED
+            request += b"connection: " + options + b"\r\nconnection: close\r\n\r\n"
+            check.assertEqual(await status_of(front, request), 400, options)
+        two = b"GET /notes/1 HTTP/1.1\r\n" + KEYED + b"x-a: 1\r\nconnection: x-a\r\n" + CLOSING
+        check.assertEqual(await status_of(front, two), 200)
+        check.assertEqual(sum(len(one.heads) for one in site.plain), 1)
+        sent = {name for one in site.plain for head in one.heads for name, _ in head.headers}
+        check.assertNotIn(b"x-a", sent)
+        await check_serves(site)
