Half characters elsewhere in the store: refused where they are read

What callers saw: the same end of all instances as by a runner's entry, by half a surrogate pair in an api key, a tenant's name or a health path of the configuration, in a record of crashes, or in the name of an object.

Cause: key_digest encodes keys with surrogateescape, which takes only some halves; names are sent in headers, ids in updates, and the name of a page's last object in the next request to the store.

Fix: a name that cannot be sent back makes an object unnamed; ids of records and zones of instances have to be text; a tenant's name has to fit a header and a health path a request line, or the configuration before stays in force. A key that is no text matches none, and the others hold.

--- a/egretstack/crashes/_checks.py
+++ b/egretstack/crashes/_checks.py
@@ -13,6 +13,7 @@
     """Return a valid id. Raises ValueError."""
     if not isinstance(value, str) or not 0 < len(value) <= MAX_ID_LENGTH:
         raise ValueError("invalid id")
+    value.encode()  # Raises UnicodeEncodeError, a ValueError, for half of a surrogate pair.
     return value
 
 
--- a/egretstack/platform/_configuration.py
+++ b/egretstack/platform/_configuration.py
@@ -1,17 +1,19 @@
 """Decodes the operator's configuration, which the store holds as a single object."""
 
+import re
 from collections.abc import Callable
 from pathlib import Path
 from typing import TypeVar
 
 from egretstack.errors import UserError
-from egretstack.http1 import ServerLimits
+from egretstack.http1 import ServerLimits, is_header_text
 from egretstack.ids import AccountId, RegionName, ServiceName
 from egretstack.platform._bodies import (
     BadBody,
     Body,
     flag,
     integer,
+    is_unicode,
     number,
     parse_object,
     rows,
@@ -38,6 +40,7 @@
 }
 
 
+_PATH_PATTERN = re.compile(r"/[!-~]{0,1023}")
 MAX_REGIONS = 64
 MAX_COLD_START_S = 3_600.0
 MAX_COLD_PER_S = 1e6
@@ -123,11 +126,15 @@
         return frozenset()
     if not isinstance(value, list) or len(value) > MAX_REGIONS:
         raise BadBody(f"allowed-regions is not a list of {MAX_REGIONS} at most")
-    if not all(isinstance(name, str) and 0 < len(name) <= _MAX_NAME_LENGTH for name in value):
+    if not all(_is_name(name) for name in value):
         raise BadBody("allowed-regions holds what is no region's name")
     return frozenset(RegionName(name) for name in value)
 
 
+def _is_name(value: object) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= _MAX_NAME_LENGTH and is_unicode(value)
+
+
 def _decode_targets(row: Body) -> tuple[RouteTarget, ...]:
     split = rows(row, "traffic-split")
     if not split:
@@ -142,13 +149,20 @@
     engine = row.get("engine")
     return ServiceConfig(
         name=ServiceName(text(row, "name")),
-        health_path=text(row, "health-path", "/health"),
+        health_path=_decode_health_path(row),
         max_connections=integer(row, "max-conns", 64),
         engine=_decode_engine(engine) if isinstance(engine, dict) else None,
         cold_start=_decode_cold_start(row),
     )
 
 
+def _decode_health_path(row: Body) -> str:
+    value = text(row, "health-path", "/health")
+    if not _PATH_PATTERN.fullmatch(value):
+        raise BadBody("health-path cannot be requested")
+    return value
+
+
 def _decode_cold_start(row: Body) -> ColdStartConfig:
     return ColdStartConfig(
         warm_up_s=_bounded_number(row, "cold-start-s", MAX_COLD_START_S),
@@ -182,7 +196,7 @@
     for row in tenants:
         rank = row.get("priority")
         account = ClientAccount(
-            AccountId(text(row, "name")),
+            AccountId(_decode_account_name(row)),
             rank if isinstance(rank, int) else None,
             _decode_regions(row),
         )
@@ -194,6 +208,13 @@
     return account_by_key_digest
 
 
+def _decode_account_name(row: Body) -> str:
+    value = text(row, "name")
+    if not is_header_text(value):
+        raise BadBody("the name of a tenant cannot be sent in a header")
+    return value
+
+
 def _decode_limits(row: object) -> ServerLimits:
     limits = row if isinstance(row, dict) else {}
     return ServerLimits(
--- a/egretstack/platform/_store.py
+++ b/egretstack/platform/_store.py
@@ -25,7 +25,7 @@
     first_value,
 )
 from egretstack.ids import StoreRevision
-from egretstack.platform._bodies import BadBody, Body, integer, parse_object
+from egretstack.platform._bodies import BadBody, Body, integer, is_unicode, parse_object
 
 _OBJECTS_PATH = "/egretstack/objects/"
 _JSON_TYPE = b"application/json"
@@ -315,12 +315,15 @@
 
 
 def _decode_object(item: object) -> StoredObject | None:
-    """Decode an object; None if it has no name. A missing spec is decoded as an empty one."""
+    """Decode an object; None if it has no name that can be sent back.
+
+    A missing spec is decoded as an empty one.
+    """
     metadata = item.get("metadata") if isinstance(item, dict) else None
     if not isinstance(metadata, dict):
         return None
     name, revision = metadata.get("name"), metadata.get("revision")
-    if not isinstance(name, str):
+    if not isinstance(name, str) or not is_unicode(name):
         return None
     spec = item.get("spec")
     return StoredObject(
--- a/egretstack/routing/_table.py
+++ b/egretstack/routing/_table.py
@@ -7,8 +7,11 @@
 
 
 def key_digest(key: str) -> str:
-    """Return the digest under which a client account's key is stored."""
-    return sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+    """Return the digest under which a client account's key is stored.
+
+    A key that is no text has a digest too, which that of no client's key equals.
+    """
+    return sha256(key.encode("utf-8", "surrogatepass")).hexdigest()
 
 
 class RoutingTable:
--- a/egretstack/services/instance_listing.py
+++ b/egretstack/services/instance_listing.py
@@ -11,7 +11,7 @@
 
 from egretstack.events import Event, log
 from egretstack.fleet import Instance, InstanceState, KnownInstance, StoreReachability
-from egretstack.http1 import is_address
+from egretstack.http1 import is_address, is_header_text
 from egretstack.ids import InstanceId, ZoneName
 from egretstack.kernel import Kernel, Service, WorkKind
 from egretstack.platform import ObjectKind, RevisionConflict, StoreAway, StoredObject
@@ -135,7 +135,7 @@
     spec = stored.spec
     zone, front, peer = (spec.get(name) for name in ("zone", "front", "peer"))
     strength = spec.get("strength")
-    if not all(isinstance(one, str) for one in (zone, front, peer)):
+    if not all(isinstance(one, str) and is_header_text(one) for one in (zone, front, peer)):
         return None
     if not is_address(front) or not is_address(peer):
         return None
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -21,6 +21,7 @@
 from egretstack.messages import MessageError, encode
 from egretstack.services.fleet_news import FleetUpdatesService
 from egretstack.services.fleet_port import FleetPort
+from egretstack.services.store_reading import StoreReading
 from standins.platform import runner_spec
 from tests.platform_site import platform_site
 from tests.support import check, on_real_clock, tests_of
@@ -176,3 +177,49 @@
     check.assertEqual(json.loads(json.dumps(HALF)), HALF)
     with check.assertRaises(UnicodeEncodeError):
         HALF.encode()
+
+
+@on_real_clock
+async def test_half_a_character_in_any_object_of_the_store_ends_no_instance():
+    # Guards against the same cause in the other kinds of objects: names, keys, zones and records.
+    async with platform_site(entries=2, plain=2) as site:
+        specs = {
+            "servers": runner_spec("desk", "127.9.2.9:8080"),
+            "evacuations": {},
+            "egret-instances": {"zone": HALF, "front": "127.9.1.1:80", "peer": "127.9.1.1:81"},
+            "egret-crash-records": {"record": [0, [[HALF, 2]], False]},
+            "egret-crash-parts": {"record": [[[HALF]], False, True, False, [HALF]]},
+        }
+        for kind, spec in specs.items():
+            site.store.put(kind, HALF, spec)
+            site.store.put(kind, f"i-{kind}", spec)
+        site.store.forget_history()
+        await check_news_spread(site)
+
+
+@on_real_clock
+async def test_a_configuration_that_cannot_be_sent_on_leaves_the_one_before_in_force():
+    # Guards against an account, a service or a key whose text ends the process as it is used.
+    async with platform_site(entries=2, plain=2) as site:
+        good = site.store.spec("config", "main")
+        tenant, service = good["tenants"][0], good["services"][1]
+        bad = (
+            {"tenants": [tenant | {"name": HALF}]},
+            {"tenants": [tenant | {"name": "a\r\nx: y"}]},
+            {"tenants": [tenant | {"allowed-regions": [HALF]}]},
+            {"services": [*good["services"], service | {"name": HALF}]},
+            {"services": [good["services"][0], service | {"health-path": "/h\u00e9alth"}]},
+            {"services": [good["services"][0], service | {"health-path": "/a b"}]},
+        )
+        for changes in bad:
+            site.version += 1
+            site.store.put("config", "main", good | changes | {"version": site.version})
+        await trio.sleep(0.5)
+        await check_news_spread(site)
+        site.version += 1
+        keys = {"tenants": [tenant | {"api-keys": [*tenant["api-keys"], HALF]}]}
+        site.store.put("config", "main", good | keys | {"version": site.version})
+        gates = [one.get(StoreReading).gate for one in site.kernels]
+        await site.until(lambda: all(one.version == site.version for one in gates))
+        head, _ = await site.call("/notes/1", "after")
+        check.assertEqual(head.status, 200)
