Deep nesting: one entry leaves the list around it readable

What callers saw (by reading in the review, shown by the new test): an entry of another writer that is nested a thousand levels deep makes the whole list of its kind unreadable, for all instances and for as long as it stays. Leaving runners then get requests until the engines' own reports tell of it.

Cause: the parser of JSON gives up a text at the depth of Python's stack, and a list is one text.

Fix: such a text is parsed once more with null in place of what is nested more than 64 levels deep, in time that grows with its length. A configuration that is nested so deeply is not put in force: it could be parsed here and not be written for the peers, at a deeper point of the stack.

Ruled out: a higher limit of recursion, which only moves the depth, and a check of every text, which takes as long as parsing it.

--- a/egretstack/platform/_bodies.py
+++ b/egretstack/platform/_bodies.py
@@ -2,9 +2,14 @@
 
 import json
 import math
+from collections.abc import Iterable
+
+from egretstack.platform._nesting import without_deep_values
 
 Body = dict[str, object]
 
+MAX_NESTING = 64
+"""Levels of objects and lists; no format here has more than ten."""
 MAX_INTEGER_DIGITS = 20
 """Longest integer that a field may hold, in digits: a 64-bit integer needs 20."""
 
@@ -14,16 +19,44 @@
 
 
 def parse_object(data: bytes) -> Body:
-    """Parse a JSON object. Raises BadBody."""
+    """Parse a JSON object. Raises BadBody.
+
+    If it is nested too deeply for the parser, values that are nested more than MAX_NESTING levels
+    deep become null: one of them must not make a whole list unreadable.
+    """
+    value = data.decode(errors="replace")
     try:
-        body = json.loads(data.decode(errors="replace"), parse_int=_parse_integer)
-    except (ValueError, RecursionError) as error:
+        try:
+            body = _parse(value)
+        except RecursionError:
+            body = _parse(without_deep_values(value, MAX_NESTING))
+    except ValueError as error:
         raise BadBody(f"not JSON: {error}") from error
     if not isinstance(body, dict):
         raise BadBody("not an object")
     return body
 
 
+def _parse(value: str) -> object:
+    return json.loads(value, parse_int=_parse_integer)
+
+
+def nests_deeply(value: object) -> bool:
+    """Return whether a parsed value is nested more than MAX_NESTING levels deep."""
+    level = [value]
+    for _ in range(MAX_NESTING):
+        level = [inner for outer in level for inner in _inner_values(outer)]
+        if not level:
+            return False
+    return any(isinstance(one, dict | list) for one in level)
+
+
+def _inner_values(value: object) -> Iterable[object]:
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
 def _parse_integer(digits: str) -> float:
     """Parse an integer; one with too many digits becomes infinity and fails only its own field.
 
--- a/egretstack/platform/_configuration.py
+++ b/egretstack/platform/_configuration.py
@@ -14,6 +14,7 @@
     flag,
     integer,
     is_unicode,
+    nests_deeply,
     number,
     parse_object,
     rows,
@@ -73,6 +74,8 @@
 
 def decode_configuration(spec: Body) -> RoutingConfiguration:
     """Decode a complete configuration. Raises BadBody."""
+    if nests_deeply(spec):
+        raise BadBody("nested too deeply to be sent to other instances")
     services = _decode_rows(spec, "services", _decode_service)
     tenants = rows(spec, "tenants")
     return RoutingConfiguration(
