SIGHUP at the start and during the stop no longer ends the process

Cause: SIGHUP has its default action until the service that reads the settings runs, and again once it has stopped. Loading the program takes most of the time at the start.

Fix: SIGHUP is ignored from the first statement of the program on, before it loads the rest (programs/_platform_entry.py). The settings are read once more when the handler is in place, since a change may have come with an ignored signal. Open: the time until Python runs that statement, some 20 ms, for which the platform starts the program itself, without a shell.

--- a/egretstack/programs/platform_entry.py
+++ b/egretstack/programs/platform_entry.py
@@ -1,47 +1,6 @@
 """`egret-platform-entry`: serves clients on one instance of the users' platform."""
 
-import os
-import sys
-from dataclasses import replace
-from pathlib import Path
-
-import trio
-
-from egretstack.errors import UserError
-from egretstack.events import Event, Level, LineWriter, log, set_up_line_logs
-from egretstack.platform import SETTINGS_VARIABLE, NodeSettings, read_node_settings
-from egretstack.programs._running import run_services
-from egretstack.settings import OPERATOR_FILE_VARIABLE, OperatorSettings, read_operator_settings
-
-SERVICES = (
-    "relay_metrics",
-    "fleet_port",
-    "fleet_news",
-    "part_records",
-    "runner_links",
-    "store_reading",
-    "runner_list",
-    "evacuation_list",
-    "instance_listing",
-    "configuration_relay",
-    "engine_reports",
-    "placing_home",
-    "runner_returns",
-    "engine_placing",
-    "engine_speeds",
-    "placing_status",
-    "crash_guard",
-    "crash_list",
-    "part_list",
-    "brittle_runners",
-    "runner_words",
-    "relaying",
-    "runner_strikes",
-    "settings_file",
-    "front_port",
-    "directory_port",
-    "detour_port",
-)
+import signal
 
 
 def main() -> None:
@@ -49,26 +8,13 @@
 
     Exit codes: 0 stopped, 1 a service failed, 2 wrong settings.
     """
-    run_services(_load_settings, SERVICES)
-
-
-def _load_settings() -> NodeSettings:
-    path = os.environ.get(SETTINGS_VARIABLE, "")
-    if not path:
-        raise UserError(f"{SETTINGS_VARIABLE} does not name a settings file")
-    settings = _apply_operator_settings(read_node_settings(Path(path)))
-    lines = LineWriter(sys.stdout.fileno(), trio.current_time)
-    set_up_line_logs(Level.INFO, lines, instance=settings.instance)
-    log(Event.RELAY_STARTED, zone=settings.zone, shares_capacity=settings.shares_capacity)
-    return settings
+    # By default SIGHUP ends the process. Until the service that reads the settings again is up,
+    # they are read for the first time, and loading the program takes most of that time.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+    from egretstack.programs._platform_entry import serve
 
-def _apply_operator_settings(node: NodeSettings) -> NodeSettings:
-    """Return the platform's settings with what the operator's file overrides, if there is one."""
-    path = os.environ.get(OPERATOR_FILE_VARIABLE, "")
-    operator = read_operator_settings(Path(path)) if path else OperatorSettings()
-    shares = operator.shares_capacity(platform_says=node.shares_capacity)
-    return replace(node, shares_capacity=shares)
+    serve()
 
 
 if __name__ == "__main__":
--- a/egretstack/services/settings_file.py
+++ b/egretstack/services/settings_file.py
@@ -32,6 +32,8 @@
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Watch the file until cancelled."""
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            # A change since the file was first read may have come with a signal that was ignored.
+            self._reload_confined()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._poll)
                 task_status.started()
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -12,7 +12,7 @@
 from egretstack.ids import InstanceId, RegionName, ZoneName
 from egretstack.kernel import Kernel, load_services
 from egretstack.platform import Bounds, NodeSettings
-from egretstack.programs.platform_entry import SERVICES
+from egretstack.programs._platform_entry import SERVICES
 from egretstack.services.directory_port import DirectoryPort
 from standins.platform import (
     HOST,
--- a/tests/soak/linked_entry.py
+++ b/tests/soak/linked_entry.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from egretstack.programs import platform_entry
+from egretstack.programs import _platform_entry
 from standins.platform import LinkCut, RunnerLinks
 
 CUT_FILE_VARIABLE = "SOAK_CUT_FILE"
@@ -54,7 +54,7 @@
     links = FileLinks(runners, Path(os.environ[CUT_FILE_VARIABLE]))
     links.enter(ENTRY)
     with links.installed():
-        platform_entry.main()
+        _platform_entry.serve()
 
 
 if __name__ == "__main__":
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,7 +10,7 @@
 from egretstack.contracts import read_contract
 from egretstack.errors import UserError
 from egretstack.platform import SETTINGS_VARIABLE, read_node_settings
-from egretstack.programs.platform_entry import _apply_operator_settings
+from egretstack.programs._platform_entry import _apply_operator_settings
 from egretstack.services.settings_file import SettingsFile
 from egretstack.settings import (
     OPERATOR_FILE_VARIABLE,
