Messages of peers: their number and integers are checked; found by the fuzz

A number such as 1e300 in a row of a report became an integer that no update can hold, so that the home could not send the row on, and the log line that tells of that failed by itself, as one of its fields had the name of a secret. An answer to bytes after a HEAD request that are no request was framed as one to the HEAD.

Fix: a message number has to be an integer, integers of rows fit 64 bits with their sign, the field has another name, and the method is forgotten with its request.

Before: the new tests fail without these changes (test_what_is_no_message..., test_numbers_of_a_peer..., test_a_row_that_the_home_cannot_send..., test_bytes_after_a_head_request...).

--- a/egretstack/fleet/_messages.py
+++ b/egretstack/fleet/_messages.py
@@ -12,7 +12,7 @@
 from egretstack.fleet._runner import Incarnation, Runner, RunnerState
 from egretstack.http1 import is_address, is_header_text
 from egretstack.ids import InstanceId, RunnerName, ServiceName, ZoneName
-from egretstack.messages import Message, MessageError
+from egretstack.messages import Message, MessageError, checked_integer
 
 MAX_ROWS = 4096
 
@@ -245,14 +245,14 @@
             ZoneName(str(zone)),
             _checked_address(front),
             _checked_address(peer),
-            int(strength),
+            checked_integer(strength),
         )
         return KnownInstance(
             instance,
-            int(incarnation),
+            checked_integer(incarnation),
             InstanceState(state),
             StoreReachability(store),
-            int(version),
+            checked_integer(version),
             bool(reaches),
         )
     except (TypeError, ValueError, OverflowError) as error:
@@ -279,14 +279,16 @@
     try:
         name, started_ms, service, address, zone, slots, state, cold_ms, confirmed_at = row
         return Runner(
-            Incarnation(_checked_name(name), None if started_ms is None else int(started_ms)),
+            Incarnation(
+                _checked_name(name), None if started_ms is None else checked_integer(started_ms)
+            ),
             ServiceName(str(service)),
             _checked_address(address),
             ZoneName(str(zone)),
-            int(slots),
+            checked_integer(slots),
             RunnerState(state),
-            int(cold_ms) / 1000,
-            int(confirmed_at),
+            checked_integer(cold_ms) / 1000,
+            checked_integer(confirmed_at),
         )
     except (TypeError, ValueError, OverflowError) as error:
         raise MessageError(f"invalid runner row: {error}") from error
--- a/egretstack/http1/_server.py
+++ b/egretstack/http1/_server.py
@@ -187,6 +187,7 @@
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self._sends_bodies = True
         self._pipelined_bytes = len(self._http.trailing_data[0])
         return True
 
--- a/egretstack/messages/_messages.py
+++ b/egretstack/messages/_messages.py
@@ -9,6 +9,8 @@
 
 import msgpack
 
+MAX_INTEGER = 2**63 - 1
+"""Largest integer, with either sign, that rows hold; msgpack encodes no much larger ones."""
 _CLASS_BY_NUMBER: dict[int, type["Message"]] = {}
 
 
@@ -51,6 +53,14 @@
     number: ClassVar[int] = 2
 
 
+def checked_integer(value: object) -> int:
+    """Return a number of a row as an integer that can be sent on. Raises ValueError, TypeError."""
+    number = int(value)
+    if not -MAX_INTEGER <= number <= MAX_INTEGER:
+        raise ValueError("a number out of bounds")
+    return number
+
+
 def encode(message: Message) -> bytes:
     """Return the encoded message."""
     row = [message.number]
@@ -60,9 +70,10 @@
 
 def decode(row: object) -> Message:
     """Decode an unpacked row to a message; raise MessageError."""
-    if not isinstance(row, list) or not row or row[0] not in _CLASS_BY_NUMBER:
+    number = row[0] if isinstance(row, list) and row else None
+    kind = _CLASS_BY_NUMBER.get(number) if isinstance(number, int) else None
+    if kind is None:
         raise MessageError("row without a known message number")
-    kind = _CLASS_BY_NUMBER[row[0]]
     declared_fields = fields(kind)
     if len(row) != len(declared_fields) + 1:
         raise MessageError(f"a {kind.__name__} with {len(row) - 1} fields")
--- a/egretstack/placing/_run.py
+++ b/egretstack/placing/_run.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from egretstack.ids import RunnerId, ServiceName, ZoneName
-from egretstack.messages import MessageError
+from egretstack.messages import MessageError, checked_integer
 from egretstack.placing._latency_forecast import Latency
 
 SHORT_TOKENS = 64
@@ -106,19 +106,19 @@
         return GenerationRequest(
             str(attempt),
             ServiceName(str(service)),
-            int(prompt),
-            int(max_output),
-            None if hint is None else int(hint),
-            int(rank),
-            int(budget_ms) / 1000,
-            int(wait_ms) / 1000,
+            checked_integer(prompt),
+            checked_integer(max_output),
+            None if hint is None else checked_integer(hint),
+            checked_integer(rank),
+            checked_integer(budget_ms) / 1000,
+            checked_integer(wait_ms) / 1000,
             str(prompt_id),
             tuple(RunnerId(str(one)) for one in excluded),
             str(account),
             None if zones is None else frozenset(ZoneName(str(one)) for one in zones),
             _gap_target_s(gap_target_ms),
             _optional_s(time_left_ms),
-            max(0, int(generated or 0)),
+            max(0, checked_integer(generated or 0)),
         )
     except (TypeError, ValueError, OverflowError) as error:
         raise MessageError(f"not a generation request: {error}") from error
@@ -129,7 +129,7 @@
 
 
 def _optional_s(time_ms: object) -> float | None:
-    return None if time_ms is None else int(time_ms) / 1000
+    return None if time_ms is None else checked_integer(time_ms) / 1000
 
 
 def _gap_target_s(time_ms: object) -> float | None:
@@ -149,7 +149,11 @@
         request, runner, backup, generated, started = row
         copy = None if backup is None else RunnerId(str(backup))
         return Run(
-            request_from_row(request), RunnerId(str(runner)), copy, int(generated), bool(started)
+            request_from_row(request),
+            RunnerId(str(runner)),
+            copy,
+            checked_integer(generated),
+            bool(started),
         )
-    except (TypeError, ValueError) as error:
+    except (TypeError, ValueError, OverflowError) as error:
         raise MessageError(f"not a run: {error}") from error
--- a/egretstack/services/fleet_news.py
+++ b/egretstack/services/fleet_news.py
@@ -188,7 +188,7 @@
         known_unsendable = rows.unsendable
         changed = self._replica.lead().replace_rows(self._rows(others))
         for key in sorted(self._replica.lead().rows.unsendable - known_unsendable):
-            log(Event.HOME_ROW_UNSENDABLE, key=key)
+            log(Event.HOME_ROW_UNSENDABLE, row=key)
         return changed
 
     def _is_urgent(self, before: int) -> bool:
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -86,6 +86,17 @@
         check.assertEqual(statuses, [401, 200, 200])
 
 
+@on_real_clock
+async def test_bytes_after_a_head_request_that_are_no_request_are_answered():
+    # Guards against an answer to no request that is framed as one to the HEAD before it.
+    async with platform_site() as site:
+        relayed = b"HEAD /notes/1 HTTP/1.1\r\n" + KEYED + b"\r\n"
+        answer = await exchange_raw(site.settings(0).front_address, relayed + b"NONSENSE\r\n\r\n")
+        statuses = [int(one.split()[0]) for one in answer.split(b"HTTP/1.1 ")[1:]]
+        check.assertEqual(statuses, [200, 400])
+        check.assertTrue(answer.endswith(b"}"))
+
+
 @on_real_clock
 async def test_connect_is_refused_at_each_port():
     # Guards against an answer that h11 takes for the switch to a tunnel.
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -5,6 +5,7 @@
 
 import msgpack
 import trio
+from loguru import logger
 
 from egretstack.fleet import (
     FleetNews,
@@ -18,7 +19,8 @@
     instance_row,
     runner_from_row,
 )
-from egretstack.messages import MessageError, encode
+from egretstack.messages import MessageError, decode, encode
+from egretstack.placing import request_from_row
 from egretstack.services.fleet_news import FleetUpdatesService
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
@@ -223,3 +225,37 @@
         await site.until(lambda: all(one.version == site.version for one in gates))
         head, _ = await site.call("/notes/1", "after")
         check.assertEqual(head.status, 200)
+
+
+def test_what_is_no_message_is_rejected_whatever_it_holds():
+    # Guards against a datagram whose message number is no number, which ended the process.
+    for row in ([[]], [{}], [[], 1], {}, [], None, "x", [None], [1.5], [10**6], 7):
+        with check.assertRaises(MessageError, msg=row):
+            decode(row)
+
+
+def test_numbers_of_a_peer_that_cannot_be_sent_on_are_rejected_with_their_row():
+    # Guards against a row that this instance, as the home, can tell to no other.
+    for number in (1e300, -1e300, float("inf"), float("nan"), 2**63, "x", None, []):
+        with check.assertRaises(MessageError, msg=number):
+            runner_from_row([*ROW[:5], number, *ROW[6:]])
+        with check.assertRaises(MessageError, msg=number):
+            instance_from_row(["i", "z", "127.0.0.1:1", "127.0.0.1:2", number, 1, 1, 0, True, 0])
+        with check.assertRaises(MessageError, msg=number):
+            request_from_row(["a", "llm", number, 1, None, 0, 100, 100])
+
+
+@on_real_clock
+async def test_a_row_that_the_home_cannot_send_is_logged_once():
+    # Guards against a log line that itself ends the work, and one in each period.
+    async with platform_site(entries=2) as site:
+        home = next(one for one in site.kernels if one.get(FleetPort).is_home())
+        lines = []
+        sink = logger.add(lambda message: lines.append(message.record["message"]))
+        updates = home.get(FleetUpdatesService)
+        updates.add_row_kind("x", lambda: {"xodd": [HALF]}, lambda rows: None)
+        await site.until(lambda: "home_row_unsendable" in lines)
+        await trio.sleep(0.6)
+        logger.remove(sink)
+        check.assertEqual(lines.count("home_row_unsendable"), 1)
+        await check_news_spread(site)
