--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded fuzz of all doors of an instance, beside usual calls."""
--- a/tests/test_runner_limits.py
+++ b/tests/test_runner_limits.py
@@ -27,6 +27,9 @@
 )
 """A generation so small that an engine has memory for many of them and as many copies."""
 
+RELEARNED_S = 5.0
+"""The window of the rule on limits, and a second for the answer."""
+
 
 async def learn_limits(site, runners, path, **more):
     """Send requests until all instances know the limits of runners; return the time."""
@@ -243,3 +246,22 @@
         await send_for_a_window(site, "/holds/1")
         got = sum(at >= begin_s for at in limited.arrived_s)
         check.assertGreaterEqual(got, 10)
+
+
+@on_real_clock
+async def test_a_service_whose_runners_all_named_a_limit_of_zero_is_served_again_soon():
+    # Guards against a limit that lets nothing through whose answer could lift it: a runner may get
+    # five requests in four seconds whatever it names.
+    async with platform_site(plain=2) as site:
+        set_limit(site.plain, 0.0)
+        await learn_limits(site, site.plain, "/notes/1")
+        for number in range(10):
+            await site.call("/notes/1", f"limited-{number}")
+        set_limit(site.plain, None)
+        ended_s = trio.current_time()
+        with trio.move_on_after(RELEARNED_S):
+            number = 0
+            while (await site.call("/notes/1", f"again-{number}"))[0].status != 200:
+                number += 1
+                await trio.sleep(0.1)
+        check.assertLess(trio.current_time() - ended_s, RELEARNED_S)
