Paces: a new home goes by what it measures itself

Leaving instances would have refused streams by engines that were slow long ago. What an earlier home had sent is dropped once this one has measured the service, and after a minute.

--- a/egretstack/placing/_engine_paces.py
+++ b/egretstack/placing/_engine_paces.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from math import isfinite
+from math import ceil, isfinite
 
 from egretstack.ids import RunnerId, ServiceName
 from egretstack.messages import MessageError
@@ -64,6 +64,7 @@
     def __init__(self) -> None:
         self._measured_by_service: dict[ServiceName, _Measured] = {}
         self._received_by_service: dict[ServiceName, StreamPace] = {}
+        self._received_s = float("-inf")
 
     def record(
         self, now_s: float, service: ServiceName, runner: RunnerId, timing: EngineTiming
@@ -87,24 +88,28 @@
         return received if measured is None else measured.slower(received)
 
     def rows(self, now_s: float) -> dict[ServiceName, list]:
-        """Return the rows that the home sends, by service: both times, in 0.1 ms and in 10 ms."""
+        """Return the rows that the home sends, by service: both times, in 0.1 ms and in 10 ms.
+
+        What an earlier home had sent is dropped once this one has measured the service.
+        """
+        if now_s - self._received_s > TTL_S:
+            self._received_by_service = {}
+        for service in self._measured_by_service:
+            if self._measured(now_s, service) is not None:
+                self._received_by_service.pop(service, None)
         paces = {service: self.pace(now_s, service) for service in self._services()}
         return {
             service: [
-                -int(-pace.event_s * _EVENT_UNITS_PER_S // 1),
-                -int(-pace.first_s * _FIRST_UNITS_PER_S // 1),
+                ceil(pace.event_s * _EVENT_UNITS_PER_S),
+                ceil(pace.first_s * _FIRST_UNITS_PER_S),
             ]
             for service, pace in paces.items()
             if pace is not None
         }
 
-    def apply(self, pace_by_service: Mapping[ServiceName, StreamPace]) -> None:
+    def apply(self, now_s: float, pace_by_service: Mapping[ServiceName, StreamPace]) -> None:
         """Replace the paces that the home has sent."""
-        self._received_by_service = dict(pace_by_service)
-
-    def forget_received(self) -> None:
-        """Forget what an earlier home has sent: this instance, now the home, measures all."""
-        self._received_by_service = {}
+        self._received_by_service, self._received_s = dict(pace_by_service), now_s
 
     def _services(self) -> list[ServiceName]:
         return sorted(self._measured_by_service.keys() | self._received_by_service.keys())
--- a/egretstack/services/engine_speeds.py
+++ b/egretstack/services/engine_speeds.py
@@ -200,7 +200,8 @@
     def _apply_pace_rows(self, rows: dict[str, list]) -> None:
         """Apply all paces that the home has sent; as the home, those of an earlier one."""
         parsed = self._paces_invalid.parse(rows, pace_from_row)
-        self._paces.apply({ServiceName(key[len(PACE) :]): pace for key, pace in parsed.items()})
+        paces = {ServiceName(key[len(PACE) :]): pace for key, pace in parsed.items()}
+        self._paces.apply(trio.current_time(), paces)
 
     def _count(self, matches: Callable[[EngineSpeed], bool]) -> int:
         return sum(map(matches, self._speeds.by_id().values()))
--- a/egretstack/services/front_port.py
+++ b/egretstack/services/front_port.py
@@ -124,6 +124,7 @@
         """
         with self.kernel.unforeseen.confined(WorkKind.CONNECTION, port="front"):
             return await self._read_and_answer(connection)
+        # The context has stopped an error.
         self._metrics.count_request(None, ErrorKind.INTERNAL.value)
         await self._refuse(connection, "", RequestFailed(ErrorKind.INTERNAL, "see the log"))
         return False
