Paces: measurements that nobody asks for are bounded

Read once more: an instance that neither is the home nor leaves records what its streams took each second and dropped it only when somebody asked for the pace, which nobody does there: some 150 bytes an engine and second for as long as the process lives. They are dropped as new ones come now.

The new test fails before (10 runners kept, where the window holds 2 at most).

--- a/egretstack/placing/_engine_paces.py
+++ b/egretstack/placing/_engine_paces.py
@@ -56,6 +56,18 @@
     seconds_by_runner: dict[RunnerId, dict[int, _Second]] = field(default_factory=dict)
     pace: StreamPace | None = None
     measured_s: float = 0.0
+    pruned_s: float = float("-inf")
+
+    def prune(self, now_s: float) -> None:
+        """Drop what was measured before the window, once a second."""
+        if now_s - self.pruned_s < 1.0:
+            return
+        self.pruned_s = now_s
+        for runner, seconds in list(self.seconds_by_runner.items()):
+            for second in [one for one in seconds if now_s - one > WINDOW_S]:
+                del seconds[second]
+            if not seconds:
+                del self.seconds_by_runner[runner]
 
 
 class EnginePaces:
@@ -75,6 +87,7 @@
             if len(self._measured_by_service) >= MAX_SERVICES:
                 return
             known = self._measured_by_service[service] = _Measured()
+        known.prune(now_s)
         seconds = known.seconds_by_runner.setdefault(runner, {})
         second = seconds.setdefault(int(now_s), _Second())
         second.events += timing.events
@@ -128,13 +141,9 @@
 
 def _slowest(now_s: float, measured: _Measured) -> StreamPace | None:
     """Return the times on the slowest engine in the window; None if they were not measured."""
+    measured.prune(now_s)
     first_s, event_s = 0.0, 0.0
-    for runner, seconds in list(measured.seconds_by_runner.items()):
-        for second in [one for one in seconds if now_s - one > WINDOW_S]:
-            del seconds[second]
-        if not seconds:
-            del measured.seconds_by_runner[runner]
-            continue
+    for seconds in measured.seconds_by_runner.values():
         first_s = max(first_s, max(one.longest_first_s for one in seconds.values()))
         events = sum(one.events for one in seconds.values())
         if events >= MIN_EVENTS:
--- a/tests/test_leaving_instances.py
+++ b/tests/test_leaving_instances.py
@@ -305,6 +305,17 @@
     check.assertEqual(unmeasured.rows(100.0), {})
 
 
+def test_measurements_of_a_pace_that_nobody_asks_for_are_bounded():
+    # Guards against memory that grows by every second on instances that never leave.
+    paces = EnginePaces()
+    for second in range(500):
+        runner = RunnerId(f"e-{second // 50}")
+        paces.record(float(second), LLM, runner, EngineTiming(runner, 0, 0.0, (), 20, 0.05, 0.4))
+    kept = paces._measured_by_service[LLM].seconds_by_runner
+    check.assertLessEqual(len(kept), 2)
+    check.assertLessEqual(sum(map(len, kept.values())), 12)
+
+
 def test_rows_of_paces_are_rounded_up_and_checked():
     # Guards against a pace that is shorter on arrival, and against rows of any content.
     paces = EnginePaces()
