--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -1,9 +1,8 @@
 """Odd requests at each port: each is answered, and no other connection notices."""
 
-import trio
-
 from standins.platform import HOST, KEY
-from tests.platform_site import WAIT_S, platform_site
+from tests.platform_site import platform_site
+from tests.raw_connection import exchange_raw
 from tests.support import check, on_real_clock, tests_of
 
 load_tests = tests_of(globals())
@@ -11,21 +10,6 @@
 KEYED = f"host: {HOST}\r\nattempt-id: a-1\r\nauthorization: Bearer {KEY}\r\n".encode()
 
 
-async def exchange_raw(address, data):
-    """Send bytes on a connection; return what comes back until it is closed."""
-    host, _, port = address.rpartition(":")
-    received = b""
-    with trio.fail_after(WAIT_S):
-        async with await trio.open_tcp_stream(host, int(port)) as stream:
-            try:
-                await stream.send_all(data)
-                while more := await stream.receive_some(65_536):
-                    received += more
-            except trio.BrokenResourceError:
-                pass
-    return received
-
-
 async def status_of(address, data):
     """Return the status of the answer to a request on a connection of its own; None if none."""
     answer = await exchange_raw(address, data)
--- a/tests/test_unforeseen_errors.py
+++ b/tests/test_unforeseen_errors.py
@@ -28,6 +28,7 @@
 from egretstack.services.store_reading import StoreReading
 from standins.platform import GENERATION
 from tests.platform_site import WAIT_S, platform_site
+from tests.raw_connection import exchange_raw
 from tests.support import check, on_real_clock, tests_of
 
 load_tests = tests_of(globals())
@@ -64,25 +65,10 @@
         logger.remove(sink)
 
 
-async def send_and_read(address, data):
-    """Send bytes on a connection, and return all that comes until it is closed or reset."""
-    host, _, port = address.rpartition(":")
-    received = b""
-    with trio.fail_after(WAIT_S):
-        async with await trio.open_tcp_stream(host, int(port)) as stream:
-            try:
-                await stream.send_all(data)
-                while more := await stream.receive_some(65_536):
-                    received += more
-            except trio.BrokenResourceError:
-                pass
-    return received
-
-
 async def read_metrics(site):
     """Return the metrics page of the first entry."""
     query = b"GET / HTTP/1.1\r\nhost: m\r\nconnection: close\r\n\r\n"
-    return (await send_and_read(site.settings(0).metrics_address, query)).decode()
+    return (await exchange_raw(site.settings(0).metrics_address, query)).decode()
 
 
 async def check_confined(site, work):
@@ -217,7 +203,7 @@
         )
         for address, owner, name, data in cases:
             with replaced(owner, name, fail):
-                await send_and_read(address, data)
+                await exchange_raw(address, data)
             await check_confined(site, "connection")
 
 
