--- a/egretstack/http1/_addresses.py
+++ b/egretstack/http1/_addresses.py
@@ -1,13 +1,22 @@
 """Addresses to which connections can be opened."""
 
 import ipaddress
+from functools import lru_cache
 
 _MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 6
+_MAX_LENGTH = len("255.255.255.255:65535")
+_CACHED_ADDRESSES = 1_024
+"""Each report and each update names the same addresses again."""
 
 
 def is_address(value: str) -> bool:
     """Return whether a text is IP:PORT with an IPv4 address that can be assigned to a host."""
+    return len(value) <= _MAX_LENGTH and _is_address(value)
+
+
+@lru_cache(maxsize=_CACHED_ADDRESSES)
+def _is_address(value: str) -> bool:
     host, _, port = value.rpartition(":")
     try:
         address = ipaddress.IPv4Address(host)
