Review: a sound runner that is silent for a second costs its streams

Callers see a stream reset in the middle, 1.2 s after its runner fell silent, though the runner is sound and goes on: the run has no copy yet, and its backup runner says so with 503.

Result: a case that fails; nothing is fixed.

--- /dev/null
+++ b/review/kit2/engines.py
@@ -0,0 +1,127 @@
+"""An engine stand-in that may fall silent, and sends copies of runs at the pace of its link.
+
+It adds to the project's own engine stand-in what the pages say of backups: a run's memory is sent
+as it grows, several times a second, over a link on which transfers run one after another.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+
+import trio
+
+from egretstack.http1 import ClientConnection, RequestHead, first_value
+from standins.platform import EngineStandIn
+
+FIRST_EVENT_S = 0.2
+"""Time in which some 3,000 tokens of a prompt are read at 14 a millisecond."""
+PART_INTERVAL_S = 0.25
+TOKEN_BYTES = 327_680
+LINK_BITS_PER_S = 47_000e6
+
+
+@dataclass
+class Work:
+    """One time in which an engine worked on a request."""
+
+    attempt: str
+    runner: str
+    began_s: float
+    ended_s: float = inf
+
+
+class TimedEngine(EngineStandIn):
+    """An engine with silences, and with copies that take their time."""
+
+    def __init__(self, address: str, runner_id: str, zone: str, *, gap_s: float = 0.02) -> None:
+        super().__init__(address, runner_id, gap_s=gap_s)
+        self.zone = zone
+        self.record = lambda text: None
+        self.on_continued: Callable[[str], bool] = lambda attempt: False
+        """Returns whether the answer to a run that is continued here is lost."""
+        self.works: list[Work] = []
+        self._speaks = trio.Event()
+        self._speaks.set()
+        self._link = trio.Lock()
+        self._backup_by_attempt: dict[str, tuple[str, int]] = {}
+
+    async def fall_silent(self, length_s: float) -> None:
+        """Send nothing for some time, and go on then; what came meanwhile is answered late."""
+        self._speaks = trio.Event()
+        self.record(f"{self.runner_id} falls silent for {length_s} s; runs {self.running()}")
+        await trio.sleep(length_s)
+        self._speaks.set()
+        self.record(f"{self.runner_id} goes on; runs {self.running()}")
+
+    async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
+        """Answer one request once this engine speaks."""
+        await self._speaks.wait()
+        await super().answer(connection, head, body)
+
+    async def _generate(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
+        attempt = _text(head, b"attempt-id")
+        tokens = int(_text(head, b"token-count").partition(",")[0] or 0)
+        self._backup_by_attempt[attempt] = _text(head, b"kv-backup"), tokens
+        source = _text(head, b"kv-from")
+        known = (
+            ""
+            if not source
+            else f" from {source}, copy here: {source.split('/')[1] in self.copies}"
+        )
+        self.record(f"{self.runner_id} gets {attempt}{known}")
+        if not source:
+            await trio.sleep(FIRST_EVENT_S)
+        await super()._generate(connection, head, body)
+
+    def _store_backup(self, attempt: str, address: str) -> None:
+        """Do nothing: the copy is sent while the run goes on."""
+
+    async def _stream(
+        self, connection: ClientConnection, attempt: str, start: int, *, is_fatal: bool
+    ) -> None:
+        work = Work(attempt, self.runner_id, trio.current_time())
+        self.works.append(work)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_backup, attempt)
+                if start and self.on_continued(attempt):
+                    await self._run_without_answer(attempt, start)
+                else:
+                    await super()._stream(connection, attempt, start, is_fatal=is_fatal)
+                nursery.cancel_scope.cancel()
+        finally:
+            work.ended_s = trio.current_time()
+            self.record(f"{self.runner_id} ends its run of {attempt}")
+
+    async def _run_without_answer(self, attempt: str, start: int) -> None:
+        """Work on a run whose answer is lost, until it is done or its caller disconnects."""
+        self.record(f"{self.runner_id} works on {attempt}, and its answer is lost")
+        await trio.sleep((self.events - start) * self.gap_s)
+
+    async def _send_body(self, connection: ClientConnection, data: bytes) -> None:
+        await self._speaks.wait()
+        await super()._send_body(connection, data)
+
+    async def _send_backup(self, attempt: str) -> None:
+        """Send what is new of a run's memory, several times a second."""
+        address, tokens = self._backup_by_attempt[attempt]
+        peer = self.peers_by_address.get(address)
+        while peer is not None:
+            await trio.sleep(PART_INTERVAL_S)
+            await self._speaks.wait()
+            async with self._link:
+                near = getattr(peer, "zone", self.zone) == self.zone
+                bits = tokens * TOKEN_BYTES * 8 * (1 if near else 2)
+                await trio.sleep(bits / LINK_BITS_PER_S)
+                await self._speaks.wait()
+            run = self._run_by_attempt.get(attempt)
+            if run is None:
+                return
+            if attempt not in peer.copies:
+                self.record(f"{peer.runner_id} has a copy of {attempt}")
+            peer.copies[attempt] = (attempt, run.generated)
+            tokens = int(4 * PART_INTERVAL_S / self.gap_s)
+
+
+def _text(head: RequestHead, name: bytes) -> str:
+    return (first_value(head.headers, name) or b"").decode()
