--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,7 @@
 from egretstack.http1 import connect_upstream
 from review.kit2.clients import Record, Stream, call, read_stream, wait_until_ready
 from review.kit2.engines import TimedEngine
-from review.kit2.processes import ZONES, Instance, Instances, free_net
+from review.kit2.processes import BROKEN, HELD, UNABLE, ZONES, Instance, Instances, free_net
 from standins.platform import (
     KEY,
     PlainStandIn,
@@ -122,13 +122,13 @@
                     streams = await play(instances, engines, record)
             except (Unable, trio.TooSlowError) as error:
                 record(f"could not run: {error!r}")
-                return 2
+                return UNABLE
             for line in instances[0].lines("stream_halted", "stream_not_continued", "stream_lost"):
                 record(f"log of the stopped instance: {line}")
             nursery.cancel_scope.cancel()
     cut = [one for one in streams if not one.is_complete or one.ids != list(range(1, EVENTS + 1))]
     record(f"LOST: {len(cut)} of {len(streams)} streams ended without a complete answer")
-    return 1 if cut else 0
+    return BROKEN if cut else HELD
 
 
 if __name__ == "__main__":
--- a/review/kit2/engines.py
+++ b/review/kit2/engines.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from egretstack.http1 import ClientConnection, RequestHead, first_value
+from egretstack.http1 import ClientConnection, ClientDisconnected, RequestHead, first_value
 from standins.platform import EngineStandIn
 
 FIRST_EVENT_S = 0.2
@@ -39,6 +39,8 @@
         self.record = lambda text: None
         self.on_continued: Callable[[str], bool] = lambda attempt: False
         """Returns whether the answer to a run that is continued here is lost."""
+        self.on_moved: Callable[[str, TimedEngine], None] = lambda attempt, to: None
+        """Called when a run was stopped here and its memory has been moved to another engine."""
         self.works: list[Work] = []
         self._speaks = trio.Event()
         self._speaks.set()
@@ -47,9 +49,17 @@
 
     async def fall_silent(self, length_s: float) -> None:
         """Send nothing for some time, and go on then; what came meanwhile is answered late."""
-        self._speaks = trio.Event()
-        self.record(f"{self.runner_id} falls silent for {length_s} s; runs {self.running()}")
+        self.begin_silence()
         await trio.sleep(length_s)
+        self.end_silence()
+
+    def begin_silence(self) -> None:
+        """Send nothing from now on."""
+        self._speaks = trio.Event()
+        self.record(f"{self.runner_id} falls silent; runs {self.running()}")
+
+    def end_silence(self) -> None:
+        """Go on."""
         self._speaks.set()
         self.record(f"{self.runner_id} goes on; runs {self.running()}")
 
@@ -89,6 +99,8 @@
                 else:
                     await super()._stream(connection, attempt, start, is_fatal=is_fatal)
                 nursery.cancel_scope.cancel()
+        except* ClientDisconnected:
+            connection.close()
         finally:
             work.ended_s = trio.current_time()
             self.record(f"{self.runner_id} ends its run of {attempt}")
@@ -102,6 +114,12 @@
         await self._speaks.wait()
         await super()._send_body(connection, data)
 
+    async def _copy_run(self, connection: ClientConnection, request: dict) -> None:
+        await super()._copy_run(connection, request)
+        peer = self.peers_by_address.get(request["to"])
+        if request["last"] and f"{self.handle_prefix}{request['id']}" in peer.copies:
+            self.on_moved(request["id"], peer)
+
     async def _send_backup(self, attempt: str) -> None:
         """Send what is new of a run's memory, several times a second."""
         address, tokens = self._backup_by_attempt[attempt]
--- a/review/kit2/processes.py
+++ b/review/kit2/processes.py
@@ -14,6 +14,10 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 VARIABLE = "EGRETSTACK_NODE_FILE"
+HELD = 0
+UNABLE = 2
+BROKEN = 10
+"""Exit codes of a case. One that ends with an error of its own exits with 1, which is none."""
 ZONES = ("hafnar-hall", "hofda-hall", "vellir-hall")
 
 _SETTINGS = """node-name=edge-{number}
