--- a/review/kit2/processes.py
+++ b/review/kit2/processes.py
@@ -9,7 +9,6 @@
 import sys
 import tempfile
 import tomllib
-from contextlib import suppress
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -75,13 +74,24 @@
 """
 
 
+_reserved: list[socket.socket] = []
+"""Sockets that keep the addresses of this process from others."""
+
+
 def free_net() -> str:
-    """Return the first two bytes of loopback addresses that nobody uses."""
+    """Return the first two bytes of loopback addresses that nobody uses, and keep them."""
     for _ in range(50):
         net = f"127.{random.randrange(30, 250)}"
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind((f"{net}.21.1", 8740))
-            return net
+        reserved = socket.socket()
+        try:
+            reserved.bind((f"{net}.250.1", 8740))
+            with socket.socket() as probe:
+                probe.bind((f"{net}.21.1", 8740))
+        except OSError:
+            reserved.close()
+            continue
+        _reserved.append(reserved)
+        return net
     raise OSError("no free loopback addresses")
 
 
