--- a/review/kit2/processes.py
+++ b/review/kit2/processes.py
@@ -166,6 +166,8 @@
         self.all = [Instance(net, number, count, path, store) for number in range(count)]
 
     def __enter__(self) -> list[Instance]:
+        # So that the processes are ended, too, if this one is.
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
         return self.all
 
     def __exit__(self, *_: object) -> None:
