--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,7 +8,14 @@
 import trio
 
 from egretstack.http1 import connect_upstream
-from review.kit2.clients import Record, Stream, call, read_stream, wait_until_ready
+from review.kit2.clients import (
+    Record,
+    Stream,
+    call,
+    cut_in_stop,
+    read_stream,
+    wait_until_ready,
+)
 from review.kit2.engines import TimedEngine
 from review.kit2.processes import BROKEN, HELD, UNABLE, ZONES, Instance, Instances, free_net
 from standins.platform import (
@@ -65,8 +72,8 @@
 
 async def play(
     instances: list[Instance], engines: list[TimedEngine], record: Record
-) -> list[Stream]:
-    """Play the case; return the streams."""
+) -> tuple[list[Stream], float]:
+    """Play the case; return the streams, and when their instance was told to stop."""
     for instance in instances:
         instance.start()
     for instance in instances:
@@ -85,10 +92,11 @@
             await stream.first_event.wait()
         record(f"SIGTERM to {stopped.front}")
         stopped.send(signal.SIGTERM)
+        stopped_s = trio.current_time()
         if IS_TROUBLED:
             silent = max(engines, key=lambda one: len(one.running()))
             nursery.start_soon(silent.fall_silent, SILENCE_S)
-    return streams
+    return streams, stopped_s
 
 
 async def main() -> int:
@@ -119,14 +127,15 @@
             store.put("config", "main", configuration(1, routes, (KEY,)))
             try:
                 with trio.fail_after(60):
-                    streams = await play(instances, engines, record)
+                    streams, stopped_s = await play(instances, engines, record)
             except (Unable, trio.TooSlowError) as error:
                 record(f"could not run: {error!r}")
                 return UNABLE
             for line in instances[0].lines("stream_halted", "stream_not_continued", "stream_lost"):
                 record(f"log of the stopped instance: {line}")
             nursery.cancel_scope.cancel()
-    cut = [one for one in streams if not one.is_complete or one.ids != list(range(1, EVENTS + 1))]
+    passed_on = {attempt for engine in engines for _, attempt in engine.got}
+    cut = cut_in_stop(streams, passed_on, stopped_s, GRACE_S)
     record(f"LOST: {len(cut)} of {len(streams)} streams ended without a complete answer")
     return BROKEN if cut else HELD
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -8,7 +8,14 @@
 import trio
 
 from egretstack.http1 import connect_upstream
-from review.kit2.clients import Record, Stream, call, read_stream, wait_until_ready
+from review.kit2.clients import (
+    Record,
+    Stream,
+    call,
+    cut_in_stop,
+    read_stream,
+    wait_until_ready,
+)
 from review.kit2.engines import TimedEngine
 from review.kit2.processes import BROKEN, HELD, UNABLE, ZONES, Instance, Instances, free_net
 from standins.platform import (
@@ -25,7 +32,7 @@
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 SILENCE_S = 1.4
 EVENTS = 120
-STREAMS = 8
+STREAMS = 14
 STABLE_S = 3.0
 GRACE_S = 8.0
 PROMPT = (
@@ -65,8 +72,8 @@
 
 async def play(
     instances: list[Instance], engines: list[TimedEngine], store: StoreStandIn, record: Record
-) -> list[Stream]:
-    """Play the case; return the streams."""
+) -> tuple[list[Stream], float]:
+    """Play the case; return the streams, and when their instance was told to stop."""
     for instance in instances:
         instance.start()
     for instance in instances:
@@ -100,15 +107,16 @@
                 nursery.start_soon(read_stream, connection, head, body, stream, record)
             for stream in streams:
                 await stream.first_event.wait()
-            leaving = max(engines, key=lambda one: len(one.running()))
+            leaving = max(engines, key=lambda one: len(one.running_without_backup()))
             leaving.on_moved = on_moved
             record(f"SIGTERM to {stopped.front}; {leaving.runner_id} is to leave")
             stopped.send(signal.SIGTERM)
+            stopped_s = trio.current_time()
             leaving.leaving = leaving.says_leaving = True
             spec = runner_spec("llm", leaving.address, "draining", zone=leaving.zone)
             store.put("servers", leaving.runner_id, spec)
         silence.cancel_scope.cancel()
-    return streams
+    return streams, stopped_s
 
 
 async def main() -> int:
@@ -118,7 +126,7 @@
     store = StoreStandIn(f"{net}.20.10:8742")
     plain = [PlainStandIn(f"{net}.22.{n}:8080", f"i-app-{n}", 0.02) for n in (1, 2)]
     engines = [
-        TimedEngine(f"{net}.23.{n}:8080", f"i-llm-{n}", ZONES[n % len(ZONES)]) for n in (1, 2, 3)
+        TimedEngine(f"{net}.23.{n}:8080", f"i-llm-{n}", ZONES[n % len(ZONES)]) for n in (1, 2, 3, 4)
     ]
     for engine in engines:
         engine.events, engine.record = EVENTS, record
@@ -139,14 +147,15 @@
             store.put("config", "main", configuration(1, routes, (KEY,)))
             try:
                 with trio.fail_after(60):
-                    streams = await play(instances, engines, store, record)
+                    streams, stopped_s = await play(instances, engines, store, record)
             except (Unable, trio.TooSlowError) as error:
                 record(f"could not run: {error!r}")
                 return UNABLE
             for line in instances[0].lines("stream_halted", "stream_not_continued", "stream_lost"):
                 record(f"log of the stopped instance: {line}")
             nursery.cancel_scope.cancel()
-    cut = [one for one in streams if not one.is_complete or one.ids != list(range(1, EVENTS + 1))]
+    passed_on = {attempt for engine in engines for _, attempt in engine.got}
+    cut = cut_in_stop(streams, passed_on, stopped_s, GRACE_S)
     record(f"LOST: {len(cut)} of {len(streams)} streams ended without a complete answer")
     return BROKEN if cut else HELD
 
--- a/review/kit2/clients.py
+++ b/review/kit2/clients.py
@@ -46,6 +46,23 @@
     ended_s: float = 0.0
 
 
+def cut_in_stop(
+    streams: list[Stream], passed_on: set[str], stopped_s: float, grace_s: float
+) -> list[Stream]:
+    """Return the streams that a planned stop of their instance may not have cut.
+
+    Those that were passed on to a runner, and whose connection ended without a complete answer, not
+    in the last sixth of the grace period. An answer that refuses a request is complete.
+    """
+    return [
+        one
+        for one in streams
+        if one.end.startswith("broken")
+        and one.attempt in passed_on
+        and one.ended_s < stopped_s + grace_s * 5 / 6
+    ]
+
+
 async def wait_until_ready(address: str, timeout_s: float = 20.0) -> bool:
     """Wait until an instance says that it is ready; return whether it does."""
     head = RequestHead(b"GET", b"/egretstack/ready", ((b"host", b"ready"),))
--- a/review/kit2/engines.py
+++ b/review/kit2/engines.py
@@ -8,14 +8,21 @@
 
 import trio
 
-from egretstack.http1 import ClientConnection, ClientDisconnected, RequestHead, first_value
-from standins.platform import EngineStandIn
+from egretstack.http1 import (
+    ClientConnection,
+    ClientDisconnected,
+    RequestHead,
+    ResponseHead,
+    first_value,
+)
+from standins.platform import EngineStandIn, json_body
 
 FIRST_EVENT_S = 0.2
 """Time in which some 3,000 tokens of a prompt are read at 14 a millisecond."""
 PART_INTERVAL_S = 0.25
 TOKEN_BYTES = 327_680
 LINK_BITS_PER_S = 47_000e6
+TOKENS_PER_EVENT = 4
 
 
 class TimedEngine(EngineStandIn):
@@ -32,6 +39,9 @@
         self._speaks = trio.Event()
         self._speaks.set()
         self._link = trio.Lock()
+        self._moving: set[str] = set()
+        self._copied: dict[tuple[str, str], int] = {}
+        """Tokens that were copied, by attempt and address of the other engine."""
         self._backup_by_attempt: dict[str, tuple[str, int]] = {}
 
     async def fall_silent(self, length_s: float) -> None:
@@ -50,6 +60,10 @@
         self._speaks.set()
         self.record(f"{self.runner_id} goes on; runs {self.running()}")
 
+    def running_without_backup(self) -> list[str]:
+        """Return the runs here that were sent without a backup engine."""
+        return [one for one in self.running() if not self._backup_by_attempt[one][0]]
+
     async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
         """Answer one request once this engine speaks."""
         await self._speaks.wait()
@@ -92,10 +106,35 @@
         await super()._send_body(connection, data)
 
     async def _copy_run(self, connection: ClientConnection, request: dict) -> None:
-        await super()._copy_run(connection, request)
-        peer = self.peers_by_address.get(request["to"])
-        if request["last"] and f"{self.handle_prefix}{request['id']}" in peer.copies:
-            self.on_moved(request["id"], peer)
+        """Copy a run to another engine, only what is new if it was copied there before."""
+        attempt, stop = request["id"], request["last"]
+        run = self._run_by_attempt.get(attempt)
+        if run is None or attempt in self._moving:
+            await _answer_move(connection, 404 if run is None else 409, {})
+            return
+        if stop:
+            run.stop.set()
+        peer = self.peers_by_address[request["to"]]
+        held = self._backup_by_attempt[attempt][1] + TOKENS_PER_EVENT * run.generated
+        self._moving.add(attempt)
+        try:
+            await self._transfer(peer, held - self._copied.get((attempt, peer.address), 0))
+        finally:
+            self._moving.discard(attempt)
+        self._copied[attempt, peer.address] = held
+        handle = f"{self.handle_prefix}{attempt}"
+        peer.copies[handle] = (attempt, run.generated)
+        if stop:
+            self.on_moved(attempt, peer)
+        await _answer_move(connection, 200, {"handle": handle, "created": run.generated})
+
+    async def _transfer(self, peer: EngineStandIn, tokens: int) -> None:
+        """Send memory to another engine, after what is being sent already."""
+        async with self._link:
+            near = getattr(peer, "zone", self.zone) == self.zone
+            bits = tokens * TOKEN_BYTES * 8 * (1 if near else 2)
+            await trio.sleep(bits / LINK_BITS_PER_S)
+            await self._speaks.wait()
 
     async def _send_backup(self, attempt: str) -> None:
         """Send what is new of a run's memory, several times a second."""
@@ -104,19 +143,19 @@
         while peer is not None:
             await trio.sleep(PART_INTERVAL_S)
             await self._speaks.wait()
-            async with self._link:
-                near = getattr(peer, "zone", self.zone) == self.zone
-                bits = tokens * TOKEN_BYTES * 8 * (1 if near else 2)
-                await trio.sleep(bits / LINK_BITS_PER_S)
-                await self._speaks.wait()
+            await self._transfer(peer, tokens)
             run = self._run_by_attempt.get(attempt)
             if run is None:
                 return
             if attempt not in peer.copies:
                 self.record(f"{peer.runner_id} has a copy of {attempt}")
             peer.copies[attempt] = (attempt, run.generated)
-            tokens = int(4 * PART_INTERVAL_S / self.gap_s)
+            tokens = int(TOKENS_PER_EVENT * PART_INTERVAL_S / self.gap_s)
 
 
 def _text(head: RequestHead, name: bytes) -> str:
     return (first_value(head.headers, name) or b"").decode()
+
+
+async def _answer_move(connection: ClientConnection, status: int, document: dict) -> None:
+    await connection.send_response(ResponseHead(status, b"", ()), json_body(document))
