Stand-in engines: silences, lost answers, memory of stopped runs

Callers see nothing of it. The tests of streams whose runner is silent need an engine that accepts connections and sends nothing for a while, as a sound one may; one that continues a run and whose answer is lost; and one that keeps the memory of a run that it has stopped, as the platform's page says. A copy's id can be used once, wherever it is kept, and an engine that has ended takes no copy. The engine also records when each run began and ended, so that a test can tell how long two engines worked on one run. Ruled out: the links of the test sites, which hold up bytes of one address; they let new connections hang, which a silent runner does not.

--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -49,6 +49,8 @@
     """An engine; it finds the other engines for copies in `peers_by_address`."""
 
     peers_by_address: dict[str, "EngineStandIn"] = {}
+    loses_answers_of: frozenset[str] = frozenset()
+    """Attempts whose next run that is continued here starts without a response head."""
 
     def __init__(self, address: str, runner_id: str, *, gap_s: float = 0.02) -> None:
         super().__init__(address)
@@ -97,7 +99,11 @@
         """Copies stored here, by handle: attempt and number of events of the run."""
         self.freed: list[str] = []
         self.moves: list[tuple[str, bool]] = []
+        self.work_times: list[tuple[str, float, float]] = []
+        """Attempt, start and end of each run that has ended here."""
         self._run_by_attempt: dict[str, _Run] = {}
+        self._speaks = trio.Event()
+        self._speaks.set()
         EngineStandIn.peers_by_address[address] = self
 
     def restart(self, started_ms: int) -> None:
@@ -107,6 +113,14 @@
         self.started_ms = started_ms
         self.leaving = False
 
+    def fall_silent(self) -> None:
+        """Send nothing, and start nothing, from now on; connections are accepted."""
+        self._speaks = trio.Event()
+
+    def end_silence(self) -> None:
+        """Go on with everything that came meanwhile."""
+        self._speaks.set()
+
     def is_running(self, attempt: str) -> bool:
         """Return whether an attempt is in progress here."""
         return attempt in self._run_by_attempt
@@ -124,6 +138,7 @@
 
     async def answer(self, connection: ClientConnection, head: RequestHead, body: bytes) -> None:
         """Answer one request."""
+        await self._speaks.wait()
         if head.target == HEALTH_PATH:
             await self._answer_health(connection)
         elif head.target == REPORT_PATH:
@@ -197,7 +212,8 @@
 
     def _start_run(self, attempt: str, source_copy: str, last_event: str) -> int:
         if source_copy:
-            del self.copies[source_copy]
+            for engine in self.peers_by_address.values():
+                engine.copies.pop(source_copy, None)
             self.continued.append((attempt, last_event))
         else:
             self.runs_by_attempt[attempt] += 1
@@ -209,7 +225,7 @@
 
     def _store_backup(self, attempt: str, address: str) -> None:
         peer = self.peers_by_address.get(address)
-        if peer is not None and peer.stores_copies and peer.fault is not EngineFault.NO_ROOM:
+        if _takes_copies(peer):
             peer.copies[attempt] = (attempt, 0)
 
     async def _stream(
@@ -217,12 +233,14 @@
     ) -> None:
         headers = self._stream_headers(attempt)
         run = self._run_by_attempt[attempt] = _Run(self.events, start)
+        began_s = trio.current_time()
         try:
             if self.cuts and self.cuts[0] == BEFORE_HEAD:
                 self.cuts.pop(0)
                 connection.abort()
                 return
-            if self.delays_head:
+            if self.delays_head or (start and attempt in self.loses_answers_of):
+                self.loses_answers_of -= {attempt}
                 await trio.sleep_forever()
             await self._send_head(connection, headers)
             # An engine has a machine of its own: a busy test process delays events, not its pace.
@@ -246,6 +264,7 @@
             await self._end_stream(connection, run)
         finally:
             self._run_by_attempt.pop(attempt, None)
+            self.work_times.append((attempt, began_s, trio.current_time()))
             if self.unframed and self.has_ended:
                 connection.abort()
 
@@ -258,12 +277,14 @@
             await connection.finish_stream()
 
     async def _send_head(self, connection: ClientConnection, headers: tuple[Header, ...]) -> None:
+        await self._speaks.wait()
         if self.unframed:
             await start_unframed(connection, 200, headers)
         else:
             await connection.start_stream(ResponseHead(200, b"", headers))
 
     async def _send_body(self, connection: ClientConnection, data: bytes) -> None:
+        await self._speaks.wait()
         if self.unframed:
             await connection.send_raw(data)
         else:
@@ -289,12 +310,21 @@
         if stop:
             run.stop.set()
         await trio.sleep(self.copy_s)
-        if peer is None or not peer.stores_copies or peer.fault is EngineFault.NO_ROOM:
+        await self._speaks.wait()
+        if stop:
+            self.copies[handle] = (attempt, run.generated)
+        if not _takes_copies(peer):
             await send(connection, 503, json_body({"handle": handle} if stop else {}))
             return
         peer.copies[handle] = (attempt, run.generated)
         await send(connection, 200, json_body({"handle": handle, "created": run.generated}))
 
 
+def _takes_copies(engine: EngineStandIn | None) -> bool:
+    if engine is None or engine.has_ended or engine.fault is EngineFault.NO_ROOM:
+        return False
+    return engine.stores_copies
+
+
 def _text(head: RequestHead, name: bytes) -> str:
     return (first_value(head.headers, name) or b"").decode()
