A stream stays on its silent runner if its copy is refused

Cause: after 1.2 s without data the relay asks the backup runner to continue the run. The copy there counted as made from the moment at which the request was sent with the backup's address. Where none had arrived yet the backup answered 503, not run. The relay treated this like every other failure: only resumable streams went on reading from their runner, all others were lost, though the refusal proves that nothing runs elsewhere and the connection to the runner was open. Ruled out: the time of 1.2 s as such. With a longer one a longer silence does the same; asking early is right for runners that are dead in truth, as long as nothing is given up by it. Fix: what is known after asking is a type, ContinueOutcome. While the connection to the runner is open, no outcome but "continued" ends the stream. A silence is reported as a broken run, for which its runner is probed, once and not at each question. The times on this way are in one module, egretstack/relay/_patience.py.

--- a/egretstack/relay/_context.py
+++ b/egretstack/relay/_context.py
@@ -25,6 +25,7 @@
 from egretstack.relay._crash_guard import CrashGuard
 from egretstack.relay._cursor import EventSteps, parse_event_number
 from egretstack.relay._departure import Departure
+from egretstack.relay._patience import SILENCE_S
 from egretstack.relay._runner_signals import RunnerSignals
 from egretstack.relay._stream_limits import StreamLimits
 from egretstack.routing import ClientAccount, EngineConfig, Route, RouteKind, ServiceConfig
@@ -34,8 +35,6 @@
 """Number of route ranks that are distinguished within one client account rank."""
 ENGINE_RANKS = 3
 """The same for engines: an engine has ten priorities, and most accounts have one of three ranks."""
-SILENCE_S = 1.2
-"""How long a sound runner may fall silent; requests on a leaving instance have room for it."""
 CONNECT_TIMEOUT_S = 0.15
 """Connecting takes some 3 ms unless the runner has ended. A lost SYN is retransmitted only after a
 second; trying another runner is faster."""
--- a/egretstack/relay/_continuing.py
+++ b/egretstack/relay/_continuing.py
@@ -1,4 +1,4 @@
-"""Continues a run on the engine that has a copy of its KV cache."""
+"""Continues a run on an engine that has a copy of its KV cache."""
 
 from dataclasses import dataclass
 
@@ -9,9 +9,12 @@
 from egretstack.http1 import UpstreamConnection
 from egretstack.placing import Run, SendOrigin
 from egretstack.relay._context import RelayContext, RelayTask
-from egretstack.relay._engine_calls import continue_on
+from egretstack.relay._engine_calls import ContinueOutcome, continue_on
 from egretstack.relay._mover import SavedCopy
-from egretstack.relay._patience import CONTINUE_WAIT_SHARE, reader_patience_s
+from egretstack.relay._patience import (
+    CONTINUE_WAIT_SHARE,
+    reader_patience_s,
+)
 from egretstack.traffic import ContinueFrom
 
 POLL_INTERVAL_S = 0.1
@@ -33,29 +36,41 @@
         self._task = task
 
     def has_copy(self, copy: SavedCopy | None) -> bool:
-        """Return whether the engine of a copy is ready."""
-        return copy is not None and self._context.runners.is_ready(copy.runner)
+        """Return whether the engine of a copy is ready, as far as is known."""
+        return self._is_ready(copy) and not copy.is_doubtful
 
     def can_continue(self, copy: SavedCopy | None) -> bool:
         """Return whether the run can continue from its copy now: its engine may accept no more."""
-        if copy is None or not self.has_copy(copy):
+        if not self._is_ready(copy):
             return False
         return self._may_continue_on(self._context.runners.by_id[copy.runner], copy)
 
-    async def wait_for_engine(self, copy: SavedCopy | None) -> Runner | None:
-        """Wait until the engine of a copy accepts the run; None if it does not in time."""
-        runner = self._context.runners.by_id.get(copy.runner) if copy else None
+    def _is_ready(self, copy: SavedCopy | None) -> bool:
+        return copy is not None and self._context.runners.is_ready(copy.runner)
+
+    async def ask(
+        self, run: Run, copy: SavedCopy, last_event_id: str, limit_s: float
+    ) -> ContinuedRun | ContinueOutcome:
+        """Ask the engine of a copy to continue a run; unless it does, the run stays where it is."""
+        runner = await self._wait_for_engine(copy)
         if runner is None:
+            return ContinueOutcome.NOT_SENT
+        return await self._continue_run(run, copy, runner, last_event_id, limit_s)
+
+    async def _wait_for_engine(self, copy: SavedCopy) -> Runner | None:
+        """Wait until the engine of a copy accepts the run; None if it does not in time."""
+        runner = self._context.runners.by_id.get(copy.runner)
+        if runner is None or self._context.runners.is_gone(runner.id):
             return None
         if self._context.runners.is_evacuated(runner.id) or self._was_leaving_at_arrival(runner):
             # Nothing may be sent to that runner any more; the run may continue where it is.
             return None
         return runner if await self._wait_to_continue_on(runner, copy) else None
 
-    async def continue_run(
-        self, run: Run, copy: SavedCopy, runner: Runner, last_event_id: str
-    ) -> ContinuedRun | None:
-        """Continue a run from its copy; on failure None, and the run stays where it is."""
+    async def _continue_run(
+        self, run: Run, copy: SavedCopy, runner: Runner, last_event_id: str, limit_s: float
+    ) -> ContinuedRun | ContinueOutcome:
+        """Continue a run from its copy; unless that succeeds, the run is recorded where it was."""
         origin = ContinueFrom(copy.origin_address, copy.copy_id, last_event_id)
         previous = run.runner
         run.runner = runner.id
@@ -63,21 +78,28 @@
             run, self._task.service.engine, previous
         )
         sent_s = trio.current_time()
-        connection = await continue_on(
-            self._context, self._task, run, runner, origin, is_reserved=copy.is_reserved
+        result = await continue_on(
+            self._context,
+            self._task,
+            run,
+            runner,
+            origin,
+            is_reserved=copy.is_reserved,
+            limit_s=limit_s,
         )
         log(
-            Event.STREAM_CONTINUED if connection else Event.STREAM_NOT_CONTINUED,
+            Event.STREAM_CONTINUED if result.connection else Event.STREAM_NOT_CONTINUED,
             request=self._task.request.attempt_id,
             source=previous,
             runner=runner.id,
             after=origin.last_event_id,
             took_ms=round((trio.current_time() - sent_s) * 1000),
+            outcome=result.outcome.value,
         )
-        if connection is None:
+        if result.connection is None:
             run.runner, run.backup = previous, None
-            return None
-        return ContinuedRun(connection, sent_s)
+            return result.outcome
+        return ContinuedRun(result.connection, sent_s)
 
     def _was_leaving_at_arrival(self, runner: Runner) -> bool:
         """Return whether a runner was known to be leaving when the request arrived."""
--- a/egretstack/relay/_engine_calls.py
+++ b/egretstack/relay/_engine_calls.py
@@ -1,5 +1,9 @@
 """Sends a streaming request to an engine, to start a run or to continue one from a copy."""
 
+from dataclasses import dataclass
+from enum import Enum
+from functools import partial
+
 import trio
 
 from egretstack.events import Event, log
@@ -14,11 +18,33 @@
 from egretstack.platform import runner_answer, runner_request
 from egretstack.relay._context import CONNECT_TIMEOUT_S, RelayContext, RelayTask
 from egretstack.relay._plain import implies_not_run
+from egretstack.relay._waiting import wait_for_answer
 from egretstack.traffic import ContinueFrom, RunnerAnswer
 
-RESUME_TIMEOUT_S = 1.0
-"""Time for the response head of a continued run: the engine first processes the part of the context
-that its copy lacks."""
+
+class ContinueOutcome(Enum):
+    """What is known of a run after an engine was asked to continue it."""
+
+    CONTINUED = "continued"
+    REFUSED = "refused"
+    """It does not run there, and never will from this copy."""
+    NOT_SENT = "not-sent"
+    """The engine was not asked, so the copy is as it was."""
+    ENDED = "ended"
+    """The connection or the engine ended, or the answer is none to this request: the copy may be
+    used up, and the engine no longer works on the run."""
+    UNANSWERED = "unanswered"
+    """The connection was closed before the answer, which ends the engine's work on the run. The
+    copy may be used up."""
+
+
+@dataclass(frozen=True, slots=True)
+class ContinueResult:
+    """The result of asking an engine to continue a run."""
+
+    outcome: ContinueOutcome
+    connection: UpstreamConnection | None = None
+    """Connection on which the run continues, if it does."""
 
 
 async def send_to_engine(
@@ -54,8 +80,9 @@
     origin: ContinueFrom,
     *,
     is_reserved: bool,
-) -> UpstreamConnection | None:
-    """Continue a run on an engine that has its copy; return None if the engine does not accept.
+    limit_s: float,
+) -> ContinueResult:
+    """Ask an engine that has a run's copy to continue it, and wait up to a limit for its answer.
 
     `is_reserved`: the engine's send bounds have counted this request already.
     """
@@ -63,39 +90,62 @@
         connection = await context.dialer.connect(runner.address, CONNECT_TIMEOUT_S)
     except ConnectFailed as error:
         log(Event.CONNECT_FAILED, request=task.request.attempt_id, error=str(error))
-        return None
-    if context.runners.is_evacuated(runner.id) or context.crash_guard.is_refused(task.fingerprint):
+        return ContinueResult(ContinueOutcome.NOT_SENT)
+    if not _may_send(context, task, runner, is_reserved=is_reserved):
         connection.close()
-        return None
+        return ContinueResult(ContinueOutcome.NOT_SENT)
     if not is_reserved:
-        if not context.send_bounds.allows(trio.current_time(), runner, SendOrigin.CONTINUED):
-            connection.close()
-            return None
         context.send_bounds.record_sent(trio.current_time(), runner.id, SendOrigin.CONTINUED)
-    answer = None
+    outcome = ContinueOutcome.UNANSWERED
+    try:
+        outcome = await _ask(context, task, run, connection, origin, limit_s)
+    finally:
+        if outcome is not ContinueOutcome.CONTINUED:
+            connection.close()
+    is_continued = outcome is ContinueOutcome.CONTINUED
+    return ContinueResult(outcome, connection if is_continued else None)
+
+
+def _may_send(context: RelayContext, task: RelayTask, runner: Runner, *, is_reserved: bool) -> bool:
+    if context.runners.is_evacuated(runner.id) or context.crash_guard.is_refused(task.fingerprint):
+        return False
+    now_s = trio.current_time()
+    return is_reserved or context.send_bounds.allows(now_s, runner, SendOrigin.CONTINUED)
+
+
+async def _ask(
+    context: RelayContext,
+    task: RelayTask,
+    run: Run,
+    connection: UpstreamConnection,
+    origin: ContinueFrom,
+    limit_s: float,
+) -> ContinueOutcome:
     sent_s = trio.current_time()
+    send = partial(send_to_engine, context, task, run, connection, origin)
+    has_ended = partial(context.runners.is_gone, run.runner)
     try:
-        with trio.move_on_after(RESUME_TIMEOUT_S):
-            answer = runner_answer(await send_to_engine(context, task, run, connection, origin))
+        head = await wait_for_answer(send, limit_s, has_ended)
     except UpstreamBroken as error:
         log(Event.UPSTREAM_BROKEN, request=task.request.attempt_id, error=str(error))
-    except BaseException:
-        connection.close()
-        raise
-    if answer is not None:
-        context.on_answer(task, runner.id, answer, sent_s)
-    else:
-        context.crash_guard.record_broken_run(
-            task.request.attempt_id,
-            task.fingerprint,
-            runner.id,
-            sent_s,
-            has_proven=run.has_proven,
-        )
-    if answer is None or not _is_continued(task, answer):
-        connection.close()
-        return None
-    return connection
+        _record_broken(context, task, run, sent_s)
+        return ContinueOutcome.ENDED
+    if head is None:
+        _record_broken(context, task, run, sent_s)
+        return ContinueOutcome.ENDED if has_ended() else ContinueOutcome.UNANSWERED
+    answer = runner_answer(head)
+    context.on_answer(task, run.runner, answer, sent_s)
+    return _outcome(task, answer)
+
+
+def _record_broken(context: RelayContext, task: RelayTask, run: Run, sent_s: float) -> None:
+    context.crash_guard.record_broken_run(
+        task.request.attempt_id,
+        task.fingerprint,
+        run.runner,
+        sent_s,
+        has_proven=run.has_proven,
+    )
 
 
 def is_valid_answer(task: RelayTask, answer: RunnerAnswer) -> bool:
@@ -106,6 +156,10 @@
     )
 
 
-def _is_continued(task: RelayTask, answer: RunnerAnswer) -> bool:
-    is_own = answer.attempt_id == task.request.attempt_id
-    return is_own and answer.head.status == 200 and not answer.rejected
+def _outcome(task: RelayTask, answer: RunnerAnswer) -> ContinueOutcome:
+    attempt = task.request.attempt_id
+    if answer.rejected and answer.attempt_id in ("", attempt):
+        return ContinueOutcome.REFUSED
+    if answer.attempt_id == attempt and answer.head.status == 200 and not answer.rejected:
+        return ContinueOutcome.CONTINUED
+    return ContinueOutcome.ENDED
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -18,28 +18,22 @@
 from egretstack.placing import Run, SendOrigin, copy_time_s
 from egretstack.platform import BadBody, free_copy_request, move_answer, move_request
 from egretstack.relay._context import CONNECT_TIMEOUT_S, RelayContext, RelayTask
+from egretstack.relay._patience import (
+    COPY_TIMEOUT_S,
+    FREE_TIMEOUT_S,
+    HURRY_AFTER_S,
+    RENEW_SHARE,
+    STOP_TIMEOUT_S,
+)
 from egretstack.traffic import MoveAnswer, MoveOutcome
 
-COPY_TIMEOUT_S = 4.0
-"""Timeout of one copy. For a long prompt queued behind other copies it takes some 0.2 s within a
-zone and twice that across zones.
-
-A copy that times out still continues, and its memory stays in use for seconds."""
-STOP_TIMEOUT_S = 1.5
-"""Timeout of the last part of a copy, while the stream is paused."""
-FREE_TIMEOUT_S = 0.3
 MAX_RESPONSE_BYTES = 65_536
-RENEW_SHARE = 0.6
-"""Share of a copy's time to live after which it is renewed."""
 POLL_INTERVAL_S = 0.05
 QUEUED_FACTOR = 1.3
 QUEUED_MARGIN_S = 0.05
 """A copy that takes longer than its expected time multiplied by the factor, plus the margin, was
 queued behind other copies on the links."""
 MAX_CATCH_UPS = 3
-HURRY_AFTER_S = 1.2
-"""Time since the leave notice after which the last part is not delayed any more: engines end after
-some 1.5 s, and a late stream is better than a lost one."""
 MAX_REFUSED = 3
 """Number of engines that are skipped because they had no capacity. An engine that has capacity
 again is tried once others have refused."""
@@ -57,6 +51,8 @@
     copy_id: str
     is_reserved: bool = False
     """Whether the runner's send bounds have counted the continued run already."""
+    is_doubtful: bool = False
+    """Whether its engine did not answer when it was asked to continue the run."""
 
 
 class Mover:
--- a/egretstack/relay/_resuming.py
+++ b/egretstack/relay/_resuming.py
@@ -76,14 +76,17 @@
         return trio.current_time() > self._opening.first_event_until_s and self.may_resume()
 
     async def resume(self) -> bool:
-        """Send the stream to other runners until one continues it; return whether one does."""
+        """Send the stream to other runners until one continues it; return whether one does.
+
+        Afterwards the opening holds the latest run that was sent, and its connection.
+        """
         source = self._opening.run.runner
         began_s = trio.current_time()
         rejections = 0
         use = AnswerUse.FAILED
         while rejections <= MAX_REJECTIONS and use is not AnswerUse.FINAL and self.may_resume():
             self._context.budget.record_retry(trio.current_time(), self._task.service.name)
-            # A previous runner must not keep running beside the next one.
+            # The latest runner must not keep running beside the next one.
             self._opening.exclude_current()
             try:
                 await self._opening.connect()
--- a/egretstack/relay/_send_limits.py
+++ b/egretstack/relay/_send_limits.py
@@ -6,17 +6,14 @@
 
 from egretstack.ids import ServiceName
 from egretstack.relay._budget import RetryBudget
-from egretstack.relay._patience import CONTINUE_WAIT_SHARE, reader_patience_s
+from egretstack.relay._patience import (
+    CONTINUE_WAIT_SHARE,
+    FIRST_EVENT_SHARE,
+    MIN_FIRST_EVENT_S,
+    reader_patience_s,
+)
 from egretstack.routing import Route
 
-FIRST_EVENT_SHARE = 0.6
-"""Share of the reader's remaining patience that a runner gets for its first event if another one
-may get the request afterwards. With the shortest patience of 2 s the other one has 0.8 s, and first
-events take 0.25 to 0.35 s on engines of usual speed."""
-MIN_FIRST_EVENT_S = 0.7
-"""Shortest time after which a first event counts as late. After a long wait for a place, little
-patience is left; a shorter time would end runs that are on time, and no other would be in time."""
-
 
 class SendLimits:
     """Decides whether one more runner may get an attempt, and how long it may take.
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -5,6 +5,7 @@
 """
 
 from contextlib import ExitStack
+from dataclasses import replace
 from enum import Enum
 
 import trio
@@ -21,11 +22,18 @@
 from egretstack.platform import client_head, runner_answer
 from egretstack.relay._client_stream import ClientStream
 from egretstack.relay._context import RelayContext, RelayTask
-from egretstack.relay._continuing import CopyContinuation
+from egretstack.relay._continuing import ContinuedRun, CopyContinuation
 from egretstack.relay._cursor import EventCursor, EventGap
+from egretstack.relay._engine_calls import ContinueOutcome
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
 from egretstack.relay._mover import Mover, SavedCopy
 from egretstack.relay._opening import EngineOpening, invalid_answer
+from egretstack.relay._patience import (
+    ASK_AGAIN_S,
+    RESUME_TIMEOUT_S,
+    SWITCH_DELAY_S,
+    UNRESPONSIVE_S,
+)
 from egretstack.relay._plain import MAX_RESPONSE_BYTES, BufferedResponse, implies_not_run
 from egretstack.relay._resuming import StreamResumer
 from egretstack.relay._send_limits import SendLimits
@@ -34,18 +42,6 @@
 
 POLL_INTERVAL_S = 0.1
 """How often a stream without events checks whether its runner is leaving."""
-UNRESPONSIVE_S = 1.2
-"""Time without events after which a run with a copy elsewhere continues there.
-
-A sound runner may be silent for a second, and would still work on its run beside the new one.
-Readers wait for at least two seconds.
-"""
-SWITCH_DELAY_S = 0.7
-"""How long a run with a copy stays on a leaving runner, whose notice is some 1.5 to 2 s.
-
-On its new engine the run is copied again, completely. These copies would compete for the links
-with runs that have no copy yet and have to move before their runner ends.
-"""
 PROOF_S = 0.5
 """Time for which a runner writes after a stream's first event before it counts as unharmed by its
 prompt: what crashes runners does so as they begin."""
@@ -66,14 +62,23 @@
 class StreamRelay:
     """Relays one request for a stream."""
 
-    def __init__(self, context: RelayContext, task: RelayTask, client: ClientStream) -> None:
+    def __init__(
+        self,
+        context: RelayContext,
+        task: RelayTask,
+        client: ClientStream,
+    ) -> None:
         self._context = context
         self._task = task
         self._client = client
         self._run: Run | None = None
         self._source: UpstreamConnection | None = None
-        self._is_source_closed = False
-        """Whether the current runner was left for one that resumes the stream."""
+        self._silent_since_s = 0.0
+        """When the current runner sent its latest data."""
+        self._has_reported_silence = False
+        """Whether that silence was reported as a broken run, so that the runner is probed."""
+        self._ask_again_s = 0.0
+        """Until when no other place is asked for the run after one did not take it."""
         self._splitter = EventSplitter()
         steps = context.event_steps
         self._cursor = EventCursor(task.last_event_id, steps.known(task.service.name))
@@ -125,6 +130,7 @@
             head = await self._opening.head()
             self._sent_s = self._opening.sent_s
             self._run, self._source = self._opening.run, self._opening.source
+            self._silent_since_s = trio.current_time()
             self._use_backup_as_copy()
             return await self._relay(head)
         finally:
@@ -216,8 +222,7 @@
                 if self._mover is not None:
                     await self._free_copy(self._mover)
                 return
-            if end is not _ReadEnd.LEAVING:
-                await self._record_broken(self._run.runner).wait()
+            await self._report_break(end)
             log(
                 Event.STREAM_HALTED,
                 request=self._attempt,
@@ -243,13 +248,26 @@
         with self._context.unforeseen.confined(WorkKind.EXCHANGE, request=self._attempt):
             await mover.free()
 
+    async def _report_break(self, end: _ReadEnd) -> None:
+        """Have the runner of a run that broke off or fell silent probed, once a silence."""
+        if end is _ReadEnd.LEAVING or (end is _ReadEnd.SILENT and self._has_reported_silence):
+            return
+        self._has_reported_silence = end is _ReadEnd.SILENT
+        await self._record_broken(self._run.runner).wait()
+
     async def _find_source(self, end: _ReadEnd) -> bool:
         """Return whether the stream goes on: from its copy, with a new run, or where it is."""
-        if await self._continue_from_copy() or end is _ReadEnd.LEAVING:
-            return True
-        if await self._resume():
+        is_open = end is not _ReadEnd.BROKEN
+        if not is_open:
+            self._source.close()
+        if not is_open or (self._mover is not None and self._mover.is_stopping):
+            return await self._find_place() or is_open
+        if await self._ask_copy():
             return True
-        return end is _ReadEnd.SILENT and self._may_wait_for_source()
+        self._ask_again_s = trio.current_time() + ASK_AGAIN_S
+        if end is _ReadEnd.SILENT and self._resumer.may_resume():
+            return await self._resume()
+        return True
 
     def _log_ended(self) -> None:
         log(
@@ -266,7 +284,6 @@
         return self._task.request.attempt_id
 
     async def _read_events(self) -> _ReadEnd:
-        silent_since_s = trio.current_time()
         while True:
             with trio.move_on_after(POLL_INTERVAL_S) as poll:
                 try:
@@ -274,12 +291,13 @@
                 except UpstreamBroken:
                     return _ReadEnd.BROKEN
             if poll.cancelled_caught:
-                if self._may_switch(silent_since_s):
+                if self._may_switch():
                     return _ReadEnd.SILENT
             elif data is None:
                 return _ReadEnd.WHOLE if await self._is_whole() else _ReadEnd.BROKEN
             else:
-                silent_since_s = trio.current_time()
+                self._has_reported_silence = False
+                self._silent_since_s = trio.current_time()
                 if not await self._forward(data):
                     return _ReadEnd.BROKEN
             if self._context.runners.is_gone(self._run.runner):
@@ -315,10 +333,12 @@
             return False
         return True
 
-    def _may_switch(self, silent_since_s: float) -> bool:
+    def _may_switch(self) -> bool:
+        if trio.current_time() < self._ask_again_s:
+            return False
         if self._awaits_first_event:
             return self._resumer.is_first_event_late()
-        silent_s = trio.current_time() - silent_since_s
+        silent_s = trio.current_time() - self._silent_since_s
         if silent_s <= UNRESPONSIVE_S or not self._timing.events:
             return False
         return self._continuation.can_continue(self._copy) or self._resumer.may_resume()
@@ -340,8 +360,9 @@
             self._leaving_since_s = now_s if stopped_s is None else stopped_s
         if self._mover is not None:
             return False
-        usable = self._continuation.can_continue if leaving else self._continuation.has_copy
-        has_copy = usable(self._copy)
+        has_copy = self._continuation.has_copy(self._copy)
+        if leaving and not self._continuation.can_continue(self._copy):
+            has_copy = False
         if not has_copy:
             if leaving or self._is_long():
                 self._start_mover()
@@ -410,53 +431,68 @@
         if copy.runner != self._run.runner:
             self._run.backup = copy.runner
 
-    async def _continue_from_copy(self) -> bool:
-        """Continue the run from its copy; on failure the current source is left unchanged."""
-        if not self._timing.events or self._is_refused():
-            return False
-        copy = self._copy
-        self._run.has_proven = self._has_proven
-        runner = await self._continuation.wait_for_engine(copy)
-        if runner is None:
+    async def _ask_copy(self) -> bool:
+        """Continue from the copy while the current runner may still be at work."""
+        if not self._may_continue():
             return False
-        continued = await self._continuation.continue_run(
-            self._run, copy, runner, self._cursor.last_id
+        copy, self._run.has_proven = self._copy, self._has_proven
+        result = await self._continuation.ask(
+            self._run, copy, self._cursor.last_id, RESUME_TIMEOUT_S
         )
-        if continued is None:
+        if isinstance(result, ContinuedRun):
+            self._continue(result)
+            return True
+        if result in (ContinueOutcome.NOT_SENT, ContinueOutcome.UNANSWERED):
+            self._copy = replace(copy, is_doubtful=True, is_reserved=False)
+        else:
             self._copy = None
-            return False
+        return False
+
+    async def _find_place(self) -> bool:
+        """Continue the run, which is at work nowhere, from its copy or with a new run."""
+        if self._may_continue():
+            copy, self._run.has_proven = self._copy, self._has_proven
+            self._copy = None
+            result = await self._continuation.ask(
+                self._run, copy, self._cursor.last_id, RESUME_TIMEOUT_S
+            )
+            if isinstance(result, ContinuedRun):
+                self._continue(result)
+                return True
+        return await self._resume()
+
+    def _may_continue(self) -> bool:
+        return self._copy is not None and self._timing.events > 0 and not self._is_refused()
+
+    def _continue(self, continued: ContinuedRun) -> None:
         # The previous runner must not keep running beside the new one.
         self._source.close()
         self._follow(continued.connection, continued.sent_s)
-        return True
 
     async def _resume(self) -> bool:
         """Continue with a new run at another runner, after the last event that the client has."""
         if not self._resumer.may_resume():
             return False
         self._source.close()
-        self._is_source_closed = True
         self._drop_mover()
         try:
             resumed = await self._resumer.resume()
         finally:
             self._run, self._sent_s = self._opening.run, self._opening.sent_s
         if resumed:
-            self._follow(self._opening.source, self._opening.sent_s)
-            self._awaits_first_event = True
+            self._follow_new_run()
         return resumed
 
-    def _may_wait_for_source(self) -> bool:
-        """Return whether a silent runner, which may only be slow, may go on with its stream.
-
-        The retry budget may have been used up while the runner was probed.
-        """
-        return self._task.route.is_resumable_stream and not self._is_source_closed
+    def _follow_new_run(self) -> None:
+        self._follow(self._opening.source, self._opening.sent_s)
+        self._awaits_first_event = True
 
     def _follow(self, connection: UpstreamConnection, sent_s: float) -> None:
         """Relay the events of another connection from now on, with its backup for a copy."""
         self._source = connection
-        self._is_source_closed = False
+        self._silent_since_s = trio.current_time()
+        self._has_reported_silence = False
+        self._ask_again_s = 0.0
         self._sent_s = sent_s
         self._timing.record_switch()
         self._splitter = EventSplitter()
--- /dev/null
+++ b/tests/test_run_places.py
@@ -0,0 +1,78 @@
+"""Streams whose run may be at several runners, some of which are silent, full, ended or unheard."""
+
+import trio
+
+from standins.platform import route
+from tests.platform_site import platform_site
+from tests.stream_reader import start_reader
+from tests.support import check, on_real_clock, tests_of
+from tests.test_platform_streams import check_whole, engine_of
+from tests.test_stream_resuming import configure
+
+load_tests = tests_of(globals())
+
+EVENTS = 150
+SILENCES_S = (1.4, 1.9)
+"""Silences of sound runners: a second or so, and nearly two."""
+
+
+def others(site, engine):
+    """Return the other engines."""
+    return [one for one in site.engines if one is not engine]
+
+
+async def silence(engine, length_s):
+    """Let an engine be silent for some time."""
+    engine.fall_silent()
+    await trio.sleep(length_s)
+    engine.end_silence()
+
+
+async def read_past(site, attempt, events, disturb, **more):
+    """Start a stream, disturb its run after some events, and return the reader at its end."""
+    for engine in site.engines:
+        engine.events = EVENTS
+    reader = await start_reader(site, attempt, events, **more)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(disturb, engine_of(site, attempt))
+        await reader.ended.wait()
+    return reader
+
+
+@on_real_clock
+async def test_a_stream_stays_on_its_silent_runner_if_its_copy_was_never_made():
+    # Guards against a stream that is reset since its backup runner refuses to continue the run,
+    # though that runs on.
+    for silence_s in SILENCES_S:
+        async with platform_site(plain=0, engines=2) as site:
+            for engine in site.engines:
+                engine.stores_copies = False
+            reader = await read_past(site, "s-1", 2, lambda source, s=silence_s: silence(source, s))
+            check_whole(reader, EVENTS)
+            check.assertEqual(sum(len(engine.continued) for engine in site.engines), 0)
+
+
+@on_real_clock
+async def test_a_stream_stays_on_a_runner_that_is_silent_twice():
+    # Guards against a stream that gives up its runner in its second silence.
+    async def disturb(source):
+        for _ in range(2):
+            await silence(source, 1.4)
+            await trio.sleep(0.6)
+
+    async with platform_site(plain=0, engines=2) as site:
+        for engine in site.engines:
+            engine.stores_copies = False
+        check_whole(await read_past(site, "s-1", 2, disturb), EVENTS)
+
+
+@on_real_clock
+async def test_a_stream_of_an_impatient_reader_stays_on_its_silent_runner():
+    # Guards against times that are too long for the shortest patience of a reader.
+    async with platform_site(plain=0, engines=2) as site:
+        more = {"target-latency-ms": 300, "timeout-ms": 20_000}
+        await configure(site, [route("plans", "streaming", "llm", **more)])
+        for engine in site.engines:
+            engine.stores_copies = False
+        reader = await read_past(site, "s-1", 2, lambda source: silence(source, 1.4))
+        check_whole(reader, EVENTS)
