A stopped run waits at its places for as long as its reader does

Cause: a run that has stopped for its move is at two places, the destination with the copy and the source, which keeps the memory. The relay knew the first alone, gave it 1.0 s (RESUME_TIMEOUT_S), and then closed the connection on which its answer was to come. A connection that was not made within 0.15 s was as final. The answer to the order to stop, in which the copy's id comes, had 1.5 s. Ruled out: a longer constant. It only moves the silence at which the last place is given up; and a destination that has ended needs a way back, which no constant gives. Fix: the places of a stopped run are a list. One that refuses or has ended (its connection, or its runner's later start) is removed; one that does not answer makes way for the next after the longest silence of a sound runner; the only one left is waited for until the reader leaves. A run goes back to the source if the destination has ended. Its id is used once, so no run begins at both. An order to stop is waited for as long, as the earlier copy is there in any case; an order that was not sent, or refused since a copy is in progress, leaves the run as it is, and it is ordered again. Resumable streams may start a new run elsewhere after that time, as before, and come back to the places if no runner takes it.

--- a/egretstack/relay/_continuing.py
+++ b/egretstack/relay/_continuing.py
@@ -1,6 +1,7 @@
 """Continues a run on an engine that has a copy of its KV cache."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -13,12 +14,24 @@
 from egretstack.relay._mover import SavedCopy
 from egretstack.relay._patience import (
     CONTINUE_WAIT_SHARE,
+    OVERLAP_S,
+    place_wait_s,
     reader_patience_s,
 )
 from egretstack.traffic import ContinueFrom
 
 POLL_INTERVAL_S = 0.1
 
+_MAY_BE_ASKED_AGAIN = frozenset({ContinueOutcome.NOT_SENT, ContinueOutcome.UNANSWERED})
+
+
+def places_of(copy: SavedCopy) -> deque[SavedCopy]:
+    """Return where a run that is at work nowhere may continue, the likeliest place first."""
+    places = deque([copy])
+    if copy.kept_at is not None:
+        places.append(replace(copy, runner=copy.kept_at, is_reserved=False, kept_at=None))
+    return places
+
 
 @dataclass(frozen=True, slots=True)
 class ContinuedRun:
@@ -48,14 +61,47 @@
     def _is_ready(self, copy: SavedCopy | None) -> bool:
         return copy is not None and self._context.runners.is_ready(copy.runner)
 
-    async def ask(
-        self, run: Run, copy: SavedCopy, last_event_id: str, limit_s: float
+    async def ask_beside(
+        self, run: Run, copy: SavedCopy, last_event_id: str
     ) -> ContinuedRun | ContinueOutcome:
-        """Ask the engine of a copy to continue a run; unless it does, the run stays where it is."""
+        """Ask the engine of a copy to continue a run at which its runner may still be at work.
+
+        Unless the engine continues it soon, it is taken off it again, and the run goes on where it
+        is.
+        """
         runner = await self._wait_for_engine(copy)
         if runner is None:
             return ContinueOutcome.NOT_SENT
-        return await self._continue_run(run, copy, runner, last_event_id, limit_s)
+        return await self._continue_run(run, copy, runner, last_event_id, OVERLAP_S)
+
+    async def ask_places(
+        self, run: Run, places: deque[SavedCopy], last_event_id: str, since_s: float, limit_s: float
+    ) -> ContinuedRun | None:
+        """Continue a run that is at work nowhere, at one of the places that may have its memory.
+
+        A place that refuses or has ended is removed. One that does not answer makes way for the
+        next one after the longest silence of a sound runner, and the only one is waited for, up to
+        `limit_s`. `since_s`: time since which the reader has waited.
+        """
+        until_s = trio.current_time() + limit_s
+        while places and trio.current_time() < until_s:
+            place = places.popleft()
+            runner = await self._wait_for_engine(place)
+            if runner is None:
+                continue
+            left_s = until_s - trio.current_time()
+            wait_s = min(left_s, place_wait_s()) if places else left_s
+            result = await self._continue_run(run, place, runner, last_event_id, max(0.0, wait_s))
+            if isinstance(result, ContinuedRun):
+                return result
+            if result in _MAY_BE_ASKED_AGAIN and self._has_patience(since_s):
+                places.append(replace(place, is_reserved=False))
+            if result is ContinueOutcome.NOT_SENT:
+                await trio.sleep(POLL_INTERVAL_S)
+        return None
+
+    def _has_patience(self, since_s: float) -> bool:
+        return trio.current_time() - since_s < reader_patience_s(self._task.route)
 
     async def _wait_for_engine(self, copy: SavedCopy) -> Runner | None:
         """Wait until the engine of a copy accepts the run; None if it does not in time."""
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
@@ -23,8 +24,9 @@
     FREE_TIMEOUT_S,
     HURRY_AFTER_S,
     RENEW_SHARE,
-    STOP_TIMEOUT_S,
+    stop_wait_s,
 )
+from egretstack.relay._waiting import wait_for_answer
 from egretstack.traffic import MoveAnswer, MoveOutcome
 
 MAX_RESPONSE_BYTES = 65_536
@@ -40,6 +42,9 @@
 RETRY_S = 0.2
 """Pause after a failed copy, until updated loads of the engines arrive."""
 
+_NOT_STOPPED = frozenset({MoveOutcome.BUSY, MoveOutcome.NOT_SENT})
+"""Answers to an order to stop after which the run goes on."""
+
 
 @dataclass(frozen=True, slots=True)
 class SavedCopy:
@@ -51,6 +56,8 @@
     copy_id: str
     is_reserved: bool = False
     """Whether the runner's send bounds have counted the continued run already."""
+    kept_at: RunnerId | None = None
+    """The engine that has stopped the run and keeps its memory too, under the same id."""
     is_doubtful: bool = False
     """Whether its engine did not answer when it was asked to continue the run."""
 
@@ -80,19 +87,19 @@
         """The latest engines that had no capacity for the copy."""
         self.found_no_run = False
         """Whether the run had ended before it could be stopped."""
-        self._finished = trio.Event()
+        self._stop_ended = trio.Event()
+        """Set once the latest order to stop was answered, or is no longer waited for."""
         self.scope = trio.CancelScope()
 
     @property
     def is_stopping(self) -> bool:
-        """Whether the last part of the copy is being transferred, for which the run has stopped."""
+        """Whether the run was told to stop for the last part of its copy, and may have stopped."""
         return self._stopping
 
     async def wait_if_stopping(self) -> None:
         """Wait for the last part of the copy, if it is being transferred."""
         if self._stopping:
-            with trio.move_on_after(STOP_TIMEOUT_S):
-                await self._finished.wait()
+            await self._stop_ended.wait()
 
     async def run(self) -> None:
         """Copy, renew the copy, and stop the run once its runner leaves."""
@@ -104,7 +111,6 @@
                 while not await self._keep_copied(source):
                     await trio.sleep(RETRY_S)
             finally:
-                self._finished.set()
                 self._release_permit(source)
 
     async def free(self) -> None:
@@ -229,7 +235,17 @@
         return True
 
     async def _stop(self, source: Runner, destination: Runner) -> bool:
+        """Stop the run and copy its last part; return False if it goes on."""
         self._stopping = True
+        self._stop_ended = trio.Event()
+        try:
+            outcome = await self._stop_run(source, destination)
+            self._stopping = outcome not in _NOT_STOPPED
+        finally:
+            self._stop_ended.set()
+        return self._stopping
+
+    async def _stop_run(self, source: Runner, destination: Runner) -> MoveOutcome:
         # Reserved now: otherwise runs that stop concurrently would all count on the same capacity.
         self._context.send_bounds.record_sent(
             trio.current_time(), destination.id, SendOrigin.CONTINUED
@@ -238,18 +254,25 @@
         answer = await self._order_move(source, destination, stop=True)
         self._log_move(source, destination, answer, started_s, stop=True)
         self.found_no_run = answer.outcome is MoveOutcome.NO_SUCH_RUN
-        if answer.handle:
+        if answer.outcome is MoveOutcome.COPIED and answer.handle:
+            self._keep(source, destination, answer.handle, is_stopped=True)
+        elif answer.handle:
             # If there was no capacity for the last part, the source keeps the run's memory and the
             # run continues there.
-            holder = destination if answer.outcome is MoveOutcome.COPIED else source
-            self._keep(source, holder, answer.handle, is_reserved=holder is destination)
-        return True
+            self._keep(source, source, answer.handle)
+        elif answer.outcome is MoveOutcome.FAILED:
+            # The run may have stopped; the copy lacks its last part at most.
+            self._keep(source, destination, self._handle, is_stopped=True)
+        return answer.outcome
 
     def _keep(
-        self, source: Runner, holder: Runner, handle: str, *, is_reserved: bool = False
+        self, source: Runner, holder: Runner, handle: str, *, is_stopped: bool = False
     ) -> None:
         self._handle = handle
-        self._on_saved(SavedCopy(holder.id, source.address, handle, is_reserved))
+        kept_at = source.id if is_stopped else None
+        self._on_saved(
+            SavedCopy(holder.id, source.address, handle, is_reserved=is_stopped, kept_at=kept_at)
+        )
 
     def _log_move(
         self,
@@ -274,14 +297,21 @@
         head, body = move_request(source.address, self._attempt, destination.address, stop=stop)
         try:
             connection = await self._context.dialer.connect(source.address, CONNECT_TIMEOUT_S)
-        except ConnectFailed:
-            return MoveAnswer(MoveOutcome.FAILED, "", 0)
+        except ConnectFailed as error:
+            log(Event.CONNECT_FAILED, request=self._attempt, error=str(error))
+            return MoveAnswer(MoveOutcome.NOT_SENT, "", 0)
+        timeout_s = stop_wait_s(self._task.route) if stop else COPY_TIMEOUT_S
+        has_ended = partial(self._context.runners.is_gone, source.id)
+        call = partial(exchange, connection, head, body, MAX_RESPONSE_BYTES)
         try:
-            with trio.fail_after(STOP_TIMEOUT_S if stop else COPY_TIMEOUT_S):
-                response, data = await exchange(connection, head, body, MAX_RESPONSE_BYTES)
-            return move_answer(response.status, data)
-        except (UpstreamBroken, trio.TooSlowError, BadBody) as error:
-            log(Event.UPSTREAM_BROKEN, request=self._attempt, error=repr(error))
-            return MoveAnswer(MoveOutcome.FAILED, "", 0)
+            answer = await wait_for_answer(call, timeout_s, has_ended)
+            if answer is not None:
+                response, data = answer
+                return move_answer(response.status, data)
+            detail = "no answer in time"
+        except (UpstreamBroken, BadBody) as error:
+            detail = repr(error)
         finally:
             connection.close()
+        log(Event.UPSTREAM_BROKEN, request=self._attempt, error=detail)
+        return MoveAnswer(MoveOutcome.FAILED, "", 0)
--- a/egretstack/relay/_patience.py
+++ b/egretstack/relay/_patience.py
@@ -1,13 +1,17 @@
 """Times on the way of a run from one runner to another. Does no I/O.
 
-Each is set against two others: the silence of a sound runner, and the patience of the stream's
-reader.
+Each is set against two others: the longest silence of a sound runner, and the patience of the
+stream's reader. A time that is shorter than that silence may start a search for another place, but
+never ends the last place where the run can go on.
 """
 
 from egretstack.routing import Route
 
 SILENCE_S = 1.2
 """Usual silence of a sound runner; requests on a leaving instance have room for it."""
+LONGEST_SILENCE_S = 2.0
+"""Longest silence of a sound runner. Only after it is a place of a run given up that has not
+answered, and only if there is another place."""
 
 READER_MIN_PATIENCE_S = 2.0
 READER_PATIENCE_TARGETS = 4.0
@@ -20,11 +24,11 @@
 its runner stays open. Readers wait for at least two seconds."""
 ASK_AGAIN_S = 0.5
 """Pause before a place is asked again; the run stays where it is meanwhile."""
-RESUME_TIMEOUT_S = 1.0
-"""Time for the response head of a continued run: the engine first processes the part of the context
-that its copy lacks."""
-STOP_TIMEOUT_S = 1.5
-"""Timeout of the last part of a copy, while the stream is paused."""
+OVERLAP_S = 1.0
+"""Time for which a request to continue a run may be unanswered while its previous runner may still
+work on it."""
+ANSWER_MARGIN_S = 0.2
+"""Time for the answer of a runner that has been silent."""
 
 SWITCH_DELAY_S = 0.7
 """How long a run with a copy stays on a leaving runner, whose notice is some 1.5 to 2 s.
@@ -61,3 +65,16 @@
     by_target_s = READER_PATIENCE_TARGETS * route.target_latency_s
     by_gap_s = READER_PATIENCE_GAPS * (route.gap_target_s or 0.0)
     return max(READER_MIN_PATIENCE_S, by_target_s, by_gap_s)
+
+
+def stop_wait_s(route: Route) -> float:
+    """Return how long a stream waits for the last part of its copy, if it has an earlier copy.
+
+    Its previous runner was told to stop, so the earlier copy may be used beside it.
+    """
+    return min(place_wait_s(), CONTINUE_WAIT_SHARE * reader_patience_s(route))
+
+
+def place_wait_s() -> float:
+    """Return how long one place of a stopped run may take to answer before another is asked."""
+    return LONGEST_SILENCE_S + ANSWER_MARGIN_S
--- a/egretstack/relay/_resuming.py
+++ b/egretstack/relay/_resuming.py
@@ -5,6 +5,7 @@
 """
 
 from enum import Enum
+from math import inf
 
 import trio
 
@@ -16,6 +17,7 @@
 from egretstack.relay._engine_calls import is_valid_answer
 from egretstack.relay._execution_status import RequestFailed
 from egretstack.relay._opening import EngineOpening
+from egretstack.relay._patience import place_wait_s
 from egretstack.relay._send_limits import SendLimits
 from egretstack.relay._timing import StreamTiming
 
@@ -75,6 +77,13 @@
         """Return whether the latest send has taken too long for its first event."""
         return trio.current_time() > self._opening.first_event_until_s and self.may_resume()
 
+    def copy_wait_s(self) -> float:
+        """Return how long a copy of the run may be waited for before a new run is started."""
+        if not self.may_resume():
+            return inf
+        now_s, since_s = trio.current_time(), self._timing.waiting_since_s
+        return min(place_wait_s(), self._limits.place_wait_s(now_s, since_s))
+
     async def resume(self) -> bool:
         """Send the stream to other runners until one continues it; return whether one does.
 
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -4,9 +4,11 @@
 KV cache, after the last event that the client has; on resumable routes, a new run may do so too.
 """
 
+from collections import deque
 from contextlib import ExitStack
 from dataclasses import replace
 from enum import Enum
+from math import inf
 
 import trio
 
@@ -22,7 +24,7 @@
 from egretstack.platform import client_head, runner_answer
 from egretstack.relay._client_stream import ClientStream
 from egretstack.relay._context import RelayContext, RelayTask
-from egretstack.relay._continuing import ContinuedRun, CopyContinuation
+from egretstack.relay._continuing import ContinuedRun, CopyContinuation, places_of
 from egretstack.relay._cursor import EventCursor, EventGap
 from egretstack.relay._engine_calls import ContinueOutcome
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
@@ -30,7 +32,6 @@
 from egretstack.relay._opening import EngineOpening, invalid_answer
 from egretstack.relay._patience import (
     ASK_AGAIN_S,
-    RESUME_TIMEOUT_S,
     SWITCH_DELAY_S,
     UNRESPONSIVE_S,
 )
@@ -436,9 +437,7 @@
         if not self._may_continue():
             return False
         copy, self._run.has_proven = self._copy, self._has_proven
-        result = await self._continuation.ask(
-            self._run, copy, self._cursor.last_id, RESUME_TIMEOUT_S
-        )
+        result = await self._continuation.ask_beside(self._run, copy, self._cursor.last_id)
         if isinstance(result, ContinuedRun):
             self._continue(result)
             return True
@@ -450,20 +449,24 @@
 
     async def _find_place(self) -> bool:
         """Continue the run, which is at work nowhere, from its copy or with a new run."""
-        if self._may_continue():
-            copy, self._run.has_proven = self._copy, self._has_proven
-            self._copy = None
-            result = await self._continuation.ask(
-                self._run, copy, self._cursor.last_id, RESUME_TIMEOUT_S
-            )
-            if isinstance(result, ContinuedRun):
-                self._continue(result)
-                return True
-        return await self._resume()
+        places = places_of(self._copy) if self._may_continue() else deque()
+        self._copy = None
+        if await self._ask_places(places, self._resumer.copy_wait_s()):
+            return True
+        return await self._resume() or await self._ask_places(places, inf)
 
     def _may_continue(self) -> bool:
         return self._copy is not None and self._timing.events > 0 and not self._is_refused()
 
+    async def _ask_places(self, places: deque[SavedCopy], limit_s: float) -> bool:
+        self._run.has_proven = self._has_proven
+        continued = await self._continuation.ask_places(
+            self._run, places, self._cursor.last_id, self._timing.waiting_since_s, limit_s
+        )
+        if continued is not None:
+            self._continue(continued)
+        return continued is not None
+
     def _continue(self, continued: ContinuedRun) -> None:
         # The previous runner must not keep running beside the new one.
         self._source.close()
--- a/egretstack/traffic/_report.py
+++ b/egretstack/traffic/_report.py
@@ -39,7 +39,10 @@
     """Another copy of the same run is in progress."""
     NO_CAPACITY = "no-room"
     """The destination has no free memory or cannot be reached."""
+    NOT_SENT = "not-sent"
+    """The runner was not reached, so the run goes on there as before."""
     FAILED = "failed"
+    """No valid answer: a run that was to stop may have stopped."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_run_places.py
+++ b/tests/test_run_places.py
@@ -6,7 +6,7 @@
 from tests.platform_site import platform_site
 from tests.stream_reader import start_reader
 from tests.support import check, on_real_clock, tests_of
-from tests.test_platform_streams import check_whole, engine_of
+from tests.test_platform_streams import DRAINING, check_whole, engine_of
 from tests.test_stream_resuming import configure
 
 load_tests = tests_of(globals())
@@ -14,6 +14,8 @@
 EVENTS = 150
 SILENCES_S = (1.4, 1.9)
 """Silences of sound runners: a second or so, and nearly two."""
+BOTH_S = 0.4
+"""Longest time for which two runners may work on one run."""
 
 
 def others(site, engine):
@@ -39,6 +41,25 @@
     return reader
 
 
+def longest_overlap_s(site, attempt):
+    """Return the longest time for which two engines worked on an attempt."""
+    works = sorted(
+        (began_s, ended_s)
+        for engine in site.engines
+        for name, began_s, ended_s in engine.work_times
+        if name == attempt
+    )
+    overlaps = [before[1] - after[0] for before, after in zip(works, works[1:], strict=False)]
+    return max(overlaps, default=0.0)
+
+
+async def move_off(site, source):
+    """Let a runner leave, and return once it has stopped the run to move it elsewhere."""
+    site.register(source.runner_id, "llm", source.address, DRAINING)
+    await site.until(lambda: any(stop for _, stop in source.moves))
+    return next(engine for engine in others(site, source) if engine.copies or engine.continued)
+
+
 @on_real_clock
 async def test_a_stream_stays_on_its_silent_runner_if_its_copy_was_never_made():
     # Guards against a stream that is reset since its backup runner refuses to continue the run,
@@ -66,6 +87,80 @@
         check_whole(await read_past(site, "s-1", 2, disturb), EVENTS)
 
 
+@on_real_clock
+async def test_a_stopped_run_waits_for_its_silent_destination():
+    # Guards against a stream that gives up the runner to which its run was moved.
+    for silence_s in SILENCES_S:
+        async with platform_site(plain=0, engines=3) as site:
+            for engine in site.engines:
+                engine.stores_copies = False
+
+            async def disturb(source, site=site, silence_s=silence_s):
+                for engine in site.engines:
+                    engine.stores_copies = True
+                await silence(await move_off(site, source), silence_s)
+
+            check_whole(await read_past(site, "s-1", 2, disturb), EVENTS)
+
+
+@on_real_clock
+async def test_a_stopped_run_waits_for_a_destination_that_accepts_no_connection_for_a_while():
+    # Guards against a stream that is lost to one attempt to connect.
+    async with platform_site(plain=0, engines=3) as site:
+        for engine in site.engines:
+            engine.stores_copies = False
+
+        async def disturb(source):
+            for engine in site.engines:
+                engine.stores_copies = True
+            address = (await move_off(site, source)).address
+            site.links.silence(address)
+            await trio.sleep(1.4)
+            site.links.end_silence(address)
+
+        check_whole(await read_past(site, "s-1", 2, disturb), EVENTS)
+
+
+@on_real_clock
+async def test_a_run_whose_silent_runner_is_told_to_stop_goes_on():
+    # Guards against a copy that is given up before the runner has told where it is.
+    for silence_s in SILENCES_S:
+        async with platform_site(plain=0, engines=3) as site:
+            for engine in site.engines:
+                engine.stores_copies = False
+
+            async def disturb(source, site=site, silence_s=silence_s):
+                for engine in site.engines:
+                    engine.stores_copies = True
+                site.register(source.runner_id, "llm", source.address, DRAINING)
+                await site.until(lambda: any(stop for _, stop in source.moves))
+                await silence(source, silence_s)
+
+            check_whole(await read_past(site, "s-1", 2, disturb), EVENTS)
+            check.assertLess(longest_overlap_s(site, "s-1"), BOTH_S)
+
+
+@on_real_clock
+async def test_a_stopped_run_goes_back_to_its_runner_if_the_destination_has_ended():
+    # Guards against a stream that is lost though its former runner keeps the run's memory.
+    async with platform_site(plain=0, engines=2) as site:
+        for engine in site.engines:
+            engine.stores_copies = False
+
+        async def disturb(source):
+            destination = others(site, source)[0]
+            destination.stores_copies = True
+            site.register(source.runner_id, "llm", source.address, DRAINING)
+            await site.until(lambda: any(stop for _, stop in source.moves))
+            destination.fall_silent()
+            await trio.sleep(0.3)
+            destination.stop()
+
+        reader = await read_past(site, "s-1", 2, disturb)
+        check_whole(reader, EVENTS)
+        check.assertEqual([len(one.continued) for one in site.engines if one.continued], [1])
+
+
 @on_real_clock
 async def test_a_stream_of_an_impatient_reader_stays_on_its_silent_runner():
     # Guards against times that are too long for the shortest patience of a reader.
