A resumable stream keeps its runner until another one sends it

Cause: the relay closed the connection to the silent runner first and looked for another one then. A refusal for want of room, by the home or by the engine itself, left the run nowhere. Fix: the connection stays open until another runner has sent the head of its answer. If the silent one sends anything before that, the search ends and the new request's connection is closed. Before the first head, a late runner is left when a connection to another one stands; if there is no place, its answer is waited for. Evidence: the three new tests fail before the fix (two streams reset, one 502). Remains: if the new runner's answer is lost while the former one works on unheard, both may work until the new one's time for a first event is over.

--- a/egretstack/http1/_client.py
+++ b/egretstack/http1/_client.py
@@ -88,6 +88,11 @@
             return None
         raise UpstreamBroken("closed within an answer")
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether the latest request was sent completely."""
+        return not self._sending
+
     def is_reusable(self) -> bool:
         """Return whether another request may be sent after the response was read completely.
 
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -1,5 +1,7 @@
 """Finds an engine that accepts a streaming request, up to its response head."""
 
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from functools import partial
 
 import trio
@@ -27,6 +29,7 @@
 )
 from egretstack.relay._send_limits import SendLimits
 from egretstack.relay._timing import StreamTiming
+from egretstack.relay._waiting import wait_for_answer
 
 REFUSED_RETRY_S = 0.4
 MAX_ENGINES = 3
@@ -34,6 +37,14 @@
 known to the whole fleet within a second or so."""
 
 
+@dataclass(frozen=True, slots=True)
+class _LateSend:
+    """A run whose runner has not answered in time, and the connection to it, which is open."""
+
+    run: Run
+    connection: UpstreamConnection
+
+
 class EngineOpening:
     """Opens one request's stream on an engine; `run` and `source` are set once it is connected."""
 
@@ -50,6 +61,9 @@
         self._probed: trio.Event | None = None
         """Set once it is known whether the latest send's runner has ended; None if that is not
         being found out."""
+        self._is_late = False
+        """Whether the latest send has no answer yet, but has not broken off."""
+        self._late: _LateSend | None = None
         self.run: Run | None = None
         self.source: UpstreamConnection | None = None
         self.has_proven = False
@@ -77,7 +91,17 @@
     async def _open(self) -> ResponseHead:
         rejections = 0
         while True:
-            await self.connect()
+            late, self._late = self._late, None
+            try:
+                await self.connect()
+            except RequestFailed:
+                if late is None:
+                    raise
+                return await self._return_to(late)
+            finally:
+                if late is not None and late.connection is not self.source:
+                    # A previous runner must not keep running beside the next one.
+                    late.connection.close()
             head, failure = await self._try_send()
             if head is not None and self._is_rejected(head):
                 rejections += 1
@@ -105,6 +129,16 @@
         except RequestFailed as error:
             return None, error
 
+    def release_source(self) -> None:
+        """Leave the connection to the caller, which keeps the run there until it goes on."""
+        self.source = None
+
+    def restore(self, run: Run) -> None:
+        """Record again that a run is in progress where it was, as no other runner took it."""
+        self.close()
+        self.run = run
+        self._context.placing.add_run(run)
+
     def exclude_current(self) -> None:
         """Close the connection and place the run elsewhere from now on: its stream broke off."""
         self._execution.mark_unknown()
@@ -117,11 +151,24 @@
         self._excluded = (*self._excluded, self.run.runner)
         self.close()
 
+    async def _return_to(self, late: "_LateSend") -> ResponseHead:
+        """Wait for the answer of a late runner, as no other one has room. Raises RequestFailed."""
+        self.restore(late.run)
+        self.source = late.connection
+        return await self._read_answer(late.connection.read_head, self._task.time_left_s())
+
     async def _leave_failed_send(self) -> None:
-        """Close a send whose outcome is unknown, and wait until its runner was probed."""
+        """Leave a send whose outcome is unknown, and wait until its runner was probed.
+
+        A runner that is only late keeps its run until there is a place at another one.
+        """
         log(Event.STREAM_SENT_AGAIN, request=self._attempt, source=self.run.runner)
         self._execution.mark_unknown()
+        late = None
+        if self._is_late and self.source.has_sent:
+            late, self.source = _LateSend(self.run, self.source), None
         self._leave_engine()
+        self._late = late
         # Recorded before the wait: other streams of the runner check the budget in the meantime.
         self._record_retry()
         await self.wait_until_probed()
@@ -145,9 +192,11 @@
         """Close the connection and remove the run, if there is one."""
         if self.run is not None:
             self._context.placing.remove_run(self.run)
+        if self._late is not None:
+            self._late.connection.close()
         if self.source is not None:
             self.source.close()
-        self.run = self.source = None
+        self.run = self.source = self._late = None
 
     @property
     def _attempt(self) -> str:
@@ -274,23 +323,32 @@
         self.sent_s = trio.current_time()
         timeout_s = self._limits.first_event_timeout_s(self.sent_s, self._timing.waiting_since_s)
         self.first_event_until_s = self.sent_s + timeout_s
+        call = partial(
+            send_to_engine,
+            self._context,
+            self._task,
+            self.run,
+            self.source,
+            last_event_id=last_event_id,
+        )
+        return await self._read_answer(call, timeout_s)
+
+    async def _read_answer(
+        self, read: Callable[[], Awaitable[ResponseHead]], timeout_s: float
+    ) -> ResponseHead:
+        """Return the answer's head; raises RequestFailed."""
+        self._is_late = False
         try:
-            with trio.fail_after(timeout_s):
-                head = await send_to_engine(
-                    self._context,
-                    self._task,
-                    self.run,
-                    self.source,
-                    last_event_id=last_event_id,
-                )
+            head = await wait_for_answer(read, timeout_s)
         except UpstreamBroken as error:
             self._context.record_engine_result(self.run.runner, broke=True)
             self._record_broken()
             raise invalid_answer(self._task, self.run, str(error)) from error
-        except trio.TooSlowError as error:
+        if head is None:
+            self._is_late = True
             if self._task.time_left_s() > 0:
                 self._record_broken()
-            raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time") from error
+            raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time")
         self._context.on_answer(self._task, self.run.runner, runner_answer(head), self.sent_s)
         return head
 
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -38,6 +38,7 @@
 from egretstack.relay._plain import MAX_RESPONSE_BYTES, BufferedResponse, implies_not_run
 from egretstack.relay._resuming import StreamResumer
 from egretstack.relay._send_limits import SendLimits
+from egretstack.relay._source import StreamSource
 from egretstack.relay._stream_limits import StreamProgress
 from egretstack.relay._timing import StreamTiming
 
@@ -73,7 +74,7 @@
         self._task = task
         self._client = client
         self._run: Run | None = None
-        self._source: UpstreamConnection | None = None
+        self._source: StreamSource | None = None
         self._silent_since_s = 0.0
         """When the current runner sent its latest data."""
         self._has_reported_silence = False
@@ -130,7 +131,7 @@
         try:
             head = await self._opening.head()
             self._sent_s = self._opening.sent_s
-            self._run, self._source = self._opening.run, self._opening.source
+            self._run, self._source = self._opening.run, StreamSource(self._opening.source)
             self._silent_since_s = trio.current_time()
             self._use_backup_as_copy()
             return await self._relay(head)
@@ -196,7 +197,7 @@
     async def _read_whole_body(self) -> bytes:
         body = bytearray()
         try:
-            while (data := await self._source.read_body()) is not None:
+            while (data := await self._source.read()) is not None:
                 body += data
                 if len(body) > MAX_RESPONSE_BYTES:
                     raise invalid_answer(self._task, self._run, "an answer too large")
@@ -263,11 +264,11 @@
             self._source.close()
         if not is_open or (self._mover is not None and self._mover.is_stopping):
             return await self._find_place() or is_open
-        if await self._ask_copy():
-            return True
-        self._ask_again_s = trio.current_time() + ASK_AGAIN_S
-        if end is _ReadEnd.SILENT and self._resumer.may_resume():
-            return await self._resume()
+        found = await self._ask_copy()
+        if not found and end is _ReadEnd.SILENT:
+            found = await self._resume_beside_source()
+        if not found:
+            self._ask_again_s = trio.current_time() + ASK_AGAIN_S
         return True
 
     def _log_ended(self) -> None:
@@ -288,7 +289,7 @@
         while True:
             with trio.move_on_after(POLL_INTERVAL_S) as poll:
                 try:
-                    data = await self._source.read_body()
+                    data = await self._source.read()
                 except UpstreamBroken:
                     return _ReadEnd.BROKEN
             if poll.cancelled_caught:
@@ -486,13 +487,38 @@
             self._follow_new_run()
         return resumed
 
+    async def _resume_beside_source(self) -> bool:
+        """Continue with a new run, unless the silent runner goes on before another one begins."""
+        if not self._resumer.may_resume():
+            return False
+        run, sent_s, resumed = self._run, self._sent_s, False
+        self._opening.release_source()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._cancel_once_source_speaks, nursery.cancel_scope)
+                resumed = await self._resumer.resume()
+                nursery.cancel_scope.cancel()
+        finally:
+            self._run, self._sent_s = self._opening.run, self._opening.sent_s
+        if resumed:
+            self._source.close()
+            self._follow_new_run()
+        else:
+            self._opening.restore(run)
+            self._run, self._sent_s = run, sent_s
+        return resumed
+
+    async def _cancel_once_source_speaks(self, scope: trio.CancelScope) -> None:
+        if await self._source.wait_for_next():
+            scope.cancel()
+
     def _follow_new_run(self) -> None:
         self._follow(self._opening.source, self._opening.sent_s)
         self._awaits_first_event = True
 
     def _follow(self, connection: UpstreamConnection, sent_s: float) -> None:
         """Relay the events of another connection from now on, with its backup for a copy."""
-        self._source = connection
+        self._source = StreamSource(connection)
         self._silent_since_s = trio.current_time()
         self._has_reported_silence = False
         self._ask_again_s = 0.0
--- a/tests/test_run_places.py
+++ b/tests/test_run_places.py
@@ -2,12 +2,12 @@
 
 import trio
 
-from standins.platform import route
+from standins.platform import EngineFault, route
 from tests.platform_site import platform_site
 from tests.stream_reader import start_reader
 from tests.support import check, on_real_clock, tests_of
 from tests.test_platform_streams import DRAINING, check_whole, engine_of
-from tests.test_stream_resuming import configure
+from tests.test_stream_resuming import configure, resumable_site, runs
 
 load_tests = tests_of(globals())
 
@@ -177,6 +177,48 @@
         check.assertEqual([len(one.continued) for one in site.engines if one.continued], [1])
 
 
+@on_real_clock
+async def test_a_resumable_stream_stays_on_its_silent_runner_if_no_other_has_room():
+    # Guards against a stream that closes its connection before another runner has taken the run.
+    for silence_s in SILENCES_S:
+        async with resumable_site(engines=2) as site:
+
+            async def disturb(source, site=site, silence_s=silence_s):
+                for engine in others(site, source):
+                    engine.fault = EngineFault.FULL
+                await silence(source, silence_s)
+
+            check_whole(await read_past(site, "s-1", 5, disturb), EVENTS)
+            check.assertEqual(runs(site), 1)
+
+
+@on_real_clock
+async def test_a_silent_runner_that_goes_on_ends_the_search_for_another():
+    # Guards against a second run that begins while the first one goes on.
+    async with resumable_site(engines=2) as site:
+
+        async def disturb(source):
+            for engine in others(site, source):
+                engine.delays_head = True
+            await silence(source, 1.9)
+
+        check_whole(await read_past(site, "s-1", 5, disturb), EVENTS)
+        check.assertFalse(any(engine.is_running("s-1") for engine in site.engines))
+
+
+@on_real_clock
+async def test_a_late_runner_keeps_a_resumable_stream_if_there_is_no_other_place():
+    # Guards against a stream that fails since its late runner is left before another is found.
+    async with resumable_site(engines=1, **{"target-latency-ms": 300}) as site:
+        site.engines[0].fall_silent()
+        async with trio.open_nursery() as nursery:
+            reader = await start_reader(site, "s-1", -1)
+            nursery.start_soon(silence, site.engines[0], 1.9)
+            await reader.ended.wait()
+        check_whole(reader)
+        check.assertEqual(runs(site), 1)
+
+
 @on_real_clock
 async def test_a_lost_answer_leaves_no_two_runners_at_work():
     # Guards against a run that goes on at two runners while the answer of one of them is awaited.
