A pause of the whole process is no silence of its runners

Cause: after the pause a wait for data has passed its time before the process looks at its sockets: a wait in epoll that a stop interrupts returns nothing once its time is over. The silence was the difference of two readings of the clock, so the pause alone exceeded it. Fix: time counts only while the process runs: a short wait counts for twice its planned length at most (RunningTime), and after a wait that took longer the connection is read once more before its runner is judged. The waits for answers to continued runs, orders to stop and first heads do the same (wait_for_answer).

--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -41,6 +41,7 @@
 from egretstack.relay._source import StreamSource
 from egretstack.relay._stream_limits import StreamProgress
 from egretstack.relay._timing import StreamTiming
+from egretstack.relay._waiting import RunningTime
 
 POLL_INTERVAL_S = 0.1
 """How often a stream without events checks whether its runner is leaving."""
@@ -75,8 +76,8 @@
         self._client = client
         self._run: Run | None = None
         self._source: StreamSource | None = None
-        self._silent_since_s = 0.0
-        """When the current runner sent its latest data."""
+        self._silence = RunningTime()
+        """Time without data of the current runner."""
         self._has_reported_silence = False
         """Whether that silence was reported as a broken run, so that the runner is probed."""
         self._ask_again_s = 0.0
@@ -132,7 +133,7 @@
             head = await self._opening.head()
             self._sent_s = self._opening.sent_s
             self._run, self._source = self._opening.run, StreamSource(self._opening.source)
-            self._silent_since_s = trio.current_time()
+            self._silence.reset()
             self._use_backup_as_copy()
             return await self._relay(head)
         finally:
@@ -286,22 +287,30 @@
         return self._task.request.attempt_id
 
     async def _read_events(self) -> _ReadEnd:
+        was_paused = False
         while True:
+            began_s = trio.current_time()
             with trio.move_on_after(POLL_INTERVAL_S) as poll:
                 try:
                     data = await self._source.read()
                 except UpstreamBroken:
                     return _ReadEnd.BROKEN
+            ran = self._silence.record(POLL_INTERVAL_S, trio.current_time() - began_s)
             if poll.cancelled_caught:
+                if not ran and not was_paused:
+                    # What arrived during a pause of this process is read first.
+                    was_paused = True
+                    continue
                 if self._may_switch():
                     return _ReadEnd.SILENT
             elif data is None:
                 return _ReadEnd.WHOLE if await self._is_whole() else _ReadEnd.BROKEN
             else:
+                self._silence.reset()
                 self._has_reported_silence = False
-                self._silent_since_s = trio.current_time()
                 if not await self._forward(data):
                     return _ReadEnd.BROKEN
+            was_paused = False
             if self._context.runners.is_gone(self._run.runner):
                 # Behind a network partition the connection may stay open without any more data.
                 return _ReadEnd.BROKEN
@@ -340,8 +349,7 @@
             return False
         if self._awaits_first_event:
             return self._resumer.is_first_event_late()
-        silent_s = trio.current_time() - self._silent_since_s
-        if silent_s <= UNRESPONSIVE_S or not self._timing.events:
+        if self._silence.total_s <= UNRESPONSIVE_S or not self._timing.events:
             return False
         return self._continuation.can_continue(self._copy) or self._resumer.may_resume()
 
@@ -519,7 +527,7 @@
     def _follow(self, connection: UpstreamConnection, sent_s: float) -> None:
         """Relay the events of another connection from now on, with its backup for a copy."""
         self._source = StreamSource(connection)
-        self._silent_since_s = trio.current_time()
+        self._silence.reset()
         self._has_reported_silence = False
         self._ask_again_s = 0.0
         self._sent_s = sent_s
--- a/egretstack/relay/_waiting.py
+++ b/egretstack/relay/_waiting.py
@@ -1,4 +1,9 @@
-"""Waits for the answers of runners."""
+"""Waits for answers in time for which this process runs.
+
+After a pause of the whole process every deadline has passed, though what runners sent meanwhile is
+still to be read. A time that counts only while the process runs does not take its own pause for
+a runner's silence.
+"""
 
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -7,12 +12,33 @@
 
 from egretstack.http1 import UpstreamBroken
 
+POLLS = 8
+"""Number of waits of equal length into which a time limit is divided."""
 MAX_POLL_INTERVAL_S = 0.25
-"""How often it is checked whether a runner has ended."""
+"""Longest of them, after which it is noticed that a runner has ended."""
+MAX_POLL_FACTOR = 2.0
+"""Multiple of an interval up to which a late wake-up counts; the rest is a pause of the process."""
 
 T = TypeVar("T")
 
 
+class RunningTime:
+    """Time that has passed while this process was running, from waits of a known length."""
+
+    def __init__(self) -> None:
+        self.total_s = 0.0
+
+    def record(self, planned_s: float, took_s: float) -> bool:
+        """Count a wait that was planned to be short; return whether the process ran meanwhile."""
+        limit_s = MAX_POLL_FACTOR * planned_s
+        self.total_s += min(took_s, limit_s)
+        return took_s <= limit_s
+
+    def reset(self) -> None:
+        """Start to count again."""
+        self.total_s = 0.0
+
+
 async def wait_for_answer(
     call: Callable[[], Awaitable[T]],
     limit_s: float,
@@ -39,7 +65,12 @@
 async def _cancel_after(
     scope: trio.CancelScope, limit_s: float, has_ended: Callable[[], bool]
 ) -> None:
-    until_s = trio.current_time() + limit_s
-    while trio.current_time() < until_s and not has_ended():
-        await trio.sleep(min(MAX_POLL_INTERVAL_S, until_s - trio.current_time()))
+    interval_s = min(MAX_POLL_INTERVAL_S, limit_s / POLLS)
+    waited = RunningTime()
+    while waited.total_s < limit_s and not has_ended():
+        began_s = trio.current_time()
+        await trio.sleep(interval_s)
+        if not waited.record(interval_s, trio.current_time() - began_s):
+            # What arrived during a pause is read first.
+            await trio.sleep(interval_s)
     scope.cancel()
--- a/tests/test_run_places.py
+++ b/tests/test_run_places.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from egretstack.relay._waiting import RunningTime, wait_for_answer
 from standins.platform import EngineFault, route
 from tests.platform_site import platform_site
 from tests.stream_reader import start_reader
@@ -254,3 +255,40 @@
             engine.stores_copies = False
         reader = await read_past(site, "s-1", 2, lambda source: silence(source, 1.4))
         check_whole(reader, EVENTS)
+
+
+def test_a_pause_of_the_process_is_no_silence_of_its_runners():
+    # Guards against a runner that is left for a pause of the instance itself.
+    waited = RunningTime()
+    check.assertTrue(waited.record(0.1, 0.12))
+    check.assertFalse(waited.record(0.1, 8.0))
+    check.assertAlmostEqual(waited.total_s, 0.32)
+
+
+async def test_an_answer_that_came_during_a_pause_is_read():
+    # Guards against an answer that is dropped since its time passed while the process was paused.
+    clock = trio.lowlevel.current_clock()
+    answered = trio.Event()
+
+    async def call():
+        await answered.wait()
+        return "answer"
+
+    async def pause():
+        for _ in range(3):
+            await trio.lowlevel.checkpoint()
+        clock.jump(30.0)
+        for _ in range(3):
+            await trio.lowlevel.checkpoint()
+        answered.set()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(pause)
+        check.assertEqual(await wait_for_answer(call, 0.3), "answer")
+
+
+async def test_a_runner_that_never_answers_is_waited_for_no_longer_than_allowed():
+    # Guards against a stream that waits forever beside another place.
+    began_s = trio.current_time()
+    check.assertIsNone(await wait_for_answer(trio.sleep_forever, 0.3))
+    check.assertAlmostEqual(trio.current_time() - began_s, 0.3, delta=0.1)
