Streams: comments are no sign of life, and their size is limited

Cause: any bytes on a stream counted as a sign of life, and each comment counted as an event and was forwarded. An event that comes in many small pieces was searched from its start at each piece. Fix: silence is time without an event; comments are not counted as events; 64 kB of them between two events spoil the stream, like an event of more than 1 MB without an end. The search for an event's end goes on where it stopped.

--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -77,7 +77,7 @@
         self._run: Run | None = None
         self._source: StreamSource | None = None
         self._silence = RunningTime()
-        """Time without data of the current runner."""
+        """Time without an event of the current runner."""
         self._has_reported_silence = False
         """Whether that silence was reported as a broken run, so that the runner is probed."""
         self._ask_again_s = 0.0
@@ -301,16 +301,13 @@
                     # What arrived during a pause of this process is read first.
                     was_paused = True
                     continue
-                if self._may_switch():
-                    return _ReadEnd.SILENT
             elif data is None:
                 return _ReadEnd.WHOLE if await self._is_whole() else _ReadEnd.BROKEN
-            else:
-                self._silence.reset()
-                self._has_reported_silence = False
-                if not await self._forward(data):
-                    return _ReadEnd.BROKEN
+            elif not await self._forward(data):
+                return _ReadEnd.BROKEN
             was_paused = False
+            if self._may_switch():
+                return _ReadEnd.SILENT
             if self._context.runners.is_gone(self._run.runner):
                 # Behind a network partition the connection may stay open without any more data.
                 return _ReadEnd.BROKEN
@@ -319,7 +316,7 @@
 
     async def _is_whole(self) -> bool:
         """Return whether a stream that ended without an error was not broken off."""
-        if self._splitter.remainder:
+        if self._splitter.pending_bytes:
             return False
         mover = self._mover
         if not self._source.is_unframed or mover is None or not mover.is_stopping:
@@ -332,7 +329,10 @@
         """Forward the events in received data; return False if they are invalid for this stream."""
         try:
             events = self._splitter.feed(data)
-            self._awaits_first_event = self._awaits_first_event and not events
+            if any(not event.is_comment for event in events):
+                self._awaits_first_event = False
+                self._silence.reset()
+                self._has_reported_silence = False
             await self._forward_events(self._cursor.accept(events))
         except (EventTooLarge, EventGap) as error:
             log(
@@ -386,23 +386,27 @@
         return self._context.placing.tokens_left(self._run) >= MIN_COPY_TOKENS
 
     async def _forward_events(self, events: list[StreamEvent]) -> None:
-        if not events:
-            return
+        count = sum(not event.is_comment for event in events)
+        if count:
+            self._record_events(count)
+        if events:
+            await self._client.send(b"".join(event.data for event in events))
+
+    def _record_events(self, count: int) -> None:
         if self._first_event_s is None:
             self._first_event_s = trio.current_time()
-        if self._timing.record_events(len(events)):
+        if self._timing.record_events(count):
             self._context.placing.record_first_token(
                 self._run, self._timing.read_s, self._timing.first_s
             )
         elif self._timing.last_gap_s is not None:
-            self._context.placing.record_gap(self._run, self._timing.last_gap_s, len(events))
+            self._context.placing.record_gap(self._run, self._timing.last_gap_s, count)
         now_s = trio.current_time()
         self._record_writing(now_s)
-        self._context.stream_limits.record_events(now_s, self._progress, len(events))
+        self._context.stream_limits.record_events(now_s, self._progress, count)
         self._run.started = True
         new_tokens = self._timing.events * self._task.service.engine.tokens_per_event
         self._run.generated_tokens = self._resumed_tokens + new_tokens
-        await self._client.send(b"".join(event.data for event in events))
 
     def _record_writing(self, now_s: float) -> None:
         """Record events of the current runner, which does not crash if it writes for some time."""
--- a/tests/test_relay_events.py
+++ b/tests/test_relay_events.py
@@ -1,5 +1,7 @@
 """Splitting a stream into events, and accepting each event once and in order."""
 
+import time
+
 from egretstack.relay import EventCursor, EventGap, EventSplitter, EventTooLarge, StreamEvent
 from tests.support import check, tests_of
 
@@ -112,3 +114,25 @@
     check.assertFalse(cursor.is_resumable)
     cursor.accept(events("5"))
     check.assertTrue(cursor.is_resumable)
+
+
+def test_comments_are_no_events_and_their_size_is_limited():
+    # Guards against a runner that seems alive by comments alone, and sends them without end.
+    splitter = EventSplitter()
+    [comment, event] = splitter.feed(b": still here\n\nid: 1\ndata: x\n\n")
+    check.assertTrue(comment.is_comment and not event.is_comment)
+    for _ in range(10):
+        splitter.feed(b":" + b"x" * 10_000 + b"\n\nid: 1\ndata: x\n\n")
+    with check.assertRaises(EventTooLarge):
+        for _ in range(10):
+            splitter.feed(b":" + b"x" * 10_000 + b"\n\n")
+
+
+def test_an_event_in_many_pieces_is_found_in_linear_time():
+    # Guards against an instance that is kept busy by one long event in small pieces.
+    splitter = EventSplitter()
+    began_s = time.process_time()
+    for _ in range(10_000):
+        splitter.feed(b"x" * 100)
+    check.assertEqual(len(splitter.feed(b"\r\n\r\n")), 1)
+    check.assertLess(time.process_time() - began_s, 1.0)
