At most 16 interim answers come before an answer

Cause: the reader of a response's head skipped interim answers without a limit, until the time of the call was over. Fix: more than 16 of them break the connection.

--- a/egretstack/http1/_client.py
+++ b/egretstack/http1/_client.py
@@ -13,6 +13,9 @@
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a response head; a larger one is treated as invalid."""
 
+MAX_INTERIM_ANSWERS = 16
+"""Interim responses (1xx) that may come before a response; a sound upstream sends one or two."""
+
 
 class ConnectFailed(Exception):
     """No connection was established, so no byte of the request was sent."""
@@ -66,7 +69,7 @@
 
     async def read_head(self) -> ResponseHead:
         """Read the response head. Raises UpstreamBroken."""
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
@@ -75,6 +78,7 @@
                 return ResponseHead(event.status_code, bytes(event.reason), headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise UpstreamBroken("closed before an answer")
+        raise UpstreamBroken(f"more than {MAX_INTERIM_ANSWERS} interim answers")
 
     async def read_body(self) -> bytes | None:
         """Read the next bytes of the response body; return None at its end.
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -12,11 +12,14 @@
 from egretstack.http1 import ClientDisconnected
 from egretstack.http1._client import MAX_HEAD_BYTES
 from egretstack.relay._events import MAX_COMMENT_BYTES, MAX_EVENT_BYTES
+from egretstack.relay._plain import MAX_RESPONSE_BYTES
 from egretstack.services.fleet_port import FleetPort
-from standins.platform import EngineStandIn
+from standins.platform import EngineStandIn, PlainStandIn
+from standins.platform._engine import MOVE_PATH, REPORT_PATH
 from tests.platform_site import platform_site
 from tests.stream_reader import start_reader
 from tests.support import check, on_real_clock, tests_of
+from tests.test_run_places import EVENTS
 
 load_tests = tests_of(globals())
 
@@ -26,6 +29,7 @@
 """What the buffers of a connection hold beyond what its reader has taken."""
 CLOSED_WITHIN_S = 5.0
 OK = b"HTTP/1.1 200 OK\r\nattempt-id: %s\r\nrunner-seal: seal.x\r\n"
+CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
 TEXT = b"abcdefghijklmnopqrstuvwxyz0123456789"
 
 
@@ -34,12 +38,45 @@
     return bytes(rng.choices(TEXT, k=PIECE_BYTES))
 
 
+def chunk(rng: random.Random) -> bytes:
+    """Return a chunk of a body."""
+    return b"%x\r\n%s\r\n" % (PIECE_BYTES, text(rng))
+
+
+def line(rng: random.Random) -> bytes:
+    """Return a line."""
+    return text(rng)[: rng.randint(1, 200)] + b"\r\n"
+
+
 def header(rng: random.Random) -> bytes:
     """Return a header."""
     return b"x-%s: y\r\n" % text(rng)[:20]
 
 
+def interim(rng: random.Random) -> bytes:
+    """Return an interim answer."""
+    return b"HTTP/1.1 103 Early Hints\r\nlink: </%s>\r\n\r\n" % text(rng)[:20]
+
+
+BODY_LIMIT = MAX_RESPONSE_BYTES + READ_AHEAD_BYTES
 HEAD_LIMIT = 2 * MAX_HEAD_BYTES + READ_AHEAD_BYTES
+INTERIM_LIMIT = 60_000
+KINDS = {
+    "text": (b"", text, HEAD_LIMIT),
+    "lines": (b"", line, HEAD_LIMIT),
+    "status line": (b"HTTP/1.1 200 ", text, HEAD_LIMIT),
+    "header": (OK + b"x: ", text, HEAD_LIMIT),
+    "headers": (OK, header, HEAD_LIMIT),
+    "interim answers": (b"", interim, INTERIM_LIMIT),
+    "chunk size": (CHUNKED, lambda rng: b"0" * PIECE_BYTES, HEAD_LIMIT),
+    "chunk extension": (CHUNKED + b"5;", text, HEAD_LIMIT),
+    "trailers": (CHUNKED + b"0\r\n", header, HEAD_LIMIT),
+    "after an answer": (OK + b"content-length: 2\r\n\r\nok", text, HEAD_LIMIT),
+    "chunks": (CHUNKED, chunk, BODY_LIMIT),
+    "unframed body": (OK + b"\r\n", text, BODY_LIMIT),
+    "body of a 503": (b"HTTP/1.1 503 Full\r\nnot-executed: 1\r\n\r\n", text, BODY_LIMIT),
+}
+"""Start of an answer, the piece that is repeated after it, and how much may be sent."""
 STREAM = OK + b"content-type: text/event-stream\r\n\r\n"
 STREAM_KINDS = {
     "head": (OK, header, HEAD_LIMIT),
@@ -80,6 +117,22 @@
         return (self._piece(self._rng) for _ in repeat(None))
 
 
+class EndlessPlain(PlainStandIn):
+    """A plain runner that answers without end."""
+
+    def __init__(self, address, runner_id, endless):
+        super().__init__(address, runner_id)
+        self.endless = endless
+
+    async def answer(self, connection, head, body):
+        """Answer one request."""
+        headers = dict(head.headers)
+        if b"attempt-id" not in headers:
+            await super().answer(connection, head, body)
+        else:
+            await self.endless.send(connection, headers[b"attempt-id"])
+
+
 class EndlessEngine(EngineStandIn):
     """An engine that answers some requests without end."""
 
@@ -111,6 +164,24 @@
     return runner
 
 
+@on_real_clock
+async def test_answers_without_end_are_closed_whatever_they_consist_of():
+    # Guards against a connection that is read for ever, and against calls to other runners that
+    # are lost beside it.
+    for name, kind in KINDS.items():
+        async with platform_site(plain=1) as site:
+            runner = await add(site, EndlessPlain, "desk", Endless(kind))
+            statuses = []
+            for number in range(6):
+                head, _ = await site.call("/notes/1", f"n-{number}")
+                statuses.append(head.status)
+            with trio.move_on_after(CLOSED_WITHIN_S):
+                await site.until(lambda runner=runner: runner.endless.sent)
+            check.assertTrue(runner.endless.sent, name)
+            check.assertLess(max(runner.endless.sent), runner.endless.limit, name)
+            check.assertEqual(statuses, [200] * 6, name)
+
+
 @on_real_clock
 async def test_streams_without_end_are_closed_and_their_runner_does_not_seem_alive():
     # Guards against comments, or an event without end, that keep a stream and a processor busy.
@@ -126,3 +197,24 @@
             check.assertLess(max(runner.endless.sent), runner.endless.limit, name)
             head, _ = await site.call("/notes/1", "n-1")
             check.assertEqual(head.status, 200)
+
+
+@on_real_clock
+async def test_reports_health_and_answers_to_copies_without_end_are_closed():
+    # Guards against an endless answer to a request of the instance itself.
+    kinds = (b"/health", REPORT_PATH, MOVE_PATH)
+    for path in kinds:
+        endless = Endless((b"HTTP/1.1 200 OK\r\n\r\n", text, BODY_LIMIT))
+        async with platform_site(plain=1) as site:
+            runner = await add(site, EndlessEngine, "llm", endless, path)
+            runner.events = EVENTS
+            reader = await start_reader(site, "s-1", 3)
+            other = await add(site, EngineStandIn, "llm")
+            other.events = EVENTS
+            if path == MOVE_PATH:
+                await site.until(lambda endless=endless: endless.sent)
+            else:
+                await trio.sleep(1.5)
+            check.assertLess(max(endless.sent, default=0), endless.limit, path)
+            await reader.ended.wait()
+            check.assertEqual(reader.ids, list(range(1, EVENTS + 1)), path)
