Answers of runners are bounded in sum, by the process's memory

Cause, by measurement with a real process (48 and 120 calls, two endless runners, 64 kB each 20 ms): each body alone was bounded, by 16 MB. With a bound on their sum (AnswerMemory, 25.6 MB here) the process still grew to 129 to 168 MB: an exchange that failed kept its error in a local variable, whose traceback holds the frames with the body, until the next full run of the garbage collector. Ruled out as the main part: the growth of many bodies at once (blocks instead of one array: 145 MB at 120 calls) and the size of reads (16 kB instead of 64 kB: 142 MB; not kept). Fix: a fifth of the memory that the platform's settings allow is shared by the answers that are read or passed on, and by unfinished events of streams. When it is full, the largest answer that is being read makes way if it is larger than the one that asks. Answers of more than 64 kB share three quarters of it, so that small ones find room whatever is passed on slowly. A request's share is given back when it ends, in whatever way, or when its answer breaks off. An answer that made way is no failure of its runner. Large bodies are not copied once more to be sent. No error outlives its exchange.

--- a/egretstack/http1/__init__.py
+++ b/egretstack/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on trio streams with h11, with explicit control over bytes, closes and reuse."""
 
 from egretstack.http1._addresses import is_address
+from egretstack.http1._answer_memory import AnswerMemory, AnswerMemoryFull, AnswerReservation
 from egretstack.http1._body_memory import BodyMemory, BodyMemoryFull
 from egretstack.http1._client import (
     ConnectFailed,
@@ -12,7 +13,7 @@
     connect_link,
     connect_upstream,
 )
-from egretstack.http1._exchange import AnswerTooLarge, exchange
+from egretstack.http1._exchange import AnswerTooLarge, exchange, read_whole_body
 from egretstack.http1._messages import (
     Header,
     Headers,
@@ -42,6 +43,10 @@
 )
 
 __all__ = [
+    "AnswerMemory",
+    "AnswerMemoryFull",
+    "AnswerReservation",
+    "read_whole_body",
     "USER_TIMEOUT_MS",
     "AnswerTooLarge",
     "BadRequest",
--- a/egretstack/http1/_exchange.py
+++ b/egretstack/http1/_exchange.py
@@ -1,10 +1,15 @@
 """One request and its complete response, for callers that neither stream nor stop early."""
 
+from collections.abc import Awaitable, Callable
+
 import trio
 
+from egretstack.http1._answer_memory import AnswerReservation
 from egretstack.http1._client import UpstreamBroken, UpstreamConnection
 from egretstack.http1._messages import RequestHead, ResponseHead, first_value
 
+BLOCK_BYTES = 65_536
+"""Size of the blocks in which a body is kept while it is read."""
 _KEEP_ALIVE = b"keep-alive"
 _TIMEOUT = b"timeout="
 _IDLE_MARGIN_S = 0.5
@@ -16,23 +21,30 @@
 
 
 async def exchange(
-    connection: UpstreamConnection, head: RequestHead, body: bytes, max_bytes: int
+    connection: UpstreamConnection,
+    head: RequestHead,
+    body: bytes,
+    max_bytes: int,
+    memory: AnswerReservation | None = None,
 ) -> tuple[ResponseHead, bytes]:
     """Send a request and read its complete response. Raises UpstreamBroken.
 
     A failure while sending is not final: an upstream that rejects a long request responds before it
-    has read all of it, and closes.
+    has read all of it, and closes. The response is counted in `memory`, if that is given.
     """
     failure: UpstreamBroken | None = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_send, connection, head, body)
         try:
-            response = await _read(connection, max_bytes)
+            response = await _read(connection, max_bytes, memory)
         except UpstreamBroken as error:
             failure = error
         nursery.cancel_scope.cancel()
     if failure is not None:
-        raise failure
+        try:
+            raise failure
+        finally:
+            failure = None  # A cycle with its traceback would keep what was read.
     connection.idle_limit_s = _idle_limit_s(response[0])
     return response
 
@@ -44,14 +56,42 @@
         return  # The reader sees the same failure, or the response that came before it.
 
 
-async def _read(connection: UpstreamConnection, max_bytes: int) -> tuple[ResponseHead, bytes]:
+async def _read(
+    connection: UpstreamConnection, max_bytes: int, memory: AnswerReservation | None
+) -> tuple[ResponseHead, bytes]:
     head = await connection.read_head()
-    body = bytearray()
-    while (data := await connection.read_body()) is not None:
-        body += data
-        if len(body) > max_bytes:
+    return head, await read_whole_body(connection.read_body, max_bytes, memory)
+
+
+async def read_whole_body(
+    read: Callable[[], Awaitable[bytes | None]], max_bytes: int, memory: AnswerReservation | None
+) -> bytes:
+    """Return a response body that is read in pieces, up to None. Raises UpstreamBroken."""
+    if memory is None:
+        return await _read_pieces(read, max_bytes, lambda size: None)
+    before = memory.size
+    with memory.reading():
+        return await _read_pieces(read, max_bytes, lambda size: memory.resize(before + size))
+    raise AssertionError("a body that is not read raises")
+
+
+async def _read_pieces(
+    read: Callable[[], Awaitable[bytes | None]], max_bytes: int, count: Callable[[int], None]
+) -> bytes:
+    # Blocks that stay where they are: many bodies that grow at once fragment the memory otherwise.
+    blocks: list[bytes] = []
+    tail = bytearray()
+    size = 0
+    while (piece := await read()) is not None:
+        size += len(piece)
+        if size > max_bytes:
             raise AnswerTooLarge(f"more than {max_bytes} bytes")
-    return head, bytes(body)
+        count(size)
+        tail += piece
+        if len(tail) >= BLOCK_BYTES:
+            blocks.append(bytes(tail))
+            tail = bytearray()
+    return b"".join((*blocks, tail))
 
 
 def _idle_limit_s(head: ResponseHead) -> float | None:
--- a/egretstack/http1/_server.py
+++ b/egretstack/http1/_server.py
@@ -16,6 +16,8 @@
 Without the limit a client that keeps sending would fill the memory. Once reading has stopped, a
 disconnect is noticed only after the response is sent, which prolongs only the work for this client.
 """
+MAX_JOINED_BYTES = 65_536
+"""Size up to which a body is copied to be sent in one piece with its head."""
 _TRANSFER_ENCODING = b"transfer-encoding"
 _CONTENT_LENGTH = b"content-length"
 _HEAD = b"HEAD"
@@ -147,8 +149,12 @@
 
     async def send_response(self, head: ResponseHead, body: bytes) -> None:
         """Send a complete response, only its head to a HEAD request. Raises ClientDisconnected."""
-        data = self._start(head, len(body)) + self._body(body)
-        await self._send(data + self._http.send(h11.EndOfMessage()))
+        parts = [self._start(head, len(body)), self._body(body)]
+        parts.append(self._http.send(h11.EndOfMessage()) or b"")
+        if len(body) <= MAX_JOINED_BYTES:
+            parts = [b"".join(parts)]
+        for part in parts:
+            await self._send(part)
 
     async def start_stream(self, head: ResponseHead, body: bytes = b"") -> None:
         """Send the head of a response of unknown length and its first bytes.
--- a/egretstack/platform/_node_settings.py
+++ b/egretstack/platform/_node_settings.py
@@ -74,6 +74,8 @@
     store_address: str
     link_mbps: float
     bounds: Bounds
+    memory_bytes: float = 128e6
+    """Memory beyond which the platform ends the process."""
     shares_capacity: bool = False
     """Whether scarce engine memory is shared fairly by client accounts, and callers that find none
     get a time to return."""
@@ -135,6 +137,7 @@
             store_address=self._address("platform.address"),
             link_mbps=self._number("limits.link-mbps", 1000),
             bounds=self._bounds(),
+            memory_bytes=self._number("limits.memory-mb", 128) * 1e6,
             shares_capacity=_SHARED_CAPACITY in self._values.get("contracts", "").split(","),
         )
 
--- a/egretstack/relay/_context.py
+++ b/egretstack/relay/_context.py
@@ -9,7 +9,7 @@
 import trio
 
 from egretstack.fleet import Runner, RunnerTable
-from egretstack.http1 import ConnectionPool, Dialer
+from egretstack.http1 import AnswerMemory, ConnectionPool, Dialer
 from egretstack.ids import RunnerId, ServiceName, ZoneName
 from egretstack.kernel import UnforeseenErrors
 from egretstack.placing import (
@@ -111,6 +111,8 @@
     crash_guard: CrashGuard
     signals: RunnerSignals
     unforeseen: UnforeseenErrors
+    answer_memory: AnswerMemory
+    """Limits the answers of runners that are read or passed on."""
     stream_limits: StreamLimits = field(default_factory=StreamLimits)
     event_steps: EventSteps = field(default_factory=EventSteps)
     call_durations: CallDurations = field(default_factory=CallDurations)
--- a/egretstack/relay/_plain.py
+++ b/egretstack/relay/_plain.py
@@ -13,6 +13,8 @@
 from egretstack.events import Event, log
 from egretstack.fleet import Runner
 from egretstack.http1 import (
+    AnswerMemoryFull,
+    AnswerReservation,
     ConnectFailed,
     NotReached,
     ResponseHead,
@@ -80,8 +82,9 @@
 class PlainRelay:
     """Sends one request and retries it only where that is allowed."""
 
-    def __init__(self, context: RelayContext) -> None:
+    def __init__(self, context: RelayContext, memory: AnswerReservation) -> None:
         self._context = context
+        self._memory = memory
 
     async def serve(self, task: RelayTask) -> BufferedResponse:
         """Return a runner's response. Raises RequestFailed."""
@@ -253,8 +256,14 @@
         try:
             with trio.fail_after(self._send_timeout_s(task, progress)):
                 response, body = await exchange(
-                    connection, head, task.request.body, MAX_RESPONSE_BYTES
+                    connection, head, task.request.body, MAX_RESPONSE_BYTES, self._memory
                 )
+        except AnswerMemoryFull as error:
+            connection.close()
+            progress.execution.mark_unknown()
+            self._ended(runner, progress, failed=False)
+            log(Event.UPSTREAM_BROKEN, request=task.request.attempt_id, error=repr(error))
+            return _Result.UNKNOWN, None
         except (UpstreamBroken, trio.TooSlowError) as error:
             connection.close()
             progress.execution.mark_unknown()
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -14,9 +14,13 @@
 
 from egretstack.events import Event, log
 from egretstack.http1 import (
+    AnswerMemoryFull,
+    AnswerReservation,
+    AnswerTooLarge,
     ResponseHead,
     UpstreamBroken,
     UpstreamConnection,
+    read_whole_body,
 )
 from egretstack.ids import RunnerId
 from egretstack.kernel import WorkKind
@@ -30,11 +34,7 @@
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
 from egretstack.relay._mover import Mover, SavedCopy
 from egretstack.relay._opening import EngineOpening, invalid_answer
-from egretstack.relay._patience import (
-    ASK_AGAIN_S,
-    SWITCH_DELAY_S,
-    UNRESPONSIVE_S,
-)
+from egretstack.relay._patience import ASK_AGAIN_S, SWITCH_DELAY_S, UNRESPONSIVE_S
 from egretstack.relay._plain import MAX_RESPONSE_BYTES, BufferedResponse, implies_not_run
 from egretstack.relay._resuming import StreamResumer
 from egretstack.relay._send_limits import SendLimits
@@ -70,10 +70,12 @@
         context: RelayContext,
         task: RelayTask,
         client: ClientStream,
+        memory: AnswerReservation,
     ) -> None:
         self._context = context
         self._task = task
         self._client = client
+        self._memory = memory
         self._run: Run | None = None
         self._source: StreamSource | None = None
         self._silence = RunningTime()
@@ -133,7 +135,6 @@
             head = await self._opening.head()
             self._sent_s = self._opening.sent_s
             self._run, self._source = self._opening.run, StreamSource(self._opening.source)
-            self._silence.reset()
             self._use_backup_as_copy()
             return await self._relay(head)
         finally:
@@ -196,16 +197,13 @@
         self._context.crash_guard.record_answered(self._task.fingerprint)
 
     async def _read_whole_body(self) -> bytes:
-        body = bytearray()
         try:
-            while (data := await self._source.read()) is not None:
-                body += data
-                if len(body) > MAX_RESPONSE_BYTES:
-                    raise invalid_answer(self._task, self._run, "an answer too large")
+            return await read_whole_body(self._source.read, MAX_RESPONSE_BYTES, self._memory)
+        except (AnswerTooLarge, AnswerMemoryFull) as error:
+            raise invalid_answer(self._task, self._run, str(error)) from error
         except UpstreamBroken as error:
             self._record_broken(self._run.runner)
             raise invalid_answer(self._task, self._run, str(error)) from error
-        return bytes(body)
 
     async def _relay_events(self) -> None:
         """Forward events until the stream ends, from several engines in turn if necessary."""
@@ -329,12 +327,13 @@
         """Forward the events in received data; return False if they are invalid for this stream."""
         try:
             events = self._splitter.feed(data)
+            self._memory.resize(self._splitter.pending_bytes)
             if any(not event.is_comment for event in events):
                 self._awaits_first_event = False
                 self._silence.reset()
                 self._has_reported_silence = False
             await self._forward_events(self._cursor.accept(events))
-        except (EventTooLarge, EventGap) as error:
+        except (EventTooLarge, EventGap, AnswerMemoryFull) as error:
             log(
                 Event.ANSWER_SPOILT,
                 request=self._attempt,
--- a/egretstack/relay/_waiting.py
+++ b/egretstack/relay/_waiting.py
@@ -58,7 +58,10 @@
             failure = error
         nursery.cancel_scope.cancel()
     if failure is not None:
-        raise failure
+        try:
+            raise failure
+        finally:
+            failure = None  # A cycle with its traceback would keep what was read.
     return answer
 
 
--- a/egretstack/services/front_port.py
+++ b/egretstack/services/front_port.py
@@ -8,6 +8,7 @@
 from egretstack.errors import ErrorKind, problem_document
 from egretstack.events import Event, log
 from egretstack.http1 import (
+    AnswerReservation,
     BadRequest,
     BodyMemory,
     BodyMemoryFull,
@@ -188,15 +189,25 @@
 
     async def _relay_one(
         self, connection: ClientConnection, request: ClientRequest, began_s: float
+    ) -> None:
+        with self._relaying.context.answer_memory.reserve() as memory:
+            await self._relay_within(connection, request, began_s, memory)
+
+    async def _relay_within(
+        self,
+        connection: ClientConnection,
+        request: ClientRequest,
+        began_s: float,
+        memory: AnswerReservation,
     ) -> None:
         kind = None
         try:
             task = self._relaying.task(request, began_s)
             kind = task.route.kind
             if task.is_engine_stream:
-                answer = await self._relay_stream(connection, task)
+                answer = await self._relay_stream(connection, task, memory)
             else:
-                answer = await self._relay_whole(connection, task)
+                answer = await self._relay_whole(connection, task, memory)
         except RequestFailed as error:
             self._metrics.count_request(kind, error.kind.value)
             await self._refuse(connection, request.attempt_id, error)
@@ -215,19 +226,21 @@
                 took_ms=round((trio.current_time() - began_s) * 1000),
             )
 
-    async def _relay_whole(self, connection: ClientConnection, task: RelayTask) -> BufferedResponse:
+    async def _relay_whole(
+        self, connection: ClientConnection, task: RelayTask, memory: AnswerReservation
+    ) -> BufferedResponse:
         with trio.move_on_at(task.deadline_s) as scope:
             self._relays[connection] = scope
-            return await PlainRelay(self._relaying.context).serve(task)
+            return await PlainRelay(self._relaying.context, memory).serve(task)
         raise _out_of_time(task)
 
     async def _relay_stream(
-        self, connection: ClientConnection, task: RelayTask
+        self, connection: ClientConnection, task: RelayTask, memory: AnswerReservation
     ) -> BufferedResponse | None:
         client = _FrontStream(connection, self._closing())
         with trio.move_on_at(task.deadline_s) as scope:
             self._relays[connection] = scope
-            return await StreamRelay(self._relaying.context, task, client).serve()
+            return await StreamRelay(self._relaying.context, task, client, memory).serve()
         if connection.can_start_response():
             raise _out_of_time(task)
         log(Event.STREAM_OUT_OF_TIME, request=task.request.attempt_id)
--- a/egretstack/services/relaying.py
+++ b/egretstack/services/relaying.py
@@ -6,7 +6,7 @@
 
 from egretstack.errors import ErrorKind
 from egretstack.events import Event, log
-from egretstack.http1 import ConnectionPool
+from egretstack.http1 import AnswerMemory, ConnectionPool
 from egretstack.ids import ZoneName
 from egretstack.kernel import Kernel, Service
 from egretstack.placing import PlainBalancer
@@ -39,6 +39,9 @@
 
 INSTANCES_CHECK_INTERVAL_S = 0.5
 STARTING_RETRY_S = 0.5
+ANSWER_MEMORY_SHARE = 0.2
+"""Share of the process's memory that answers of runners may take. Request bodies take up to 48 MB,
+and the process needs some 25 MB by itself, of 128 MB on the smallest instances."""
 
 
 class Relaying(Service):
@@ -75,6 +78,7 @@
             crash_guard=kernel.get(CrashGuardService),
             signals=kernel.get(RunnerSignalsService),
             unforeseen=kernel.unforeseen,
+            answer_memory=AnswerMemory(int(ANSWER_MEMORY_SHARE * node.memory_bytes)),
         )
         links.on_change(self._on_links_changed)
         kernel.get(PlacingHome).brittle_allocation.calls_at = self.context.balancer.in_flight
@@ -85,6 +89,10 @@
             "Services whose streams are limited, since most of them were late.",
         )
         gauge.set_function(stream_limits.limited_count)
+        gauge = kernel.get(RelayMetrics).gauge(
+            "egret_relay_answer_bytes", "Bytes of runners' answers that are held."
+        )
+        gauge.set_function(lambda: self.context.answer_memory.held_bytes)
 
     async def run(self, task_status: trio.TaskStatus[None]) -> None:
         """Keep the shared context up to date."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,18 +3,31 @@
 The bytes are drawn by a seed.
 """
 
+import gc
 import random
+import tracemalloc
 from collections.abc import Iterator
+from contextlib import suppress
+from functools import partial
 from itertools import chain, repeat
 
 import trio
 
-from egretstack.http1 import ClientDisconnected
+from egretstack.http1 import (
+    AnswerMemory,
+    AnswerMemoryFull,
+    AnswerTooLarge,
+    ClientDisconnected,
+    connect_upstream,
+    exchange,
+)
+from egretstack.http1._answer_memory import SMALL_BYTES
 from egretstack.http1._client import MAX_HEAD_BYTES
 from egretstack.relay._events import MAX_COMMENT_BYTES, MAX_EVENT_BYTES
 from egretstack.relay._plain import MAX_RESPONSE_BYTES
 from egretstack.services.fleet_port import FleetPort
-from standins.platform import EngineStandIn, PlainStandIn
+from egretstack.services.relaying import Relaying
+from standins.platform import EngineStandIn, PlainStandIn, client_request
 from standins.platform._engine import MOVE_PATH, REPORT_PATH
 from tests.platform_site import platform_site
 from tests.stream_reader import start_reader
@@ -164,6 +177,11 @@
     return runner
 
 
+def memory_of(site):
+    """Return the memory that the answers at the first instance share."""
+    return site.kernels[0].get(Relaying).context.answer_memory
+
+
 @on_real_clock
 async def test_answers_without_end_are_closed_whatever_they_consist_of():
     # Guards against a connection that is read for ever, and against calls to other runners that
@@ -180,6 +198,7 @@
             check.assertTrue(runner.endless.sent, name)
             check.assertLess(max(runner.endless.sent), runner.endless.limit, name)
             check.assertEqual(statuses, [200] * 6, name)
+            check.assertEqual(memory_of(site).held_bytes, 0, name)
 
 
 @on_real_clock
@@ -197,6 +216,7 @@
             check.assertLess(max(runner.endless.sent), runner.endless.limit, name)
             head, _ = await site.call("/notes/1", "n-1")
             check.assertEqual(head.status, 200)
+            check.assertEqual(memory_of(site).held_bytes, 0, name)
 
 
 @on_real_clock
@@ -218,3 +238,126 @@
             check.assertLess(max(endless.sent, default=0), endless.limit, path)
             await reader.ended.wait()
             check.assertEqual(reader.ids, list(range(1, EVENTS + 1)), path)
+
+
+@on_real_clock
+async def test_endless_answers_together_leave_room_for_small_ones():
+    # Guards against a process that exceeds its memory, and against small answers that are refused
+    # because of large ones.
+    max_bytes = 4_000_000
+    async with platform_site(plain=1) as site:
+        context = site.kernels[0].get(Relaying).context
+        context.answer_memory = AnswerMemory(max_bytes)
+        await add(site, EndlessPlain, "desk", Endless(KINDS["chunks"], pace_s=0.02))
+        statuses, held = [], []
+
+        async def call(number):
+            head, _ = await site.call("/holds/1", f"h-{number}", method=b"POST")
+            statuses.append(head.status)
+
+        with trio.move_on_after(4.0):
+            async with trio.open_nursery() as nursery:
+                for number in range(96):
+                    nursery.start_soon(call, number)
+                while True:
+                    held.append(context.answer_memory.held_bytes)
+                    await trio.sleep(0.02)
+        check.assertLessEqual(max(held), max_bytes)
+        check.assertGreater(max(held), max_bytes / 2)
+        check.assertGreaterEqual(statuses.count(200), 10)
+        check.assertEqual(set(statuses) - {200, 502}, set())
+        await site.until(lambda: context.answer_memory.held_bytes == 0)
+
+
+async def read_pieces(memory, sizes, results, name):
+    """Read an answer of growing size, and keep it until cancelled."""
+    with memory.reserve() as reservation:
+        try:
+            with reservation.reading():
+                for size in sizes:
+                    reservation.resize(size)
+                    await trio.sleep(1)
+        except AnswerMemoryFull:
+            results[name] = "refused"
+            return
+        results[name] = "read"
+        await trio.sleep_forever()
+
+
+async def test_the_largest_answer_makes_way_for_smaller_ones():
+    # Guards against small answers that are refused because of a few large ones.
+    memory, results = AnswerMemory(1_000_000), {}
+    async with trio.open_nursery() as nursery:
+        grow = partial(nursery.start_soon, read_pieces, memory)
+        grow([500_000, 600_000, 700_000], results, "large")
+        await trio.sleep(0.5)
+        grow([200_000, 300_000], results, "medium")
+        for number in range(5):
+            grow([SMALL_BYTES], results, f"small-{number}")
+        await trio.sleep(10)
+        check.assertEqual(results.pop("large"), "refused")
+        check.assertEqual(set(results.values()), {"read"})
+        check.assertEqual(memory.held_bytes, 300_000 + 5 * SMALL_BYTES)
+        nursery.cancel_scope.cancel()
+    check.assertEqual(memory.held_bytes, 0)
+
+
+async def test_large_answers_that_are_passed_on_leave_room_for_small_ones():
+    # Guards against small answers that are refused while clients read large ones slowly.
+    memory, results = AnswerMemory(1_000_000), {}
+    async with trio.open_nursery() as nursery:
+        for number in range(4):
+            nursery.start_soon(read_pieces, memory, [300_000], results, f"large-{number}")
+        await trio.sleep(5)
+        for number in range(3):
+            nursery.start_soon(read_pieces, memory, [SMALL_BYTES], results, f"small-{number}")
+        await trio.sleep(5)
+        check.assertEqual([results[f"small-{number}"] for number in range(3)], ["read"] * 3)
+        check.assertEqual(list(results.values()).count("refused"), 2)
+        nursery.cancel_scope.cancel()
+    check.assertEqual(memory.held_bytes, 0)
+
+
+async def test_memory_is_given_back_however_an_answer_ends():
+    # Guards against memory that fills up with answers which have long ended.
+    memory = AnswerMemory(1_000_000)
+    with check.assertRaises(ValueError), memory.reserve() as reservation, reservation.reading():
+        reservation.resize(500_000)
+        raise ValueError
+    check.assertEqual(memory.held_bytes, 0)
+    with trio.move_on_after(1), memory.reserve() as reservation, reservation.reading():
+        reservation.resize(500_000)
+        await trio.sleep_forever()
+    check.assertEqual(memory.held_bytes, 0)
+    with memory.reserve() as reservation:
+        with reservation.reading():
+            reservation.resize(100_000)
+        with check.assertRaises(AnswerMemoryFull), reservation.reading():
+            reservation.resize(2_000_000)
+        check.assertEqual(memory.held_bytes, 100_000)
+    check.assertEqual(memory.held_bytes, 0)
+
+
+@on_real_clock
+async def test_what_was_read_of_an_answer_without_end_is_freed_at_once():
+    # Guards against bodies that stay in memory until the next run of the garbage collector.
+    max_bytes = 4_000_000
+    async with platform_site(plain=1) as site:
+        runner = await add(site, EndlessPlain, "desk", Endless(KINDS["chunks"]))
+        head, body = client_request("/notes/1", "n-1")
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            before, _ = tracemalloc.get_traced_memory()
+            for _ in range(3):
+                connection = await connect_upstream(runner.address, 1.0)
+                # `assertRaises` would clear the frames of the error's traceback.
+                with suppress(AnswerTooLarge):
+                    await exchange(connection, head, body, max_bytes)
+                connection.close()
+            after, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+        check.assertLess(after - before, max_bytes / 2)
