A run that may have stopped keeps its open connection while places are asked

What callers saw: nothing yet; found by reading. Where a silent runner was told to stop its run and had not answered, a resumable stream still closed the connection to it before another runner had the run, and any stream waited for its copy alone. While the connection stands it is read again after one turn of the places, and the places are kept.

--- a/egretstack/relay/_continuing.py
+++ b/egretstack/relay/_continuing.py
@@ -13,6 +13,7 @@
 from egretstack.relay._engine_calls import ContinueOutcome, continue_on
 from egretstack.relay._mover import SavedCopy
 from egretstack.relay._patience import (
+    ASK_AGAIN_S,
     CONTINUE_WAIT_SHARE,
     OVERLAP_S,
     place_wait_s,
@@ -97,7 +98,7 @@
             if result in _MAY_BE_ASKED_AGAIN and self._has_patience(since_s):
                 places.append(replace(place, is_reserved=False))
             if result is ContinueOutcome.NOT_SENT:
-                await trio.sleep(POLL_INTERVAL_S)
+                await trio.sleep(ASK_AGAIN_S)
         return None
 
     def _has_patience(self, since_s: float) -> bool:
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -34,7 +34,12 @@
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
 from egretstack.relay._mover import Mover, SavedCopy
 from egretstack.relay._opening import EngineOpening, invalid_answer
-from egretstack.relay._patience import ASK_AGAIN_S, SWITCH_DELAY_S, UNRESPONSIVE_S
+from egretstack.relay._patience import (
+    ASK_AGAIN_S,
+    SWITCH_DELAY_S,
+    UNRESPONSIVE_S,
+    place_wait_s,
+)
 from egretstack.relay._plain import MAX_RESPONSE_BYTES, BufferedResponse, implies_not_run
 from egretstack.relay._resuming import StreamResumer
 from egretstack.relay._send_limits import SendLimits
@@ -262,7 +267,7 @@
         if not is_open:
             self._source.close()
         if not is_open or (self._mover is not None and self._mover.is_stopping):
-            return await self._find_place() or is_open
+            return await self._find_place(is_open=is_open) or is_open
         found = await self._ask_copy()
         if not found and end is _ReadEnd.SILENT:
             found = await self._resume_beside_source()
@@ -459,11 +464,20 @@
             self._copy = None
         return False
 
-    async def _find_place(self) -> bool:
-        """Continue the run, which is at work nowhere, from its copy or with a new run."""
+    async def _find_place(self, *, is_open: bool) -> bool:
+        """Continue the run, which is at work nowhere, from its copy or with a new run.
+
+        `is_open`: its runner, which was told to stop, has not closed the connection yet.
+        """
         places = places_of(self._copy) if self._may_continue() else deque()
         self._copy = None
-        if await self._ask_places(places, self._resumer.copy_wait_s()):
+        limit_s = self._resumer.copy_wait_s()
+        if is_open:
+            if await self._ask_places(places, min(limit_s, place_wait_s())):
+                return True
+            self._copy = replace(places[0], is_doubtful=True) if places else None
+            return await self._resume_beside_source()
+        if await self._ask_places(places, limit_s):
             return True
         return await self._resume() or await self._ask_places(places, inf)
 
--- a/tests/test_run_places.py
+++ b/tests/test_run_places.py
@@ -157,6 +157,28 @@
             check.assertLess(longest_overlap_s(site, "s-1"), BOTH_S)
 
 
+@on_real_clock
+async def test_a_resumable_run_whose_silent_runner_is_told_to_stop_goes_on():
+    # Guards against a connection that is closed while the order to stop is not answered.
+    for silence_s in SILENCES_S:
+        async with resumable_site(engines=3) as site:
+
+            async def disturb(source, site=site, silence_s=silence_s):
+                for engine in site.engines:
+                    engine.stores_copies = True
+                site.register(source.runner_id, "llm", source.address, DRAINING)
+                await site.until(lambda: any(stop for _, stop in source.moves))
+                for engine in others(site, source):
+                    engine.fault = EngineFault.FULL
+                await silence(source, silence_s)
+                for engine in others(site, source):
+                    engine.fault = EngineFault.NONE
+
+            reader = await read_past(site, "s-1", 2, disturb)
+            check_whole(reader, EVENTS)
+            check.assertLess(longest_overlap_s(site, "s-1"), BOTH_S)
+
+
 @on_real_clock
 async def test_a_stopped_run_goes_back_to_its_runner_if_the_destination_has_ended():
     # Guards against a stream that is lost though its former runner keeps the run's memory.
