Relay: whether a prompt crashes runners is recorded in a module of its own

The module of the stream had grown by the search for places. Nothing else changes, except that the memory of an unfinished event is given back when another runner sends the next ones.

--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -47,12 +47,10 @@
 from egretstack.relay._stream_limits import StreamProgress
 from egretstack.relay._timing import StreamTiming
 from egretstack.relay._waiting import RunningTime
+from egretstack.relay._writing_proof import WritingProof
 
 POLL_INTERVAL_S = 0.1
 """How often a stream without events checks whether its runner is leaving."""
-PROOF_S = 0.5
-"""Time for which a runner writes after a stream's first event before it counts as unharmed by its
-prompt: what crashes runners does so as they begin."""
 MIN_COPY_TOKENS = 120
 """Expected remaining output, about one second, from which a run that lost its copy is copied
 again."""
@@ -106,12 +104,7 @@
         """Whether the current runner, to which a new run was sent, has sent nothing yet."""
         self._sent_s = 0.0
         """When the run was sent to its current runner."""
-        self._first_event_s: float | None = None
-        """When the stream's first event arrived, from whichever runner."""
-        self._began_s: float | None = None
-        """When the current runner's first event arrived; None if it has sent none."""
-        self._has_proven = False
-        """Whether some runner wrote for long enough to show that the prompt crashes none."""
+        self._proof = WritingProof(context, task, self._opening)
         self._ended = False
         """Whether the run has ended, with or without success."""
         self._progress: StreamProgress | None = None
@@ -185,8 +178,8 @@
             self._task.fingerprint,
             runner,
             sent_s,
-            self._first_event_s,
-            has_proven=self._has_proven,
+            self._proof.first_event_s,
+            has_proven=self._proof.has_proven,
         )
 
     def _use_backup_as_copy(self) -> None:
@@ -218,9 +211,9 @@
                 self._context.record_engine_result(self._run.runner, broke=end is _ReadEnd.BROKEN)
             if end is _ReadEnd.WHOLE:
                 self._end()
-                if not self._has_proven and not self._source.is_unframed:
+                if not self._source.is_unframed:
                     # The end of an unframed one may be that of its runner.
-                    self._prove(self._sent_s if self._began_s is None else self._began_s)
+                    self._proof.record_end(self._sent_s)
                 self._context.event_steps.record(self._task.service.name, self._cursor.step)
                 await self._client.finish()
                 self._progress.is_whole = True
@@ -397,8 +390,6 @@
             await self._client.send(b"".join(event.data for event in events))
 
     def _record_events(self, count: int) -> None:
-        if self._first_event_s is None:
-            self._first_event_s = trio.current_time()
         if self._timing.record_events(count):
             self._context.placing.record_first_token(
                 self._run, self._timing.read_s, self._timing.first_s
@@ -406,23 +397,12 @@
         elif self._timing.last_gap_s is not None:
             self._context.placing.record_gap(self._run, self._timing.last_gap_s, count)
         now_s = trio.current_time()
-        self._record_writing(now_s)
+        self._proof.record_event(now_s)
         self._context.stream_limits.record_events(now_s, self._progress, count)
         self._run.started = True
         new_tokens = self._timing.events * self._task.service.engine.tokens_per_event
         self._run.generated_tokens = self._resumed_tokens + new_tokens
 
-    def _record_writing(self, now_s: float) -> None:
-        """Record events of the current runner, which does not crash if it writes for some time."""
-        if self._began_s is None:
-            self._began_s = now_s
-        if not self._has_proven and now_s - self._began_s >= PROOF_S:
-            self._prove(self._began_s)
-
-    def _prove(self, began_s: float) -> None:
-        self._has_proven = self._opening.has_proven = True
-        self._context.crash_guard.record_writing(self._task.fingerprint, began_s)
-
     def _start_mover(self) -> None:
         if not self._task.service.engine.moves or not self._may_move:
             return
@@ -453,7 +433,7 @@
         """Continue from the copy while the current runner may still be at work."""
         if not self._may_continue():
             return False
-        copy, self._run.has_proven = self._copy, self._has_proven
+        copy, self._run.has_proven = self._copy, self._proof.has_proven
         result = await self._continuation.ask_beside(self._run, copy, self._cursor.last_id)
         if isinstance(result, ContinuedRun):
             self._continue(result)
@@ -485,7 +465,7 @@
         return self._copy is not None and self._timing.events > 0 and not self._is_refused()
 
     async def _ask_places(self, places: deque[SavedCopy], limit_s: float) -> bool:
-        self._run.has_proven = self._has_proven
+        self._run.has_proven = self._proof.has_proven
         continued = await self._continuation.ask_places(
             self._run, places, self._cursor.last_id, self._timing.waiting_since_s, limit_s
         )
@@ -550,7 +530,8 @@
         self._sent_s = sent_s
         self._timing.record_switch()
         self._splitter = EventSplitter()
-        self._began_s = None
+        self._memory.resize(0)
+        self._proof.begin_run()
         self._awaits_first_event = False
         self._leaving_since_s = None
         if self._mover is not None:
