Reports of engines and answers to orders have room for what they hold

Callers see nothing of it; found by reading. A report could have 1 MB and the answer to an order to copy 64 kB, each for itself, and an instance reads those of all engines, or for all its runs, at the same time. A report takes some 50 bytes a run, and an answer to an order a handle of at most 256: 64 kB and 4 kB now.

--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -29,7 +29,8 @@
 from egretstack.relay._waiting import wait_for_answer
 from egretstack.traffic import MoveAnswer, MoveOutcome
 
-MAX_RESPONSE_BYTES = 65_536
+MAX_RESPONSE_BYTES = 4_096
+"""Limit of the answer to an order, which names a handle; many runs are copied at the same time."""
 POLL_INTERVAL_S = 0.05
 QUEUED_FACTOR = 1.3
 QUEUED_MARGIN_S = 0.05
--- a/egretstack/services/engine_reports.py
+++ b/egretstack/services/engine_reports.py
@@ -27,7 +27,8 @@
 STORE_UNAVAILABLE_PERIOD_S = 0.25
 """Runners end some 1.5 s after their notice, and a run needs most of that time to move."""
 TIMEOUT_S = 0.5
-MAX_REPORT_BYTES = 1_048_576
+MAX_REPORT_BYTES = 65_536
+"""Limit of one report; those of all engines are read at once. A run takes some 50 bytes."""
 
 
 class EngineReports(Service):
