--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -52,6 +52,11 @@
     loses_answers_of: frozenset[str] = frozenset()
     """Attempts whose next run that is continued here starts without a response head."""
 
+    continue_delay_s = 0.0
+    """Time from the start of a run that is continued here to its response head."""
+    pause_before_stop_s = 0.0
+    """Pause that begins as an order to stop a run arrives, and after which it is read."""
+
     def __init__(self, address: str, runner_id: str, *, gap_s: float = 0.02) -> None:
         super().__init__(address)
         self.runner_id = runner_id
@@ -121,6 +126,16 @@
         """Go on with everything that came meanwhile."""
         self._speaks.set()
 
+    def pause(self) -> None:
+        """Stand still as a stopped process does; its kernel accepts connections."""
+        super().pause()
+        self.fall_silent()
+
+    def end_pause(self) -> None:
+        """Go on."""
+        super().end_pause()
+        self.end_silence()
+
     def is_running(self, attempt: str) -> bool:
         """Return whether an attempt is in progress here."""
         return attempt in self._run_by_attempt
@@ -242,6 +257,8 @@
             if self.delays_head or (start and attempt in self.loses_answers_of):
                 self.loses_answers_of -= {attempt}
                 await trio.sleep_forever()
+            if start and self.continue_delay_s:
+                await trio.sleep(self.continue_delay_s)
             await self._send_head(connection, headers)
             # An engine has a machine of its own: a busy test process delays events, not its pace.
             due_s = trio.current_time()
@@ -300,6 +317,10 @@
 
     async def _copy_run(self, connection: ClientConnection, request: dict) -> None:
         attempt, stop = request["id"], request["last"]
+        if stop and self.pause_before_stop_s:
+            self.pause()
+            await trio.sleep(self.pause_before_stop_s)
+            self.end_pause()
         self.moves.append((attempt, stop))
         run = self._run_by_attempt.get(attempt)
         peer = self.peers_by_address.get(request["to"])
--- a/standins/platform/_http.py
+++ b/standins/platform/_http.py
@@ -19,6 +19,8 @@
 )
 
 LIMITS = ServerLimits(65_536, 8_388_608, 10.0, 60.0)
+NOTICE_S = 0.002
+"""Time after a pause until a server notices connections that were closed meanwhile."""
 
 
 def json_body(document: object) -> bytes:
@@ -47,6 +49,8 @@
         """Time of each requested backoff, and the attempt that was rejected with it."""
         self.arrivals: list[tuple[float, str]] = []
         """Arrival time and attempt of each request to a runner, including rejected ones."""
+        self._awake = trio.Event()
+        self._awake.set()
         self._scope = trio.CancelScope()
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -69,6 +73,14 @@
         """End immediately: every connection breaks."""
         self._scope.cancel()
 
+    def pause(self) -> None:
+        """Stand still as a stopped process does: closed connections are not noticed either."""
+        self._awake = trio.Event()
+
+    def end_pause(self) -> None:
+        """Go on: requests that arrived meanwhile begin, then closed connections are noticed."""
+        self._awake.set()
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.connections += 1
         connection = ClientConnection(stream, LIMITS)
@@ -90,10 +102,14 @@
 
             async def watch() -> None:
                 await connection.wait_until_disconnected()
+                if not self._awake.is_set():
+                    await self._awake.wait()
+                    await trio.sleep(NOTICE_S)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch)
             try:
+                await self._awake.wait()
                 await self.answer(connection, head, body)
             except ClientDisconnected:
                 connection.close()
