--- a/egretstack/relay/_context.py
+++ b/egretstack/relay/_context.py
@@ -26,6 +26,7 @@
 from egretstack.relay._cursor import EventSteps, parse_event_number
 from egretstack.relay._departure import Departure
 from egretstack.relay._patience import SILENCE_S
+from egretstack.relay._runner_probes import RunnerProbes
 from egretstack.relay._runner_signals import RunnerSignals
 from egretstack.relay._stream_limits import StreamLimits
 from egretstack.routing import ClientAccount, EngineConfig, Route, RouteKind, ServiceConfig
@@ -119,6 +120,10 @@
     departure: Departure = field(default_factory=Departure)
     on_runner_failure: Callable[[], None] = lambda: None
     """Called when a runner failed a request that was sent to it."""
+    probes: RunnerProbes = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.probes = RunnerProbes(self.dialer)
 
     def on_answer(
         self, task: "RelayTask", runner: RunnerId, answer: RunnerAnswer, sent_s: float
--- a/egretstack/relay/_continuing.py
+++ b/egretstack/relay/_continuing.py
@@ -8,9 +8,11 @@
 from egretstack.events import Event, log
 from egretstack.fleet import Runner
 from egretstack.http1 import UpstreamConnection
+from egretstack.ids import RunnerId
 from egretstack.placing import Run, SendOrigin
 from egretstack.relay._context import RelayContext, RelayTask
 from egretstack.relay._engine_calls import ContinueOutcome, continue_on
+from egretstack.relay._handover import Handover
 from egretstack.relay._mover import SavedCopy
 from egretstack.relay._patience import (
     ASK_AGAIN_S,
@@ -19,6 +21,7 @@
     place_wait_s,
     reader_patience_s,
 )
+from egretstack.relay._runner_probes import RunnerSign
 from egretstack.traffic import ContinueFrom
 
 POLL_INTERVAL_S = 0.1
@@ -36,18 +39,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ContinuedRun:
-    """The connection on which a run continues, and when it was sent there."""
+    """The connection on which a run continues."""
 
     connection: UpstreamConnection
     sent_s: float
+    """When it was sent there."""
+    left: RunnerId
+    """The runner that had it before."""
 
 
 class CopyContinuation:
     """Continues one request's run from copies."""
 
-    def __init__(self, context: RelayContext, task: RelayTask) -> None:
+    def __init__(self, context: RelayContext, task: RelayTask, handover: Handover) -> None:
         self._context = context
         self._task = task
+        self._handover = handover
 
     def has_copy(self, copy: SavedCopy | None) -> bool:
         """Return whether the engine of a copy is ready, as far as is known."""
@@ -65,13 +72,15 @@
     async def ask_beside(
         self, run: Run, copy: SavedCopy, last_event_id: str
     ) -> ContinuedRun | ContinueOutcome:
-        """Ask the engine of a copy to continue a run at which its runner may still be at work.
+        """Ask the engine of a copy to continue a run that its runner lets go of.
 
         Unless the engine continues it soon, it is taken off it again, and the run goes on where it
-        is.
+        is. An engine that stands still is not asked: it would read the request later.
         """
         runner = await self._wait_for_engine(copy)
-        if runner is None:
+        if runner is None or await self._context.probes.ask(runner) is not RunnerSign.ANSWERS:
+            return ContinueOutcome.NOT_SENT
+        if not await self._handover.is_allowed():
             return ContinueOutcome.NOT_SENT
         return await self._continue_run(run, copy, runner, last_event_id, OVERLAP_S)
 
@@ -90,6 +99,9 @@
             runner = await self._wait_for_engine(place)
             if runner is None:
                 continue
+            if not await self._handover.until_allowed(until_s - trio.current_time()):
+                places.appendleft(place)
+                break
             left_s = until_s - trio.current_time()
             wait_s = min(left_s, place_wait_s()) if places else left_s
             result = await self._continue_run(run, place, runner, last_event_id, max(0.0, wait_s))
@@ -125,6 +137,7 @@
             run, self._task.service.engine, previous
         )
         sent_s = trio.current_time()
+        self._handover.record_sent(runner.id)
         result = await continue_on(
             self._context,
             self._task,
@@ -134,6 +147,7 @@
             is_reserved=copy.is_reserved,
             limit_s=limit_s,
         )
+        self._record(runner.id, result.outcome, limit_s)
         log(
             Event.STREAM_CONTINUED if result.connection else Event.STREAM_NOT_CONTINUED,
             request=self._task.request.attempt_id,
@@ -146,7 +160,16 @@
         if result.connection is None:
             run.runner, run.backup = previous, None
             return result.outcome
-        return ContinuedRun(result.connection, sent_s)
+        return ContinuedRun(result.connection, sent_s, previous)
+
+    def _record(self, runner: RunnerId, outcome: ContinueOutcome, limit_s: float) -> None:
+        if outcome is ContinueOutcome.CONTINUED:
+            self._handover.record_sign(runner)
+        elif outcome is ContinueOutcome.UNANSWERED:
+            self._handover.record_silence(runner, limit_s)
+            self._handover.record_left(runner)
+        else:
+            self._handover.record_ended(runner)
 
     def _was_leaving_at_arrival(self, runner: Runner) -> bool:
         """Return whether a runner was known to be leaving when the request arrived."""
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -24,7 +24,7 @@
     FREE_TIMEOUT_S,
     HURRY_AFTER_S,
     RENEW_SHARE,
-    stop_wait_s,
+    place_wait_s,
 )
 from egretstack.relay._waiting import wait_for_answer
 from egretstack.traffic import MoveAnswer, MoveOutcome
@@ -301,7 +301,7 @@
         except ConnectFailed as error:
             log(Event.CONNECT_FAILED, request=self._attempt, error=str(error))
             return MoveAnswer(MoveOutcome.NOT_SENT, "", 0)
-        timeout_s = stop_wait_s(self._task.route) if stop else COPY_TIMEOUT_S
+        timeout_s = place_wait_s() if stop else COPY_TIMEOUT_S
         has_ended = partial(self._context.runners.is_gone, source.id)
         call = partial(exchange, connection, head, body, MAX_RESPONSE_BYTES)
         try:
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -27,6 +27,8 @@
     crashes_runners,
     instance_leaves,
 )
+from egretstack.relay._handover import Handover
+from egretstack.relay._patience import ASK_AGAIN_S
 from egretstack.relay._send_limits import SendLimits
 from egretstack.relay._timing import StreamTiming
 from egretstack.relay._waiting import wait_for_answer
@@ -49,12 +51,18 @@
     """Opens one request's stream on an engine; `run` and `source` are set once it is connected."""
 
     def __init__(
-        self, context: RelayContext, task: RelayTask, timing: StreamTiming, limits: SendLimits
+        self,
+        context: RelayContext,
+        task: RelayTask,
+        timing: StreamTiming,
+        limits: SendLimits,
+        handover: Handover,
     ) -> None:
         self._context = context
         self._task = task
         self._timing = timing
         self._limits = limits
+        self._handover = handover
         self._execution = ExecutionStatus()
         self._excluded: tuple[RunnerId, ...] = ()
         """Runners that the request is not placed on any more."""
@@ -93,15 +101,13 @@
         while True:
             late, self._late = self._late, None
             try:
-                await self.connect()
-            except RequestFailed:
-                if late is None:
-                    raise
-                return await self._return_to(late)
+                if not await self._connect_beside(late):
+                    return await self._return_to(late)
             finally:
                 if late is not None and late.connection is not self.source:
                     # A previous runner must not keep running beside the next one.
                     late.connection.close()
+                    self._handover.record_left(late.run.runner)
             head, failure = await self._try_send()
             if head is not None and self._is_rejected(head):
                 rejections += 1
@@ -123,6 +129,19 @@
             else:
                 await self._leave_failed_send()
 
+    async def _connect_beside(self, late: _LateSend | None) -> bool:
+        """Connect to an engine; return whether a late runner lets it have the request.
+
+        Raises RequestFailed if there is neither.
+        """
+        try:
+            await self.connect()
+        except RequestFailed:
+            if late is None:
+                raise
+            return False
+        return late is None or await self._handover.is_allowed()
+
     async def _try_send(self) -> tuple[ResponseHead | None, RequestFailed | None]:
         try:
             return await self.send(self._task.last_event_id), None
@@ -144,15 +163,19 @@
         self._execution.mark_unknown()
         self._excluded = (*self._excluded, self.run.runner)
         if self.source is not None:
-            self.source.close()
+            self._close_source()
             self.source = None
 
+    def _close_source(self) -> None:
+        self.source.close()
+        self._handover.record_left(self.run.runner)
+
     def _leave_engine(self) -> None:
         self._excluded = (*self._excluded, self.run.runner)
         self.close()
 
     async def _return_to(self, late: "_LateSend") -> ResponseHead:
-        """Wait for the answer of a late runner, as no other one has room. Raises RequestFailed."""
+        """Wait for the answer of a late runner, which keeps the request. Raises RequestFailed."""
         self.restore(late.run)
         self.source = late.connection
         return await self._read_answer(late.connection.read_head, self._task.time_left_s())
@@ -195,7 +218,7 @@
         if self._late is not None:
             self._late.connection.close()
         if self.source is not None:
-            self.source.close()
+            self._close_source()
         self.run = self.source = self._late = None
 
     @property
@@ -321,6 +344,7 @@
         self._limits.record_send()
         self._probed = None
         self.sent_s = trio.current_time()
+        self._handover.record_sent(self.run.runner)
         timeout_s = self._limits.first_event_timeout_s(self.sent_s, self._timing.waiting_since_s)
         self.first_event_until_s = self.sent_s + timeout_s
         call = partial(
@@ -340,8 +364,11 @@
         self._is_late = False
         try:
             head = await wait_for_answer(read, timeout_s)
+            if head is None and self.source.has_sent:
+                head = await self._read_late_answer()
         except UpstreamBroken as error:
             self._context.record_engine_result(self.run.runner, broke=True)
+            self._handover.record_ended(self.run.runner)
             self._record_broken()
             raise invalid_answer(self._task, self.run, str(error)) from error
         if head is None:
@@ -350,8 +377,26 @@
                 self._record_broken()
             raise RequestFailed(ErrorKind.OUT_OF_TIME, "no answer in time")
         self._context.on_answer(self._task, self.run.runner, runner_answer(head), self.sent_s)
+        if self._is_rejected(head):
+            self._handover.record_ended(self.run.runner)
+        else:
+            self._handover.record_sign(self.run.runner)
         return head
 
+    async def _read_late_answer(self) -> ResponseHead | None:
+        """Read the head of an answer that is late, until its runner lets go of the request.
+
+        Raises UpstreamBroken.
+        """
+        read = self.source.read_head
+        while self._may_repeat():
+            if await self._handover.is_allowed():
+                return None
+            head = await wait_for_answer(read, ASK_AGAIN_S)
+            if head is not None:
+                return head
+        return await wait_for_answer(read, max(0.0, self._task.time_left_s()))
+
     def _record_broken(self) -> None:
         self._probed = self._context.crash_guard.record_broken_run(
             self._attempt,
--- a/egretstack/relay/_patience.py
+++ b/egretstack/relay/_patience.py
@@ -24,6 +24,8 @@
 its runner stays open. Readers wait for at least two seconds."""
 ASK_AGAIN_S = 0.5
 """Pause before a place is asked again; the run stays where it is meanwhile."""
+GO_ON_S = 0.15
+"""Time in which a silent runner that answers again goes on with its streams."""
 OVERLAP_S = 0.3
 """Time for which a request to continue a run may be unanswered while its previous runner may still
 work on it. Two runners may do so for 0.4 s at most; answers take some 0.03 s, 0.1 s at most."""
@@ -67,14 +69,6 @@
     return max(READER_MIN_PATIENCE_S, by_target_s, by_gap_s)
 
 
-def stop_wait_s(route: Route) -> float:
-    """Return how long a stream waits for the last part of its copy, if it has an earlier copy.
-
-    Its previous runner was told to stop, so the earlier copy may be used beside it.
-    """
-    return min(place_wait_s(), CONTINUE_WAIT_SHARE * reader_patience_s(route))
-
-
 def place_wait_s() -> float:
     """Return how long one place of a stopped run may take to answer before another is asked."""
     return LONGEST_SILENCE_S + ANSWER_MARGIN_S
--- a/egretstack/relay/_resuming.py
+++ b/egretstack/relay/_resuming.py
@@ -16,6 +16,7 @@
 from egretstack.relay._cursor import EventCursor
 from egretstack.relay._engine_calls import is_valid_answer
 from egretstack.relay._execution_status import RequestFailed
+from egretstack.relay._handover import Handover
 from egretstack.relay._opening import EngineOpening
 from egretstack.relay._patience import place_wait_s
 from egretstack.relay._send_limits import SendLimits
@@ -58,6 +59,7 @@
         limits: SendLimits,
         timing: StreamTiming,
         cursor: EventCursor,
+        handover: Handover,
     ) -> None:
         self._context = context
         self._task = task
@@ -65,6 +67,7 @@
         self._limits = limits
         self._timing = timing
         self._cursor = cursor
+        self._handover = handover
 
     def may_resume(self) -> bool:
         """Return whether the stream may be sent to one more runner now."""
@@ -102,6 +105,9 @@
             except RequestFailed as error:
                 self._log(Event.STREAM_NOT_RESUMED, source, began_s, error.detail)
                 return False
+            if not await self._handover.until_allowed(self._patience_left_s()):
+                self._log(Event.STREAM_NOT_RESUMED, source, began_s, "a runner may be at work")
+                return False
             use = await self._send()
             if use is AnswerUse.CONTINUES:
                 self._cursor.begin_run()
@@ -111,6 +117,9 @@
         self._log(Event.STREAM_NOT_RESUMED, source, began_s, use.value)
         return False
 
+    def _patience_left_s(self) -> float:
+        return self._limits.patience_left_s(trio.current_time(), self._timing.waiting_since_s)
+
     async def _send(self) -> AnswerUse:
         try:
             head = await self._opening.send(self._cursor.last_id)
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -32,13 +32,14 @@
 from egretstack.relay._cursor import EventCursor, EventGap
 from egretstack.relay._engine_calls import ContinueOutcome
 from egretstack.relay._events import EventSplitter, EventTooLarge, StreamEvent
+from egretstack.relay._handover import Handover
 from egretstack.relay._mover import Mover, SavedCopy
 from egretstack.relay._opening import EngineOpening, invalid_answer
 from egretstack.relay._patience import (
     ASK_AGAIN_S,
+    GO_ON_S,
     SWITCH_DELAY_S,
     UNRESPONSIVE_S,
-    place_wait_s,
 )
 from egretstack.relay._plain import MAX_RESPONSE_BYTES, BufferedResponse, implies_not_run
 from egretstack.relay._resuming import StreamResumer
@@ -94,11 +95,12 @@
         self._copy: SavedCopy | None = None
         """Copy from which the run can continue if its runner leaves or dies."""
         limits = SendLimits(task.route, task.service.name, task.deadline_s, context.budget)
-        self._opening = EngineOpening(context, task, self._timing, limits)
+        self._handover = Handover(context, task.request.attempt_id)
+        self._opening = EngineOpening(context, task, self._timing, limits, self._handover)
         self._resumer = StreamResumer(
-            context, task, self._opening, limits, self._timing, self._cursor
+            context, task, self._opening, limits, self._timing, self._cursor, self._handover
         )
-        self._continuation = CopyContinuation(context, task)
+        self._continuation = CopyContinuation(context, task, self._handover)
         self._resumed_tokens = self._opening.resumed_tokens()
         self._awaits_first_event = True
         """Whether the current runner, to which a new run was sent, has sent nothing yet."""
@@ -222,6 +224,9 @@
                     await self._free_copy(self._mover)
                 return
             await self._report_break(end)
+            if end is not _ReadEnd.BROKEN and not await self._may_hand_over(end):
+                self._ask_again_s = trio.current_time() + ASK_AGAIN_S
+                continue
             log(
                 Event.STREAM_HALTED,
                 request=self._attempt,
@@ -254,13 +259,25 @@
         self._has_reported_silence = end is _ReadEnd.SILENT
         await self._record_broken(self._run.runner).wait()
 
+    async def _may_hand_over(self, end: _ReadEnd) -> bool:
+        """Return whether the run may leave its runner, which stays silent if it was."""
+        if end is _ReadEnd.LEAVING:
+            return await self._handover.is_allowed()
+        is_allowed = False
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_once_source_speaks, nursery.cancel_scope)
+            if await self._handover.is_allowed():
+                await trio.sleep(GO_ON_S)
+                is_allowed = True
+            nursery.cancel_scope.cancel()
+        return is_allowed
+
     async def _find_source(self, end: _ReadEnd) -> bool:
         """Return whether the stream goes on: from its copy, with a new run, or where it is."""
-        is_open = end is not _ReadEnd.BROKEN
-        if not is_open:
+        if end is _ReadEnd.BROKEN:
             self._source.close()
-        if not is_open or (self._mover is not None and self._mover.is_stopping):
-            return await self._find_place(is_open=is_open) or is_open
+            self._handover.record_ended(self._run.runner)
+            return await self._find_place()
         found = await self._ask_copy()
         if not found and end is _ReadEnd.SILENT:
             found = await self._resume_beside_source()
@@ -299,8 +316,10 @@
                     continue
             elif data is None:
                 return _ReadEnd.WHOLE if await self._is_whole() else _ReadEnd.BROKEN
-            elif not await self._forward(data):
-                return _ReadEnd.BROKEN
+            else:
+                self._handover.record_sign(self._run.runner)
+                if not await self._forward(data):
+                    return _ReadEnd.BROKEN
             was_paused = False
             if self._may_switch():
                 return _ReadEnd.SILENT
@@ -374,7 +393,9 @@
             if leaving or self._is_long():
                 self._start_mover()
             return False
-        return leaving and now_s - self._leaving_since_s >= SWITCH_DELAY_S
+        if not leaving or now_s < self._ask_again_s:
+            return False
+        return now_s - self._leaving_since_s >= SWITCH_DELAY_S
 
     def _is_refused(self) -> bool:
         return self._context.crash_guard.is_refused(self._task.fingerprint)
@@ -441,23 +462,14 @@
         if result in (ContinueOutcome.NOT_SENT, ContinueOutcome.UNANSWERED):
             self._copy = replace(copy, is_doubtful=True, is_reserved=False)
         else:
-            self._copy = None
+            self._copy = places_of(copy)[1] if copy.kept_at is not None else None
         return False
 
-    async def _find_place(self, *, is_open: bool) -> bool:
-        """Continue the run, which is at work nowhere, from its copy or with a new run.
-
-        `is_open`: its runner, which was told to stop, has not closed the connection yet.
-        """
+    async def _find_place(self) -> bool:
+        """Continue the run, which is at work nowhere, from its copy or with a new run."""
         places = places_of(self._copy) if self._may_continue() else deque()
         self._copy = None
-        limit_s = self._resumer.copy_wait_s()
-        if is_open:
-            if await self._ask_places(places, min(limit_s, place_wait_s())):
-                return True
-            self._copy = replace(places[0], is_doubtful=True) if places else None
-            return await self._resume_beside_source()
-        if await self._ask_places(places, limit_s):
+        if await self._ask_places(places, self._resumer.copy_wait_s()):
             return True
         return await self._resume() or await self._ask_places(places, inf)
 
@@ -474,15 +486,17 @@
         return continued is not None
 
     def _continue(self, continued: ContinuedRun) -> None:
-        # The previous runner must not keep running beside the new one.
-        self._source.close()
+        self._leave_source(continued.left)
         self._follow(continued.connection, continued.sent_s)
 
+    def _leave_source(self, runner: RunnerId) -> None:
+        self._source.close()
+        self._handover.record_left(runner)
+
     async def _resume(self) -> bool:
         """Continue with a new run at another runner, after the last event that the client has."""
         if not self._resumer.may_resume():
             return False
-        self._source.close()
         self._drop_mover()
         try:
             resumed = await self._resumer.resume()
@@ -506,7 +520,7 @@
         finally:
             self._run, self._sent_s = self._opening.run, self._opening.sent_s
         if resumed:
-            self._source.close()
+            self._leave_source(run.runner)
             self._follow_new_run()
         else:
             self._opening.restore(run)
