--- a/egretstack/relay/_active_runners.py
+++ b/egretstack/relay/_active_runners.py
@@ -28,8 +28,13 @@
 
     def lets_go(self) -> bool:
         """Return whether it ends its work as its connection is closed, or can't be waited for."""
-        is_responsive = self.has_signed and self.silent_s <= RESPONSIVE_S and not self.is_left
-        return is_responsive or self.is_unreachable or self.silent_s > place_wait_s()
+        is_noticed = self.is_responsive and not self.is_left
+        return is_noticed or self.is_unreachable or self.silent_s > place_wait_s()
+
+    @property
+    def is_responsive(self) -> bool:
+        """Whether it has sent something a moment ago."""
+        return self.has_signed and self.silent_s <= RESPONSIVE_S
 
 
 class ActiveRunners:
@@ -86,6 +91,11 @@
         self._advance(now_s)
         return [runner for runner, active in self._by_id.items() if not active.lets_go()]
 
+    def is_responsive(self, now_s: float, runner: RunnerId) -> bool:
+        """Return whether a runner has sent something a moment ago."""
+        self._advance(now_s)
+        return runner in self._by_id and self._by_id[runner].is_responsive
+
     def _advance(self, now_s: float) -> None:
         step_s = min(MAX_STEP_S, max(0.0, now_s - self._looked_s))
         self._looked_s = max(self._looked_s, now_s)
--- a/egretstack/relay/_handover.py
+++ b/egretstack/relay/_handover.py
@@ -43,6 +43,10 @@
         """Record that a runner certainly does not work on the run, or not any more."""
         self._active.record_ended(runner)
 
+    def is_responsive(self, runner: RunnerId) -> bool:
+        """Return whether a runner has sent something a moment ago."""
+        return self._active.is_responsive(trio.current_time(), runner)
+
     async def is_allowed(self) -> bool:
         """Return whether another runner may get the run now: nobody would work on it beside it."""
         for runner in self._doubtful():
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -19,6 +19,7 @@
 from egretstack.placing import Run, SendOrigin, copy_time_s
 from egretstack.platform import BadBody, free_copy_request, move_answer, move_request
 from egretstack.relay._context import CONNECT_TIMEOUT_S, RelayContext, RelayTask
+from egretstack.relay._handover import Handover
 from egretstack.relay._patience import (
     COPY_TIMEOUT_S,
     FREE_TIMEOUT_S,
@@ -72,11 +73,20 @@
         task: RelayTask,
         run: Run,
         on_saved: Callable[[SavedCopy], None],
+        handover: Handover,
+        copy: SavedCopy | None = None,
     ) -> None:
+        """`copy`: a copy of the run, at whose engine it is made complete."""
         self._context = context
         self._task = task
         self._run = run
         self._on_saved = on_saved
+        self._handover = handover
+        self._next_destination = None if copy is None else copy.runner
+        """The engine to which the run is copied next; None to ask for one."""
+        self._must_stop = False
+        self.is_refused = False
+        """Whether the engine of that copy has no room to make it complete."""
         self._copy_holder: Runner | None = None
         self._handle = ""
         self._stopping = False
@@ -88,6 +98,8 @@
         """The latest engines that had no capacity for the copy."""
         self.found_no_run = False
         """Whether the run had ended before it could be stopped."""
+        self.has_stopped = False
+        """Whether the runner has answered that the run stopped."""
         self._stop_ended = trio.Event()
         """Set once the latest order to stop was answered, or is no longer waited for."""
         self.scope = trio.CancelScope()
@@ -97,6 +109,10 @@
         """Whether the run was told to stop for the last part of its copy, and may have stopped."""
         return self._stopping
 
+    def stop_run(self) -> None:
+        """Stop the run once its copy is complete, also if its runner does not leave."""
+        self._must_stop = True
+
     async def wait_if_stopping(self) -> None:
         """Wait for the last part of the copy, if it is being transferred."""
         if self._stopping:
@@ -139,8 +155,10 @@
     async def _keep_copied(self, source: Runner) -> bool:
         """Copy and renew until the run has stopped here; return False if the copy was lost."""
         engine = self._task.service.engine
-        destination = await self._acquire_permit()
+        has_copy = self._next_destination is not None
+        destination = await self._choose_destination()
         if not await self._copy(source, destination):
+            self.is_refused = self.is_refused or has_copy
             self._release_permit(source)
             return False
         while not self._is_leaving(source):
@@ -182,6 +200,13 @@
         since_s = self._leaving_since_s
         return since_s is not None and trio.current_time() - since_s > HURRY_AFTER_S
 
+    async def _choose_destination(self) -> Runner:
+        """Return the engine that has a copy already, once; it needs no permit, or wait for one."""
+        known, self._next_destination = self._next_destination, None
+        if known is not None and self._context.runners.is_ready(known):
+            return self._context.runners.by_id[known]
+        return await self._acquire_permit()
+
     async def _acquire_permit(self) -> Runner:
         while True:
             refused = {*self._refused, *self._context.backoffs.in_backoff(trio.current_time())}
@@ -204,7 +229,7 @@
         return True
 
     def _is_leaving(self, source: Runner) -> bool:
-        leaving = not self._context.runners.is_ready(source.id)
+        leaving = self._must_stop or not self._context.runners.is_ready(source.id)
         if leaving and self._leaving_since_s is None:
             stopped_s = self._context.runners.stopped_since_s(source.id)
             self._leaving_since_s = trio.current_time() if stopped_s is None else stopped_s
@@ -255,6 +280,9 @@
         answer = await self._order_move(source, destination, stop=True)
         self._log_move(source, destination, answer, started_s, stop=True)
         self.found_no_run = answer.outcome is MoveOutcome.NO_SUCH_RUN
+        self.has_stopped = bool(answer.handle)
+        if self.has_stopped or self.found_no_run:
+            self._handover.record_ended(source.id)
         if answer.outcome is MoveOutcome.COPIED and answer.handle:
             self._keep(source, destination, answer.handle, is_stopped=True)
         elif answer.handle:
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -94,6 +94,8 @@
         self._timing = StreamTiming(task.received_s)
         self._copy: SavedCopy | None = None
         """Copy from which the run can continue if its runner leaves or dies."""
+        self._backup: SavedCopy | None = None
+        """Copy that the runner keeps up to date at its backup engine, beside a later one."""
         limits = SendLimits(task.route, task.service.name, task.deadline_s, context.budget)
         self._handover = Handover(context, task.request.attempt_id)
         self._opening = EngineOpening(context, task, self._timing, limits, self._handover)
@@ -188,8 +190,8 @@
         backup = self._context.runners.by_id.get(self._run.backup) if self._run.backup else None
         self._copy = None
         if backup is not None:
-            attempt = self._task.request.attempt_id
-            self._copy = SavedCopy(backup.id, backup.address, attempt)
+            self._copy = SavedCopy(backup.id, backup.address, self._attempt)
+        self._backup = self._copy
 
     def _end(self) -> None:
         """Record that the runner finished the request."""
@@ -274,10 +276,12 @@
 
     async def _find_source(self, end: _ReadEnd) -> bool:
         """Return whether the stream goes on: from its copy, with a new run, or where it is."""
-        if end is _ReadEnd.BROKEN:
+        if end is _ReadEnd.BROKEN or (self._mover is not None and self._mover.has_stopped):
             self._source.close()
             self._handover.record_ended(self._run.runner)
             return await self._find_place()
+        if self._stop_for_copy():
+            return True
         found = await self._ask_copy()
         if not found and end is _ReadEnd.SILENT:
             found = await self._resume_beside_source()
@@ -395,7 +399,23 @@
             return False
         if not leaving or now_s < self._ask_again_s:
             return False
-        return now_s - self._leaving_since_s >= SWITCH_DELAY_S
+        if now_s - self._leaving_since_s < SWITCH_DELAY_S:
+            return False
+        return not self._stop_for_copy()
+
+    def _stop_for_copy(self) -> bool:
+        """Have a runner that answers stop the run, to go on at its copy; False if it can't."""
+        if not self._can_move() or not self._may_continue():
+            return False
+        if not self._handover.is_responsive(self._run.runner):
+            return False
+        if self._mover is None:
+            self._start_mover(self._copy)
+        self._mover.stop_run()
+        return not self._mover.is_refused
+
+    def _can_move(self) -> bool:
+        return self._task.service.engine.moves and self._may_move
 
     def _is_refused(self) -> bool:
         return self._context.crash_guard.is_refused(self._task.fingerprint)
@@ -424,10 +444,12 @@
         new_tokens = self._timing.events * self._task.service.engine.tokens_per_event
         self._run.generated_tokens = self._resumed_tokens + new_tokens
 
-    def _start_mover(self) -> None:
-        if not self._task.service.engine.moves or not self._may_move:
+    def _start_mover(self, copy: SavedCopy | None = None) -> None:
+        if not self._can_move():
             return
-        self._mover = Mover(self._context, self._task, self._run, self._set_copy)
+        self._mover = Mover(
+            self._context, self._task, self._run, self._set_copy, self._handover, copy
+        )
         self._nursery.start_soon(self._move, self._mover)
 
     async def _move(self, mover: Mover) -> None:
@@ -462,13 +484,15 @@
         if result in (ContinueOutcome.NOT_SENT, ContinueOutcome.UNANSWERED):
             self._copy = replace(copy, is_doubtful=True, is_reserved=False)
         else:
-            self._copy = places_of(copy)[1] if copy.kept_at is not None else None
+            self._copy = self._backup = None
         return False
 
     async def _find_place(self) -> bool:
         """Continue the run, which is at work nowhere, from its copy or with a new run."""
         places = places_of(self._copy) if self._may_continue() else deque()
-        self._copy = None
+        if places and self._backup is not None and self._backup.copy_id != places[0].copy_id:
+            places.append(self._backup)
+        self._copy = self._backup = None
         if await self._ask_places(places, self._resumer.copy_wait_s()):
             return True
         return await self._resume() or await self._ask_places(places, inf)
