--- a/egretstack/relay/_continuing.py
+++ b/egretstack/relay/_continuing.py
@@ -1,6 +1,7 @@
 """Continues a run on an engine that has a copy of its KV cache."""
 
 from collections import deque
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
 import trio
@@ -104,7 +105,9 @@
                 break
             left_s = until_s - trio.current_time()
             wait_s = min(left_s, place_wait_s()) if places else left_s
-            result = await self._continue_run(run, place, runner, last_event_id, max(0.0, wait_s))
+            result = await self._continue_run(
+                run, place, runner, last_event_id, max(0.0, wait_s), self._handover.is_allowed
+            )
             if isinstance(result, ContinuedRun):
                 return result
             if result in _MAY_BE_ASKED_AGAIN and self._has_patience(since_s):
@@ -127,7 +130,13 @@
         return runner if await self._wait_to_continue_on(runner, copy) else None
 
     async def _continue_run(
-        self, run: Run, copy: SavedCopy, runner: Runner, last_event_id: str, limit_s: float
+        self,
+        run: Run,
+        copy: SavedCopy,
+        runner: Runner,
+        last_event_id: str,
+        limit_s: float,
+        may_leave: Callable[[], Awaitable[bool]] | None = None,
     ) -> ContinuedRun | ContinueOutcome:
         """Continue a run from its copy; unless that succeeds, the run is recorded where it was."""
         origin = ContinueFrom(copy.origin_address, copy.copy_id, last_event_id)
@@ -146,6 +155,7 @@
             origin,
             is_reserved=copy.is_reserved,
             limit_s=limit_s,
+            may_leave=may_leave,
         )
         self._record(runner.id, result.outcome, limit_s)
         log(
--- a/egretstack/relay/_engine_calls.py
+++ b/egretstack/relay/_engine_calls.py
@@ -1,5 +1,6 @@
 """Sends a streaming request to an engine, to start a run or to continue one from a copy."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 from functools import partial
@@ -17,6 +18,7 @@
 from egretstack.placing import Run, SendOrigin
 from egretstack.platform import runner_answer, runner_request
 from egretstack.relay._context import CONNECT_TIMEOUT_S, RelayContext, RelayTask
+from egretstack.relay._patience import ASK_AGAIN_S
 from egretstack.relay._plain import implies_not_run
 from egretstack.relay._waiting import wait_for_answer
 from egretstack.traffic import ContinueFrom, RunnerAnswer
@@ -81,10 +83,12 @@
     *,
     is_reserved: bool,
     limit_s: float,
+    may_leave: Callable[[], Awaitable[bool]] | None = None,
 ) -> ContinueResult:
     """Ask an engine that has a run's copy to continue it, and wait up to a limit for its answer.
 
-    `is_reserved`: the engine's send bounds have counted this request already.
+    `is_reserved`: the engine's send bounds have counted this request already. `may_leave`: returns
+    whether the engine may be left after the limit; None if it may in any case.
     """
     try:
         connection = await context.dialer.connect(runner.address, CONNECT_TIMEOUT_S)
@@ -98,7 +102,7 @@
         context.send_bounds.record_sent(trio.current_time(), runner.id, SendOrigin.CONTINUED)
     outcome = ContinueOutcome.UNANSWERED
     try:
-        outcome = await _ask(context, task, run, connection, origin, limit_s)
+        outcome = await _ask(context, task, run, connection, origin, limit_s, may_leave)
     finally:
         if outcome is not ContinueOutcome.CONTINUED:
             connection.close()
@@ -120,12 +124,17 @@
     connection: UpstreamConnection,
     origin: ContinueFrom,
     limit_s: float,
+    may_leave: Callable[[], Awaitable[bool]] | None,
 ) -> ContinueOutcome:
     sent_s = trio.current_time()
     send = partial(send_to_engine, context, task, run, connection, origin)
     has_ended = partial(context.runners.is_gone, run.runner)
     try:
         head = await wait_for_answer(send, limit_s, has_ended)
+        while head is None and may_leave is not None and connection.has_sent:
+            if has_ended() or await may_leave():
+                break
+            head = await wait_for_answer(connection.read_head, ASK_AGAIN_S, has_ended)
     except UpstreamBroken as error:
         log(Event.UPSTREAM_BROKEN, request=task.request.attempt_id, error=str(error))
         _record_broken(context, task, run, sent_s)
--- a/tests/test_paused_runners.py
+++ b/tests/test_paused_runners.py
@@ -134,6 +134,24 @@
         check.assertEqual(runs(site), 1)
 
 
+@on_real_clock
+async def test_an_impatient_readers_run_stays_at_its_paused_destination():
+    # Guards against a destination that is left before it has read the request, which uses up the
+    # copy as it goes on.
+    async with resumable_site(engines=2, **{"target-latency-ms": 300}) as site:
+
+        async def disturb(source):
+            for engine in site.engines:
+                engine.stores_copies = True
+            site.register(source.runner_id, "llm", source.address, DRAINING)
+            await site.until(lambda: any(stop for _, stop in source.moves))
+            await pause(others(site, source), 1.6)
+
+        check_whole(await read_past(site, "s-1", 2, disturb), EVENTS)
+        check_one_at_work(site)
+        check.assertEqual(runs(site), 1)
+
+
 @on_real_clock
 async def test_a_paused_runner_that_misses_its_reports_keeps_its_run():
     # Guards against a paused runner that is taken for one that leaves.
