--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -74,19 +74,15 @@
         run: Run,
         on_saved: Callable[[SavedCopy], None],
         handover: Handover,
-        copy: SavedCopy | None = None,
     ) -> None:
-        """`copy`: a copy of the run, at whose engine it is made complete."""
         self._context = context
         self._task = task
         self._run = run
         self._on_saved = on_saved
         self._handover = handover
-        self._next_destination = None if copy is None else copy.runner
-        """The engine to which the run is copied next; None to ask for one."""
         self._must_stop = False
         self.is_refused = False
-        """Whether the engine of that copy has no room to make it complete."""
+        """Whether an engine had no room for the copy."""
         self._copy_holder: Runner | None = None
         self._handle = ""
         self._stopping = False
@@ -155,10 +151,8 @@
     async def _keep_copied(self, source: Runner) -> bool:
         """Copy and renew until the run has stopped here; return False if the copy was lost."""
         engine = self._task.service.engine
-        has_copy = self._next_destination is not None
-        destination = await self._choose_destination()
+        destination = await self._acquire_permit()
         if not await self._copy(source, destination):
-            self.is_refused = self.is_refused or has_copy
             self._release_permit(source)
             return False
         while not self._is_leaving(source):
@@ -200,13 +194,6 @@
         since_s = self._leaving_since_s
         return since_s is not None and trio.current_time() - since_s > HURRY_AFTER_S
 
-    async def _choose_destination(self) -> Runner:
-        """Return the engine that has a copy already, once; it needs no permit, or wait for one."""
-        known, self._next_destination = self._next_destination, None
-        if known is not None and self._context.runners.is_ready(known):
-            return self._context.runners.by_id[known]
-        return await self._acquire_permit()
-
     async def _acquire_permit(self) -> Runner:
         while True:
             refused = {*self._refused, *self._context.backoffs.in_backoff(trio.current_time())}
@@ -250,6 +237,7 @@
             self._handle, self._run.backup = "", None
             self._copied_tokens = 0
             if answer.outcome is MoveOutcome.NO_CAPACITY:
+                self.is_refused = True
                 self._refused.append(destination.id)
             return False
         near = source.zone == destination.zone
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -404,13 +404,13 @@
         return not self._stop_for_copy()
 
     def _stop_for_copy(self) -> bool:
-        """Have a runner that answers stop the run, to go on at its copy; False if it can't."""
+        """Have a runner that answers stop the run, to go on at a copy; False if it can't."""
         if not self._can_move() or not self._may_continue():
             return False
         if not self._handover.is_responsive(self._run.runner):
             return False
         if self._mover is None:
-            self._start_mover(self._copy)
+            self._start_mover()
         self._mover.stop_run()
         return not self._mover.is_refused
 
@@ -444,12 +444,10 @@
         new_tokens = self._timing.events * self._task.service.engine.tokens_per_event
         self._run.generated_tokens = self._resumed_tokens + new_tokens
 
-    def _start_mover(self, copy: SavedCopy | None = None) -> None:
+    def _start_mover(self) -> None:
         if not self._can_move():
             return
-        self._mover = Mover(
-            self._context, self._task, self._run, self._set_copy, self._handover, copy
-        )
+        self._mover = Mover(self._context, self._task, self._run, self._set_copy, self._handover)
         self._nursery.start_soon(self._move, self._mover)
 
     async def _move(self, mover: Mover) -> None:
