--- a/egretstack/http1/_addresses.py
+++ b/egretstack/http1/_addresses.py
@@ -4,7 +4,7 @@
 from functools import lru_cache
 
 _MAX_PORT = 65_535
-_MAX_PORT_DIGITS = 6
+_MAX_PORT_DIGITS = 5
 _MAX_LENGTH = len("255.255.255.255:65535")
 _CACHED_ADDRESSES = 1_024
 """Each report and each update names the same addresses again."""
@@ -24,4 +24,6 @@
         return False
     if address.is_unspecified or address.is_multicast or address.is_reserved:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port[:_MAX_PORT_DIGITS]) <= _MAX_PORT
+    if len(port) > _MAX_PORT_DIGITS or not port.isascii() or not port.isdigit():
+        return False
+    return 0 < int(port) <= _MAX_PORT
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -30,11 +30,31 @@
 
 load_tests = tests_of(globals())
 
+ODD_PORTS = (
+    "0",
+    "65536",
+    "99999999",
+    "00080999999",
+    "-1",
+    " 80",
+    "+80",
+    "8_0",
+    "\u0668\u0660",
+)
+"""Ports to which no connection can be opened, or that are written as no port is."""
 HALF = "bazaar \ud83d"
 """A text that was cut within a character outside of the basic plane."""
 ROW = ["i-desk-9", None, "desk", "127.0.0.9:80", "leon-a", 6, RunnerState.READY.value, 0, 0]
 
 
+def count_errors(site):
+    """Return a list to which the kind of each unforeseen error is added."""
+    errors = []
+    for kernel in site.kernels:
+        kernel.unforeseen.on_error(errors.append)
+    return errors
+
+
 async def check_news_spread(site):
     """Check that all entries still hear of runners, and serve calls."""
     site.register("i-last", "desk", "127.9.2.8:8080", state="draining")
@@ -144,6 +164,42 @@
             runner_from_row([name, *ROW[1:]])
 
 
+@on_real_clock
+async def test_a_runner_entry_whose_port_cannot_be_used_fails_no_call():
+    # Guards against a port of too many digits, to which connecting raises an error of another kind.
+    async with platform_site(entries=2, plain=1) as site:
+        errors = count_errors(site)
+        for number, port in enumerate(ODD_PORTS):
+            site.register(f"i-odd-{number}", "desk", f"127.9.2.9:{port}")
+        site.register("i-last", "desk", "127.9.2.8:8080", state="draining")
+        for kernel in site.kernels:
+            table = kernel.get(FleetPort).runners
+            await site.until(lambda table=table: any("i-last" in one for one in table.by_id))
+            check.assertNotIn("i-odd", "".join(table.by_id))
+        for number in range(20):
+            head, _ = await site.call("/notes/1", f"a-{number}", entry=number % 2)
+            check.assertEqual(head.status, 200)
+        check.assertEqual(errors, [])
+
+
+@on_real_clock
+async def test_an_instance_entry_whose_port_cannot_be_used_keeps_the_home_reading():
+    # Guards against a listed instance to which the home's report cannot be sent: the reading of the
+    # list failed each time, which ended the process in the end.
+    async with platform_site(entries=1) as site:
+        errors = count_errors(site)
+        for number, port in enumerate(ODD_PORTS):
+            spec = {"zone": "z", "front": "127.9.1.1:80", "peer": f"127.9.1.1:{port}"}
+            site.store.put("egret-instances", f"i-odd-{number}", spec)
+        spec = {"zone": "z", "front": "127.9.1.1:80", "peer": "127.9.1.1:81"}
+        site.store.put("egret-instances", "i-last", spec)
+        fleet = site.kernels[0].get(FleetPort).fleet
+        await site.until(lambda: any(one.id == "i-last" for one in fleet.known_instances()))
+        await trio.sleep(0.3)
+        check.assertEqual(errors, [])
+        check.assertNotIn("i-odd", "".join(one.id for one in fleet.known_instances()))
+
+
 @on_real_clock
 async def test_a_report_with_an_address_that_cannot_be_used_ends_no_instance():
     # Guards against a datagram after which the instance's own reports fail, and with them all.
