--- a/egretstack/http1/_exchange.py
+++ b/egretstack/http1/_exchange.py
@@ -12,6 +12,7 @@
 """Size of the blocks in which a body is kept while it is read."""
 _KEEP_ALIVE = b"keep-alive"
 _TIMEOUT = b"timeout="
+_MAX_TIMEOUT_DIGITS = 9
 _IDLE_MARGIN_S = 0.5
 """Subtracted from an upstream's own limit: a request sent just before it closes would be reset."""
 
@@ -100,6 +101,6 @@
         return None
     for part in keep_alive.split(b","):
         name, found, seconds = part.strip().partition(_TIMEOUT)
-        if found and not name and seconds.isdigit():
+        if found and not name and seconds.isdigit() and len(seconds) <= _MAX_TIMEOUT_DIGITS:
             return max(0.0, int(seconds) - _IDLE_MARGIN_S)
     return None
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -43,3 +43,15 @@
         with check.assertRaises(BadBody, msg=handle):
             move_answer(200, body)
     check.assertEqual(move_answer(200, b'{"handle": "c-7.x_9~"}').handle, "c-7.x_9~")
+
+
+@on_real_clock
+async def test_a_keep_alive_time_of_many_digits_loses_no_answer():
+    # Guards against a time that is no float, or no integer to Python, after a complete answer.
+    async with platform_site(plain=1) as site:
+        for digits in (12, 400, 5_000):
+            header = (b"keep-alive", b"max=5, timeout=" + b"9" * digits)
+            site.plain[0].signal_headers = lambda header=header: (header,)
+            for path in ("/notes/1", "/holds/1"):
+                head, _ = await site.call(path, f"a-{digits}-{path[1]}", method=b"POST")
+                check.assertEqual(head.status, 200)
