--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -385,7 +385,7 @@
     HOME_ROW_UNSENDABLE = (
         503,
         Level.ERROR,
-        "The home cannot send a row, which holds what cannot be encoded; the other rows are sent.",
+        "The home cannot send a row, which the others could not read; the other rows are sent.",
     )
     HOME_ROWS_INVALID = (
         504,
--- a/egretstack/fleet/_versioned_rows.py
+++ b/egretstack/fleet/_versioned_rows.py
@@ -11,7 +11,10 @@
 
 from egretstack.messages import MessageError
 
-MAX_KEY_LENGTH = 256
+MAX_KEY_LENGTH = 257
+"""A letter and an id."""
+MAX_ROW_BYTES = 32_768
+"""Longest row that is sent, with its key: it has to fit a datagram even if it does not compress."""
 
 Row = list
 
@@ -34,7 +37,7 @@
         self.removed = 0
         """Removed rows, which are kept so that instances which still hold them can be informed."""
         self.unsendable: frozenset[str] = frozenset()
-        """Keys of the current rows that cannot be encoded, and so are left out."""
+        """Keys of the current rows that the others could not read, and so are left out."""
 
     def __len__(self) -> int:
         return len(self._change_by_key)
@@ -46,7 +49,7 @@
     def replace_all(self, row_by_key: Mapping[str, Row]) -> bool:
         """Replace all rows with the current ones; return whether any changed.
 
-        A row that cannot be encoded is left out, as if it were not there.
+        A row that the others could not read is left out, as if it were not there.
         """
         before = self.version
         unsendable = set()
@@ -54,7 +57,7 @@
             known = self._change_by_key.get(key)
             if known is not None and known.row == row:
                 continue
-            if _is_encodable(key, row):
+            if _is_sendable(key, row):
                 self._put(key, row)
             else:
                 unsendable.add(key)
@@ -96,12 +99,12 @@
         self._change_by_key[change.key] = change
 
 
-def _is_encodable(key: str, row: Row) -> bool:
+def _is_sendable(key: str, row: Row) -> bool:
     try:
-        msgpack.packb([key, row])
+        packed = msgpack.packb([key, row])
     except (TypeError, ValueError, OverflowError):
         return False
-    return True
+    return 0 < len(key) <= MAX_KEY_LENGTH and len(packed) <= MAX_ROW_BYTES
 
 
 def change_from_row(row: object) -> RowChange:
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -96,6 +96,47 @@
     check.assertEqual(follower.rows.rows(), {"rb": ["b"], "rd": [2]})
 
 
+def test_a_row_that_the_others_would_refuse_is_left_out_of_the_updates():
+    # Guards against a key or a row too long for the others, which refuse the whole update for it.
+    rows = VersionedRows()
+    long_key, name = "c" + "x" * 257, "z" + "\u4e2d" * 256
+    big = [[f"{number}{'x' * 250}" for number in range(300)]]
+    rows.replace_all({"ra": [1], long_key: [], "": [], "pbig": big, name: []})
+    check.assertEqual(rows.rows(), {"ra": [1], name: []})
+    check.assertEqual(rows.unsendable, {long_key, "", "pbig"})
+    check.assertEqual(followed(rows), rows.rows())
+
+
+def followed(rows):
+    """Return the rows of an instance that follows a home with these."""
+    publisher, follower = UpdatePublisher(lambda: 7, HeldVersion(), rows), UpdateFollower()
+    for part in publisher.parts_for(0.0, "other"):
+        follower.apply(part.fill(news(7, rows.version)))
+    return follower.rows.rows()
+
+
+@on_real_clock
+async def test_a_long_name_in_the_store_keeps_the_others_in_step_with_the_home():
+    # Guards against an object whose name makes a key too long, so that no update is read any more.
+    async with platform_site(entries=2, plain=2) as site:
+        ends = {"i-1": 2, "i-2": 2}
+        specs = {
+            "evacuations": {},
+            "egret-instances": {"zone": "z", "front": "127.9.1.1:80", "peer": "127.9.1.1:81"},
+            "egret-crash-records": {"record": [0, ends, True]},
+            "egret-crash-parts": {"record": [[[one] for one in ends], False, True, False, []]},
+            "servers": runner_spec("x" * 256, "127.9.2.9:8080", zone="x" * 256),
+        }
+        for kind, spec in specs.items():
+            for length in (128, 256, 300):
+                site.store.put(kind, "x" * length, spec)
+        await check_news_spread(site)
+        home, other = sorted(site.kernels, key=lambda one: not one.get(FleetPort).is_home())
+        sent, received = (one.get(FleetUpdatesService)._replica for one in (home, other))
+        await site.until(lambda: received.held == sent.held)
+        check.assertIn("x" * 256, other.get(FleetPort).evacuations.zones)
+
+
 def news(epoch, latest, rows=b"", home=(), **more):
     """Return an update of a home."""
     values = {
