--- a/egretstack/fleet/_news.py
+++ b/egretstack/fleet/_news.py
@@ -299,7 +299,11 @@
 
 def pack_changes(changes: list[RowChange]) -> bytes:
     """Return changes packed for one datagram."""
-    return zlib.compress(msgpack.packb(changes), _COMPRESSION_LEVEL) if changes else b""
+    return _compress(msgpack.packb(changes)) if changes else b""
+
+
+def _compress(rows: bytes) -> bytes:
+    return zlib.compress(rows, _COMPRESSION_LEVEL)
 
 
 def unpack_changes(packed: bytes) -> list[RowChange]:
@@ -318,8 +322,13 @@
 
 def split_changes(base: int, latest: int, changes: list[RowChange]) -> Iterator[UpdatePart]:
     """Yield parts that each fit a datagram; the last one reaches the latest version."""
-    packed = pack_changes(changes)
-    if len(packed) <= MAX_PACKED_BYTES or len(changes) == 1:
+    if not changes:
+        yield UpdatePart(base, latest, b"")
+        return
+    rows = msgpack.packb(changes)
+    packed = _compress(rows)
+    fits = len(packed) <= MAX_PACKED_BYTES and len(rows) <= MAX_ROWS_BYTES
+    if fits or len(changes) == 1:
         yield UpdatePart(base, latest, packed)
         return
     middle = len(changes) // 2
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -107,6 +107,14 @@
     check.assertEqual(followed(rows), rows.rows())
 
 
+def test_rows_that_compress_well_are_sent_in_parts_that_the_others_unpack():
+    # Guards against a small datagram with more rows than an instance unpacks.
+    rows = VersionedRows()
+    text = "\U0001f600" * 256
+    rows.replace_all({f"r{one}": [one, text, text] for one in range(40)})
+    check.assertEqual(followed(rows), rows.rows())
+
+
 def followed(rows):
     """Return the rows of an instance that follows a home with these."""
     publisher, follower = UpdatePublisher(lambda: 7, HeldVersion(), rows), UpdateFollower()
