--- a/egretstack/platform/_configuration.py
+++ b/egretstack/platform/_configuration.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable
+from math import inf
 from pathlib import Path
 from typing import TypeVar
 
@@ -45,6 +46,12 @@
 MAX_REGIONS = 64
 MAX_COLD_START_S = 3_600.0
 MAX_COLD_PER_S = 1e6
+MAX_VERSION = (1 << 63) - 1
+"""Largest integer that an instance accepts from another."""
+MAX_RANK = 1 << 31
+MAX_STRIDE = 1 << 31
+MAX_FIGURE = 1 << 53
+"""Largest time in milliseconds and largest size that is sent on or used in products."""
 _MAX_NAME_LENGTH = 256
 MAX_FILE_BYTES = 4_194_304
 """Four times the largest object that a store accepts."""
@@ -79,7 +86,7 @@
     services = _decode_rows(spec, "services", _decode_service)
     tenants = rows(spec, "tenants")
     return RoutingConfiguration(
-        version=integer(spec, "version"),
+        version=int(_bounded_number(spec, "version", MAX_VERSION)),
         routes=tuple(_decode_rows(spec, "routes", _decode_route)),
         service_by_name={service.name: service for service in services},
         account_by_key_digest=_decode_accounts(tenants),
@@ -103,8 +110,12 @@
     kind_name = text(row, "route-type")
     if kind_name not in _KIND_BY_NAME:
         raise BadBody(f"route-type {kind_name!r} is not one of {', '.join(_KIND_BY_NAME)}")
-    gap_ms = number(row, "gap-target-ms", 0)
-    timeout_ms = number(row, "timeout-ms")
+    gap_ms = _bounded_number(row, "gap-target-ms", MAX_FIGURE, default=0)
+    timeout_ms = _bounded_number(row, "timeout-ms", inf)
+    # Without a target, an answer counts as in time until the route's timeout.
+    target_ms = _bounded_number(
+        row, "target-latency-ms", MAX_FIGURE, default=min(timeout_ms, MAX_FIGURE)
+    )
     return Route(
         name=text(row, "name"),
         host=text(row, "host"),
@@ -112,9 +123,8 @@
         kind=_KIND_BY_NAME[kind_name],
         targets=_decode_targets(row),
         timeout_s=timeout_ms / 1000,
-        # Without a target, an answer counts as in time until the route's timeout.
-        target_latency_s=number(row, "target-latency-ms", timeout_ms) / 1000,
-        rank=integer(row, "priority", 5),
+        target_latency_s=target_ms / 1000,
+        rank=_checked_rank(integer(row, "priority", 5)),
         max_sends=max(1, integer(row, "max-attempts", 1)),
         anonymous=flag(row, "allow-anonymous"),
         resumable=flag(row, "can-resume"),
@@ -168,14 +178,14 @@
 
 def _decode_cold_start(row: Body) -> ColdStartConfig:
     return ColdStartConfig(
-        warm_up_s=_bounded_number(row, "cold-start-s", MAX_COLD_START_S),
-        requests_per_s=_bounded_number(row, "cold-per-s", MAX_COLD_PER_S),
+        warm_up_s=_bounded_number(row, "cold-start-s", MAX_COLD_START_S, default=0),
+        requests_per_s=_bounded_number(row, "cold-per-s", MAX_COLD_PER_S, default=0),
     )
 
 
-def _bounded_number(row: Body, name: str, maximum: float) -> float:
-    """Return a number from 0 to `maximum`, 0 if it is missing. Raises BadBody."""
-    value = number(row, name, 0)
+def _bounded_number(row: Body, name: str, maximum: float, *, default: float | None = None) -> float:
+    """Return a number from 0 to `maximum`; None as the default requires it. Raises BadBody."""
+    value = number(row, name, default)
     if not 0 <= value <= maximum:
         raise BadBody(f"{name} is not a number from 0 to {maximum:g}")
     return value
@@ -184,12 +194,12 @@
 def _decode_engine(row: Body) -> EngineConfig:
     return EngineConfig(
         batch_slots=integer(row, "slots"),
-        kv_capacity_tokens=integer(row, "kv-capacity-tokens"),
-        kv_token_bytes=integer(row, "kv-token-bytes", 0),
+        kv_capacity_tokens=int(_bounded_number(row, "kv-capacity-tokens", MAX_FIGURE)),
+        kv_token_bytes=int(_bounded_number(row, "kv-token-bytes", MAX_FIGURE, default=0)),
         link_mbps=number(row, "link-mbps", 0),
         moves=flag(row, "moves"),
         backups=flag(row, "backups"),
-        tokens_per_event=max(1, integer(row, "stride", 1)),
+        tokens_per_event=max(1, int(_bounded_number(row, "stride", MAX_STRIDE, default=1))),
         copy_ttl_s=number(row, "handle-s", 5),
     )
 
@@ -200,7 +210,7 @@
         rank = row.get("priority")
         account = ClientAccount(
             AccountId(_decode_account_name(row)),
-            rank if isinstance(rank, int) else None,
+            _checked_rank(rank) if isinstance(rank, int) else None,
             _decode_regions(row),
         )
         keys = row.get("api-keys", [])
@@ -211,6 +221,13 @@
     return account_by_key_digest
 
 
+def _checked_rank(rank: int) -> int:
+    """Return a rank that can be sent to other instances. Raises BadBody."""
+    if not -MAX_RANK <= rank <= MAX_RANK:
+        raise BadBody("priority is out of bounds")
+    return rank
+
+
 def _decode_account_name(row: Body) -> str:
     value = text(row, "name")
     if not is_header_text(value):
@@ -223,6 +240,6 @@
     return ServerLimits(
         header_bytes=integer(limits, "max-header-bytes", 16_384),
         body_bytes=integer(limits, "max-body-bytes", 4_194_304),
-        header_timeout_s=number(limits, "header-timeout-ms", 3_000) / 1000,
-        idle_timeout_s=number(limits, "idle-timeout-ms", 15_000) / 1000,
+        header_timeout_s=_bounded_number(limits, "header-timeout-ms", inf, default=3_000) / 1000,
+        idle_timeout_s=_bounded_number(limits, "idle-timeout-ms", inf, default=15_000) / 1000,
     )
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -21,10 +21,11 @@
 )
 from egretstack.messages import MessageError, decode, encode
 from egretstack.placing import request_from_row
+from egretstack.platform import BadBody, decode_configuration
 from egretstack.services.fleet_news import FleetUpdatesService
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
-from standins.platform import runner_spec
+from standins.platform import KEY, configuration, route, runner_spec
 from tests.platform_site import platform_site
 from tests.support import check, on_real_clock, tests_of
 
@@ -332,6 +333,62 @@
         check.assertEqual(head.status, 200)
 
 
+ODD_FIGURES = {
+    ("version",): (-1, 2**63, 1e300),
+    ("routes", 0, "timeout-ms"): (-1,),
+    ("routes", 0, "target-latency-ms"): (-1, 2**63, 1e300),
+    ("routes", 0, "gap-target-ms"): (-1, 2**63, 1e300),
+    ("routes", 0, "priority"): (-1e300, 1e300),
+    ("tenants", 0, "priority"): (-(2**63), 2**63, 2**64),
+    ("services", 0, "engine", "kv-capacity-tokens"): (-1, 1e308),
+    ("services", 0, "engine", "kv-token-bytes"): (-1, 1e308),
+    ("services", 0, "engine", "stride"): (-1, 2**62, 1e308),
+    ("limits", "header-timeout-ms"): (-1,),
+    ("limits", "idle-timeout-ms"): (-1,),
+}
+"""Figures by their place in a configuration, that raise an error where they are used or sent."""
+
+
+def with_value(document, path, value):
+    """Return a copy of a JSON document with another value at a place in it."""
+    copy = json.loads(json.dumps(document))
+    target = copy
+    for step in path[:-1]:
+        target = target[step]
+    target[path[-1]] = value
+    return copy
+
+
+def test_figures_that_cannot_be_used_or_sent_on_reject_their_configuration():
+    # Guards against a version that no report can hold, and times that fail each connection.
+    good = configuration(1, [route("notes", "idempotent", "desk")], (KEY,))
+    check.assertEqual(decode_configuration(good).version, 1)
+    for path, values in ODD_FIGURES.items():
+        for value in (*values, float("inf"), float("nan"), "7", [7]):
+            if path[0] == "tenants" and not isinstance(value, int):
+                continue  # Such a rank counts as none.
+            with check.assertRaises(BadBody, msg=f"{path} {value}"):
+                decode_configuration(with_value(good, path, value))
+
+
+@on_real_clock
+async def test_a_configuration_with_an_odd_version_leaves_the_instances_in_touch():
+    # Guards against a version that no report can hold: its instance falls silent for all others.
+    async with platform_site(entries=2, plain=1) as site:
+        errors, before = count_errors(site), site.version
+        good = site.store.spec("config", "main") | {"version": 1_000}
+        for path, values in ODD_FIGURES.items():
+            for value in values:
+                site.store.put("config", "main", with_value(good, path, value))
+        await trio.sleep(0.5)
+        gates = [one.get(StoreReading).gate for one in site.kernels]
+        check.assertEqual([one.version for one in gates], [before, before])
+        version = site.configure()
+        await site.until(lambda: all(one.version == version for one in gates))
+        await check_news_spread(site)
+        check.assertEqual(errors, [])
+
+
 def test_what_is_no_message_is_rejected_whatever_it_holds():
     # Guards against a datagram whose message number is no number, which ended the process.
     for row in ([[]], [{}], [[], 1], {}, [], None, "x", [None], [1.5], [10**6], 7):
