--- a/egretstack/platform/_runner_wire.py
+++ b/egretstack/platform/_runner_wire.py
@@ -78,6 +78,7 @@
 _MAX_PRIORITY = 9
 _MAX_COLD_DIGITS = 12
 _MAX_LOAD_DIGITS = 7
+_MAX_FIGURE = 1 << 53
 _MAX_LOAD_FIGURES = 4
 _MISDIRECTED = 421
 _MAX_LIMIT_PER_S = 1_000_000.0
@@ -198,15 +199,23 @@
     return RunnerReport(
         leaving=text(row, "state", "ready") == "draining",
         leaves_in_s=leaves_ms / 1000 if isinstance(leaves_ms, int | float) else None,
-        running=integer(row, "running", 0),
-        waiting=integer(row, "waiting", 0),
-        kv_used_tokens=integer(row, "kv-used", 0),
-        kv_total_tokens=integer(row, "kv-total", 0),
+        running=_figure(row, "running"),
+        waiting=_figure(row, "waiting"),
+        kv_used_tokens=_figure(row, "kv-used"),
+        kv_total_tokens=_figure(row, "kv-total"),
         runs=_decode_runs(row),
         started_ms=parse_started_ms(row),
     )
 
 
+def _figure(row: Body, name: str) -> int:
+    """Return a whole number that can be sent to other instances; 0 if missing. Raises BadBody."""
+    value = integer(row, name, 0)
+    if not -_MAX_FIGURE <= value <= _MAX_FIGURE:
+        raise BadBody(f"{name} is out of bounds")
+    return value
+
+
 def health_request(address: str, path: str) -> RequestHead:
     """Return the health check request for a runner."""
     return RequestHead(b"GET", path.encode(), ((b"host", address.encode()),))
@@ -262,7 +271,7 @@
     handle = text(row, "handle", "")
     if handle and not _HANDLE_PATTERN.fullmatch(handle):
         raise BadBody("not a valid handle")
-    return MoveAnswer(outcome, handle, integer(row, "created", 0))
+    return MoveAnswer(outcome, handle, _figure(row, "created"))
 
 
 def free_copy_request(address: str, handle: str) -> RequestHead:
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -1,6 +1,9 @@
 """Odd answers of runners: what cannot be sent on is no answer, and no other request notices."""
 
-from egretstack.platform import BadBody, move_answer
+import trio
+from loguru import logger
+
+from egretstack.platform import BadBody, move_answer, runner_report
 from standins.platform import GENERATION, EngineStandIn
 from tests.platform_site import free_loopback_net, platform_site
 from tests.stream_reader import start_reader
@@ -45,6 +48,35 @@
     check.assertEqual(move_answer(200, b'{"handle": "c-7.x_9~"}').handle, "c-7.x_9~")
 
 
+def test_figures_of_a_report_that_cannot_be_sent_on_make_it_no_answer():
+    # Guards against a figure that the home can tell to no other instance.
+    for name in ("running", "waiting", "kv-used", "kv-total"):
+        for value in (b"1e308", b"-1e308", b"1e999", b"NaN", b"9" * 19, b"9" * 5_000, b'"7"'):
+            with check.assertRaises(BadBody, msg=f"{name} {value}"):
+                runner_report(b'{"%s": %s}' % (name.encode(), value))
+    with check.assertRaises(BadBody):
+        move_answer(200, b'{"created": 1e308}')
+
+
+@on_real_clock
+async def test_an_engine_that_reports_a_huge_figure_keeps_no_loads_from_the_others():
+    # Guards against one engine for which the home's message with all loads cannot be encoded.
+    async with platform_site(entries=2, engines=2) as site:
+        odd, errors, lines = site.engines[0], [], []
+        for kernel in site.kernels:
+            kernel.unforeseen.on_error(errors.append)
+        report = odd._report
+        odd._report = lambda: report() | {"kv-used": 1e308}
+        sink = logger.add(lambda message: lines.append(message.record["message"]))
+        await site.until(lambda: errors or "report_unreadable" in lines)
+        await trio.sleep(0.5)
+        logger.remove(sink)
+        check.assertEqual(errors, [])
+        reader = await start_reader(site, "s-1", 3)
+        await reader.ended.wait()
+        check.assertFalse(reader.broken)
+
+
 @on_real_clock
 async def test_a_keep_alive_time_of_many_digits_loses_no_answer():
     # Guards against a time that is no float, or no integer to Python, after a complete answer.
