--- a/egretstack/platform/_runner_wire.py
+++ b/egretstack/platform/_runner_wire.py
@@ -17,7 +17,7 @@
     hop_by_hop_headers,
 )
 from egretstack.ids import RunnerName
-from egretstack.platform._bodies import BadBody, Body, integer, parse_object, text
+from egretstack.platform._bodies import BadBody, Body, integer, number, parse_object, text
 from egretstack.platform._runners import MAX_COLD_MS, parse_started_ms
 from egretstack.traffic import (
     ClientRequest,
@@ -195,10 +195,9 @@
 def runner_report(body: bytes) -> RunnerReport:
     """Decode an engine's report. Raises BadBody."""
     row = parse_object(body)
-    leaves_ms = row.get("leaves_ms")
     return RunnerReport(
         leaving=text(row, "state", "ready") == "draining",
-        leaves_in_s=leaves_ms / 1000 if isinstance(leaves_ms, int | float) else None,
+        leaves_in_s=_decode_leaves_s(row),
         running=_figure(row, "running"),
         waiting=_figure(row, "waiting"),
         kv_used_tokens=_figure(row, "kv-used"),
@@ -208,6 +207,13 @@
     )
 
 
+def _decode_leaves_s(row: Body) -> float | None:
+    try:
+        return number(row, "leaves_ms") / 1000
+    except BadBody:
+        return None
+
+
 def _figure(row: Body, name: str) -> int:
     """Return a whole number that can be sent to other instances; 0 if missing. Raises BadBody."""
     value = integer(row, name, 0)
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -58,6 +58,13 @@
         move_answer(200, b'{"created": 1e308}')
 
 
+def test_a_time_to_leave_that_is_no_time_is_none():
+    # Guards against an engine that gets no request any more since a figure of it is spoilt.
+    for value in (b"1e999", b"-Infinity", b"NaN", b"true", b"9" * 400, b'"5"', b"[5]", b"null"):
+        check.assertIsNone(runner_report(b'{"leaves_ms": %s}' % value).leaves_in_s, value)
+    check.assertEqual(runner_report(b'{"leaves_ms": 1500}').leaves_in_s, 1.5)
+
+
 @on_real_clock
 async def test_an_engine_that_reports_a_huge_figure_keeps_no_loads_from_the_others():
     # Guards against one engine for which the home's message with all loads cannot be encoded.
