--- a/egretstack/platform/_node_settings.py
+++ b/egretstack/platform/_node_settings.py
@@ -3,6 +3,7 @@
 Unknown fields are ignored, since the platform may add new ones.
 """
 
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,6 +14,9 @@
 SETTINGS_VARIABLE = "EGRETSTACK_NODE_FILE"
 """Environment variable that holds the path of the file."""
 
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
+"""Fewer texts than `str.isdigit` accepts, some of which `int` rejects."""
+_MAX_PORT = 65_535
 MAX_SEEDS = 16
 MAX_FILE_BYTES = 262_144
 _SHARED_CAPACITY = "pressure"
@@ -109,6 +113,11 @@
     return values
 
 
+def _parse_port(text: str) -> int | None:
+    port = int(text) if _PORT_PATTERN.fullmatch(text) else 0
+    return port if 0 < port <= _MAX_PORT else None
+
+
 class _Fields:
     """Converts the fields of the file to typed settings."""
 
@@ -188,15 +197,15 @@
         if not value:
             return ""
         host, _, port = value.rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        if not host or _parse_port(port) is None:
             raise UserError(f"{self._source}: {name}: {value!r} is not HOST:PORT")
         return value
 
     def _ports(self, name: str) -> tuple[int, int]:
-        parts = self._text(name).split(",")
-        if len(parts) != 2 or not all(part.isdigit() for part in parts):
+        ports = [_parse_port(part) for part in self._text(name).split(",")]
+        if len(ports) != 2 or None in ports:
             raise UserError(f"{self._source}: {name}: two ports are needed, such as 7200,7215")
-        first, last = int(parts[0]), int(parts[1])
-        if not 0 < first <= last < 65_536:
+        first, last = ports
+        if first > last:
             raise UserError(f"{self._source}: {name}: {first},{last} is not a range of ports")
         return first, last
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -87,6 +87,18 @@
         read_settings(NODE.replace("drain-ms=2500", "drain-ms=-1"))
 
 
+def test_ports_that_are_no_numbers_to_python_are_settings_errors():
+    # Guards against a port that ends the check of a file with a traceback instead of a message.
+    for port in ("\u00b2", "\u0668\u0660", "9" * 5_000, "0", "65536", "99999999", "-1", "8_0"):
+        for good, bad in (
+            ("10.200.1.7:8742", f"10.200.1.7:{port}"),
+            ("7200,7215", f"{port},7215"),
+            ("7200,7215", f"7200,{port}"),
+        ):
+            with check.assertRaises(UserError, msg=bad[:40]):
+                read_settings(NODE.replace(good, bad))
+
+
 def test_missing_settings_file_is_a_clear_error():
     with check.assertRaises(UserError) as caught:
         read_node_settings(Path("nowhere/node.conf"))
