--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -21,20 +21,41 @@
 )
 from egretstack.messages import MessageError, decode, encode
 from egretstack.placing import request_from_row
+from egretstack.platform import BadBody, decode_configuration
 from egretstack.services.fleet_news import FleetUpdatesService
 from egretstack.services.fleet_port import FleetPort
 from egretstack.services.store_reading import StoreReading
-from standins.platform import runner_spec
+from standins.platform import KEY, configuration, route, runner_spec
 from tests.platform_site import platform_site
 from tests.support import check, on_real_clock, tests_of
 
 load_tests = tests_of(globals())
 
+ODD_PORTS = (
+    "0",
+    "65536",
+    "99999999",
+    "00080999999",
+    "-1",
+    " 80",
+    "+80",
+    "8_0",
+    "\u0668\u0660",
+)
+"""Ports to which no connection can be opened, or that are written as no port is."""
 HALF = "bazaar \ud83d"
 """A text that was cut within a character outside of the basic plane."""
 ROW = ["i-desk-9", None, "desk", "127.0.0.9:80", "leon-a", 6, RunnerState.READY.value, 0, 0]
 
 
+def count_errors(site):
+    """Return a list to which the kind of each unforeseen error is added."""
+    errors = []
+    for kernel in site.kernels:
+        kernel.unforeseen.on_error(errors.append)
+    return errors
+
+
 async def check_news_spread(site):
     """Check that all entries still hear of runners, and serve calls."""
     site.register("i-last", "desk", "127.9.2.8:8080", state="draining")
@@ -76,6 +97,55 @@
     check.assertEqual(follower.rows.rows(), {"rb": ["b"], "rd": [2]})
 
 
+def test_a_row_that_the_others_would_refuse_is_left_out_of_the_updates():
+    # Guards against a key or a row too long for the others, which refuse the whole update for it.
+    rows = VersionedRows()
+    long_key, name = "c" + "x" * 257, "z" + "\u4e2d" * 256
+    big = [[f"{number}{'x' * 250}" for number in range(300)]]
+    rows.replace_all({"ra": [1], long_key: [], "": [], "pbig": big, name: []})
+    check.assertEqual(rows.rows(), {"ra": [1], name: []})
+    check.assertEqual(rows.unsendable, {long_key, "", "pbig"})
+    check.assertEqual(followed(rows), rows.rows())
+
+
+def test_rows_that_compress_well_are_sent_in_parts_that_the_others_unpack():
+    # Guards against a small datagram with more rows than an instance unpacks.
+    rows = VersionedRows()
+    text = "\U0001f600" * 256
+    rows.replace_all({f"r{one}": [one, text, text] for one in range(40)})
+    check.assertEqual(followed(rows), rows.rows())
+
+
+def followed(rows):
+    """Return the rows of an instance that follows a home with these."""
+    publisher, follower = UpdatePublisher(lambda: 7, HeldVersion(), rows), UpdateFollower()
+    for part in publisher.parts_for(0.0, "other"):
+        follower.apply(part.fill(news(7, rows.version)))
+    return follower.rows.rows()
+
+
+@on_real_clock
+async def test_a_long_name_in_the_store_keeps_the_others_in_step_with_the_home():
+    # Guards against an object whose name makes a key too long, so that no update is read any more.
+    async with platform_site(entries=2, plain=2) as site:
+        ends = {"i-1": 2, "i-2": 2}
+        specs = {
+            "evacuations": {},
+            "egret-instances": {"zone": "z", "front": "127.9.1.1:80", "peer": "127.9.1.1:81"},
+            "egret-crash-records": {"record": [0, ends, True]},
+            "egret-crash-parts": {"record": [[[one] for one in ends], False, True, False, []]},
+            "servers": runner_spec("x" * 256, "127.9.2.9:8080", zone="x" * 256),
+        }
+        for kind, spec in specs.items():
+            for length in (128, 256, 300):
+                site.store.put(kind, "x" * length, spec)
+        await check_news_spread(site)
+        home, other = sorted(site.kernels, key=lambda one: not one.get(FleetPort).is_home())
+        sent, received = (one.get(FleetUpdatesService)._replica for one in (home, other))
+        await site.until(lambda: received.held == sent.held)
+        check.assertIn("x" * 256, other.get(FleetPort).evacuations.zones)
+
+
 def news(epoch, latest, rows=b"", home=(), **more):
     """Return an update of a home."""
     values = {
@@ -144,6 +214,42 @@
             runner_from_row([name, *ROW[1:]])
 
 
+@on_real_clock
+async def test_a_runner_entry_whose_port_cannot_be_used_fails_no_call():
+    # Guards against a port of too many digits, to which connecting raises an error of another kind.
+    async with platform_site(entries=2, plain=1) as site:
+        errors = count_errors(site)
+        for number, port in enumerate(ODD_PORTS):
+            site.register(f"i-odd-{number}", "desk", f"127.9.2.9:{port}")
+        site.register("i-last", "desk", "127.9.2.8:8080", state="draining")
+        for kernel in site.kernels:
+            table = kernel.get(FleetPort).runners
+            await site.until(lambda table=table: any("i-last" in one for one in table.by_id))
+            check.assertNotIn("i-odd", "".join(table.by_id))
+        for number in range(20):
+            head, _ = await site.call("/notes/1", f"a-{number}", entry=number % 2)
+            check.assertEqual(head.status, 200)
+        check.assertEqual(errors, [])
+
+
+@on_real_clock
+async def test_an_instance_entry_whose_port_cannot_be_used_keeps_the_home_reading():
+    # Guards against a listed instance to which the home's report cannot be sent: the reading of the
+    # list failed each time, which ended the process in the end.
+    async with platform_site(entries=1) as site:
+        errors = count_errors(site)
+        for number, port in enumerate(ODD_PORTS):
+            spec = {"zone": "z", "front": "127.9.1.1:80", "peer": f"127.9.1.1:{port}"}
+            site.store.put("egret-instances", f"i-odd-{number}", spec)
+        spec = {"zone": "z", "front": "127.9.1.1:80", "peer": "127.9.1.1:81"}
+        site.store.put("egret-instances", "i-last", spec)
+        fleet = site.kernels[0].get(FleetPort).fleet
+        await site.until(lambda: any(one.id == "i-last" for one in fleet.known_instances()))
+        await trio.sleep(0.3)
+        check.assertEqual(errors, [])
+        check.assertNotIn("i-odd", "".join(one.id for one in fleet.known_instances()))
+
+
 @on_real_clock
 async def test_a_report_with_an_address_that_cannot_be_used_ends_no_instance():
     # Guards against a datagram after which the instance's own reports fail, and with them all.
@@ -227,6 +333,62 @@
         check.assertEqual(head.status, 200)
 
 
+ODD_FIGURES = {
+    ("version",): (-1, 2**63, 1e300),
+    ("routes", 0, "timeout-ms"): (-1,),
+    ("routes", 0, "target-latency-ms"): (-1, 2**63, 1e300),
+    ("routes", 0, "gap-target-ms"): (-1, 2**63, 1e300),
+    ("routes", 0, "priority"): (-1e300, 1e300),
+    ("tenants", 0, "priority"): (-(2**63), 2**63, 2**64),
+    ("services", 0, "engine", "kv-capacity-tokens"): (-1, 1e308),
+    ("services", 0, "engine", "kv-token-bytes"): (-1, 1e308),
+    ("services", 0, "engine", "stride"): (-1, 2**62, 1e308),
+    ("limits", "header-timeout-ms"): (-1,),
+    ("limits", "idle-timeout-ms"): (-1,),
+}
+"""Figures by their place in a configuration, that raise an error where they are used or sent."""
+
+
+def with_value(document, path, value):
+    """Return a copy of a JSON document with another value at a place in it."""
+    copy = json.loads(json.dumps(document))
+    target = copy
+    for step in path[:-1]:
+        target = target[step]
+    target[path[-1]] = value
+    return copy
+
+
+def test_figures_that_cannot_be_used_or_sent_on_reject_their_configuration():
+    # Guards against a version that no report can hold, and times that fail each connection.
+    good = configuration(1, [route("notes", "idempotent", "desk")], (KEY,))
+    check.assertEqual(decode_configuration(good).version, 1)
+    for path, values in ODD_FIGURES.items():
+        for value in (*values, float("inf"), float("nan"), "7", [7]):
+            if path[0] == "tenants" and not isinstance(value, int):
+                continue  # Such a rank counts as none.
+            with check.assertRaises(BadBody, msg=f"{path} {value}"):
+                decode_configuration(with_value(good, path, value))
+
+
+@on_real_clock
+async def test_a_configuration_with_an_odd_version_leaves_the_instances_in_touch():
+    # Guards against a version that no report can hold: its instance falls silent for all others.
+    async with platform_site(entries=2, plain=1) as site:
+        errors, before = count_errors(site), site.version
+        good = site.store.spec("config", "main") | {"version": 1_000}
+        for path, values in ODD_FIGURES.items():
+            for value in values:
+                site.store.put("config", "main", with_value(good, path, value))
+        await trio.sleep(0.5)
+        gates = [one.get(StoreReading).gate for one in site.kernels]
+        check.assertEqual([one.version for one in gates], [before, before])
+        version = site.configure()
+        await site.until(lambda: all(one.version == version for one in gates))
+        await check_news_spread(site)
+        check.assertEqual(errors, [])
+
+
 def test_what_is_no_message_is_rejected_whatever_it_holds():
     # Guards against a datagram whose message number is no number, which ended the process.
     for row in ([[]], [{}], [[], 1], {}, [], None, "x", [None], [1.5], [10**6], 7):
