--- a/egretstack/http1/_sockets.py
+++ b/egretstack/http1/_sockets.py
@@ -75,14 +75,25 @@
     def __init__(self, stream: trio.SocketStream, raw: socket.socket) -> None:
         self._stream = stream
         self._raw = raw
+        self._was_reset = False
+        """Whether sending failed because the connection was reset."""
 
     async def send_all(self, data: bytes) -> None:
         """Send data."""
-        await self._stream.send_all(data)
+        try:
+            await self._stream.send_all(data)
+        except trio.BrokenResourceError as error:
+            # After an upstream's own close the error is a broken pipe.
+            self._was_reset = not isinstance(error.__cause__, BrokenPipeError)
+            raise
 
     async def receive_some(self, max_bytes: int) -> bytes:
         """Receive data."""
-        return await self._stream.receive_some(max_bytes)
+        data = await self._stream.receive_some(max_bytes)
+        if not data and self._was_reset:
+            # A socket reports a reset only once, and then the end of the connection.
+            raise trio.BrokenResourceError("reset while sending")
+        return data
 
     def is_open_and_quiet(self) -> bool:
         """Return whether the connection is open and has no bytes to read."""
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -66,20 +66,29 @@
         return UpstreamConnection(link, address)
 
 
-async def read_through_tunnel(answer):
-    """Return the body that a client reads from a runner through a tunnel. Raises UpstreamBroken."""
+async def read_through_tunnel(answer, body=b""):
+    """Return the body that a client reads through a tunnel, or the error that it meets.
+
+    `body`: the body of its request.
+    """
     async with trio.open_nursery() as nursery:
         site = Site(nursery, answer)
         await site.start()
         connection = await site.connect()
         try:
             with trio.fail_after(TIMEOUT_S):
-                _, body = await exchange(connection, HEAD, b"", 1_000_000)
+                _, data = await exchange(connection, post_head(body), body, 1_000_000)
         except UpstreamBroken as error:
             return error
         finally:
             nursery.cancel_scope.cancel()
-        return body
+        return data
+
+
+def post_head(body):
+    """Return the head of a request with a body."""
+    length = (b"content-length", b"%d" % len(body))
+    return RequestHead(b"POST", b"/", (*HEAD.headers, length)) if body else HEAD
 
 
 @on_real_clock
@@ -104,6 +113,21 @@
     check.assertIsInstance(await read_through_tunnel(answer), UpstreamBroken)
 
 
+@on_real_clock
+async def test_an_early_answer_that_its_runner_resets_does_not_look_whole_behind_a_tunnel():
+    # Guards against a reset that the helper meets while it sends and takes for the runner's end.
+    async def answer(stream):
+        await stream.receive_some(10)
+        await stream.send_all(UNSIZED)
+        await trio.sleep(0.05)
+        reset_on_close(stream)
+        stream.socket.close()
+
+    body = b"x" * 8_000_000
+    for _ in range(8):
+        check.assertIsInstance(await read_through_tunnel(answer, body), UpstreamBroken)
+
+
 @on_real_clock
 async def test_an_answer_whose_helper_ends_does_not_look_whole():
     # Guards against a truncated answer without a length that is passed on as a whole one.
@@ -140,9 +164,8 @@
         await site.start()
         connection = await site.connect()
         body = b"x" * 3_000_000
-        head = RequestHead(b"POST", b"/", (*HEAD.headers, (b"content-length", b"%d" % len(body))))
         with trio.fail_after(TIMEOUT_S):
-            response, data = await exchange(connection, head, body, 1_000)
+            response, data = await exchange(connection, post_head(body), body, 1_000)
         check.assertEqual((response.status, data), (413, b"long"))
         nursery.cancel_scope.cancel()
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -1,12 +1,16 @@
 """Answers with neither a length nor chunks, which end with their connection."""
 
 import json
+import re
+from functools import partial
 
 import trio
 
-from standins.platform import PlainFault
+from egretstack.http1 import open_listener, reset_on_close
+from egretstack.services.store_reading import StoreReading
+from standins.platform import KEY, PlainFault, configuration
 from tests.crash_site import is_known
-from tests.platform_site import platform_site
+from tests.platform_site import free_loopback_net, platform_site
 from tests.stream_reader import start_reader
 from tests.support import check, on_real_clock, tests_of
 from tests.test_platform_streams import check_whole
@@ -33,6 +37,66 @@
         check.assertTrue(json.loads(body)["type"].endswith("outcome-unknown"))
 
 
+class ResettingRunner:
+    """Answers requests of clients before it has read them, and resets within the answer."""
+
+    runner_id = "i-desk-9"
+
+    def __init__(self):
+        self.address = f"127.{free_loopback_net()}.2.9:8080"
+        self.runs = 0
+
+    async def start(self, nursery):
+        """Serve connections."""
+        host, _, port = self.address.rpartition(":")
+        listener = await open_listener(host, int(port))
+        await nursery.start(partial(trio.serve_listeners, self._serve, [listener]))
+
+    async def _serve(self, stream):
+        received = b""
+        while b"\r\n\r\n" not in received:
+            more = await stream.receive_some(500)
+            if not more:
+                return
+            received += more
+        attempt = re.search(rb"attempt-id: (\S+)", received)
+        if attempt is None:
+            health = b"HTTP/1.1 200 OK\r\nrunner-id: %s\r\ncontent-length: 0\r\n\r\n"
+            await stream.send_all(health % self.runner_id.encode())
+            return
+        self.runs += 1
+        head = b"HTTP/1.1 200 OK\r\nattempt-id: %s\r\nrunner-seal: x\r\n\r\n" % attempt[1]
+        await stream.send_all(head + b"part")
+        await trio.sleep(0.02)
+        reset_on_close(stream)
+
+
+async def allow_bodies(site, max_bytes):
+    """Configure the longest body, and wait until the entry knows it."""
+    site.version += 1
+    spec = configuration(site.version, site.routes, (KEY,))
+    spec["limits"]["max-body-bytes"] = max_bytes
+    site.store.put("config", "main", spec)
+    gate = site.kernels[0].get(StoreReading).gate
+    await site.until(lambda: gate.version == site.version)
+
+
+@on_real_clock
+async def test_an_early_unframed_answer_that_is_reset_does_not_look_whole():
+    # Guards against a reset that is met while the request is sent, and then is not seen any more.
+    async with platform_site(plain=0, engines=1) as site:
+        runner = ResettingRunner()
+        await runner.start(site.nursery)
+        site.register(runner.runner_id, "desk", runner.address)
+        await site.until(lambda: is_known(site, runner.runner_id))
+        body = b"x" * 8_000_000
+        await allow_bodies(site, len(body))
+        for number in range(8):
+            head, _ = await site.call("/holds/1", f"h-{number}", method=b"POST", body=body)
+            check.assertEqual(head.status, 502)
+        check.assertEqual(runner.runs, 8)
+
+
 @on_real_clock
 async def test_an_unframed_stream_is_passed_on_whole():
     async with platform_site(plain=0, engines=1) as site:
