--- a/egretstack/http1/_client.py
+++ b/egretstack/http1/_client.py
@@ -52,6 +52,8 @@
         """
         self.request_count += 1
         self._sending = True
+        if self._http.their_state is not h11.IDLE:
+            raise UpstreamBroken("answered or closed before the request")
         request = h11.Request(method=head.method, target=head.target, headers=list(head.headers))
         try:
             # If the upstream closes immediately, the reader may see that before this runs; h11 then
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -1,4 +1,4 @@
-"""Connections to an upstream that end before the request was sent or the response was whole."""
+"""Connections to an upstream that answers or ends before it has read the request."""
 
 from functools import partial
 
@@ -48,6 +48,35 @@
         nursery.cancel_scope.cancel()
 
 
+@on_real_clock
+async def test_an_upstream_that_answers_before_the_request_went_out():
+    # Guards against an unforeseen error of the sender, which ended the request: the reader saw the
+    # response before the sender ran.
+    async def answer_at_once(stream):
+        await stream.send_all(b"HTTP/1.1 503 Busy\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n")
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(
+            partial(trio.serve_tcp, answer_at_once, 0, host="127.0.0.1")
+        )
+        host, port = listeners[0].socket.getsockname()
+        head = RequestHead(b"GET", b"/", ((b"host", b"x"),))
+        connection = await connect_upstream(f"{host}:{port}", 2.0)
+        check.assertEqual((await connection.read_head()).status, 503)
+        with check.assertRaises(UpstreamBroken):
+            await connection.send(head, b"")
+        check.assertFalse(connection.has_sent or connection.is_reusable())
+        connection.close()
+        for _ in range(12):
+            connection = await connect_upstream(f"{host}:{port}", 2.0)
+            await trio.sleep(0.01)
+            response, _ = await exchange(connection, head, b"", 100)
+            check.assertEqual(response.status, 503)
+            connection.close()
+        nursery.cancel_scope.cancel()
+
+
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\npart"
 MORE_THAN_BUFFERS = b"x" * 20_000_000
 """A request that an upstream cannot receive completely unless it reads it."""
