--- a/egretstack/http1/_client.py
+++ b/egretstack/http1/_client.py
@@ -10,6 +10,7 @@
 
 READ_BYTES = 65_536
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+_HEAD = b"HEAD"
 MAX_HEAD_BYTES = 65_536
 """Maximum size of a response head; a larger one is treated as invalid."""
 
@@ -43,6 +44,8 @@
         self._link = link
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._sending = True
+        self._expects_body = True
+        """Whether the response to the latest request may have a body; that to a HEAD has none."""
 
     async def send(self, head: RequestHead, body: bytes) -> None:
         """Send a complete request. Raises UpstreamBroken.
@@ -52,6 +55,7 @@
         """
         self.request_count += 1
         self._sending = True
+        self._expects_body = head.method != _HEAD
         if self._http.their_state is not h11.IDLE:
             raise UpstreamBroken("answered or closed before the request")
         request = h11.Request(method=head.method, target=head.target, headers=list(head.headers))
@@ -76,7 +80,7 @@
             if isinstance(event, h11.Response):
                 headers = tuple((bytes(name), bytes(value)) for name, value in event.headers)
                 names = {name for name, _ in headers}
-                self.is_unframed = names.isdisjoint(_FRAMING)
+                self.is_unframed = self._expects_body and names.isdisjoint(_FRAMING)
                 return ResponseHead(event.status_code, bytes(event.reason), headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise UpstreamBroken("closed before an answer")
--- a/egretstack/relay/_events.py
+++ b/egretstack/relay/_events.py
@@ -56,6 +56,8 @@
         """Bytes of the buffer that contain no end of an event."""
         self._comment_bytes = 0
         """Bytes of comments since the last other event."""
+        self.has_event = False
+        """Whether an event other than a comment was complete."""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that are complete now. Raises EventTooLarge."""
@@ -73,7 +75,10 @@
         return events
 
     def _count_comments(self, event: StreamEvent) -> StreamEvent:
-        self._comment_bytes = self._comment_bytes + len(event.data) if event.is_comment else 0
+        if event.is_comment:
+            self._comment_bytes += len(event.data)
+        else:
+            self._comment_bytes, self.has_event = 0, True
         if self._comment_bytes > MAX_COMMENT_BYTES:
             raise EventTooLarge(f"{self._comment_bytes} bytes of comments without an event")
         return event
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -314,6 +314,8 @@
         """Return whether a stream that ended without an error was not broken off."""
         if self._splitter.pending_bytes:
             return False
+        if self._source.is_unframed and not self._splitter.has_event:
+            return False  # The end of its runner right after the head looks the same.
         mover = self._mover
         if not self._source.is_unframed or mover is None or not mover.is_stopping:
             return True
--- /dev/null
+++ b/tests/test_cut_answers.py
@@ -0,0 +1,222 @@
+"""Runners that stop within an answer, as the clients of a whole entry see them."""
+
+import json
+from dataclasses import dataclass
+from itertools import count
+
+from egretstack.http1 import first_value
+from standins.platform import EngineStandIn, PlainStandIn, route
+from tests.crash_site import is_known
+from tests.platform_site import free_loopback_net, platform_site
+from tests.stream_reader import start_reader
+from tests.support import check, on_real_clock, tests_of
+from tests.test_stream_resuming import configure
+
+load_tests = tests_of(globals())
+
+HEAD = b"HTTP/1.1 200 OK\r\nattempt-id: %s\r\nrunner-seal: seal.x\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n"
+TEXT = b'{"answer": "whole"}'
+EVENTS = b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+MARKS = (
+    b"attempt-id: ",
+    b"runner-seal: ",
+    b"content-length: ",
+    b"transfer-encoding: ",
+    b"close\r\n",
+)
+
+
+def framings(body):
+    """Return how an answer goes on after its first headers, by how its body is framed."""
+    half = len(body) // 2
+    chunks = b"%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n"
+    return {
+        "length": b"content-length: %d\r\n\r\n%s" % (len(body), body),
+        "chunks": b"transfer-encoding: chunked\r\n\r\n"
+        + chunks % (half, body[:half], len(body) - half, body[half:]),
+        "unframed": b"connection: close\r\n\r\n" + body,
+    }
+
+
+@dataclass(frozen=True)
+class Cut:
+    """What a runner sends of its answer to an attempt."""
+
+    name: str
+    attempt: str
+    data: bytes
+    is_reset: bool
+    has_head: bool
+
+
+def positions(answer, head_size):
+    """Return positions in each part of an answer's head and framing."""
+    found = {0, 4, 9, 12, 15, *range(head_size - 4, head_size + 4)}
+    for mark in MARKS:
+        start = answer.find(mark)
+        if start >= 0:
+            found |= {start, start + 5, start + len(mark), start + len(mark) + 1}
+    return found | set(range(len(answer) - 9, len(answer)))
+
+
+def cuts(body, interim=b""):
+    """Return answers that are cut off, in all framings, by a close and by a reset.
+
+    An unframed body that is not reset ends anywhere in a proper way.
+    """
+    numbers = count()
+    for framing, rest in framings(body).items():
+        for is_reset in (False, True):
+            attempt = f"{framing[0]}{is_reset:d}-{next(numbers):04}"
+            head_size = len(interim + HEAD % attempt.encode()) + rest.index(b"\r\n\r\n") + 4
+            for cut in sorted(positions(interim + HEAD % attempt.encode() + rest, head_size)):
+                if framing == "unframed" and not is_reset and cut >= head_size:
+                    break
+                attempt = f"{framing[0]}{is_reset:d}-{next(numbers):04}"
+                data = (interim + HEAD % attempt.encode() + rest)[:cut]
+                yield Cut(f"{framing} {cut}", attempt, data, is_reset, cut >= head_size)
+
+
+class CutRunner:
+    """Cuts its answers to the next requests of clients off."""
+
+    next_cuts: list[Cut]
+
+    async def answer(self, connection, head, body):
+        """Answer one request."""
+        attempt = first_value(head.headers, b"attempt-id")
+        if attempt is None or not self.next_cuts:
+            await super().answer(connection, head, body)
+            return
+        self.runs_by_attempt[attempt.decode()] += 1
+        cut = self.next_cuts.pop(0)
+        await connection.send_raw(cut.data)
+        if cut.is_reset:
+            connection.abort()
+        else:
+            connection.close()
+
+
+class CutPlain(CutRunner, PlainStandIn):
+    """A plain runner that stops within answers."""
+
+
+class CutEngine(CutRunner, EngineStandIn):
+    """An engine that stops within answers."""
+
+
+async def add_runners(site, kind, number):
+    """Start runners that share the next answers to be cut off; return them once they are known."""
+    runners, next_cuts = [], []
+    service, net = ("llm", 3) if kind is CutEngine else ("desk", 2)
+    for index in range(number):
+        runner = kind(f"127.{free_loopback_net()}.{net}.{50 + index}:8080", f"i-cut-{index}")
+        runner.next_cuts = next_cuts
+        await site.nursery.start(runner.run)
+        site.register(runner.runner_id, service, runner.address)
+        await site.until(lambda runner=runner: is_known(site, runner.runner_id))
+        runners.append(runner)
+    return runners
+
+
+def runs(runners, attempt):
+    """Return how many runs of an attempt were started."""
+    return sum(runner.runs_by_attempt[attempt] for runner in runners)
+
+
+@on_real_clock
+async def test_a_cut_answer_is_no_success_and_says_that_the_request_may_have_run():
+    # Guards against a part of an answer that a client takes for all of it, or that counts as a
+    # promise that the request has not run.
+    async with platform_site(plain=0, engines=1) as site:
+        runners = await add_runners(site, CutPlain, 1)
+        for interim in (b"", INTERIM):
+            for cut in cuts(TEXT, interim):
+                runners[0].next_cuts.append(cut)
+                head, body = await site.call("/holds/1", cut.attempt, method=b"POST")
+                check.assertEqual(head.status, 502, cut)
+                check.assertTrue(json.loads(body)["type"].endswith("outcome-unknown"), cut)
+                check.assertEqual(runs(runners, cut.attempt), 1, cut)
+                runners[0].runs_by_attempt.clear()
+
+
+@on_real_clock
+async def test_a_cut_answer_to_a_request_that_may_run_again_is_got_from_another_runner():
+    # Guards against a cut answer that costs a client its request though another runner is sound.
+    async with platform_site(plain=0, engines=1) as site:
+        runners = await add_runners(site, CutPlain, 2)
+        for cut in list(cuts(TEXT))[::4]:
+            runners[0].next_cuts.append(cut)
+            head, body = await site.call("/notes/1", cut.attempt)
+            check.assertEqual((head.status, json.loads(body)["target"]), (200, "/notes/1"), cut)
+            check.assertEqual(runs(runners, cut.attempt), 2, cut)
+
+
+@on_real_clock
+async def test_a_cut_stream_does_not_look_complete_and_runs_once():
+    # Guards against a stream that ends properly though its runner stopped within its answer.
+    async with platform_site(plain=0, engines=1) as site:
+        site.store.remove("servers", site.engines[0].runner_id)
+        runners = await add_runners(site, CutEngine, 1)
+        for cut in cuts(EVENTS):
+            runners[0].next_cuts.append(cut)
+            reader = await start_reader(site, cut.attempt)
+            await reader.ended.wait()
+            if cut.has_head:
+                check.assertEqual((reader.status, reader.broken), (200, True), cut)
+            else:
+                check.assertEqual((reader.status, reader.problem), (502, "outcome-unknown"), cut)
+            check.assertEqual(reader.ids, list(range(1, len(reader.ids) + 1)), cut)
+            check.assertEqual(runs(runners, cut.attempt), 1, cut)
+
+
+@on_real_clock
+async def test_a_cut_stream_that_may_be_resumed_goes_on_at_another_runner():
+    # Guards against events that are missing or come twice where a runner stopped in its answer.
+    async with platform_site(plain=0, engines=1) as site:
+        site.store.remove("servers", site.engines[0].runner_id)
+        resumable = {"can-resume": True, "max-attempts": 2}
+        await configure(site, [route("plans", "streaming", "llm", **resumable)])
+        runners = await add_runners(site, CutEngine, 2)
+        for engine in runners:
+            engine.events, engine.stores_copies = 4, False
+        for cut in list(cuts(EVENTS))[::4]:
+            runners[0].next_cuts.append(cut)
+            reader = await start_reader(site, cut.attempt)
+            await reader.ended.wait()
+            check.assertEqual((reader.ids, reader.broken), ([1, 2, 3, 4], False), cut)
+
+
+def unframed_start(attempt, body=b""):
+    """Return an answer with neither a length nor chunks that ends before its first event."""
+    data = HEAD % attempt.encode() + b"connection: close\r\n\r\n" + body
+    return Cut("before the first event", attempt, data, is_reset=False, has_head=True)
+
+
+@on_real_clock
+async def test_an_unframed_stream_that_ends_before_its_first_event_does_not_look_complete():
+    # Guards against an empty stream that ends properly as its runner ended before the first event.
+    async with platform_site(plain=0, engines=1) as site:
+        site.store.remove("servers", site.engines[0].runner_id)
+        runners = await add_runners(site, CutEngine, 1)
+        for body in (b"", b": hello\n\n"):
+            attempt = f"u-{len(body)}"
+            runners[0].next_cuts.append(unframed_start(attempt, body))
+            reader = await start_reader(site, attempt)
+            await reader.ended.wait()
+            check.assertEqual((reader.status, reader.broken, reader.ids), (200, True, []), body)
+
+
+@on_real_clock
+async def test_an_unframed_stream_that_ends_before_its_first_event_is_resumed():
+    # Guards against an empty stream where another runner could have sent all of it.
+    async with platform_site(plain=0, engines=1) as site:
+        site.store.remove("servers", site.engines[0].runner_id)
+        resumable = {"can-resume": True, "max-attempts": 2}
+        await configure(site, [route("plans", "streaming", "llm", **resumable)])
+        runners = await add_runners(site, CutEngine, 2)
+        runners[0].next_cuts.append(unframed_start("u-1"))
+        reader = await start_reader(site, "u-1")
+        await reader.ended.wait()
+        check.assertEqual((reader.ids, reader.broken), (list(range(1, 31)), False))
--- a/tests/test_http1_cuts.py
+++ b/tests/test_http1_cuts.py
@@ -161,11 +161,13 @@
     for name, (method, data) in BODILESS.items():
         for cut in range(len(data) + 1):
             for how, is_reset, link in links(data[:cut]):
-                body = await read(UpstreamConnection(link, ""), method)
+                connection = UpstreamConnection(link, "")
+                body = await read(connection, method)
                 if cut < len(data):
                     check.assertIsNone(body, (name, cut, how))
                 else:
                     check.assertEqual(body, b"", (name, how, is_reset))
+                check.assertFalse(connection.is_unframed and method == b"HEAD", name)
 
 
 async def test_a_cut_response_on_a_connection_that_was_used_before_is_not_whole():
