--- a/egretstack/upstreams/_http_plain.py
+++ b/egretstack/upstreams/_http_plain.py
@@ -16,6 +16,8 @@
 
 MAX_RESPONSE_BYTES = 8_388_608
 _BEFORE_FIRST_BYTE = ".send_request_headers.started"
+_SENDING_FAILED = (".send_request_headers.failed", ".send_request_body.failed")
+_FRAMING = ("content-length", "transfer-encoding")
 
 
 class HttpPlainService(PlainService):
@@ -44,26 +46,35 @@
     async def _call(self, request: CallRequest, check: Callable[[], None] | None) -> CallResponse:
         url = self._base_url + request.path + (f"?{request.query}" if request.query else "")
         timeout = httpx.Timeout(request.timeout_s, connect=self._client.timeout.connect)
+        trace = _SendTrace(check)
         async with self._client.stream(
             request.method,
             url,
             headers=list(request.headers),
             content=request.body,
             timeout=timeout,
-            extensions={} if check is None else {"trace": _before_first_byte(check)},
+            extensions={"trace": trace},
         ) as response:
             body = await _bounded_body(response)
+        if trace.has_failed and not any(name in response.headers for name in _FRAMING):
+            # The error may have been a reset, which the end of the connection does not show again.
+            raise OutcomeUnknown("an answer without a length to a part of the call")
         return CallResponse(response.status_code, tuple(response.headers.items()), body)
 
 
-def _before_first_byte(check: Callable[[], None]):
-    """Return a trace that calls `check` once a connection was made or acquired from the pool."""
+class _SendTrace:
+    """Calls `check` once a connection was made or acquired, and follows how the call is sent."""
 
-    async def trace(event: str, info: dict) -> None:
-        if event.endswith(_BEFORE_FIRST_BYTE):
-            check()
+    def __init__(self, check: Callable[[], None] | None) -> None:
+        self._check = check
+        self.has_failed = False
+        """Whether sending failed; an answer may still be read."""
 
-    return trace
+    async def __call__(self, event: str, info: dict) -> None:
+        if event.endswith(_SENDING_FAILED):
+            self.has_failed = True
+        elif event.endswith(_BEFORE_FIRST_BYTE) and self._check is not None:
+            self._check()
 
 
 async def _bounded_body(response: httpx.Response) -> bytes:
--- a/tests/test_plain_http.py
+++ b/tests/test_plain_http.py
@@ -1,11 +1,13 @@
 """Plain services over real sockets: what a broken connection proves about the call."""
 
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import httpx
 import trio
 
 from egretstack.errors import EgretError, ErrorKind, NotRunProof
+from egretstack.http1 import reset_on_close
 from egretstack.upstreams import CallRequest, HttpPlainService, OutcomeUnknown, Unsent
 from tests.support import check, on_real_clock, tests_of
 
@@ -82,6 +84,35 @@
             await service.call(post())
 
 
+@on_real_clock
+async def test_an_unframed_answer_that_is_reset_while_the_call_is_sent_proves_nothing():
+    # Guards against a part of an answer that is recorded as the call's: the library drops the error
+    # of sending, with which the socket reported the reset.
+    async def reset(stream):
+        await stream.receive_some(1000)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\npart")
+        await trio.sleep(0.05)
+        reset_on_close(stream)
+
+    async with upstream(reset) as service:
+        with check.assertRaises(OutcomeUnknown):
+            await service.call(replace(post(), body=b"x" * 20_000_000))
+
+
+@on_real_clock
+async def test_a_framed_answer_to_a_part_of_a_call_counts():
+    # Guards against an early answer that is lost since the rest of its call was not read.
+    async def answer(stream):
+        await stream.receive_some(1000)
+        await stream.send_all(ANSWER)
+        await trio.sleep(0.05)
+        reset_on_close(stream)
+
+    async with upstream(answer) as service:
+        response = await service.call(replace(post(), body=b"x" * 20_000_000))
+        check.assertEqual((response.status, response.body), (201, b"{}"))
+
+
 @on_real_clock
 async def test_a_slow_answer_ends_at_the_calls_timeout():
     # The upstream sends a byte now and then, so no single read times out. The call's own timeout
