--- a/egretstack/relay/_engine_calls.py
+++ b/egretstack/relay/_engine_calls.py
@@ -160,6 +160,7 @@
     attempt = task.request.attempt_id
     if answer.rejected and answer.attempt_id in ("", attempt):
         return ContinueOutcome.REFUSED
-    if answer.attempt_id == attempt and answer.head.status == 200 and not answer.rejected:
+    is_own = answer.attempt_id == attempt and not answer.encoded
+    if is_own and answer.head.status == 200 and not answer.rejected:
         return ContinueOutcome.CONTINUED
     return ContinueOutcome.ENDED
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -82,11 +82,13 @@
     """Cuts its answers to the next requests of clients off."""
 
     next_cuts: list[Cut]
+    cut_header = b"attempt-id"
+    """Header of the requests whose answers are cut off."""
 
     async def answer(self, connection, head, body):
         """Answer one request."""
         attempt = first_value(head.headers, b"attempt-id")
-        if attempt is None or not self.next_cuts:
+        if first_value(head.headers, self.cut_header) is None or not self.next_cuts:
             await super().answer(connection, head, body)
             return
         self.runs_by_attempt[attempt.decode()] += 1
@@ -106,10 +108,16 @@
     """An engine that stops within answers."""
 
 
+class CutContinuation(CutEngine):
+    """An engine that stops within its answers to requests to continue a run."""
+
+    cut_header = b"kv-from"
+
+
 async def add_runners(site, kind, number):
     """Start runners that share the next answers to be cut off; return them once they are known."""
     runners, next_cuts = [], []
-    service, net = ("llm", 3) if kind is CutEngine else ("desk", 2)
+    service, net = ("desk", 2) if kind is CutPlain else ("llm", 3)
     for index in range(number):
         runner = kind(f"127.{free_loopback_net()}.{net}.{50 + index}:8080", f"i-cut-{index}")
         runner.next_cuts = next_cuts
@@ -220,3 +228,36 @@
         reader = await start_reader(site, "u-1")
         await reader.ended.wait()
         check.assertEqual((reader.ids, reader.broken), (list(range(1, 31)), False))
+
+
+async def read_continued(cut):
+    """Return the reader of a stream that breaks off after two events, to continue in a cut."""
+    async with platform_site(plain=1) as site:
+        runners = await add_runners(site, CutContinuation, 2)
+        runners[0].next_cuts.append(cut)
+        for engine in runners:
+            engine.cuts = runners[0].cuts
+        runners[0].cuts.append(2)
+        reader = await start_reader(site, cut.attempt)
+        await reader.ended.wait()
+        check.assertEqual((runners[0].next_cuts, runs(runners, cut.attempt)), ([], 2), cut)
+        return reader
+
+
+@on_real_clock
+async def test_a_run_whose_continuation_is_cut_off_does_not_look_complete():
+    # Guards against a stream that ends properly after the head of the runner that continued it.
+    starts = [unframed_start("u-1"), unframed_start("u-2", b":\n\n")]
+    for cut in [*starts, *list(cuts(EVENTS))[::9]]:
+        reader = await read_continued(cut)
+        check.assertEqual((reader.ids, reader.broken), ([1, 2], True), cut)
+
+
+@on_real_clock
+async def test_events_of_an_encoded_continuation_are_not_the_runs():
+    # Guards against events that are taken from a body which is not the runner's.
+    body = b"id: 3\ndata: x\n\n"
+    encoded = b"content-encoding: gzip\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+    cut = Cut("encoded", "e-1", HEAD % b"e-1" + encoded, is_reset=False, has_head=True)
+    reader = await read_continued(cut)
+    check.assertEqual((reader.ids, reader.broken), ([1, 2], True))
