--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -261,3 +261,61 @@
     cut = Cut("encoded", "e-1", HEAD % b"e-1" + encoded, is_reset=False, has_head=True)
     reader = await read_continued(cut)
     check.assertEqual((reader.ids, reader.broken), ([1, 2], True))
+
+
+class CutConnection:
+    """A connection on which whole answers are cut off."""
+
+    def __init__(self, connection, framing, cut):
+        self._connection = connection
+        self._framing = framing
+        self._cut = cut
+
+    async def send_response(self, head, body):
+        """Send the part of an answer up to the cut, counted from its end, and close."""
+        answer = b"HTTP/1.1 %d OK\r\n" % head.status
+        answer += b"".join(name + b": " + value + b"\r\n" for name, value in head.headers)
+        answer += framings(body)[self._framing]
+        size = answer.index(b"\r\n\r\n") + 4 if self._cut == AFTER_HEAD else self._cut
+        await self._connection.send_raw(answer[:size])
+        self._connection.close()
+
+
+AFTER_HEAD = 0
+ORDER_CUTS = [("length", 12), ("chunks", -2), ("unframed", AFTER_HEAD)]
+"""Framings of answers to orders, and where they are cut off."""
+
+
+class CutOrders(EngineStandIn):
+    """An engine that stops within its answers to orders to stop a run for its move."""
+
+    cut = ("length", 0)
+
+    async def _copy_run(self, connection, request):
+        if request["last"]:
+            connection = CutConnection(connection, *self.cut)
+        await super()._copy_run(connection, request)
+
+
+@on_real_clock
+async def test_a_run_whose_engine_stops_within_its_answers_to_orders_goes_on_once():
+    # Guards against a run that was stopped for its move, and whose end then counts as that of the
+    # stream, or that is lost since the answer to the order is.
+    for cut in ORDER_CUTS:
+        async with platform_site(plain=1) as site:
+            net = free_loopback_net()
+            first = CutOrders(f"127.{net}.3.70:8080", "i-first")
+            second = EngineStandIn(f"127.{net}.3.71:8080", "i-second")
+            first.cut, first.unframed, first.events, second.events = cut, True, 100, 100
+            for engine in (first, second):
+                await site.nursery.start(engine.run)
+            site.register(first.runner_id, "llm", first.address)
+            await site.until(lambda: is_known(site, "i-first"))
+            reader = await start_reader(site, "s-1", 3)
+            site.register(second.runner_id, "llm", second.address)
+            await site.until(lambda: is_known(site, "i-second"))
+            site.register(first.runner_id, "llm", first.address, "draining")
+            await reader.ended.wait()
+            check.assertIn(("s-1", True), first.moves, cut)
+            check.assertEqual(len(second.continued), 1, cut)
+            check.assertEqual((reader.ids, reader.broken), (list(range(1, 101)), False), cut)
