--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -11,7 +11,7 @@
     open_tunnel,
     read_request,
 )
-from egretstack.detour._wire import encode_request
+from egretstack.detour._wire import END_FRAME, encode_frame, encode_request
 from egretstack.http1 import (
     RequestHead,
     UpstreamBroken,
@@ -150,6 +150,35 @@
         nursery.cancel_scope.cancel()
 
 
+@on_real_clock
+async def test_a_tunnel_that_ends_within_its_frames_does_not_end_an_answer():
+    # Guards against a helper that stops anywhere, and whose end counts as the runner's.
+    whole = encode_frame(UNSIZED[:9]) + encode_frame(UNSIZED[9:]) + END_FRAME
+    sent = whole
+
+    async def answer(stream):
+        await read_request(stream)
+        await stream.send_all(bytes((TunnelOutcome.CONNECTED.value,)))
+        await stream.receive_some()
+        await stream.send_all(sent)
+
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery, answer)
+        await site.start()
+        for cut in range(len(whole) + 1):
+            sent = whole[:cut]
+            link = await open_tunnel(site.runner, "127.0.0.1:1", TIMEOUT_S, TIMEOUT_S)
+            connection = UpstreamConnection(link, "")
+            with trio.fail_after(TIMEOUT_S):
+                if cut < len(whole):
+                    with check.assertRaises(UpstreamBroken, msg=cut):
+                        await exchange(connection, HEAD, b"", 1_000)
+                else:
+                    check.assertEqual((await exchange(connection, HEAD, b"", 1_000))[1], b"part")
+            connection.close()
+        nursery.cancel_scope.cancel()
+
+
 @on_real_clock
 async def test_a_runner_may_answer_and_close_before_it_has_read_a_long_request():
     # Guards against an answer that is lost since the rest of the request cannot be sent.
