--- a/egretstack/platform/_runner_wire.py
+++ b/egretstack/platform/_runner_wire.py
@@ -126,7 +126,7 @@
     return RunnerAnswer(
         head=head,
         attempt_id=(first_value(head.headers, _ATTEMPT_ID) or b"").decode("latin-1"),
-        sealed=first_value(head.headers, _SEAL) is not None,
+        sealed=bool(first_value(head.headers, _SEAL)),
         rejected=head.status == _MISDIRECTED
         or first_value(head.headers, _NOT_EXECUTED) is not None,
         misdirected=head.status == _MISDIRECTED,
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -119,7 +119,9 @@
     runners, next_cuts = [], []
     service, net = ("desk", 2) if kind is CutPlain else ("llm", 3)
     for index in range(number):
-        runner = kind(f"127.{free_loopback_net()}.{net}.{50 + index}:8080", f"i-cut-{index}")
+        runner = kind(
+            f"127.{free_loopback_net()}.{net}.{50 + index}:8080", f"i-cut-{service}-{index}"
+        )
         runner.next_cuts = next_cuts
         await site.nursery.start(runner.run)
         site.register(runner.runner_id, service, runner.address)
@@ -286,6 +288,25 @@
 """Framings of answers to orders, and where they are cut off."""
 
 
+@on_real_clock
+async def test_an_answer_whose_seal_is_empty_is_no_success():
+    # Guards against an answer without a signature that counts since the header's name is there.
+    async with platform_site(plain=0, engines=1) as site:
+        site.store.remove("servers", site.engines[0].runner_id)
+        plain = await add_runners(site, CutPlain, 1)
+        engines = await add_runners(site, CutEngine, 1)
+        for framing in framings(TEXT):
+            head = (HEAD % framing.encode()).replace(b"seal.x", b"")
+            for runner, body in ((plain[0], TEXT), (engines[0], EVENTS)):
+                data = head + framings(body)[framing]
+                runner.next_cuts.append(Cut(framing, framing, data, is_reset=False, has_head=True))
+            answer, _ = await site.call("/holds/1", framing, method=b"POST")
+            check.assertEqual(answer.status, 502, framing)
+            reader = await start_reader(site, framing)
+            await reader.ended.wait()
+            check.assertEqual((reader.status, reader.ids), (502, []), framing)
+
+
 class CutOrders(EngineStandIn):
     """An engine that stops within its answers to orders to stop a run for its move."""
 
