--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -11,7 +11,7 @@
     open_tunnel,
     read_request,
 )
-from egretstack.detour._wire import encode_request
+from egretstack.detour._wire import END_FRAME, encode_frame, encode_request
 from egretstack.http1 import (
     RequestHead,
     UpstreamBroken,
@@ -66,20 +66,29 @@
         return UpstreamConnection(link, address)
 
 
-async def read_through_tunnel(answer):
-    """Return the body that a client reads from a runner through a tunnel. Raises UpstreamBroken."""
+async def read_through_tunnel(answer, body=b""):
+    """Return the body that a client reads through a tunnel, or the error that it meets.
+
+    `body`: the body of its request.
+    """
     async with trio.open_nursery() as nursery:
         site = Site(nursery, answer)
         await site.start()
         connection = await site.connect()
         try:
             with trio.fail_after(TIMEOUT_S):
-                _, body = await exchange(connection, HEAD, b"", 1_000_000)
+                _, data = await exchange(connection, post_head(body), body, 1_000_000)
         except UpstreamBroken as error:
             return error
         finally:
             nursery.cancel_scope.cancel()
-        return body
+        return data
+
+
+def post_head(body):
+    """Return the head of a request with a body."""
+    length = (b"content-length", b"%d" % len(body))
+    return RequestHead(b"POST", b"/", (*HEAD.headers, length)) if body else HEAD
 
 
 @on_real_clock
@@ -104,6 +113,21 @@
     check.assertIsInstance(await read_through_tunnel(answer), UpstreamBroken)
 
 
+@on_real_clock
+async def test_an_early_answer_that_its_runner_resets_does_not_look_whole_behind_a_tunnel():
+    # Guards against a reset that the helper meets while it sends and takes for the runner's end.
+    async def answer(stream):
+        await stream.receive_some(10)
+        await stream.send_all(UNSIZED)
+        await trio.sleep(0.05)
+        reset_on_close(stream)
+        stream.socket.close()
+
+    body = b"x" * 8_000_000
+    for _ in range(8):
+        check.assertIsInstance(await read_through_tunnel(answer, body), UpstreamBroken)
+
+
 @on_real_clock
 async def test_an_answer_whose_helper_ends_does_not_look_whole():
     # Guards against a truncated answer without a length that is passed on as a whole one.
@@ -126,6 +150,35 @@
         nursery.cancel_scope.cancel()
 
 
+@on_real_clock
+async def test_a_tunnel_that_ends_within_its_frames_does_not_end_an_answer():
+    # Guards against a helper that stops anywhere, and whose end counts as the runner's.
+    whole = encode_frame(UNSIZED[:9]) + encode_frame(UNSIZED[9:]) + END_FRAME
+    sent = whole
+
+    async def answer(stream):
+        await read_request(stream)
+        await stream.send_all(bytes((TunnelOutcome.CONNECTED.value,)))
+        await stream.receive_some()
+        await stream.send_all(sent)
+
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery, answer)
+        await site.start()
+        for cut in range(len(whole) + 1):
+            sent = whole[:cut]
+            link = await open_tunnel(site.runner, "127.0.0.1:1", TIMEOUT_S, TIMEOUT_S)
+            connection = UpstreamConnection(link, "")
+            with trio.fail_after(TIMEOUT_S):
+                if cut < len(whole):
+                    with check.assertRaises(UpstreamBroken, msg=cut):
+                        await exchange(connection, HEAD, b"", 1_000)
+                else:
+                    check.assertEqual((await exchange(connection, HEAD, b"", 1_000))[1], b"part")
+            connection.close()
+        nursery.cancel_scope.cancel()
+
+
 @on_real_clock
 async def test_a_runner_may_answer_and_close_before_it_has_read_a_long_request():
     # Guards against an answer that is lost since the rest of the request cannot be sent.
@@ -140,9 +193,8 @@
         await site.start()
         connection = await site.connect()
         body = b"x" * 3_000_000
-        head = RequestHead(b"POST", b"/", (*HEAD.headers, (b"content-length", b"%d" % len(body))))
         with trio.fail_after(TIMEOUT_S):
-            response, data = await exchange(connection, head, body, 1_000)
+            response, data = await exchange(connection, post_head(body), body, 1_000)
         check.assertEqual((response.status, data), (413, b"long"))
         nursery.cancel_scope.cancel()
 
