--- a/egretstack/relay/_active_runners.py
+++ b/egretstack/relay/_active_runners.py
@@ -28,8 +28,12 @@
 
     def lets_go(self) -> bool:
         """Return whether it ends its work as its connection is closed, or can't be waited for."""
-        is_noticed = self.is_responsive and not self.is_left
-        return is_noticed or self.is_unreachable or self.silent_s > place_wait_s()
+        return self.is_lost or (self.is_responsive and not self.is_left)
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether it accepts no connection, or is silent for longer than a sound runner."""
+        return self.is_unreachable or self.silent_s > place_wait_s()
 
     @property
     def is_responsive(self) -> bool:
@@ -46,12 +50,12 @@
 
     def record_sent(self, now_s: float, runner: RunnerId) -> None:
         """Record that a runner is sent a request to start the run or to continue it."""
-        self._advance(now_s)
+        self.look(now_s)
         self._by_id[runner] = _ActiveRunner()
 
     def record_sign(self, now_s: float, runner: RunnerId) -> None:
         """Record that a runner sent something, on the connection of the run or on another one."""
-        self._advance(now_s)
+        self.look(now_s)
         active = self._by_id.get(runner)
         if active is None:
             return
@@ -73,7 +77,7 @@
 
     def record_left(self, now_s: float, runner: RunnerId) -> None:
         """Record that the connection of the run at a runner is closed now."""
-        self._advance(now_s)
+        self.look(now_s)
         active = self._by_id.get(runner)
         if active is None:
             return
@@ -88,15 +92,21 @@
 
     def doubtful(self, now_s: float) -> list[RunnerId]:
         """Return the runners that would go on beside another one, unless they show otherwise."""
-        self._advance(now_s)
+        self.look(now_s)
         return [runner for runner, active in self._by_id.items() if not active.lets_go()]
 
     def is_responsive(self, now_s: float, runner: RunnerId) -> bool:
         """Return whether a runner has sent something a moment ago."""
-        self._advance(now_s)
+        self.look(now_s)
         return runner in self._by_id and self._by_id[runner].is_responsive
 
-    def _advance(self, now_s: float) -> None:
+    def is_lost(self, now_s: float, runner: RunnerId) -> bool:
+        """Return whether a runner accepts no connection, or is silent for too long."""
+        self.look(now_s)
+        return runner not in self._by_id or self._by_id[runner].is_lost
+
+    def look(self, now_s: float) -> None:
+        """Count the time until now as silence of every runner."""
         step_s = min(MAX_STEP_S, max(0.0, now_s - self._looked_s))
         self._looked_s = max(self._looked_s, now_s)
         for active in self._by_id.values():
--- a/egretstack/relay/_continuing.py
+++ b/egretstack/relay/_continuing.py
@@ -1,8 +1,8 @@
 """Continues a run on an engine that has a copy of its KV cache."""
 
 from collections import deque
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from math import inf
 
 import trio
 
@@ -18,6 +18,7 @@
 from egretstack.relay._patience import (
     ASK_AGAIN_S,
     CONTINUE_WAIT_SHARE,
+    LATE_ANSWER_S,
     OVERLAP_S,
     place_wait_s,
     reader_patience_s,
@@ -49,6 +50,27 @@
     """The runner that had it before."""
 
 
+class _PlaceWait:
+    """The wait for one place of a stopped run, which uses up its copy once it reads the request."""
+
+    def __init__(self, handover: Handover, runner: RunnerId, limit_s: float) -> None:
+        self._handover = handover
+        self._runner = runner
+        self._limit_s = limit_s
+        self._waited_s = 0.0
+        self._answering_s = 0.0
+        """Time for which it has answered questions, but not the request."""
+
+    async def may_leave(self) -> bool:
+        """Return whether the place may be left; called each `ASK_AGAIN_S`."""
+        self._waited_s += ASK_AGAIN_S
+        if await self._handover.ask(self._runner) is RunnerSign.ANSWERS:
+            self._answering_s += ASK_AGAIN_S
+        if self._waited_s < self._limit_s:
+            return False
+        return self._handover.is_lost(self._runner) or self._answering_s >= LATE_ANSWER_S
+
+
 class CopyContinuation:
     """Continues one request's run from copies."""
 
@@ -105,9 +127,8 @@
                 break
             left_s = until_s - trio.current_time()
             wait_s = min(left_s, place_wait_s()) if places else left_s
-            result = await self._continue_run(
-                run, place, runner, last_event_id, max(0.0, wait_s), self._handover.is_allowed
-            )
+            wait = None if wait_s == inf else _PlaceWait(self._handover, runner.id, wait_s)
+            result = await self._continue_run(run, place, runner, last_event_id, wait_s, wait)
             if isinstance(result, ContinuedRun):
                 return result
             if result in _MAY_BE_ASKED_AGAIN and self._has_patience(since_s):
@@ -136,7 +157,7 @@
         runner: Runner,
         last_event_id: str,
         limit_s: float,
-        may_leave: Callable[[], Awaitable[bool]] | None = None,
+        wait: _PlaceWait | None = None,
     ) -> ContinuedRun | ContinueOutcome:
         """Continue a run from its copy; unless that succeeds, the run is recorded where it was."""
         origin = ContinueFrom(copy.origin_address, copy.copy_id, last_event_id)
@@ -155,7 +176,7 @@
             origin,
             is_reserved=copy.is_reserved,
             limit_s=limit_s,
-            may_leave=may_leave,
+            may_leave=None if wait is None else wait.may_leave,
         )
         self._record(runner.id, result.outcome, limit_s)
         log(
--- a/egretstack/relay/_engine_calls.py
+++ b/egretstack/relay/_engine_calls.py
@@ -87,8 +87,8 @@
 ) -> ContinueResult:
     """Ask an engine that has a run's copy to continue it, and wait up to a limit for its answer.
 
-    `is_reserved`: the engine's send bounds have counted this request already. `may_leave`: returns
-    whether the engine may be left after the limit; None if it may in any case.
+    `is_reserved`: the engine's send bounds have counted this request already. `may_leave`: asked
+    each `ASK_AGAIN_S`, whether the engine may be left; None to leave it at the limit.
     """
     try:
         connection = await context.dialer.connect(runner.address, CONNECT_TIMEOUT_S)
@@ -130,7 +130,8 @@
     send = partial(send_to_engine, context, task, run, connection, origin)
     has_ended = partial(context.runners.is_gone, run.runner)
     try:
-        head = await wait_for_answer(send, limit_s, has_ended)
+        first_s = limit_s if may_leave is None else min(limit_s, ASK_AGAIN_S)
+        head = await wait_for_answer(send, first_s, has_ended)
         while head is None and may_leave is not None and connection.has_sent:
             if has_ended() or await may_leave():
                 break
--- a/egretstack/relay/_handover.py
+++ b/egretstack/relay/_handover.py
@@ -43,6 +43,10 @@
         """Record that a runner certainly does not work on the run, or not any more."""
         self._active.record_ended(runner)
 
+    def look(self) -> None:
+        """Count the time until now as silence of the runners that have sent nothing."""
+        self._active.look(trio.current_time())
+
     def is_responsive(self, runner: RunnerId) -> bool:
         """Return whether a runner has sent something a moment ago."""
         return self._active.is_responsive(trio.current_time(), runner)
@@ -50,7 +54,7 @@
     async def is_allowed(self) -> bool:
         """Return whether another runner may get the run now: nobody would work on it beside it."""
         for runner in self._doubtful():
-            await self._ask(runner)
+            await self.ask(runner)
         kept_by = frozenset(self._doubtful())
         if kept_by and kept_by != self._logged:
             self._logged = kept_by
@@ -72,14 +76,20 @@
                 self._active.record_ended(runner)
         return self._active.doubtful(now_s)
 
-    async def _ask(self, runner_id: RunnerId) -> None:
+    async def ask(self, runner_id: RunnerId) -> RunnerSign:
+        """Ask a runner for a sign, and record it."""
         runner = self._context.runners.by_id.get(runner_id)
         if runner is None:
             self._active.record_ended(runner_id)
-            return
+            return RunnerSign.UNREACHABLE
         sign = await self._context.probes.ask(runner)
         log(Event.RUNNER_ASKED, request=self._attempt, runner=runner_id, sign=sign.value)
         if sign is RunnerSign.ANSWERS:
             self._active.record_sign(trio.current_time(), runner_id)
         elif sign is RunnerSign.UNREACHABLE:
             self._active.record_unreachable(runner_id)
+        return sign
+
+    def is_lost(self, runner: RunnerId) -> bool:
+        """Return whether a runner accepts no connection or is silent for too long."""
+        return self._active.is_lost(trio.current_time(), runner)
--- a/egretstack/relay/_mover.py
+++ b/egretstack/relay/_mover.py
@@ -80,9 +80,8 @@
         self._run = run
         self._on_saved = on_saved
         self._handover = handover
-        self._must_stop = False
-        self.is_refused = False
-        """Whether an engine had no room for the copy."""
+        self.must_stop = False
+        """Whether the run is stopped once its copy is complete, also if its runner stays."""
         self._copy_holder: Runner | None = None
         self._handle = ""
         self._stopping = False
@@ -105,10 +104,6 @@
         """Whether the run was told to stop for the last part of its copy, and may have stopped."""
         return self._stopping
 
-    def stop_run(self) -> None:
-        """Stop the run once its copy is complete, also if its runner does not leave."""
-        self._must_stop = True
-
     async def wait_if_stopping(self) -> None:
         """Wait for the last part of the copy, if it is being transferred."""
         if self._stopping:
@@ -216,7 +211,7 @@
         return True
 
     def _is_leaving(self, source: Runner) -> bool:
-        leaving = self._must_stop or not self._context.runners.is_ready(source.id)
+        leaving = self.must_stop or not self._context.runners.is_ready(source.id)
         if leaving and self._leaving_since_s is None:
             stopped_s = self._context.runners.stopped_since_s(source.id)
             self._leaving_since_s = trio.current_time() if stopped_s is None else stopped_s
@@ -237,7 +232,6 @@
             self._handle, self._run.backup = "", None
             self._copied_tokens = 0
             if answer.outcome is MoveOutcome.NO_CAPACITY:
-                self.is_refused = True
                 self._refused.append(destination.id)
             return False
         near = source.zone == destination.zone
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -28,7 +28,8 @@
     instance_leaves,
 )
 from egretstack.relay._handover import Handover
-from egretstack.relay._patience import ASK_AGAIN_S
+from egretstack.relay._patience import ASK_AGAIN_S, GO_ON_S
+from egretstack.relay._runner_probes import RunnerSign
 from egretstack.relay._send_limits import SendLimits
 from egretstack.relay._timing import StreamTiming
 from egretstack.relay._waiting import wait_for_answer
@@ -140,7 +141,14 @@
             if late is None:
                 raise
             return False
-        return late is None or await self._handover.is_allowed()
+        if late is None:
+            return True
+        return await self.has_answering_runner() and await self._handover.is_allowed()
+
+    async def has_answering_runner(self) -> bool:
+        """Return whether the runner of the current connection answers questions."""
+        runner = self._context.runners.by_id.get(self.run.runner)
+        return runner is not None and await self._context.probes.ask(runner) is RunnerSign.ANSWERS
 
     async def _try_send(self) -> tuple[ResponseHead | None, RequestFailed | None]:
         try:
@@ -365,6 +373,7 @@
         try:
             head = await wait_for_answer(read, timeout_s)
             if head is None and self.source.has_sent:
+                self._handover.record_silence(self.run.runner, timeout_s)
                 head = await self._read_late_answer()
         except UpstreamBroken as error:
             self._context.record_engine_result(self.run.runner, broke=True)
@@ -390,11 +399,12 @@
         """
         read = self.source.read_head
         while self._may_repeat():
-            if await self._handover.is_allowed():
-                return None
-            head = await wait_for_answer(read, ASK_AGAIN_S)
+            lets_go = await self._handover.is_allowed()
+            head = await wait_for_answer(read, GO_ON_S if lets_go else ASK_AGAIN_S)
             if head is not None:
                 return head
+            if lets_go and self._may_repeat():
+                return None
         return await wait_for_answer(read, max(0.0, self._task.time_left_s()))
 
     def _record_broken(self) -> None:
--- a/egretstack/relay/_patience.py
+++ b/egretstack/relay/_patience.py
@@ -29,6 +29,8 @@
 OVERLAP_S = 0.3
 """Time for which a request to continue a run may be unanswered while its previous runner may still
 work on it. Two runners may do so for 0.4 s at most; answers take some 0.03 s, 0.1 s at most."""
+LATE_ANSWER_S = 1.0
+"""Time after which an engine that answers questions counts as not answering a request."""
 ANSWER_MARGIN_S = 0.2
 """Time for the answer of a runner that has been silent."""
 
--- a/egretstack/relay/_resuming.py
+++ b/egretstack/relay/_resuming.py
@@ -87,9 +87,12 @@
         now_s, since_s = trio.current_time(), self._timing.waiting_since_s
         return min(place_wait_s(), self._limits.place_wait_s(now_s, since_s))
 
-    async def resume(self) -> bool:
+    async def resume(self, *, is_beside: bool) -> bool:
         """Send the stream to other runners until one continues it; return whether one does.
 
+        `is_beside`: its runner may go on and end the search; a runner that stands still would read
+        the request after it was taken back.
+
         Afterwards the opening holds the latest run that was sent, and its connection.
         """
         source = self._opening.run.runner
@@ -108,6 +111,9 @@
             if not await self._handover.until_allowed(self._patience_left_s()):
                 self._log(Event.STREAM_NOT_RESUMED, source, began_s, "a runner may be at work")
                 return False
+            if is_beside and not await self._opening.has_answering_runner():
+                self._log(Event.STREAM_NOT_RESUMED, source, began_s, "the other runner is silent")
+                return False
             use = await self._send()
             if use is AnswerUse.CONTINUES:
                 self._cursor.begin_run()
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -280,7 +280,8 @@
             self._source.close()
             self._handover.record_ended(self._run.runner)
             return await self._find_place()
-        if self._stop_for_copy():
+        if not self._resumer.may_resume() and self._stop_for_copy():
+            self._ask_again_s = trio.current_time() + ASK_AGAIN_S
             return True
         found = await self._ask_copy()
         if not found and end is _ReadEnd.SILENT:
@@ -314,6 +315,7 @@
                     return _ReadEnd.BROKEN
             ran = self._silence.record(POLL_INTERVAL_S, trio.current_time() - began_s)
             if poll.cancelled_caught:
+                self._handover.look()
                 if not ran and not was_paused:
                     # What arrived during a pause of this process is read first.
                     was_paused = True
@@ -406,15 +408,17 @@
         return not self._stop_for_copy()
 
     def _stop_for_copy(self) -> bool:
-        """Have a runner that answers stop the run, to go on at a copy; False if it can't."""
+        """Have a runner that answers stop the run, to go on at a copy; False if that was tried."""
         if not self._can_move() or not self._may_continue():
             return False
         if not self._handover.is_responsive(self._run.runner):
             return False
         if self._mover is None:
             self._start_mover()
-        self._mover.stop_run()
-        return not self._mover.is_refused
+        elif self._mover.must_stop:
+            return False
+        self._mover.must_stop = True
+        return True
 
     def _can_move(self) -> bool:
         return self._task.service.engine.moves and self._may_move
@@ -510,7 +514,10 @@
         return continued is not None
 
     def _continue(self, continued: ContinuedRun) -> None:
-        self._leave_source(continued.left)
+        if continued.left == self._run.runner:
+            self._source.close()  # It goes on where it was, on the new connection.
+        else:
+            self._leave_source(continued.left)
         self._follow(continued.connection, continued.sent_s)
 
     def _leave_source(self, runner: RunnerId) -> None:
@@ -523,7 +530,7 @@
             return False
         self._drop_mover()
         try:
-            resumed = await self._resumer.resume()
+            resumed = await self._resumer.resume(is_beside=False)
         finally:
             self._run, self._sent_s = self._opening.run, self._opening.sent_s
         if resumed:
@@ -539,7 +546,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._cancel_once_source_speaks, nursery.cancel_scope)
-                resumed = await self._resumer.resume()
+                resumed = await self._resumer.resume(is_beside=True)
                 nursery.cancel_scope.cancel()
         finally:
             self._run, self._sent_s = self._opening.run, self._opening.sent_s
