--- a/tests/test_paused_runners_review.py
+++ b/tests/test_paused_runners_review.py
@@ -1,16 +1,22 @@
 """Findings of a review: runs whose runners are paused, as real processes are."""
 
+from dataclasses import replace
+
 import trio
 
+from egretstack.http1 import first_value
 from egretstack.ids import RunnerId
 from egretstack.relay._active_runners import ActiveRunners
 from egretstack.relay._patience import place_wait_s
+from egretstack.services.relaying import Relaying
 from standins.platform import EngineFault
 from tests.platform_site import platform_site
+from tests.stream_reader import start_reader
 from tests.support import check, on_real_clock, tests_of
 from tests.test_paused_runners import check_one_at_work, pause
 from tests.test_platform_streams import DRAINING, check_whole
 from tests.test_run_places import EVENTS, others, read_past
+from tests.test_stream_resuming import resumable_site, runs
 
 load_tests = tests_of(globals())
 
@@ -84,3 +90,63 @@
 
         check_whole(await read_past(site, "s-1", 2, disturb), EVENTS)
         check_one_at_work(site)
+
+
+@on_real_clock
+async def test_a_stream_is_not_begun_anew_at_a_paused_runner_beside_its_own():
+    # Guards against a paused runner that reads a request which was taken back, beside the first run.
+    async with resumable_site(engines=2, **{"timeout-ms": 20_000}) as site:
+
+        async def disturb(source):
+            source.gap_s = 2.4
+            await trio.sleep(1.2)
+            source.gap_s = 0.02
+            await pause(others(site, source), 1.9)
+
+        check_whole(await read_past(site, "s-1", 5, disturb), EVENTS)
+        check_one_at_work(site)
+
+
+@on_real_clock
+async def test_a_late_runner_that_rejects_the_request_has_not_run_it():
+    # Guards against a rejection that is taken for a lost answer as no other runner had a place.
+    async with resumable_site(engines=1, **{"target-latency-ms": 300}) as site:
+        [late] = site.engines
+
+        async def reject_late(connection, head, _):
+            await trio.sleep(2.2)
+            await late.reject(connection, first_value(head.headers, b"attempt-id").decode())
+
+        late._generate = reject_late
+        reader = await start_reader(site, "s-1", -1)
+        await reader.ended.wait()
+        check.assertEqual((reader.status, reader.problem), (503, "engines-full"))
+
+
+@on_real_clock
+async def test_late_streams_keep_their_runner_as_it_goes_on_if_the_budget_is_used_up():
+    # Guards against streams that fail as their runner goes on since others have used the budget.
+    more = {"target-latency-ms": 300, "timeout-ms": 20_000}
+    async with resumable_site(engines=2, max_sends=4, **more) as site:
+        budget = site.kernels[0].get(Relaying).context.budget
+        late, other = site.engines
+        generate = late._generate
+
+        async def generate_late(*request):
+            await trio.sleep(0.4)
+            await generate(*request)
+
+        late._generate = generate_late
+        other.fault = EngineFault.FULL
+        readers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pause, [late], 1.7)
+            for number in range(5):
+                readers.append(await start_reader(site, f"s-{number}", -1))
+            await trio.sleep(0.3)
+            other.fault = EngineFault.NONE
+            used = len(budget._retry_times_by_service["llm"])
+            budget.bounds = replace(budget.bounds, retry_ratio=0.0, retry_slack=(used + 2.5) / 0.8)
+            for reader in readers:
+                await reader.ended.wait()
+        check.assertEqual([reader.status for reader in readers], [200] * 5)
