--- a/egretstack/events/_catalogue.py
+++ b/egretstack/events/_catalogue.py
@@ -253,7 +253,11 @@
     STREAM_NOT_CONTINUED = (433, Level.WARNING, "A stream could not continue at another runner.")
     STREAM_LOST = (434, Level.ERROR, "A stream broke off, and the client was notified.")
     RUN_KEPT = (506, Level.INFO, "A run stays where it is: its runners may still be at work on it.")
-    RUNNER_ASKED = (507, Level.INFO, "A silent runner was asked for a sign before a run leaves it.")
+    RUNNER_ASKED = (
+        507,
+        Level.INFO,
+        "A silent runner was asked whether it answers, before a run leaves it.",
+    )
     STREAM_OUT_OF_TIME = (435, Level.WARNING, "A stream was aborted at its deadline.")
     STREAM_RETURNED = (
         460,
--- a/egretstack/relay/_active_runners.py
+++ b/egretstack/relay/_active_runners.py
@@ -1,7 +1,7 @@
 """Which runners may be at work on one run. Does no I/O; the time is passed in.
 
 A runner that was sent a run may be at work on it until its end is known. Closing its connection
-ends its work only once it notices, which a runner that stands still does not.
+ends its work only once it notices, which a runner that is paused does not.
 """
 
 from dataclasses import dataclass
@@ -26,7 +26,7 @@
     is_left: bool = False
     """Whether its connection was closed, without a sign that it has noticed."""
 
-    def lets_go(self) -> bool:
+    def may_be_left(self) -> bool:
         """Return whether it ends its work as its connection is closed, or can't be waited for."""
         return self.is_lost or (self.is_responsive and not self.is_left)
 
@@ -81,7 +81,7 @@
         active = self._by_id.get(runner)
         if active is None:
             return
-        if active.lets_go():
+        if active.may_be_left():
             del self._by_id[runner]
         else:
             active.is_left = True
@@ -93,7 +93,7 @@
     def doubtful(self, now_s: float) -> list[RunnerId]:
         """Return the runners that would go on beside another one, unless they show otherwise."""
         self.look(now_s)
-        return [runner for runner, active in self._by_id.items() if not active.lets_go()]
+        return [runner for runner, active in self._by_id.items() if not active.may_be_left()]
 
     def is_responsive(self, now_s: float, runner: RunnerId) -> bool:
         """Return whether a runner has sent something a moment ago."""
--- a/egretstack/relay/_continuing.py
+++ b/egretstack/relay/_continuing.py
@@ -95,10 +95,10 @@
     async def ask_beside(
         self, run: Run, copy: SavedCopy, last_event_id: str
     ) -> ContinuedRun | ContinueOutcome:
-        """Ask the engine of a copy to continue a run that its runner lets go of.
+        """Ask the engine of a copy to continue a run whose runner may be left.
 
         Unless the engine continues it soon, it is taken off it again, and the run goes on where it
-        is. An engine that stands still is not asked: it would read the request later.
+        is. An engine that is paused is not asked: it would read the request later.
         """
         runner = await self._wait_for_engine(copy)
         if runner is None or await self._context.probes.ask(runner) is not RunnerSign.ANSWERS:
--- a/egretstack/relay/_handover.py
+++ b/egretstack/relay/_handover.py
@@ -1,4 +1,4 @@
-"""Decides whether a run may go on at another runner, and asks silent runners for a sign first."""
+"""Decides whether a run may go on at another runner, and asks silent ones first whether they answer."""
 
 import trio
 
@@ -77,7 +77,7 @@
         return self._active.doubtful(now_s)
 
     async def ask(self, runner_id: RunnerId) -> RunnerSign:
-        """Ask a runner for a sign, and record it."""
+        """Ask whether a runner answers, and record it."""
         runner = self._context.runners.by_id.get(runner_id)
         if runner is None:
             self._active.record_ended(runner_id)
--- a/egretstack/relay/_opening.py
+++ b/egretstack/relay/_opening.py
@@ -393,17 +393,17 @@
         return head
 
     async def _read_late_answer(self) -> ResponseHead | None:
-        """Read the head of an answer that is late, until its runner lets go of the request.
+        """Read the head of an answer that is late, until its runner may be left.
 
         Raises UpstreamBroken.
         """
         read = self.source.read_head
         while self._may_repeat():
-            lets_go = await self._handover.is_allowed()
-            head = await wait_for_answer(read, GO_ON_S if lets_go else ASK_AGAIN_S)
+            may_be_left = await self._handover.is_allowed()
+            head = await wait_for_answer(read, GO_ON_S if may_be_left else ASK_AGAIN_S)
             if head is not None:
                 return head
-            if lets_go and self._may_repeat():
+            if may_be_left and self._may_repeat():
                 return None
         return await wait_for_answer(read, max(0.0, self._task.time_left_s()))
 
--- a/egretstack/relay/_resuming.py
+++ b/egretstack/relay/_resuming.py
@@ -90,7 +90,7 @@
     async def resume(self, *, is_beside: bool) -> bool:
         """Send the stream to other runners until one continues it; return whether one does.
 
-        `is_beside`: its runner may go on and end the search; a runner that stands still would read
+        `is_beside`: its runner may go on and end the search; a runner that is paused would read
         the request after it was taken back.
 
         Afterwards the opening holds the latest run that was sent, and its connection.
--- a/egretstack/relay/_runner_probes.py
+++ b/egretstack/relay/_runner_probes.py
@@ -1,4 +1,4 @@
-"""Asks runners for a sign: whether they answer at all, whatever they do for a run."""
+"""Asks runners whether they answer at all, whatever they do for a run."""
 
 from enum import Enum
 
@@ -11,7 +11,7 @@
 
 CONNECT_TIMEOUT_S = 0.15
 CONNECT_ATTEMPTS = 2
-"""A single SYN may be lost; the kernel of a process that stands still accepts connections."""
+"""A single SYN may be lost; the kernel of a process that is paused accepts connections."""
 RETRY_S = 0.1
 ANSWER_TIMEOUT_S = 0.25
 """Time for the head of a report; most take some 5 ms and need no slot."""
--- a/tests/test_active_runners.py
+++ b/tests/test_active_runners.py
@@ -31,7 +31,7 @@
 
 
 def test_a_runner_keeps_a_run_for_as_long_as_a_sound_one_is_silent():
-    # Guards against a run that goes on elsewhere while its runner stands still.
+    # Guards against a run that goes on elsewhere while its runner is paused.
     active = ActiveRunners()
     active.record_sent(0.0, A)
     check.assertEqual(active.doubtful(0.0), [A])
@@ -73,7 +73,7 @@
 
 
 def test_a_pause_of_this_process_is_no_silence_of_a_runner():
-    # Guards against a runner that is left since this process itself stood still.
+    # Guards against a runner that is left since this process itself was paused.
     active = ActiveRunners()
     active.record_sent(0.0, A)
     active.record_sign(0.1, A)
@@ -83,7 +83,7 @@
 
 @given(st.lists(st.tuples(st.sampled_from((A, B)), st.booleans(), st.floats(0.01, 0.5))))
 def test_no_runner_is_forgotten_between_its_request_and_a_sign(steps):
-    # Guards against an order of records after which a runner that stands still counts as ended.
+    # Guards against an order of records after which a runner that is paused counts as ended.
     active, now_s, unheard_s = ActiveRunners(), 0.0, {}
     for one, leaves, step_s in steps:
         now_s += step_s
--- a/tests/test_paused_runners.py
+++ b/tests/test_paused_runners.py
@@ -1,4 +1,4 @@
-"""Sound runners that stand still for a second, whose runs must not go on elsewhere meanwhile."""
+"""Sound runners that are paused for a second, whose runs must not go on elsewhere meanwhile."""
 
 import trio
 
@@ -21,7 +21,7 @@
 
 
 async def pause(engines, length_s):
-    """Let engines stand still for some time."""
+    """Pause engines for some time."""
     for engine in engines:
         engine.pause()
     await trio.sleep(length_s)
