--- a/tests/test_paused_runners_review.py
+++ b/tests/test_paused_runners_review.py
@@ -10,13 +10,14 @@
 from egretstack.relay._patience import place_wait_s
 from egretstack.services.relaying import Relaying
 from standins.platform import EngineFault
+from standins.platform._http import send
 from tests.platform_site import platform_site
 from tests.stream_reader import start_reader
 from tests.support import check, on_real_clock, tests_of
 from tests.test_paused_runners import check_one_at_work, pause
 from tests.test_platform_streams import DRAINING, check_whole
 from tests.test_run_places import EVENTS, others, read_past
-from tests.test_stream_resuming import resumable_site, runs
+from tests.test_stream_resuming import resumable_site
 
 load_tests = tests_of(globals())
 
@@ -150,3 +151,38 @@
             for reader in readers:
                 await reader.ended.wait()
         check.assertEqual([reader.status for reader in readers], [200] * 5)
+
+
+@on_real_clock
+async def test_a_stream_that_hangs_goes_on_after_its_order_to_stop_failed():
+    # Guards against a stream that waits for an order to stop which was given and failed.
+    async with platform_site(plain=0, engines=2) as site:
+
+        async def disturb(source):
+            copy_run = source._copy_run
+
+            async def fail_to_stop(connection, request):
+                if request["last"]:
+                    await send(connection, 500, b"{}")
+                else:
+                    await copy_run(connection, request)
+
+            source._copy_run = fail_to_stop
+            source.fault = EngineFault.SILENT
+
+        check_whole(await read_past(site, "s-1", 5, disturb), EVENTS)
+
+
+@on_real_clock
+async def test_a_resumable_stream_that_hangs_at_a_runner_that_copies_nothing_is_resumed():
+    # Guards against a resumable stream that waits for an order which its runner does not answer.
+    async with resumable_site(engines=2, **{"timeout-ms": 20_000}) as site:
+
+        async def never(*_):
+            await trio.sleep_forever()
+
+        async def disturb(source):
+            source._copy_run = never
+            source.fault = EngineFault.SILENT
+
+        check_whole(await read_past(site, "s-1", 5, disturb), EVENTS)
