--- a/egretstack/relay/_handover.py
+++ b/egretstack/relay/_handover.py
@@ -1,4 +1,4 @@
-"""Decides whether a run may go on at another runner, and asks silent ones first whether they answer."""
+"""Decides whether a run may go on at another runner; silent ones are asked before."""
 
 import trio
 
--- a/egretstack/relay/_stream.py
+++ b/egretstack/relay/_stream.py
@@ -280,7 +280,8 @@
             self._source.close()
             self._handover.record_ended(self._run.runner)
             return await self._find_place()
-        if not self._resumer.may_resume() and self._stop_for_copy():
+        may_stop = end is _ReadEnd.LEAVING or not self._resumer.may_resume()
+        if may_stop and self._stop_for_copy():
             self._ask_again_s = trio.current_time() + ASK_AGAIN_S
             return True
         found = await self._ask_copy()
